--- /dev/null
+++ b/src/wardstair/__init__.py
@@ -0,0 +1,1 @@
+"""Global traffic steering between callers and upstreams."""
--- /dev/null
+++ b/src/wardstair/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line programs, one a module."""
--- /dev/null
+++ b/src/wardstair/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection."""
--- /dev/null
+++ b/src/wardstair/connection/exchange.py
@@ -0,0 +1,332 @@
+"""One exchange with one upstream or entry host, through tornado's curl client.
+
+What libcurl would do by itself and must not is switched off here: following
+redirects, unpacking bodies, squeezing paths, using a proxy of the
+environment, and sending a request again on a fresh connection when a reused
+one closes early. The last cannot be switched off, so a request that may not
+be repeated always opens its own connection.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.httpclient import HTTPClientError, HTTPRequest
+
+from wardstair.connection.pipe import Pipe, PipeBroken
+from wardstair.decisions.attempts import (
+    Abandoned,
+    Answered,
+    AttemptOutcome,
+    Broken,
+    DeclaredNotRun,
+    Foreign,
+    NeverSent,
+)
+
+CONNECT_SECONDS = 1.0
+IDLE_SECONDS = 60.0
+POOLED_IDLE_SECONDS = 20
+REQUEST_ID_HEADER = 'request-id'
+NOT_RUN_HEADER = 'not-run'
+RETRY_AFTER_HEADER = 'retry-after'
+_INTERIM_END = 200
+_UNKNOWN_LENGTH = -1
+
+
+@dataclass(frozen=True)
+class Outgoing:
+    """A request as it is sent.
+
+    Attributes:
+        url: Absolute URL by IP number.
+        method: HTTP method.
+        headers: Header names and values, hop-by-hop ones removed.
+        request_id: Identifies the request; an answer that names another id
+            is foreign.
+        is_once: Whether it must not be sent a second time.
+        body_length: Bytes of the body, None if there is no body, -1 if the
+            length is not known.
+        seconds: Most seconds for the whole exchange, or None.
+        send_by: Monotonic time after which it must not start, or None.
+        idle_seconds: Seconds without progress that the upstream may take.
+    """
+
+    url: str
+    method: str
+    headers: tuple[tuple[str, str], ...]
+    request_id: str
+    is_once: bool
+    body_length: int | None
+    seconds: float | None
+    send_by: float | None = None
+    idle_seconds: float = IDLE_SECONDS
+
+
+@dataclass
+class IncomingHead:
+    """Status and headers of the answer."""
+
+    status: int
+    reason: str = ''
+    headers: list[tuple[str, str]] = field(default_factory=list)
+
+    def first(self, name: str) -> str | None:
+        """Return the first value of a header, by lower-case name."""
+        for header, text in self.headers:
+            if header.lower() == name:
+                return text
+        return None
+
+
+class Exchange:
+    """Runs one request and hands the answer on as it arrives."""
+
+    def __init__(
+        self,
+        client: CurlAsyncHTTPClient,
+        outgoing: Outgoing,
+        body: Pipe | None,
+    ) -> None:
+        """Prepare the exchange; nothing is sent before `run`.
+
+        Args:
+            client: The process's curl client.
+            outgoing: The request.
+            body: The request body, or None.
+        """
+        self.answer = Pipe()
+        self.last_progress = time.monotonic()
+        self._client = client
+        self._outgoing = outgoing
+        self._body = body
+        self._head: IncomingHead | None = None
+        self._head_ready: asyncio.Future[IncomingHead | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._curl: pycurl.Curl | None = None
+        self._is_sent = False
+        self._is_foreign = False
+        self._is_abandoned = False
+        self._read_paused = False
+        self._write_paused = False
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether bytes of the request may have left this host."""
+        return self._is_sent
+
+    def is_idle(self, now: float) -> bool:
+        """Return whether the upstream has made no progress for too long.
+
+        A slow caller is not the upstream's fault and is limited elsewhere.
+        """
+        if self._read_paused or self._write_paused:
+            return False
+        return now - self.last_progress > self._outgoing.idle_seconds
+
+    async def head(self) -> IncomingHead | None:
+        """Wait for the answer's head; None if the exchange ends before."""
+        return await asyncio.shield(self._head_ready)
+
+    async def run(self) -> AttemptOutcome:
+        """Carry out the exchange and say what it proves."""
+        request = HTTPRequest(
+            self._outgoing.url,
+            headers=dict(self._outgoing.headers),
+            connect_timeout=CONNECT_SECONDS,
+            request_timeout=self._outgoing.seconds or 0,
+            follow_redirects=False,
+            decompress_response=False,
+            prepare_curl_callback=self._prepare,
+        )
+        try:
+            await self._client.fetch(request, raise_error=True)
+        except CurlError as error:
+            return self._finish(self._failure(error.errno))
+        except HTTPClientError:
+            # A status of 300 and above is an answer like any other.
+            return self._finish(self._success())
+        return self._finish(self._success())
+
+    def abort(self) -> None:
+        """End the exchange now; its connection is closed, not reused."""
+        self._is_abandoned = True
+        self.answer.fail()
+        if self._curl is None:
+            return
+        # libcurl runs an idle transfer only when its state changes, so the
+        # pause is switched on and off to have the progress callback called.
+        self._curl.setopt(pycurl.NOPROGRESS, 0)
+        self._curl.setopt(pycurl.XFERINFOFUNCTION, _stop_transfer)
+        self._toggle_pause(self._curl)
+
+    def _toggle_pause(self, curl: pycurl.Curl) -> None:
+        try:
+            curl.pause(pycurl.PAUSE_ALL)
+            curl.pause(pycurl.PAUSE_CONT)
+        except pycurl.error:
+            # The transfer has failed already; fetch reports it.
+            return
+
+    def _prepare(self, curl: pycurl.Curl) -> None:
+        self._curl = curl
+        outgoing = self._outgoing
+        lines = [
+            f'{name}: {text}' if text else f'{name};'
+            for name, text in outgoing.headers
+        ]
+        curl.setopt(pycurl.HTTPHEADER, [*lines, 'Expect:', 'Pragma:'])
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        curl.setopt(pycurl.PATH_AS_IS, 1)
+        curl.setopt(pycurl.PROXY, '')
+        curl.setopt(pycurl.TCP_NODELAY, 1)
+        curl.setopt(pycurl.MAXAGE_CONN, POOLED_IDLE_SECONDS)
+        curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        curl.setopt(pycurl.WRITEFUNCTION, self._on_answer)
+        curl.setopt(pycurl.PREREQFUNCTION, self._on_connected)
+        curl.setopt(pycurl.CUSTOMREQUEST, outgoing.method)
+        curl.setopt(pycurl.NOBODY, int(outgoing.method == 'HEAD'))
+        if outgoing.is_once:
+            curl.setopt(pycurl.FRESH_CONNECT, 1)
+            curl.setopt(pycurl.FORBID_REUSE, 1)
+        if outgoing.body_length is not None and self._body is not None:
+            curl.setopt(pycurl.UPLOAD, 1)
+            curl.setopt(pycurl.INFILESIZE_LARGE, outgoing.body_length)
+            curl.setopt(pycurl.READFUNCTION, self._on_body_wanted)
+            self._body.on_readable = self._resume_soon(self._resume_body)
+        self.answer.on_writable = self._resume_soon(self._resume_answer)
+
+    def _on_connected(self, *_addresses: object) -> int:
+        send_by = self._outgoing.send_by
+        if send_by is not None and time.monotonic() >= send_by:
+            # The slot was lent until then: a process that was paused must
+            # not use it after its lender may have given it to another.
+            return int(pycurl.PREREQFUNC_ABORT)
+        self._is_sent = True
+        return int(pycurl.PREREQFUNC_OK)
+
+    def _on_body_wanted(self, size: int) -> bytes | int:
+        assert self._body is not None
+        try:
+            chunk = self._body.take(size)
+        except PipeBroken:
+            return int(pycurl.READFUNC_ABORT)
+        if chunk is None:
+            self._read_paused = True
+            return int(pycurl.READFUNC_PAUSE)
+        self.last_progress = time.monotonic()
+        return chunk
+
+    def _on_header(self, raw: bytes) -> None:
+        line = raw.decode('latin-1').rstrip('\r\n')
+        self.last_progress = time.monotonic()
+        if line.startswith('HTTP/'):
+            self._head = _status_line(line)
+            return
+        if self._head is None:
+            return
+        if line:
+            name, _, text = line.partition(':')
+            self._head.headers.append((name, text.strip()))
+            return
+        if self._head.status < _INTERIM_END:
+            self._head = None
+            return
+        self._check_head(self._head)
+
+    def _check_head(self, head: IncomingHead) -> None:
+        named = head.first(REQUEST_ID_HEADER)
+        if named is not None and named != self._outgoing.request_id:
+            self._is_foreign = True
+            self._set_head(None)
+            return
+        self._set_head(head)
+
+    def _on_answer(self, chunk: bytes) -> int | None:
+        if self._is_foreign or self._is_abandoned:
+            return 0
+        if self.answer.offer(chunk):
+            self.last_progress = time.monotonic()
+            return None
+        self._write_paused = True
+        return int(pycurl.WRITEFUNC_PAUSE)
+
+    def _resume_soon(self, resume: Callable[[], None]) -> Callable[[], None]:
+        loop = asyncio.get_running_loop()
+
+        def schedule() -> None:
+            # libcurl forbids `pause` inside its own callbacks.
+            loop.call_soon(resume)
+
+        return schedule
+
+    def _resume_body(self) -> None:
+        if self._read_paused:
+            self._read_paused = False
+            self._resume()
+
+    def _resume_answer(self) -> None:
+        if self._write_paused:
+            self._write_paused = False
+            self._resume()
+
+    def _resume(self) -> None:
+        if self._curl is None:
+            return
+        try:
+            self._curl.pause(pycurl.PAUSE_CONT)
+        except pycurl.error:
+            # The transfer has failed already; fetch reports it.
+            return
+
+    def _set_head(self, head: IncomingHead | None) -> None:
+        if not self._head_ready.done():
+            self._head_ready.set_result(head)
+
+    def _success(self) -> AttemptOutcome:
+        if self._is_foreign:
+            return Foreign()
+        head = self._head
+        if head is None:
+            return Broken()
+        if head.first(NOT_RUN_HEADER) == 'true' and head.status >= 400:
+            seconds = head.first(RETRY_AFTER_HEADER) or ''
+            retry_after = int(seconds) if seconds.isdecimal() else None
+            return DeclaredNotRun(head.status, retry_after)
+        return Answered(head.status)
+
+    def _failure(self, errno: int | None) -> AttemptOutcome:
+        timed_out = errno == pycurl.E_OPERATION_TIMEDOUT
+        if self._is_foreign:
+            return Foreign()
+        if not self._is_sent:
+            return NeverSent(timed_out)
+        if self._is_abandoned:
+            return Abandoned()
+        begun = self._head_ready.done()
+        return Broken(answer_begun=begun, timed_out=timed_out)
+
+    def _finish(self, outcome: AttemptOutcome) -> AttemptOutcome:
+        # The handle goes back to the client's pool: it is not ours now.
+        self._curl = None
+        self._set_head(None)
+        match outcome:
+            case Answered() | DeclaredNotRun():
+                self.answer.end()
+            case _:
+                self.answer.fail()
+        return outcome
+
+
+def _status_line(line: str) -> IncomingHead:
+    parts = line.split(' ', 2)
+    status = int(parts[1]) if len(parts) > 1 and parts[1].isdecimal() else 0
+    return IncomingHead(status, parts[2] if len(parts) > 2 else '')
+
+
+def _stop_transfer(*_progress: object) -> int:
+    return 1
--- /dev/null
+++ b/src/wardstair/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions over data classes: no input, output or clock."""
--- /dev/null
+++ b/src/wardstair/decisions/attempts.py
@@ -0,0 +1,86 @@
+"""What an attempt at an upstream proves about the request.
+
+"Not run" is said only where it is proved: no byte of the request left this
+host, or the upstream itself said so. Everything else that ends without a
+whole answer may have run.
+"""
+
+from dataclasses import dataclass
+
+from wardstair.decisions.retries import RetryReason
+
+
+@dataclass(frozen=True)
+class Answered:
+    """The whole answer arrived."""
+
+    status: int
+
+
+@dataclass(frozen=True)
+class DeclaredNotRun:
+    """The upstream answered that it did not run the request."""
+
+    status: int
+    retry_after: int | None = None
+
+
+@dataclass(frozen=True)
+class NeverSent:
+    """The attempt ended before a byte of the request left this host."""
+
+    timed_out: bool = False
+
+
+@dataclass(frozen=True)
+class Broken:
+    """Bytes left, and no whole answer came.
+
+    Attributes:
+        answer_begun: Whether the answer's headers had gone to the caller.
+        timed_out: Whether time ran out, as against a broken connection.
+    """
+
+    answer_begun: bool = False
+    timed_out: bool = False
+
+
+@dataclass(frozen=True)
+class Foreign:
+    """The answer named another request than the one sent."""
+
+
+@dataclass(frozen=True)
+class Abandoned:
+    """The caller left before the answer was whole."""
+
+
+AttemptOutcome = (
+    Answered | DeclaredNotRun | NeverSent | Broken | Foreign | Abandoned
+)
+
+
+def may_have_run(outcome: AttemptOutcome) -> bool:
+    """Return False only if the attempt provably did not run."""
+    match outcome:
+        case DeclaredNotRun() | NeverSent():
+            return False
+        case Answered() | Broken() | Foreign() | Abandoned():
+            return True
+
+
+def retry_reason(outcome: AttemptOutcome) -> RetryReason | None:
+    """Return why another attempt could help, or None if it cannot."""
+    match outcome:
+        case NeverSent(timed_out=True):
+            return RetryReason.connect_timeout
+        case NeverSent():
+            return RetryReason.connect_refused
+        case DeclaredNotRun():
+            return RetryReason.upstream_not_run
+        case Broken(answer_begun=False, timed_out=False):
+            return RetryReason.answer_lost
+        case Foreign():
+            return RetryReason.upstream_error
+        case Answered() | Broken() | Abandoned():
+            return None
--- /dev/null
+++ b/src/wardstair/decisions/ledger.py
@@ -0,0 +1,343 @@
+"""Tokens of one capacity, shared by hosts without ever being doubled.
+
+A capacity of N, such as the slots of an upstream or the cap of a shift, is N
+numbered tokens. Each has one owner. Owners lend idle tokens; a loan ends when
+it is returned, when its time is over, or when its borrower is proved dead.
+Nothing here depends on two hosts agreeing at one moment: an owner that is cut
+off keeps its tokens and goes on, and nobody else may use them meanwhile.
+
+Times are monotonic seconds of the host that keeps the ledger. The borrower
+counts a loan from before it asked, the lender from when it granted, so the
+borrower always stops first.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+CLOCK_MARGIN_SECONDS = 1.0
+LOAN_SECONDS = 5.0
+
+
+def settle_seconds(hold_seconds: float) -> float:
+    """Return how long a new owner of a token waits before it uses it.
+
+    The old owner may have lent it just before it died, and the borrower may
+    have started work at the last moment: the longest grant is waited out.
+
+    Args:
+        hold_seconds: Most seconds that work holds the token.
+    """
+    return LOAN_SECONDS + hold_seconds + CLOCK_MARGIN_SECONDS
+
+
+@dataclass(frozen=True)
+class Identity:
+    """One incarnation of one host."""
+
+    name: str
+    incarnation: str
+
+
+class Standing(Enum):
+    """The standings of a token without further data."""
+
+    idle = 'idle'
+    busy = 'busy'
+
+
+@dataclass(frozen=True)
+class Lent:
+    """The token is with a borrower.
+
+    Attributes:
+        borrower: Who holds it.
+        loan: Identifies the loan.
+        reclaim_at: Time when it is free again without a return; None if
+            the borrower may hold it for any time.
+    """
+
+    borrower: Identity
+    loan: str
+    reclaim_at: float | None
+
+
+@dataclass(frozen=True)
+class Settling:
+    """A predecessor's work may still use the token until then."""
+
+    until: float
+
+
+OwnedState = Standing | Lent | Settling
+
+
+@dataclass
+class Borrowed:
+    """A token from another owner.
+
+    Attributes:
+        lender: Its owner.
+        loan: Identifies the loan.
+        start_by: Work may start on it before this time only.
+        is_busy: Whether work runs on it now.
+    """
+
+    lender: Identity
+    loan: str
+    start_by: float
+    is_busy: bool = False
+
+
+@dataclass(frozen=True)
+class Slot:
+    """A token taken for one piece of work.
+
+    Attributes:
+        token: Its number.
+        send_by: Work must not start after this time; None without limit.
+    """
+
+    token: int
+    send_by: float | None
+
+
+@dataclass(frozen=True)
+class LoanOffer:
+    """Tokens that an owner lends.
+
+    Attributes:
+        loan: Identifies the loan.
+        tokens: Their numbers.
+        seconds: Seconds, from before the borrower asked, in which work may
+            start on them.
+    """
+
+    loan: str
+    tokens: tuple[int, ...]
+    seconds: float
+
+
+@dataclass(frozen=True)
+class LoanReturn:
+    """Tokens that a borrower gives back."""
+
+    lender: Identity
+    loan: str
+    tokens: tuple[int, ...]
+
+
+@dataclass
+class Ledger:
+    """What one host knows of the tokens of one capacity.
+
+    Attributes:
+        hold_seconds: Most seconds that work holds a token, or None.
+        owned: Owned tokens and how they stand.
+        borrowed: Tokens on loan from others.
+        retired: Owned tokens that no longer exist; work on them ends in
+            peace, nothing new starts.
+    """
+
+    hold_seconds: float | None
+    owned: dict[int, OwnedState] = field(default_factory=dict)
+    borrowed: dict[int, Borrowed] = field(default_factory=dict)
+    retired: set[int] = field(default_factory=set)
+
+    @property
+    def in_use(self) -> int:
+        """Tokens that work of this host uses now."""
+        owned = sum(state is Standing.busy for state in self.owned.values())
+        return owned + sum(loan.is_busy for loan in self.borrowed.values())
+
+    @property
+    def idle_owned(self) -> list[int]:
+        """Owned tokens that could be used or lent now."""
+        return [
+            token
+            for token, state in self.owned.items()
+            if state is Standing.idle and token not in self.retired
+        ]
+
+    def available(self, now: float) -> int:
+        """Return how many tokens work could start on now."""
+        self._refresh_owned(now)
+        borrowed = sum(
+            not loan.is_busy and now < loan.start_by
+            for loan in self.borrowed.values()
+        )
+        return len(self.idle_owned) + borrowed
+
+    def adopt(self, token: int, now: float, settle: float) -> None:
+        """Become the owner of a token, or keep one that was retired.
+
+        Args:
+            token: Its number.
+            now: Time now.
+            settle: Seconds in which a predecessor's work may still run; 0
+                for a token that had no owner before.
+        """
+        self.retired.discard(token)
+        if token in self.owned:
+            return
+        state = Settling(now + settle) if settle > 0 else Standing.idle
+        self.owned[token] = state
+
+    def give_up(self, token: int) -> bool:
+        """Stop owning a token so that another may own it.
+
+        Returns:
+            False if it is in use or lent; then it stays.
+        """
+        if self.owned.get(token) is not Standing.idle:
+            return False
+        self.owned.pop(token)
+        self.retired.discard(token)
+        return True
+
+    def retire(self, token: int) -> None:
+        """Start no more work on a token that no longer exists."""
+        if token in self.owned:
+            self.retired.add(token)
+
+    def take(self, now: float) -> Slot | None:
+        """Take a token for one piece of work, or return None.
+
+        Borrowed tokens go first: an idle loan is wasted, an idle owned
+        token can be lent.
+        """
+        self._refresh_owned(now)
+        for token, loan in self.borrowed.items():
+            if not loan.is_busy and now < loan.start_by:
+                loan.is_busy = True
+                return Slot(token, loan.start_by)
+        idle = self.idle_owned
+        if not idle:
+            return None
+        self.owned[idle[0]] = Standing.busy
+        return Slot(idle[0], None)
+
+    def put_back(self, token: int, now: float) -> LoanReturn | None:
+        """End the work on a token.
+
+        Returns:
+            A message to the lender if the token was borrowed and its time
+            is over.
+        """
+        loan = self.borrowed.get(token)
+        if loan is not None and loan.is_busy:
+            loan.is_busy = False
+            if now < loan.start_by:
+                return None
+            self.borrowed.pop(token)
+            return LoanReturn(loan.lender, loan.loan, (token,))
+        if self.owned.get(token) is Standing.busy:
+            self.owned[token] = Standing.idle
+        return None
+
+    def lend(
+        self,
+        borrower: Identity,
+        wanted: int,
+        loan: str,
+        now: float,
+    ) -> LoanOffer | None:
+        """Lend idle tokens, at most half of them but one at least.
+
+        Half leaves the owner something for its own next request, so that
+        two busy hosts do not pass the same token to and fro.
+
+        Args:
+            borrower: Who asks.
+            wanted: Most tokens it can use.
+            loan: Identifies the new loan; never used before.
+            now: Time now.
+        """
+        self._refresh_owned(now)
+        idle = self.idle_owned
+        given = tuple(idle[: min(wanted, (len(idle) + 1) // 2)])
+        if not given:
+            return None
+        reclaim_at = None
+        if self.hold_seconds is not None:
+            reclaim_at = now + settle_seconds(self.hold_seconds)
+        for token in given:
+            self.owned[token] = Lent(borrower, loan, reclaim_at)
+        return LoanOffer(loan, given, LOAN_SECONDS)
+
+    def accept(
+        self,
+        lender: Identity,
+        offer: LoanOffer,
+        asked_at: float,
+    ) -> None:
+        """Note tokens on loan.
+
+        Args:
+            lender: Who lends them.
+            offer: The offer; the caller sees to it that it answers a
+                question of ours that no offer has answered yet.
+            asked_at: Time just before the question was sent.
+        """
+        for token in offer.tokens:
+            if token in self.borrowed:
+                # The old loan still runs work here: the new one of the same
+                # token ends unused, and its lender reclaims it in time.
+                continue
+            start_by = asked_at + offer.seconds
+            self.borrowed[token] = Borrowed(lender, offer.loan, start_by)
+
+    def reclaim(self, loan: str, tokens: tuple[int, ...]) -> None:
+        """Take returned tokens back; late and double returns do nothing."""
+        for token in tokens:
+            state = self.owned.get(token)
+            if isinstance(state, Lent) and state.loan == loan:
+                self.owned[token] = Standing.idle
+
+    def return_idle(self) -> list[LoanReturn]:
+        """Give all unused loans back, as a host that leaves does."""
+        return self._return_loans(float('inf'))
+
+    def forget_borrower(
+        self,
+        borrower: Identity,
+        now: float,
+        settle: float,
+    ) -> None:
+        """Reclaim what a borrower held that is proved dead.
+
+        Args:
+            borrower: The dead incarnation.
+            now: Time now.
+            settle: Seconds in which upstreams may still work for it.
+        """
+        for token, state in self.owned.items():
+            if isinstance(state, Lent) and state.borrower == borrower:
+                self.owned[token] = Settling(now + settle)
+
+    def expire(self, now: float) -> list[LoanReturn]:
+        """Apply the passing of time.
+
+        Returns:
+            Messages that hand back loans which ended unused.
+        """
+        self._refresh_owned(now)
+        return self._return_loans(now)
+
+    def _refresh_owned(self, now: float) -> None:
+        for token, state in self.owned.items():
+            match state:
+                case Settling(until=until) if until <= now:
+                    self.owned[token] = Standing.idle
+                case Lent(reclaim_at=float(due)) if due <= now:
+                    self.owned[token] = Standing.idle
+
+    def _return_loans(self, ended_by: float) -> list[LoanReturn]:
+        returns = [
+            LoanReturn(loan.lender, loan.loan, (token,))
+            for token, loan in self.borrowed.items()
+            if not loan.is_busy and loan.start_by <= ended_by
+        ]
+        for ended in returns:
+            for token in ended.tokens:
+                self.borrowed.pop(token)
+        return returns
--- /dev/null
+++ b/src/wardstair/decisions/once.py
@@ -0,0 +1,252 @@
+"""Keys of requests that may run at most once.
+
+The table belongs to one incarnation of one entry host, the home of its keys.
+It never forgets a key before its time: a full table refuses new work.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+RETENTION_SECONDS = 900.0
+KEY_VALID_SECONDS = 600.0
+CLOCK_SKEW_SECONDS = 60.0
+KEPT_ANSWER_BYTES = 16384
+_SEPARATOR = '~'
+
+
+class RunState(StrEnum):
+    """How far the request of a key has come."""
+
+    running = 'running'
+    finished = 'finished'
+    unknown = 'unknown'
+
+
+@dataclass(frozen=True)
+class KeptAnswer:
+    """A small answer kept for a repeat of its request.
+
+    Attributes:
+        status: HTTP status code.
+        headers: Header names and values, in order.
+        body: The whole body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclass
+class KeyRecord:
+    """What the home remembers of one key.
+
+    Attributes:
+        fingerprint: Digest of method, target and body.
+        state: How far it has come.
+        forget_at: Time in seconds before which it is kept.
+        answer: The answer if it is finished and small enough.
+    """
+
+    fingerprint: str
+    state: RunState
+    forget_at: float
+    answer: KeptAnswer | None = None
+
+
+@dataclass(frozen=True)
+class Run:
+    """The key is new: the request may be attempted now."""
+
+
+@dataclass(frozen=True)
+class Replay:
+    """The request has run: this is its answer."""
+
+    answer: KeptAnswer
+
+
+@dataclass(frozen=True)
+class AlreadyRun:
+    """The request has run, but its answer was too large to keep."""
+
+
+@dataclass(frozen=True)
+class InProgress:
+    """The request runs now: wait for its end."""
+
+
+@dataclass(frozen=True)
+class UnknownOutcome:
+    """An attempt was made and nobody knows whether it ran."""
+
+
+@dataclass(frozen=True)
+class Mismatch:
+    """The key was used before for another request."""
+
+
+@dataclass(frozen=True)
+class TableFull:
+    """No key can be added without forgetting one too early."""
+
+    retry_after: float
+
+
+Admission = (
+    Run
+    | Replay
+    | AlreadyRun
+    | InProgress
+    | UnknownOutcome
+    | Mismatch
+    | TableFull
+)
+
+
+@dataclass
+class KeyTable:
+    """The bounded table of keys of one incarnation.
+
+    Attributes:
+        capacity: Most keys that are kept.
+        retention: Seconds a key is kept after its last change.
+        records: The keys and what is known of them.
+    """
+
+    capacity: int
+    retention: float = RETENTION_SECONDS
+    records: dict[str, KeyRecord] = field(default_factory=dict)
+    _expiry: deque[tuple[float, str]] = field(default_factory=deque)
+
+    def admit(
+        self,
+        key: str,
+        fingerprint: str,
+        issued_at: float,
+        now: float,
+    ) -> Admission:
+        """Decide what to do with a request that carries a key.
+
+        Args:
+            key: The key, of this home and incarnation.
+            fingerprint: Digest of the request.
+            issued_at: Time in seconds when the key was issued, by the
+                clock of the host that issued it.
+            now: Time in seconds by this home's clock, which never steps
+                back while the incarnation lives.
+        """
+        self._forget(now)
+        record = self.records.get(key)
+        if record is not None:
+            return _judge(record, fingerprint)
+        age = now - issued_at
+        if not -CLOCK_SKEW_SECONDS <= age < KEY_VALID_SECONDS:
+            # A record outlives the validity of its key, skew included, so
+            # a key that is still valid and not here was never used. An
+            # older one may have been used and forgotten.
+            return UnknownOutcome()
+        if len(self.records) >= self.capacity:
+            return TableFull(retry_after=self._next_expiry(now))
+        self._store(
+            key,
+            KeyRecord(fingerprint, RunState.running, now + self.retention),
+        )
+        return Run()
+
+    def finish(self, key: str, answer: KeptAnswer, now: float) -> None:
+        """Note that the request ran and keep its answer if it is small."""
+        record = self.records[key]
+        record.state = RunState.finished
+        if len(answer.body) <= KEPT_ANSWER_BYTES:
+            record.answer = answer
+        self._extend(key, record, now)
+
+    def finish_unkept(self, key: str, now: float) -> None:
+        """Note that the request ran and its answer was too large."""
+        record = self.records[key]
+        record.state = RunState.finished
+        self._extend(key, record, now)
+
+    def lose(self, key: str, now: float) -> None:
+        """Note that an attempt was made and its outcome is not known."""
+        record = self.records[key]
+        record.state = RunState.unknown
+        self._extend(key, record, now)
+
+    def release(self, key: str) -> None:
+        """Forget a key whose request provably did not run."""
+        self.records.pop(key, None)
+
+    def _store(self, key: str, record: KeyRecord) -> None:
+        self.records[key] = record
+        self._expiry.append((record.forget_at, key))
+
+    def _extend(self, key: str, record: KeyRecord, now: float) -> None:
+        record.forget_at = now + self.retention
+        self._expiry.append((record.forget_at, key))
+
+    def _next_expiry(self, now: float) -> float:
+        if not self._expiry:
+            return self.retention
+        return max(self._expiry[0][0] - now, 1.0)
+
+    def _forget(self, now: float) -> None:
+        while self._expiry and self._expiry[0][0] <= now:
+            _, key = self._expiry.popleft()
+            record = self.records.get(key)
+            if record is None or record.forget_at > now:
+                continue
+            if record.state is RunState.running:
+                # A slow request outlives the retention: look again later.
+                self._extend(key, record, now)
+                continue
+            self.records.pop(key)
+
+
+def _judge(record: KeyRecord, fingerprint: str) -> Admission:
+    if record.fingerprint != fingerprint:
+        return Mismatch()
+    match record.state:
+        case RunState.running:
+            return InProgress()
+        case RunState.unknown:
+            return UnknownOutcome()
+        case RunState.finished:
+            if record.answer is None:
+                return AlreadyRun()
+            return Replay(record.answer)
+
+
+@dataclass(frozen=True)
+class RequestKey:
+    """A key issued by a look-up: it names its home.
+
+    Attributes:
+        home: Name of the entry host that remembers the key.
+        incarnation: Incarnation of that host, as text.
+        issued_at: Wall clock time of issue, in whole seconds.
+        unique: Part that makes the key unique.
+    """
+
+    home: str
+    incarnation: str
+    issued_at: int
+    unique: str
+
+    def __str__(self) -> str:
+        """Return the form in which the key travels."""
+        parts = (self.home, self.incarnation, self.issued_at, self.unique)
+        return _SEPARATOR.join(map(str, parts))
+
+
+def parse_key(text: str) -> RequestKey | None:
+    """Return the parts of an issued key, or None for any other text."""
+    match text.split(_SEPARATOR):
+        case [home, incarnation, issued_at, unique] if (
+            home and incarnation and issued_at.isdecimal() and unique
+        ):
+            return RequestKey(home, incarnation, int(issued_at), unique)
+        case _:
+            return None
--- /dev/null
+++ b/src/wardstair/errors.py
@@ -0,0 +1,141 @@
+"""Error kinds of wardstair.
+
+Every kind carries a message, the context in which it arose and a hint that
+names the remedy, so that a log line or an answer is enough to act on.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class RefusalKind(StrEnum):
+    """Why a request was refused; stable names for programs."""
+
+    no_route = 'no-route'
+    key_required = 'key-required'
+    key_mismatch = 'key-mismatch'
+    key_table_full = 'key-table-full'
+    already_run = 'already-run'
+    outcome_unknown = 'outcome-unknown'
+    overloaded = 'overloaded'
+    no_upstream = 'no-upstream'
+    cap_reached = 'cap-reached'
+    deadline_passed = 'deadline-passed'
+    body_too_large = 'body-too-large'
+    bad_framing = 'bad-framing'
+    bad_header = 'bad-header'
+    upstream_failed = 'upstream-failed'
+    stopping = 'stopping'
+    not_authorised = 'not-authorised'
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """A typed refusal of one request.
+
+    Attributes:
+        kind: The stable name of the reason.
+        status: HTTP status code of the answer.
+        message: What happened, for a person.
+        hint: What the caller can do about it.
+        not_run: True only if the request provably never ran.
+        retry_after: Seconds after which a retry makes sense, or None.
+    """
+
+    kind: RefusalKind
+    status: int
+    message: str
+    hint: str
+    not_run: bool
+    retry_after: int | None = None
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One fault in a settings or configuration file.
+
+    Attributes:
+        source: The file that holds the fault.
+        key: Dotted path of the key at fault.
+        message: What is wrong.
+        hint: What to do.
+    """
+
+    source: str
+    key: str
+    message: str
+    hint: str
+
+    def __str__(self) -> str:
+        """Return the one-line form that `wardstair-check` prints."""
+        return f'{self.source}: {self.key}: {self.message}; {self.hint}'
+
+
+class WardstairError(Exception):
+    """Base of the errors that wardstair raises itself.
+
+    Args:
+        message: What happened.
+        hint: The remedy.
+        context: Values that help to find the cause, by name.
+    """
+
+    def __init__(self, message: str, hint: str, **context: object) -> None:
+        """Keep the three parts apart for logs and join them for people."""
+        super().__init__(f'{message}; {hint}')
+        self.message = message
+        self.hint = hint
+        self.context = context
+
+
+class ConfigurationError(WardstairError):
+    """A settings file or steering configuration is not valid."""
+
+
+@dataclass(frozen=True)
+class PlatformUnavailable:
+    """The platform did not answer; the effect of a write is not known."""
+
+    message: str
+    hint: str = 'try again later; read the object back after a write'
+
+
+@dataclass(frozen=True)
+class VersionConflict:
+    """A conditional update met another version than it named."""
+
+    name: str
+    hint: str = 'read the object again and decide anew'
+
+
+@dataclass(frozen=True)
+class ObjectMissing:
+    """The platform holds no object of that name."""
+
+    name: str
+    hint: str = 'create the object first, or check its name'
+
+
+@dataclass(frozen=True)
+class WatchForgotten:
+    """The platform no longer knows the revision that a watch resumes at."""
+
+    revision: int
+    hint: str = 'list the objects again and watch from the new revision'
+
+
+@dataclass(frozen=True)
+class BudgetSpent:
+    """The local budget of platform calls is used up for now."""
+
+    retry_after: float
+    hint: str = 'wait for the stated seconds'
+
+
+PlatformError = (
+    PlatformUnavailable
+    | VersionConflict
+    | ObjectMissing
+    | WatchForgotten
+    | BudgetSpent
+)
--- /dev/null
+++ b/src/wardstair/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for the whole process of an entry host."""
--- /dev/null
+++ b/src/wardstair/process/admission.py
@@ -0,0 +1,86 @@
+"""Lets traffic from other regions in only while its tokens last."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wardstair.decisions.ledger import LoanReturn, Slot
+from wardstair.decisions.outside import (
+    SHIFT_STALE_SECONDS,
+    ActiveShift,
+    Origin,
+    shift_resource,
+    tokens_needed,
+)
+from wardstair.errors import Refusal
+from wardstair.process.capacity import Capacity
+from wardstair.request.call import Call
+from wardstair.request.problem import cap_reached
+
+
+@dataclass(frozen=True)
+class _Taken:
+    resource: str
+    slot: Slot
+
+
+class OutsideAdmission:
+    """Takes and returns the tokens of requests from other regions."""
+
+    def __init__(
+        self,
+        region: str,
+        capacity: Capacity,
+        config_age: Callable[[], float],
+    ) -> None:
+        """Start without shifts.
+
+        Args:
+            region: Region of this host.
+            capacity: Where the tokens are.
+            config_age: Seconds since the configuration was confirmed.
+        """
+        self.shifts: tuple[ActiveShift, ...] = ()
+        self._region = region
+        self._capacity = capacity
+        self._config_age = config_age
+        self._taken: dict[str, list[_Taken]] = {}
+
+    def admit(self, call: Call) -> Refusal | None:
+        """Take the tokens of a call, or say which one is missing."""
+        origin = Origin(call.origin, call.route.workload.name)
+        needed = tokens_needed(origin, self._region, self.shifts)
+        taken: list[_Taken] = []
+        for resource in needed:
+            slot = self._take(resource)
+            if slot is None:
+                self._put_back(taken)
+                self._capacity.shortage(resource)
+                return cap_reached(resource)
+            taken.append(_Taken(resource, slot))
+        if taken:
+            self._taken[call.request_id] = taken
+        return None
+
+    def release(self, call: Call) -> None:
+        """Return the tokens of a call that has ended."""
+        self._put_back(self._taken.pop(call.request_id, []))
+
+    def _take(self, resource: str) -> Slot | None:
+        is_shift = resource.startswith(shift_resource(''))
+        if is_shift and self._config_age() > SHIFT_STALE_SECONDS:
+            # The cap may have been lowered meanwhile; nothing new moves on
+            # a cap that cannot be confirmed.
+            return None
+        ledger = self._capacity.ledgers.get(resource)
+        return None if ledger is None else ledger.take(time.monotonic())
+
+    def _put_back(self, taken: list[_Taken]) -> None:
+        now = time.monotonic()
+        for one in taken:
+            ledger = self._capacity.ledgers.get(one.resource)
+            if ledger is None:
+                continue
+            loan: LoanReturn | None = ledger.put_back(one.slot.token, now)
+            if loan is not None:
+                self._capacity.give_back(one.resource, loan)
--- /dev/null
+++ b/src/wardstair/process/capacity.py
@@ -0,0 +1,467 @@
+"""Keeps this host's tokens in step with the zone's shares, and loans going.
+
+Ownership is read from and written to the platform; loans pass between hosts
+of the zone without it. While the platform is away, ownership stands still
+and loans go on.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from random import Random
+
+from result import Err, Ok
+
+from wardstair.decisions.ledger import (
+    Identity,
+    Ledger,
+    LoanOffer,
+    LoanReturn,
+)
+from wardstair.decisions.membership import HostRow, HostState
+from wardstair.decisions.shares import (
+    Shares,
+    fit,
+    hand_over,
+    pass_on,
+    register,
+    surplus,
+)
+from wardstair.errors import ObjectMissing, PlatformError, VersionConflict
+from wardstair.process.fleet import Fleet
+from wardstair.process.log import log_event, log_warning
+from wardstair.process.messages import LoanAsk, LoanBack, LoanGive
+from wardstair.process.peers import PeerLinks, Received
+from wardstair.process.platform import (
+    PlatformClient,
+    StoredObject,
+    backoff_seconds,
+)
+from wardstair.version.resources import Resource
+from wardstair.version.topology import Topology
+
+SHARES_KIND = 'shares'
+SYNC_SECONDS = 30.0
+ASK_SECONDS = 1.0
+ASK_AGAIN_SECONDS = 0.05
+WRITE_TRIES = 8
+
+
+@dataclass(frozen=True)
+class _Answer:
+    lender: Identity
+    offer: LoanOffer | None
+
+
+class Capacity:
+    """The tokens of one host."""
+
+    def __init__(
+        self,
+        me: Identity,
+        zone: str,
+        platform: PlatformClient,
+        links: PeerLinks,
+        fleet: Fleet,
+        random: Random,
+    ) -> None:
+        """Start without tokens.
+
+        Args:
+            me: This incarnation.
+            zone: Zone of this host.
+            platform: Where the zone's shares are kept.
+            links: Links to the zone's hosts.
+            fleet: Who is alive and has tokens to lend.
+            random: Source of jitter and of the choice of lenders.
+        """
+        self.ledgers: dict[str, Ledger] = {}
+        self.resources: dict[str, Resource] = {}
+        self.on_gain: Callable[[], None] = lambda: None
+        self.demand: Callable[[str], int] = lambda workload: 0
+        self.is_fenced = False
+        self._me = me
+        self._zone = zone
+        self._platform = platform
+        self._links = links
+        self._fleet = fleet
+        self._random = random
+        self._hosts: tuple[str, ...] = ()
+        self._version = 0
+        self._stored: StoredObject | None = None
+        self._predecessor = False
+        self._registered = False
+        self._kick = asyncio.Event()
+        self._asks: dict[str, asyncio.Future[_Answer]] = {}
+        self._borrowing: dict[str, asyncio.Task[None]] = {}
+        self._numbers = itertools.count(1)
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether this incarnation has its tokens of the version."""
+        if self._stored is None:
+            return False
+        shares = shares_from_json(self._stored.value)
+        return shares.version >= self._version
+
+    def adopt(
+        self,
+        topology: Topology,
+        resources: Mapping[str, Resource],
+    ) -> None:
+        """Take over the capacities of a new version."""
+        self.resources = dict(resources)
+        self._version = topology.version
+        self._hosts = tuple(
+            host.name for host in topology.zone_hosts(self._zone)
+        )
+        for resource in resources.values():
+            ledger = self.ledgers.setdefault(
+                resource.name,
+                Ledger(resource.hold_seconds),
+            )
+            ledger.hold_seconds = resource.hold_seconds
+            for token in list(ledger.owned):
+                if token >= resource.size:
+                    ledger.retire(token)
+        for gone in self.ledgers.keys() - resources.keys():
+            self.ledgers.pop(gone)
+        self._kick.set()
+
+    async def run(self) -> None:
+        """Keep the shares in step until cancelled."""
+        failures = 0
+        while True:
+            self._kick.clear()
+            done = await self.sync()
+            failures = 0 if done else failures + 1
+            wait = SYNC_SECONDS * self._random.uniform(0.7, 1.0)
+            if failures:
+                wait = backoff_seconds(failures, self._random)
+            # Not asyncio.wait_for: before Python 3.12 it can swallow a
+            # cancellation that comes with the event, and the host's stop
+            # then waited for this task for ever.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait):
+                    await self._kick.wait()
+
+    async def sync(self) -> bool:
+        """Read the zone's shares, change them if need be, and adopt them.
+
+        Returns:
+            Whether the shares are known and fit the configuration.
+        """
+        if not self.resources:
+            return False
+        for _ in range(WRITE_TRIES):
+            found = await self._platform.read(SHARES_KIND, self._zone)
+            match found:
+                case Ok(stored):
+                    written = await self._improve(stored)
+                case Err(ObjectMissing()):
+                    written = await self._write(Shares(), 0)
+                case Err():
+                    return False
+            match written:
+                case Ok(stored):
+                    self._adopt_shares(stored)
+                    return True
+                case Err(error) if not isinstance(error, VersionConflict):
+                    return False
+        return False
+
+    async def bury(self, dead: Identity) -> None:
+        """Give the tokens of a host that the platform says is gone."""
+        heirs = self._fleet.live_names()
+        if self._stored is None or self._me.name != min(heirs):
+            return
+        shares = shares_from_json(self._stored.value)
+        changed = pass_on(shares, dead.name, dead.incarnation, heirs)
+        if changed == shares:
+            return
+        written = await self._write(changed, self._stored.version)
+        match written:
+            case Ok(stored):
+                log_event('tokens-passed-on', dead=dead.name)
+                self._adopt_shares(stored)
+            case Err():
+                self._kick.set()
+
+    async def hand_over_all(self) -> None:
+        """Give all idle tokens to a live host, before this one ends."""
+        for ledger in self.ledgers.values():
+            self._send_returns(ledger, ledger.return_idle())
+        heirs = [
+            name for name in self._fleet.live_names() if name != self._me.name
+        ]
+        if not heirs or self._stored is None:
+            return
+        await self._give(self._random.choice(heirs), None)
+
+    async def even_out(self) -> None:
+        """Give idle tokens to the host that owns least."""
+        if self._stored is None:
+            return
+        shares = shares_from_json(self._stored.value)
+        live = [
+            name
+            for name in self._fleet.live_names()
+            if name in shares.incarnations
+        ]
+        receiver, count = surplus(shares, self._me.name, live)
+        if count and receiver != self._me.name:
+            await self._give(receiver, count)
+
+    def shortage(self, name: str) -> None:
+        """Borrow tokens of a resource in the background."""
+        if name in self._borrowing or name not in self.ledgers:
+            return
+        task = asyncio.ensure_future(self._borrow(name))
+        self._borrowing[name] = task
+        task.add_done_callback(lambda _task: self._borrowing.pop(name, None))
+
+    def give_back(self, name: str, loan: LoanReturn) -> None:
+        """Send a returned loan to its lender."""
+        message = LoanBack(name, loan.loan, loan.tokens)
+        self._links.send(loan.lender.name, message)
+
+    def expire(self) -> None:
+        """Apply the passing of time to all ledgers."""
+        now = time.monotonic()
+        for name, ledger in self.ledgers.items():
+            for loan in ledger.expire(now):
+                self.give_back(name, loan)
+
+    def on_ask(self, sender: Identity, message: LoanAsk) -> None:
+        """Lend what is idle."""
+        offer = None
+        ledger = self.ledgers.get(message.resource)
+        waits = self._is_waited_for(message.resource)
+        if ledger is not None and not self.is_fenced and not waits:
+            loan = f'{self._me.incarnation}-{next(self._numbers)}'
+            now = time.monotonic()
+            offer = ledger.lend(sender, message.wanted, loan, now)
+        answer = LoanGive(message.ask, message.resource, offer)
+        self._links.send(sender.name, answer)
+
+    def on_give(self, received: Received, message: LoanGive) -> None:
+        """Take the answer to a question of ours, once."""
+        waiting = self._asks.pop(message.ask, None)
+        if waiting is None or waiting.done():
+            self._decline(received.sender, message)
+            return
+        waiting.set_result(_Answer(received.sender, message.offer))
+
+    def on_back(self, message: LoanBack) -> None:
+        """Take returned tokens back."""
+        ledger = self.ledgers.get(message.resource)
+        if ledger is not None:
+            ledger.reclaim(message.loan, message.tokens)
+            self.on_gain()
+
+    def on_new_incarnation(self, row: HostRow, previous: str) -> None:
+        """Reclaim what the previous incarnation of a host had borrowed."""
+        now = time.monotonic()
+        dead = Identity(row.name, previous)
+        for name, ledger in self.ledgers.items():
+            settle = self.resources[name].settle_seconds
+            ledger.forget_borrower(dead, now, settle)
+
+    async def _improve(
+        self,
+        stored: StoredObject,
+    ) -> Ok[StoredObject] | Err[PlatformError]:
+        shares = shares_from_json(stored.value)
+        rival = shares.incarnations.get(self._me.name, '')
+        if rival > self._me.incarnation:
+            self._fence(rival)
+            return Ok(stored)
+        if not self._registered and rival:
+            self._predecessor = rival != self._me.incarnation
+        wanted = self._wanted(shares)
+        if wanted == shares:
+            return Ok(stored)
+        return await self._write(wanted, stored.version)
+
+    def _wanted(self, shares: Shares) -> Shares:
+        registered = register(shares, self._me.name, self._me.incarnation)
+        sizes = {one.name: one.size for one in self.resources.values()}
+        return fit(registered, sizes, self._hosts, self._version)
+
+    async def _write(
+        self,
+        shares: Shares,
+        expected: int,
+    ) -> Ok[StoredObject] | Err[PlatformError]:
+        wanted = self._wanted(shares)
+        return await self._platform.write_surely(
+            SHARES_KIND,
+            self._zone,
+            shares_as_json(wanted),
+            expected,
+        )
+
+    def _adopt_shares(self, stored: StoredObject) -> None:
+        if self._stored and stored.version < self._stored.version:
+            return
+        is_first = not self._registered
+        self._registered = True
+        self._stored = stored
+        if self.is_fenced:
+            return
+        shares = shares_from_json(stored.value)
+        for name, ledger in self.ledgers.items():
+            settle = self.resources[name].settle_seconds
+            if is_first and not self._predecessor:
+                # No earlier incarnation of this host ever held a token.
+                settle = 0
+            self._adopt_resource(shares, name, ledger, settle)
+        self.on_gain()
+
+    def _adopt_resource(
+        self,
+        shares: Shares,
+        name: str,
+        ledger: Ledger,
+        settle: float,
+    ) -> None:
+        now = time.monotonic()
+        size = self.resources[name].size
+        mine = {
+            token
+            for token in shares.owned_by(self._me.name, name)
+            if token < size
+        }
+        for token in ledger.owned.keys() - mine:
+            ledger.retire(token)
+        for token in sorted(mine):
+            ledger.adopt(token, now, settle)
+
+    def _fence(self, rival: str) -> None:
+        if self.is_fenced:
+            return
+        # The platform's host list replaced this process while it was
+        # paused or cut off; the other incarnation has the tokens now.
+        self.is_fenced = True
+        log_warning('fenced', rival=rival, incarnation=self._me.incarnation)
+        for ledger in self.ledgers.values():
+            for token in ledger.owned:
+                ledger.retire(token)
+
+    async def _give(self, receiver: str, most: int | None) -> None:
+        assert self._stored is not None
+        given: dict[str, list[int]] = {}
+        count = 0
+        for name, ledger in self.ledgers.items():
+            for token in ledger.idle_owned:
+                if most is not None and count >= most:
+                    break
+                if ledger.give_up(token):
+                    given.setdefault(name, []).append(token)
+                    count += 1
+        if not given:
+            return
+        shares = shares_from_json(self._stored.value)
+        changed = hand_over(shares, self._me.name, receiver, given)
+        written = await self._write(changed, self._stored.version)
+        match written:
+            case Ok(stored):
+                log_event('tokens-handed-over', to=receiver, count=count)
+                self._adopt_shares(stored)
+            case Err():
+                # Given up here already; the next reading of the shares
+                # tells whose they are.
+                self._kick.set()
+
+    async def _borrow(self, name: str) -> None:
+        while name in self.ledgers and not self.is_fenced:
+            for peer in self._lenders(name):
+                answer = await self._ask(peer, name)
+                if answer is not None and answer.offer is not None:
+                    self.on_gain()
+                    break
+            if not self._is_waited_for(name):
+                return
+            await asyncio.sleep(ASK_AGAIN_SECONDS)
+
+    async def _ask(self, peer: str, name: str) -> _Answer | None:
+        workload = self.resources[name].workload
+        ask = f'{self._me.incarnation}-{next(self._numbers)}'
+        waiting: asyncio.Future[_Answer] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._asks[ask] = waiting
+        asked_at = time.monotonic()
+        wanted = max(self.demand(workload), 1)
+        if not self._links.send(peer, LoanAsk(ask, name, wanted)):
+            self._asks.pop(ask)
+            return None
+        try:
+            async with asyncio.timeout(ASK_SECONDS):
+                answer = await waiting
+        except TimeoutError:
+            self._asks.pop(ask, None)
+            return None
+        ledger = self.ledgers.get(name)
+        if answer.offer is not None and ledger is not None:
+            ledger.accept(answer.lender, answer.offer, asked_at)
+        return answer
+
+    def _decline(self, lender: Identity, message: LoanGive) -> None:
+        # An offer that comes too late, or twice: its tokens go back unused
+        # unless the same loan is in use here.
+        ledger = self.ledgers.get(message.resource)
+        if message.offer is None or ledger is None:
+            return
+        held = {loan.loan for loan in ledger.borrowed.values()}
+        if message.offer.loan in held:
+            return
+        loan = LoanReturn(lender, message.offer.loan, message.offer.tokens)
+        self.give_back(message.resource, loan)
+
+    def _lenders(self, name: str) -> list[str]:
+        now = time.monotonic()
+        rows = self._fleet.members.in_state(now, HostState.live)
+        names = [row.name for row in rows if row.name in self._links.linked]
+        self._random.shuffle(names)
+        free = {row.name: sum(row.free) for row in rows}
+        return sorted(names, key=lambda peer: -free[peer])
+
+    def _is_waited_for(self, name: str) -> bool:
+        resource = self.resources.get(name)
+        return resource is not None and self.demand(resource.workload) > 0
+
+    def _send_returns(self, ledger: Ledger, loans: list[LoanReturn]) -> None:
+        for name, candidate in self.ledgers.items():
+            if candidate is ledger:
+                for loan in loans:
+                    self.give_back(name, loan)
+
+
+def shares_as_json(shares: Shares) -> dict[str, object]:
+    """Return the form in which shares are stored."""
+    return {
+        'owners': {
+            resource: list(owners) for resource, owners in shares.owners.items()
+        },
+        'incarnations': dict(shares.incarnations),
+        'version': shares.version,
+    }
+
+
+def shares_from_json(value: Mapping[str, object]) -> Shares:
+    """Read stored shares."""
+    owners = value['owners']
+    incarnations = value['incarnations']
+    version = value['version']
+    assert isinstance(owners, dict)
+    assert isinstance(incarnations, dict)
+    assert isinstance(version, int)
+    return Shares(
+        {name: tuple(row) for name, row in owners.items()},
+        incarnations,
+        version,
+    )
--- /dev/null
+++ b/src/wardstair/process/configuration.py
@@ -0,0 +1,310 @@
+"""Brings each accepted version into force here, and helps it to spread.
+
+Two hosts a zone watch the platform; the others hear of a version from them.
+A host adopts only a higher version than it has, wherever it comes from, so
+a late watch, an old peer or a restart elsewhere cannot take it back.
+"""
+
+import asyncio
+import itertools
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from result import Err, Ok
+
+from wardstair.errors import WatchForgotten
+from wardstair.process.log import log_event, log_warning
+from wardstair.process.messages import (
+    HeadAsk,
+    HeadGive,
+    PartAsk,
+    PartGive,
+    PeerMessage,
+)
+from wardstair.process.platform import (
+    ObjectList,
+    PlatformClient,
+    StoredObject,
+    backoff_seconds,
+)
+from wardstair.version.parts import (
+    Head,
+    head_from_json,
+    part_digest,
+    part_from_json,
+    unpack,
+)
+from wardstair.version.topology import Topology, build_topology
+
+HEAD_KIND = 'steering'
+HEAD_NAME = 'head'
+PART_KIND = 'parts'
+WATCH_SECONDS = 30.0
+POLL_SECONDS = 60.0
+PART_SECONDS = 2.0
+FIRST_TRIES = 3
+
+Send = Callable[[str, PeerMessage], bool]
+
+
+@dataclass(frozen=True)
+class Announced:
+    """A head and where it was heard of.
+
+    Attributes:
+        version: Its version.
+        head: The head.
+        source: Name of the host that told it, or None for the platform.
+    """
+
+    version: int
+    head: Head
+    source: str | None
+
+
+class Configuration:
+    """The version in force on this host."""
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        send: Send,
+        random: Random,
+    ) -> None:
+        """Start without a version.
+
+        Args:
+            platform: Where versions are stored.
+            send: Sends a message to an entry host.
+            random: Source of jitter.
+        """
+        self.topology: Topology | None = None
+        self.head: Head | None = None
+        self.adopted_at = float('-inf')
+        self.on_adopt: Callable[[Topology], None] = lambda topology: None
+        self.is_watcher: Callable[[], bool] = lambda: True
+        self._platform = platform
+        self._send = send
+        self._random = random
+        self._confirmed_at = float('-inf')
+        self._parts: dict[str, bytes] = {}
+        self._wanted_parts: dict[str, asyncio.Future[bytes]] = {}
+        self._announced: asyncio.Queue[Announced] = asyncio.Queue(64)
+        self._adopting = asyncio.Lock()
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 before the first."""
+        return 0 if self.topology is None else self.topology.version
+
+    @property
+    def age(self) -> float:
+        """Seconds since the version was known to be the newest."""
+        return time.monotonic() - self._confirmed_at
+
+    def confirm(self, version: int, age: float) -> None:
+        """Note that a version was the newest some seconds ago."""
+        if version == self.version:
+            heard = time.monotonic() - age
+            self._confirmed_at = max(self._confirmed_at, heard)
+
+    async def load(self) -> bool:
+        """Read the head from the platform and adopt it; False if it fails."""
+        found = await self._platform.read(HEAD_KIND, HEAD_NAME)
+        match found:
+            case Ok(stored):
+                return await self._take(_announcement(stored))
+            case Err():
+                return False
+
+    def hear(self, sender: str, version: int) -> None:
+        """Note a version that a peer has; ask for it if it is newer."""
+        if version > self.version:
+            self._send(sender, HeadAsk(self.version))
+
+    def on_head_ask(self, sender: str, message: HeadAsk) -> None:
+        """Tell the version in force if it is newer than the sender's."""
+        if self.head is None or self.version <= message.newer_than:
+            return
+        head = self.head
+        self._send(
+            sender,
+            HeadGive(
+                self.version,
+                head.base,
+                head.blocks,
+                head.command,
+                head.operator,
+            ),
+        )
+
+    def on_head_give(self, sender: str, message: HeadGive) -> None:
+        """Queue a head for adoption."""
+        head = Head(
+            message.base,
+            message.blocks,
+            message.command,
+            message.operator,
+        )
+        if message.version <= self.version or self._announced.full():
+            return
+        self._announced.put_nowait(Announced(message.version, head, sender))
+
+    def on_part_ask(self, sender: str, message: PartAsk) -> None:
+        """Send a part if it is here."""
+        part = self._parts.get(message.digest)
+        if part is not None:
+            self._send(sender, PartGive(part))
+
+    def on_part_give(self, message: PartGive) -> None:
+        """Take a part that was asked for."""
+        digest = part_digest(message.content)
+        waiting = self._wanted_parts.get(digest)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(message.content)
+
+    async def follow_peers(self) -> None:
+        """Adopt what peers tell until cancelled."""
+        while True:
+            announced = await self._announced.get()
+            await self._take(announced)
+
+    async def follow_platform(self) -> None:
+        """Watch or poll the platform until cancelled."""
+        failures = 0
+        for turn in itertools.count():
+            if not self.is_watcher() and turn >= FIRST_TRIES:
+                # Others of the zone watch; this is only the safety net.
+                wait = POLL_SECONDS * self._random.uniform(0.5, 1.0)
+                await asyncio.sleep(wait)
+                await self.load()
+                continue
+            followed = await self._watch()
+            failures = 0 if followed else failures + 1
+            if failures:
+                wait = backoff_seconds(failures, self._random)
+                await asyncio.sleep(wait)
+
+    async def _watch(self) -> bool:
+        listed = await self._platform.list_kind(HEAD_KIND)
+        match listed:
+            case Ok(found):
+                await self._take_newest(found)
+            case Err():
+                return False
+        revision = listed.ok_value.revision
+        while True:
+            news = await self._platform.watch(
+                HEAD_KIND,
+                revision,
+                WATCH_SECONDS,
+            )
+            match news:
+                case Ok(found):
+                    revision = found.revision
+                    await self._take_newest(found)
+                    self.confirm(self.version, 0)
+                case Err(WatchForgotten()):
+                    return True
+                case Err():
+                    return False
+            if not self.is_watcher():
+                return True
+
+    async def _take_newest(self, found: ObjectList) -> None:
+        for stored in found.objects:
+            if stored.name == HEAD_NAME:
+                await self._take(_announcement(stored))
+
+    async def _take(self, announced: Announced) -> bool:
+        async with self._adopting:
+            if announced.version <= self.version:
+                if announced.source is None:
+                    self.confirm(announced.version, 0)
+                return True
+            return await self._adopt(announced)
+
+    async def _adopt(self, announced: Announced) -> bool:
+        parts: dict[str, bytes] = {}
+        for digest in announced.head.digests:
+            part = await self._fetch(digest, announced.source)
+            if part is None:
+                log_warning('part-missing', digest=digest)
+                return False
+            parts[digest] = part
+        match unpack(announced.head, parts):
+            case Err(faults):
+                log_warning('version-refused', fault=faults[0])
+                return False
+            case Ok(unpacked):
+                topology = build_topology(
+                    announced.version,
+                    unpacked.document,
+                    unpacked.table,
+                )
+        self._bring_into_force(topology, announced.head)
+        self._parts = parts
+        if announced.source is None:
+            self._confirmed_at = self.adopted_at
+        log_event(
+            'version-in-force',
+            version=announced.version,
+            source=announced.source or 'platform',
+            command=announced.head.command,
+        )
+        return True
+
+    def _bring_into_force(self, topology: Topology, head: Head) -> None:
+        old_topology = self.topology
+        old_head = self.head
+        self.topology = topology
+        self.head = head
+        try:
+            self.on_adopt(topology)
+        except Exception:
+            # Not in force as a whole is not in force: say the old version
+            # until the next try.
+            self.topology = old_topology
+            self.head = old_head
+            raise
+        self.adopted_at = time.monotonic()
+
+    async def _fetch(self, digest: str, source: str | None) -> bytes | None:
+        part = self._parts.get(digest)
+        if part is not None:
+            return part
+        if source is not None:
+            part = await self._fetch_from_peer(digest, source)
+        if part is not None:
+            return part
+        found = await self._platform.read(PART_KIND, digest)
+        match found:
+            case Ok(stored):
+                return part_from_json(stored.value)
+            case Err():
+                return None
+
+    async def _fetch_from_peer(
+        self,
+        digest: str,
+        source: str,
+    ) -> bytes | None:
+        waiting: asyncio.Future[bytes] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._wanted_parts[digest] = waiting
+        try:
+            if not self._send(source, PartAsk(digest)):
+                return None
+            async with asyncio.timeout(PART_SECONDS):
+                return await waiting
+        except TimeoutError:
+            return None
+        finally:
+            self._wanted_parts.pop(digest, None)
+
+
+def _announcement(stored: StoredObject) -> Announced:
+    return Announced(stored.version, head_from_json(stored.value), None)
--- /dev/null
+++ b/src/wardstair/process/host.py
@@ -0,0 +1,696 @@
+"""The entry host: puts its tasks together and starts and stops them."""
+
+import asyncio
+import contextlib
+import secrets
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from result import Err, Ok, Result
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from wardstair.connection.client import close_client, make_client
+from wardstair.decisions.ledger import Identity
+from wardstair.decisions.membership import HostState
+from wardstair.errors import Fault, Refusal
+from wardstair.process.admission import OutsideAdmission
+from wardstair.process.capacity import Capacity
+from wardstair.process.configuration import Configuration
+from wardstair.process.fleet import Fleet
+from wardstair.process.journal import Journal, JournalEntry
+from wardstair.process.log import log_event
+from wardstair.process.messages import (
+    HeadAsk,
+    HeadGive,
+    Heartbeat,
+    Hello,
+    HostsAsk,
+    HostsGive,
+    LoanAsk,
+    LoanBack,
+    LoanGive,
+    PartAsk,
+    PartGive,
+    ZoneGossip,
+)
+from wardstair.process.metrics import Metrics
+from wardstair.process.operators import operator_application
+from wardstair.process.orders import Order, OrderAnswer, OrderDesk
+from wardstair.process.peers import PeerLinks, Received
+from wardstair.process.placement import RemotePlacement
+from wardstair.process.platform import PlatformClient
+from wardstair.process.probing import Prober
+from wardstair.process.settings import EntrySettings, ListenSettings
+from wardstair.process.slots import SlotPool
+from wardstair.process.supervision import Supervisor
+from wardstair.request import problem
+from wardstair.request.call import (
+    AnswerSink,
+    Call,
+    CallEnd,
+    CallerLeft,
+    CutShort,
+    Delivered,
+    Refused,
+)
+from wardstair.request.caller import CallerServer
+from wardstair.request.forwarding import Forwarder
+from wardstair.request.lookup import LookupBook
+from wardstair.request.once import (
+    HomeElsewhere,
+    HomeHere,
+    HomeLost,
+    KeyKeeper,
+)
+from wardstair.version.resources import shifts_to, zone_resources
+from wardstair.version.topology import Topology
+
+BODY_BYTES = 1 << 50
+CHUNK_BYTES = 65536
+IDLE_SWEEP_SECONDS = 1.0
+LEAVE_MARGIN_SECONDS = 2.0
+END_POLL_SECONDS = 0.05
+HOST_LIST_SECONDS = 10.0
+INCARNATION_BYTES = 4
+AGE_MOST_SECONDS = 1e6
+
+
+@dataclass(frozen=True)
+class HostPorts:
+    """Ports that the listeners of a host got."""
+
+    callers: int
+    peers: int
+    forward: int
+    operators: int
+
+
+def new_incarnation() -> str:
+    """Return an incarnation that sorts after all earlier ones."""
+    milliseconds = time.time_ns() // 1_000_000
+    return f'{milliseconds:013x}{secrets.token_hex(INCARNATION_BYTES)}'
+
+
+class EntryHost:
+    """One entry host of the fleet."""
+
+    def __init__(self, settings: EntrySettings, random: Random) -> None:
+        """Put the host together; nothing is opened yet.
+
+        Args:
+            settings: Checked settings.
+            random: Source of all randomness that need not be secret.
+        """
+        self.me = Identity(settings.host.name, new_incarnation())
+        self.settings = settings
+        self.metrics = Metrics()
+        self.journal = Journal()
+        self.ports = HostPorts(0, 0, 0, 0)
+        self.is_control_on = True
+        self._inbox: asyncio.Queue[Received] = asyncio.Queue(4096)
+        self._client = make_client(
+            settings.limits.upstream_transfers,
+            BODY_BYTES,
+        )
+        self._platform = PlatformClient(
+            settings.platform.url,
+            settings.platform.timeout_seconds,
+            settings.platform.calls_per_second,
+            self._count_platform_call,
+        )
+        self.pool = SlotPool(settings.limits.waiting_requests, random)
+        self.links = PeerLinks(
+            Hello(self.me, settings.host.zone, ''),
+            self._inbox,
+            self.metrics,
+            random,
+        )
+        self.fleet = Fleet(
+            self.me,
+            settings.host.zone,
+            self.links,
+            random,
+            self.pool.free,
+        )
+        self.configuration = Configuration(
+            self._platform,
+            self.links.send,
+            random,
+        )
+        self.capacity = Capacity(
+            self.me,
+            settings.host.zone,
+            self._platform,
+            self.links,
+            self.fleet,
+            random,
+        )
+        self.outside = OutsideAdmission(
+            settings.host.region,
+            self.capacity,
+            lambda: self.configuration.age,
+        )
+        self.keeper = KeyKeeper(
+            self.me,
+            settings.limits.once_keys,
+            self._platform,
+        )
+        self.placement = RemotePlacement(
+            settings.host.zone,
+            settings.host.region,
+            self.fleet,
+            random,
+        )
+        self.forwarder = Forwarder(
+            self._client,
+            self.pool,
+            self.metrics,
+            self.placement.find,
+            settings.host.region,
+        )
+        self.prober = Prober(self._client, self.pool)
+        self._desk = OrderDesk(self._platform)
+        self._book: LookupBook | None = None
+        self._book_generation: object = None
+        self._callers = CallerServer(self, is_internal=False)
+        self._forwarded = CallerServer(self, is_internal=True)
+        self._servers: list[HTTPServer] = []
+        self._supervisor = Supervisor(self._count_task_failure)
+        self._leaving_since: float | None = None
+        self._refuses_new = False
+        self._connect()
+
+    @property
+    def topology(self) -> Topology | None:
+        """The version in force, or None before the first."""
+        return self.configuration.topology
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the host no longer takes new work of its own."""
+        return self._refuses_new
+
+    @property
+    def once_body_limit(self) -> int:
+        """Most bytes of a request that may not be repeated."""
+        return self.settings.limits.once_body_bytes
+
+    async def start(self) -> None:
+        """Open the listeners and start the tasks."""
+        listen = self.settings.listen
+        callers = self._serve(self._callers, listen.callers)
+        forward = self._serve(self._forwarded, listen.forward)
+        operators = self._serve(
+            operator_application(self, self.settings.operator_token_hashes),
+            listen.operators,
+        )
+        address, _, port = listen.peers.address.rpartition(':')
+        await self.links.start(address, int(port))
+        self.ports = HostPorts(callers, self.links.port, forward, operators)
+        log_event(
+            'started',
+            host=self.me.name,
+            incarnation=self.me.incarnation,
+            zone=self.settings.host.zone,
+            callers=callers,
+        )
+        await self.configuration.load()
+        if not self.is_control_on:
+            return
+        tasks = {
+            'configuration-platform': self.configuration.follow_platform,
+            'configuration-peers': self.configuration.follow_peers,
+            'capacity': self.capacity.run,
+            'fleet': self.fleet.run,
+            'prober': self.prober.run,
+            'inbox': self._read_inbox,
+            'sweep': self._sweep,
+            'host-list': self._follow_host_list,
+        }
+        for name, work in tasks.items():
+            self._supervisor.spawn(name, work)
+
+    async def drain(self) -> float:
+        """Leave in order: no request is cut.
+
+        Returns:
+            Seconds from the order to the end of the last request.
+        """
+        if self._leaving_since is None:
+            self._leaving_since = time.monotonic()
+        started = self._leaving_since
+        self.fleet.is_leaving = True
+        self.fleet.beat()
+        self._render_lookups()
+        log_event('leaving', host=self.me.name, open=self.open_requests)
+        await asyncio.sleep(self._lookup_ttl() + LEAVE_MARGIN_SECONDS)
+        self._refuses_new = True
+        while self.open_requests:  # noqa: ASYNC110
+            await asyncio.sleep(END_POLL_SECONDS)
+        seconds = time.monotonic() - started
+        log_event('drained', host=self.me.name, seconds=round(seconds, 2))
+        await self.capacity.hand_over_all()
+        return seconds
+
+    async def stop(self) -> None:
+        """Close everything now."""
+        await self._supervisor.stop()
+        for server in self._servers:
+            server.stop()
+        await self.links.stop()
+        for server in self._servers:
+            await server.close_all_connections()
+        self._platform.close()
+        close_client(self._client)
+        self.metrics.close()
+
+    @property
+    def open_requests(self) -> int:
+        """Requests of callers and other hosts that are open now."""
+        callers = len(self._callers.open_requests)
+        return callers + len(self._forwarded.open_requests)
+
+    def answer_lookup(
+        self,
+        workload: str | None,
+        address: str,
+    ) -> bytes | Refusal:
+        """Answer a look-up."""
+        book = self._book
+        if book is None:
+            return problem.stopping()
+        query = book.parse(workload, address)
+        if isinstance(query, Refusal):
+            return query
+        age = min(self.configuration.age, AGE_MOST_SECONDS)
+        answer = book.answer(query, self.keeper.issue, age)
+        if answer is None:
+            return problem.no_upstream(query.workload, not_run=True)
+        self.metrics.lookups.add(1, {'workload': query.workload})
+        return answer
+
+    def is_trusted_resolver(self, address: str) -> bool:
+        """Whether an address may ask on behalf of others."""
+        return address in self.settings.trusted_resolvers
+
+    def admit_outside(self, call: Call) -> Refusal | None:
+        """Refuse work while stopping, and outside traffic over its cap."""
+        if self._refuses_new:
+            return problem.stopping()
+        return self.outside.admit(call)
+
+    def release_outside(self, call: Call) -> None:
+        """Note the end of a call that was let in."""
+        self.outside.release(call)
+
+    async def carry(self, call: Call, sink: AnswerSink) -> CallEnd:
+        """Carry a call to its end."""
+        entry = self.journal.open(call.request_id, self.configuration.version)
+        entry.facts.update(
+            workload=call.route.workload.name,
+            method=call.method,
+            origin=call.origin,
+            key=call.key,
+        )
+        if call.key is None:
+            return await self.forwarder.forward(call, sink, entry)
+        self.journal.alias(call.key, entry)
+        return await self._carry_once(call, sink, entry)
+
+    def note_end(self, call: Call, end: CallEnd, seconds: float) -> None:
+        """Count and record the end of a call."""
+        workload = call.route.workload.name
+        labels = {'workload': workload}
+        entry = self.journal.find(call.request_id)
+        match end:
+            case Delivered(head=head):
+                self.metrics.requests.add(1, labels)
+                self.metrics.latency.record(seconds, labels)
+                step = f'answered {head.status}'
+            case Refused(refusal=refusal):
+                self.note_refusal(workload, refusal)
+                step = f'refused {refusal.kind} not_run={refusal.not_run}'
+                log_event(
+                    'refused',
+                    request=call.request_id,
+                    workload=workload,
+                    kind=refusal.kind,
+                    not_run=refusal.not_run,
+                )
+            case CutShort():
+                step = 'answer cut short'
+            case CallerLeft():
+                step = 'caller left'
+        if entry is not None:
+            entry.add_step(f'{step} after {seconds:.3f} s')
+
+    def note_refusal(self, workload: str, refusal: Refusal) -> None:
+        """Count a refusal."""
+        labels = {'workload': workload, 'kind': str(refusal.kind)}
+        self.metrics.refusals.add(1, labels)
+
+    def status(self) -> dict[str, Any]:
+        """Return what is happening, as JSON values."""
+        return {
+            'host': self.me.name,
+            'incarnation': self.me.incarnation,
+            'zone': self.settings.host.zone,
+            'region': self.settings.host.region,
+            'version': self.configuration.version,
+            'config_age': round(
+                min(self.configuration.age, AGE_MOST_SECONDS), 1
+            ),
+            'leaving': self.fleet.is_leaving,
+            'fenced': self.capacity.is_fenced,
+            'open_requests': self.open_requests,
+            'waiting': self.pool.waiting,
+            'keys': self.keeper.size,
+            'linked': sorted(self.links.linked),
+            'ledgers': {
+                name: {
+                    'owned': len(ledger.owned),
+                    'borrowed': len(ledger.borrowed),
+                    'in_use': ledger.in_use,
+                }
+                for name, ledger in self.capacity.ledgers.items()
+            },
+        }
+
+    def upstreams(self) -> list[dict[str, Any]]:
+        """Return the upstreams of the zone, as JSON values."""
+        now = time.monotonic()
+        return [
+            {
+                'upstream': view.model.name,
+                'workload': view.model.workload,
+                'zone': view.model.zone,
+                'slots': view.model.slots,
+                'held': len(view.ledger.owned) + len(view.ledger.borrowed),
+                'in_use': view.ledger.in_use,
+                'latency_ms': round(view.latency * 1000, 1),
+                'state': 'serving' if view.health.may_serve(now) else 'out',
+                'reported_load': round(view.reported_load, 2),
+                'report_age': round(
+                    min(now - view.reported_at, AGE_MOST_SECONDS), 1
+                ),
+            }
+            for view in self.pool.views.values()
+        ]
+
+    def fleet_hosts(self) -> list[dict[str, Any]]:
+        """Return the known entry hosts, as JSON values."""
+        now = time.monotonic()
+        near = [
+            {
+                'host': name,
+                'zone': self.settings.host.zone,
+                'state': self.fleet.members.state_of(name, now).value,
+                'version': member.row.version,
+                'leaving': member.row.leaving,
+                'heard': round(now - member.heard_at, 1),
+            }
+            for name, member in self.fleet.members.members.items()
+        ]
+        far = [
+            {
+                'host': host.name,
+                'zone': zone,
+                'state': 'reported',
+                'version': known.report.version,
+                'leaving': host.leaving,
+                'heard': round(now - known.heard_at, 1),
+            }
+            for zone, known in self.fleet.zones.zones.items()
+            if zone != self.settings.host.zone
+            for host in self.fleet.zones.hosts_of(zone)
+        ]
+        own = {
+            'host': self.me.name,
+            'zone': self.settings.host.zone,
+            'state': HostState.live.value,
+            'version': self.configuration.version,
+            'leaving': self.fleet.is_leaving,
+            'heard': 0.0,
+        }
+        return [own, *near, *far]
+
+    def config_status(self) -> dict[str, Any]:
+        """Return which version is in force where, as JSON values."""
+        lowest = self.fleet.lowest_versions()
+        lowest[self.settings.host.zone] = (
+            min(
+                [self.configuration.version]
+                + [
+                    member.row.version
+                    for member in self.fleet.members.members.values()
+                ],
+            ),
+            0.0,
+        )
+        return {
+            'version': self.configuration.version,
+            'zones': {
+                zone: {'lowest': version, 'age': round(age, 1)}
+                for zone, (version, age) in sorted(lowest.items())
+            },
+        }
+
+    def config_document(self) -> dict[str, Any] | None:
+        """Return the configuration in force, as JSON values."""
+        if self.topology is None:
+            return None
+        return self.topology.document.model_dump(mode='json')
+
+    def explain(self, subject: str) -> JournalEntry | None:
+        """Return what is known of a subject."""
+        return self.journal.find(subject)
+
+    def render_metrics(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return self.metrics.render()
+
+    async def give_order(
+        self,
+        order: Order,
+    ) -> Result[OrderAnswer, list[Fault]]:
+        """Carry out an order and bring its version into force here."""
+        answer = await self._desk.carry_out(order)
+        match answer:
+            case Ok(done):
+                log_event(
+                    'order',
+                    key=order.key,
+                    operator=order.operator,
+                    verb=order.action.verb,
+                    version=done.version,
+                )
+                await self.configuration.load()
+            case Err(faults):
+                log_event('order-refused', key=order.key, fault=faults[0])
+        return answer
+
+    def _connect(self) -> None:
+        self.configuration.on_adopt = self._adopt
+        self.configuration.is_watcher = lambda: self.fleet.is_relay
+        self.fleet.on_news = self._render_lookups
+        self.fleet.config_age = lambda: self.configuration.age
+        self.links.on_link = self.fleet.on_link
+        self.capacity.on_gain = self.pool.serve_waiting
+        self.capacity.demand = self.pool.demand
+        self.pool.on_shortage = self.capacity.shortage
+        self.pool.on_return = self.capacity.give_back
+        self.metrics.add_gauge(
+            'wardstair_slots_in_use',
+            'Slots in use by this host, by resource',
+            lambda: [
+                (float(ledger.in_use), {'resource': name})
+                for name, ledger in self.capacity.ledgers.items()
+            ],
+        )
+        self.metrics.add_gauge(
+            'wardstair_waiting',
+            'Requests that wait for a slot',
+            lambda: [(float(self.pool.waiting), {})],
+        )
+        self.metrics.add_gauge(
+            'wardstair_version',
+            'Version of the configuration in force',
+            lambda: [(float(self.configuration.version), {})],
+        )
+
+    def _adopt(self, topology: Topology) -> None:
+        zone = self.settings.host.zone
+        self.links.name_deployment(topology.document.deployment)
+        self.capacity.adopt(topology, zone_resources(topology, zone))
+        self.pool.adopt(topology, zone, self.capacity.ledgers)
+        region = self.settings.host.region
+        self.outside.shifts = shifts_to(topology, region)
+        self.placement.topology = topology
+        self.fleet.adopt(topology)
+        self._render_lookups()
+
+    def _render_lookups(self) -> None:
+        topology = self.topology
+        generation = self.fleet.generation
+        if topology is None or generation == self._book_generation:
+            return
+        self._book_generation = generation
+        self._book = LookupBook(
+            topology,
+            self.fleet.ranking,
+            {},
+            self.settings.host.region,
+        )
+
+    async def _carry_once(
+        self,
+        call: Call,
+        sink: AnswerSink,
+        entry: JournalEntry,
+    ) -> CallEnd:
+        home = await self.keeper.find_home(call.key or '')
+        match home:
+            case HomeHere(issued_at=issued_at):
+                return await self.keeper.run(
+                    call,
+                    issued_at,
+                    lambda: self.forwarder.forward(call, sink, entry),
+                    sink,
+                )
+            case HomeElsewhere(home=identity):
+                entry.add_step(f'home is {identity.name}')
+                return await self._relay_home(call, identity, sink)
+            case HomeLost(reason=reason):
+                return Refused(problem.outcome_unknown(reason))
+
+    async def _relay_home(
+        self,
+        call: Call,
+        home: Identity,
+        sink: AnswerSink,
+    ) -> CallEnd:
+        topology = self.topology
+        host = None if topology is None else topology.hosts.get(home.name)
+        known = self.fleet.incarnation_of(home.name)
+        is_gone = known is not None and known != home.incarnation
+        if host is None or is_gone or call.is_internal:
+            reason = 'the host that remembers its key has been replaced'
+            return Refused(problem.outcome_unknown(reason))
+        return await self.forwarder.relay(call, host, sink)
+
+    async def _read_inbox(self) -> None:
+        while True:
+            received = await self._inbox.get()
+            self._handle(received)
+
+    def _handle(self, received: Received) -> None:
+        sender = received.sender.name
+        match received.message:
+            case Heartbeat() as heartbeat:
+                self._on_heartbeat(sender, heartbeat)
+            case ZoneGossip() as gossip:
+                self.fleet.on_gossip(sender, gossip)
+                for report in gossip.reports:
+                    self.configuration.hear(sender, report.version)
+            case HostsAsk() as hosts_ask:
+                self.fleet.on_hosts_ask(sender, hosts_ask)
+            case HostsGive() as hosts_give:
+                self.fleet.on_hosts_give(hosts_give)
+            case LoanAsk() as loan_ask:
+                self.capacity.on_ask(received.sender, loan_ask)
+            case LoanGive() as loan_give:
+                self.capacity.on_give(received, loan_give)
+            case LoanBack() as loan_back:
+                self.capacity.on_back(loan_back)
+            case HeadAsk() as head_ask:
+                self.configuration.on_head_ask(sender, head_ask)
+            case HeadGive() as head_give:
+                self.configuration.on_head_give(sender, head_give)
+            case PartAsk() as part_ask:
+                self.configuration.on_part_ask(sender, part_ask)
+            case PartGive() as part_give:
+                self.configuration.on_part_give(part_give)
+
+    def _on_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
+        before = {
+            name: member.row.incarnation
+            for name, member in self.fleet.members.members.items()
+        }
+        for row in self.fleet.on_heartbeat(heartbeat):
+            previous = before.get(row.name, row.incarnation)
+            if previous < row.incarnation:
+                self.capacity.on_new_incarnation(row, previous)
+            self.configuration.confirm(row.version, row.config_age)
+        self._render_lookups()
+        self.configuration.hear(sender, heartbeat.row.version)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(IDLE_SWEEP_SECONDS)
+            self.capacity.expire()
+            self.pool.serve_waiting()
+            now = time.monotonic()
+            for exchange in list(self.forwarder.open_exchanges):
+                if exchange.is_idle(now):
+                    exchange.abort()
+
+    async def _follow_host_list(self) -> None:
+        while True:
+            await asyncio.sleep(HOST_LIST_SECONDS)
+            if not self.fleet.is_relay:
+                continue
+            listed = await self._platform.hosts()
+            match listed:
+                case Ok(hosts):
+                    await self._bury(
+                        [host.name for host in hosts if host.state == 'gone']
+                    )
+                case Err():
+                    continue
+            await self.capacity.even_out()
+
+    async def _bury(self, names: Sequence[str]) -> None:
+        for name in names:
+            incarnation = self.fleet.incarnation_of(name)
+            is_silent = name not in self.fleet.live_names()
+            if incarnation is not None and is_silent:
+                await self.capacity.bury(Identity(name, incarnation))
+
+    def _lookup_ttl(self) -> float:
+        if self.topology is None:
+            return 0
+        return self.topology.document.lookup_ttl_seconds
+
+    def _count_platform_call(self, outcome: str) -> None:
+        self.metrics.platform_calls.add(1, {'outcome': outcome})
+
+    def _count_task_failure(self, task: str) -> None:
+        self.metrics.task_failures.add(1, {'task': task})
+
+    def _serve(self, app: Any, listen: ListenSettings) -> int:
+        limits = self.settings.limits
+        server = HTTPServer(
+            app,
+            max_body_size=BODY_BYTES,
+            max_header_size=limits.header_bytes,
+            idle_connection_timeout=limits.header_seconds,
+            chunk_size=CHUNK_BYTES,
+        )
+        address, _, port = listen.address.rpartition(':')
+        sockets = bind_sockets(int(port), address)
+        server.add_sockets(sockets)
+        self._servers.append(server)
+        return int(sockets[0].getsockname()[1])
+
+
+async def run_until_stopped(host: EntryHost, stop: asyncio.Event) -> None:
+    """Run a host until told to stop, then drain it."""
+    await host.start()
+    await stop.wait()
+    with contextlib.suppress(asyncio.CancelledError):
+        await host.drain()
+    await host.stop()
--- /dev/null
+++ b/src/wardstair/process/messages.py
@@ -0,0 +1,163 @@
+"""Messages between entry hosts, as CBOR over websockets.
+
+Each is a data class with a `kind`; what arrives is validated before anything
+acts on it.
+"""
+
+from typing import Annotated, Literal
+
+import cbor2
+from pydantic import Field, TypeAdapter, ValidationError
+from pydantic.dataclasses import dataclass
+from result import Err, Ok, Result
+
+from wardstair.decisions.ledger import Identity, LoanOffer
+from wardstair.decisions.membership import FarHost, HostRow, ZoneReport
+
+MESSAGE_BYTES = 4194304
+
+
+@dataclass(frozen=True)
+class Hello:
+    """First message on a link: who speaks, and for which listener."""
+
+    identity: Identity
+    zone: str
+    deployment: str
+    kind: Literal['hello'] = 'hello'
+
+
+@dataclass(frozen=True)
+class Heartbeat:
+    """A host's own row, and rows it heard from others."""
+
+    row: HostRow
+    heard: tuple[HostRow, ...]
+    kind: Literal['heartbeat'] = 'heartbeat'
+
+
+@dataclass(frozen=True)
+class ZoneGossip:
+    """Reports of zones."""
+
+    reports: tuple[ZoneReport, ...]
+    kind: Literal['zone-gossip'] = 'zone-gossip'
+
+
+@dataclass(frozen=True)
+class HostsAsk:
+    """Asks for lists of hosts by digest."""
+
+    digests: tuple[bytes, ...]
+    kind: Literal['hosts-ask'] = 'hosts-ask'
+
+
+@dataclass(frozen=True)
+class HostsGive:
+    """A list of hosts of one zone."""
+
+    hosts: tuple[FarHost, ...]
+    kind: Literal['hosts-give'] = 'hosts-give'
+
+
+@dataclass(frozen=True)
+class LoanAsk:
+    """Asks for tokens of a resource."""
+
+    ask: str
+    resource: str
+    wanted: int
+    kind: Literal['loan-ask'] = 'loan-ask'
+
+
+@dataclass(frozen=True)
+class LoanGive:
+    """Answers a `LoanAsk`; no offer if nothing is idle."""
+
+    ask: str
+    resource: str
+    offer: LoanOffer | None
+    kind: Literal['loan-give'] = 'loan-give'
+
+
+@dataclass(frozen=True)
+class LoanBack:
+    """Returns tokens of a loan."""
+
+    resource: str
+    loan: str
+    tokens: tuple[int, ...]
+    kind: Literal['loan-back'] = 'loan-back'
+
+
+@dataclass(frozen=True)
+class HeadAsk:
+    """Asks for the head of the version in force, if it is newer."""
+
+    newer_than: int
+    kind: Literal['head-ask'] = 'head-ask'
+
+
+@dataclass(frozen=True)
+class HeadGive:
+    """The head of the version that the sender has in force."""
+
+    version: int
+    base: str
+    blocks: tuple[str, ...]
+    command: str
+    operator: str
+    kind: Literal['head-give'] = 'head-give'
+
+
+@dataclass(frozen=True)
+class PartAsk:
+    """Asks for a part by its digest."""
+
+    digest: str
+    kind: Literal['part-ask'] = 'part-ask'
+
+
+@dataclass(frozen=True)
+class PartGive:
+    """A part."""
+
+    content: bytes
+    kind: Literal['part-give'] = 'part-give'
+
+
+PeerMessage = (
+    Hello
+    | Heartbeat
+    | ZoneGossip
+    | HostsAsk
+    | HostsGive
+    | LoanAsk
+    | LoanGive
+    | LoanBack
+    | HeadAsk
+    | HeadGive
+    | PartAsk
+    | PartGive
+)
+
+_ADAPTER: TypeAdapter[PeerMessage] = TypeAdapter(
+    Annotated[PeerMessage, Field(discriminator='kind')],
+)
+
+
+def encode(message: PeerMessage) -> bytes:
+    """Return the bytes of a message."""
+    return cbor2.dumps(_ADAPTER.dump_python(message))
+
+
+def decode(raw: bytes) -> Result[PeerMessage, str]:
+    """Read and validate a message, or say what is wrong with it."""
+    try:
+        content = cbor2.loads(raw)
+    except (cbor2.CBORDecodeError, ValueError) as error:
+        return Err(f'not CBOR: {error}')
+    try:
+        return Ok(_ADAPTER.validate_python(content))
+    except ValidationError as error:
+        return Err(f'not a message: {error.error_count()} errors')
--- /dev/null
+++ b/src/wardstair/process/orders.py
@@ -0,0 +1,376 @@
+"""Orders of operators: each makes one new version of the configuration.
+
+An order carries a key. It is applied to the newest version by conditional
+update, again if another operator was faster, and never twice: the head
+remembers the key that made it, and each version keeps the last keys.
+"""
+
+from dataclasses import dataclass, field
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+from result import Err, Ok, Result
+
+from wardstair.errors import (
+    Fault,
+    ObjectMissing,
+    PlatformError,
+    VersionConflict,
+)
+from wardstair.process.configuration import HEAD_KIND, HEAD_NAME, PART_KIND
+from wardstair.process.platform import PlatformClient, StoredObject
+from wardstair.version.document import (
+    DrainModel,
+    PolicyModel,
+    ShiftModel,
+    SteeringDocument,
+    check_document,
+)
+from wardstair.version.parts import (
+    Head,
+    Package,
+    head_from_json,
+    pack,
+    part_as_json,
+    part_from_json,
+    repack,
+    unpack,
+)
+
+ORDER_TRIES = 10
+ORDER_KIND = 'orders'
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class ApplyDocument(_Model):
+    """Replace the whole configuration."""
+
+    verb: Literal['apply']
+    document: dict[str, Any]
+
+
+class StartDrain(_Model):
+    """Start a drain."""
+
+    verb: Literal['drain-start']
+    drain: DrainModel
+
+
+class StopDrain(_Model):
+    """End a drain."""
+
+    verb: Literal['drain-stop']
+    drain: DrainModel
+
+
+class StartShift(_Model):
+    """Start a shift, or change the cap of one."""
+
+    verb: Literal['shift-start']
+    shift: ShiftModel
+
+
+class StopShift(_Model):
+    """End a shift."""
+
+    verb: Literal['shift-stop']
+    name: str
+
+
+class SetPolicy(_Model):
+    """Give a workload a policy."""
+
+    verb: Literal['policy-set']
+    policy: PolicyModel
+
+
+Action = Annotated[
+    ApplyDocument | StartDrain | StopDrain | StartShift | StopShift | SetPolicy,
+    Field(discriminator='verb'),
+]
+
+
+class Order(_Model):
+    """An order of an operator.
+
+    Attributes:
+        key: Makes the order idempotent; unique for each intent.
+        operator: Who gives it.
+        expected: Version that it was decided on, or None for the newest.
+        dry_run: Only forecast.
+        force: Carry out in spite of a bad forecast.
+        action: What to do.
+    """
+
+    key: Annotated[str, Field(min_length=8, max_length=100)]
+    operator: str
+    expected: int | None = None
+    dry_run: bool = False
+    force: bool = False
+    action: Action
+
+
+@dataclass(frozen=True)
+class OrderAnswer:
+    """What came of an order.
+
+    Attributes:
+        version: Version that has it, or the present one for a dry run.
+        repeated: Whether the order had been carried out before.
+        forecast: Lines for people.
+    """
+
+    version: int
+    repeated: bool
+    forecast: list[str] = field(default_factory=list)
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the answer as JSON values."""
+        return {
+            'version': self.version,
+            'repeated': self.repeated,
+            'forecast': self.forecast,
+        }
+
+
+@dataclass(frozen=True)
+class _Current:
+    version: int
+    head: Head
+    document: SteeringDocument
+
+
+class OrderDesk:
+    """Turns orders into versions, through the platform."""
+
+    def __init__(self, platform: PlatformClient) -> None:
+        """Prepare a desk.
+
+        Args:
+            platform: Where versions are stored.
+        """
+        self._platform = platform
+
+    async def carry_out(
+        self,
+        order: Order,
+    ) -> Result[OrderAnswer, list[Fault]]:
+        """Make the version that an order asks for, at most once.
+
+        Returns:
+            The version, or the faults that keep it from being made. After a
+            fault of the platform the outcome may be unknown; giving the
+            order again with the same key is safe.
+        """
+        noted = await self._platform.read(ORDER_KIND, order.key)
+        match noted:
+            case Ok(stored) if stored.value.get('version'):
+                version = stored.value['version']
+                return Ok(OrderAnswer(version, repeated=True))
+            case Ok() | Err(ObjectMissing()):
+                return await self._attempt(order)
+            case Err(error):
+                return _platform_fault(error)
+
+    async def _attempt(
+        self,
+        order: Order,
+    ) -> Result[OrderAnswer, list[Fault]]:
+        for _ in range(ORDER_TRIES):
+            found = await self._platform.read(HEAD_KIND, HEAD_NAME)
+            match found:
+                case Ok(stored):
+                    head = head_from_json(stored.value)
+                    current = await self._current(stored, head)
+                case Err(ObjectMissing()):
+                    current = Ok(None)
+                case Err(error):
+                    return _platform_fault(error)
+            if isinstance(current, Err):
+                return current
+            done = await self._make(order, current.ok_value)
+            if done is not None:
+                return done
+        hint = 'other operators are faster; try again'
+        return Err([Fault('order', order.key, 'versions kept changing', hint)])
+
+    async def _current(
+        self,
+        stored: StoredObject,
+        head: Head,
+    ) -> Result[_Current | None, list[Fault]]:
+        found = await self._platform.read(PART_KIND, head.base)
+        match found:
+            case Ok(part):
+                parts = {head.base: part_from_json(part.value)}
+                without_blocks = Head(
+                    head.base,
+                    (),
+                    head.command,
+                    head.operator,
+                )
+                return unpack(without_blocks, parts).map(
+                    lambda unpacked: _Current(
+                        stored.version,
+                        head,
+                        unpacked.document,
+                    ),
+                )
+            case Err(error):
+                return _platform_fault(error)
+
+    async def _make(
+        self,
+        order: Order,
+        current: _Current | None,
+    ) -> Result[OrderAnswer, list[Fault]] | None:
+        """Make one attempt; None asks for another on the newest version."""
+        if current is not None and current.head.command == order.key:
+            return Ok(OrderAnswer(current.version, repeated=True))
+        version = 0 if current is None else current.version
+        if order.expected is not None and order.expected != version:
+            message = f'the newest version is {version}, not {order.expected}'
+            hint = 'look at what changed, then order again'
+            return Err([Fault('order', 'expected', message, hint)])
+        package = _package(order, current)
+        if isinstance(package, Err):
+            return package
+        if order.dry_run:
+            return Ok(OrderAnswer(version, repeated=False))
+        return await self._store(order, package.ok_value, version)
+
+    async def _store(
+        self,
+        order: Order,
+        package: Package,
+        version: int,
+    ) -> Result[OrderAnswer, list[Fault]] | None:
+        for digest, part in package.parts.items():
+            value = part_as_json(part)
+            written = await self._platform.write(PART_KIND, digest, value, 0)
+            match written:
+                case Err(VersionConflict()) | Ok():
+                    # A part that exists already is the same part.
+                    continue
+                case Err(error):
+                    return _platform_fault(error)
+        written = await self._platform.write_surely(
+            HEAD_KIND,
+            HEAD_NAME,
+            package.head.as_json(),
+            version,
+        )
+        match written:
+            case Ok(stored):
+                await self._note(order, stored.version)
+                return Ok(OrderAnswer(stored.version, repeated=False))
+            case Err(VersionConflict()):
+                return None
+            case Err(error):
+                return _platform_fault(error)
+
+    async def _note(self, order: Order, version: int) -> None:
+        record = {
+            'version': version,
+            'operator': order.operator,
+            'action': order.action.model_dump(
+                mode='json',
+                exclude={'document'},
+            ),
+        }
+        await self._platform.write(ORDER_KIND, order.key, record, 0)
+
+
+def apply_action(
+    document: SteeringDocument,
+    action: StartDrain | StopDrain | StartShift | StopShift | SetPolicy,
+) -> Result[SteeringDocument, list[Fault]]:
+    """Return the configuration after an action, checked.
+
+    Args:
+        document: The configuration before.
+        action: What to change.
+    """
+    match action:
+        case StartDrain(drain=drain):
+            changed = _with_drain(document, drain)
+        case StopDrain(drain=drain):
+            changed = _without_drain(document, drain)
+        case StartShift(shift=shift):
+            changed = _with_shift(document, shift)
+        case StopShift(name=name):
+            changed = _without_shift(document, name)
+        case SetPolicy(policy=policy):
+            changed = _with_policy(document, policy)
+    content = changed.model_dump(mode='json')
+    return check_document(content, 'order')
+
+
+def _with_drain(
+    document: SteeringDocument,
+    drain: DrainModel,
+) -> SteeringDocument:
+    kept = _without_drain(document, drain).drains
+    return document.model_copy(update={'drains': (*kept, drain)})
+
+
+def _without_drain(
+    document: SteeringDocument,
+    drain: DrainModel,
+) -> SteeringDocument:
+    kept = tuple(one for one in document.drains if one != drain)
+    return document.model_copy(update={'drains': kept})
+
+
+def _with_shift(
+    document: SteeringDocument,
+    shift: ShiftModel,
+) -> SteeringDocument:
+    kept = _without_shift(document, shift.name).shifts
+    return document.model_copy(update={'shifts': (*kept, shift)})
+
+
+def _without_shift(
+    document: SteeringDocument,
+    name: str,
+) -> SteeringDocument:
+    kept = tuple(one for one in document.shifts if one.name != name)
+    return document.model_copy(update={'shifts': kept})
+
+
+def _with_policy(
+    document: SteeringDocument,
+    policy: PolicyModel,
+) -> SteeringDocument:
+    kept = tuple(
+        one for one in document.policies if one.workload != policy.workload
+    )
+    return document.model_copy(update={'policies': (*kept, policy)})
+
+
+def _package(
+    order: Order,
+    current: _Current | None,
+) -> Result[Package, list[Fault]]:
+    action = order.action
+    match action:
+        case ApplyDocument(document=content):
+            return check_document(content, 'order').map(
+                lambda document: pack(document, order.key, order.operator),
+            )
+        case _ if current is None:
+            hint = 'apply a configuration first'
+            return Err([Fault('order', 'verb', 'there is no version', hint)])
+        case _:
+            head = Head('', current.head.blocks, order.key, order.operator)
+            return apply_action(current.document, action).map(
+                lambda document: repack(head, document),
+            )
+
+
+def _platform_fault(error: PlatformError) -> Err[list[Fault]]:
+    hint = f'{error.hint}; the same key makes it safe to order again'
+    return Err([Fault('platform', 'call', str(error), hint)])
--- /dev/null
+++ b/src/wardstair/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of outside systems for tests and trials."""
--- /dev/null
+++ b/src/wardstair/standins/deployment.py
@@ -0,0 +1,204 @@
+"""A whole deployment as tasks of one process, on loopback.
+
+Stand-ins take the place of the platform and the upstreams; the entry hosts
+are the real ones, on real sockets with ports that the system chooses.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from random import Random
+
+from result import Err, Ok
+
+from wardstair.errors import ConfigurationError
+from wardstair.process.host import EntryHost
+from wardstair.process.orders import (
+    Action,
+    ApplyDocument,
+    Order,
+    OrderDesk,
+)
+from wardstair.process.platform import PlatformClient
+from wardstair.process.settings import EntrySettings, check_settings
+from wardstair.standins.platform import PlatformStandin
+from wardstair.standins.upstream import UpstreamStandin
+from wardstair.version.document import HostModel, SteeringDocument
+
+ANY_PORT = '127.0.0.1:0'
+POLL_SECONDS = 0.02
+READY_SECONDS = 30.0
+
+
+class Deployment:
+    """Stand-ins and entry hosts of one steering configuration."""
+
+    def __init__(self, document: SteeringDocument, seed: int = 1) -> None:
+        """Prepare; nothing is started yet.
+
+        Args:
+            document: The configuration; its addresses are replaced.
+            seed: Seed of all choices at random.
+        """
+        self.document = document
+        self.platform = PlatformStandin()
+        self.hosts: dict[str, EntryHost] = {}
+        self.upstreams: dict[str, UpstreamStandin] = {}
+        self._random = Random(seed)
+        self._orders = 0
+
+    async def start(self) -> None:
+        """Start everything and wait until all hosts can serve."""
+        self.platform.start()
+        for model in self.document.upstreams:
+            upstream = UpstreamStandin(model.name, model.slots)
+            upstream.start()
+            self.upstreams[model.name] = upstream
+        for host in self.document.hosts:
+            await self.start_host(host)
+        self.document = self._with_addresses()
+        await self.order(
+            ApplyDocument(
+                verb='apply',
+                document=self.document.model_dump(mode='json'),
+            ),
+        )
+        await self.wait_until(self._is_ready)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for host in self.hosts.values():
+            await host.stop()
+        for upstream in self.upstreams.values():
+            await upstream.stop()
+        await self.platform.stop()
+
+    async def start_host(self, model: HostModel) -> EntryHost:
+        """Start an entry host, or start it again with nothing."""
+        host = EntryHost(
+            self._settings(model),
+            Random(self._random.random()),
+        )
+        await host.start()
+        self.hosts[model.name] = host
+        return host
+
+    async def order(self, action: Action, key: str = '') -> int:
+        """Give an order and return the version that has it."""
+        self._orders += 1
+        client = PlatformClient(self.platform.url, 2.0, 1000)
+        desk = OrderDesk(client)
+        order = Order(
+            key=key or f'deployment-{self._orders}',
+            operator='deployment',
+            action=action,
+        )
+        try:
+            answer = await desk.carry_out(order)
+        finally:
+            client.close()
+        match answer:
+            case Ok(done):
+                return done.version
+            case Err(faults):
+                hint = 'correct the order'
+                raise ConfigurationError(str(faults[0]), hint)
+
+    async def wait_until(
+        self,
+        is_true: Callable[[], bool],
+        seconds: float = READY_SECONDS,
+    ) -> None:
+        """Wait for a condition.
+
+        Raises:
+            TimeoutError: It did not come true in time.
+        """
+        async with asyncio.timeout(seconds):
+            while not is_true():  # noqa: ASYNC110
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def wait_version(
+        self,
+        version: int,
+        names: Iterable[str] | None = None,
+    ) -> None:
+        """Wait until hosts have a version in force."""
+        chosen = list(self.hosts if names is None else names)
+        await self.wait_until(
+            lambda: all(
+                self.hosts[name].configuration.version >= version
+                for name in chosen
+            ),
+        )
+
+    def url(self, name: str, path: str) -> str:
+        """Return a URL of a host's callers' listener."""
+        return f'http://127.0.0.1:{self.hosts[name].ports.callers}{path}'
+
+    def operator_url(self, name: str, path: str) -> str:
+        """Return a URL of a host's operators' listener."""
+        return f'http://127.0.0.1:{self.hosts[name].ports.operators}{path}'
+
+    def _settings(self, model: HostModel) -> EntrySettings:
+        regions = {zone.name: zone.region for zone in self.document.zones}
+        running = self.hosts.get(model.name)
+        addresses = {
+            'callers': ANY_PORT,
+            'peers': ANY_PORT,
+            'forward': ANY_PORT,
+            'operators': ANY_PORT,
+        }
+        if running is not None:
+            addresses = {
+                'callers': f'127.0.0.1:{running.ports.callers}',
+                'peers': f'127.0.0.1:{running.ports.peers}',
+                'forward': f'127.0.0.1:{running.ports.forward}',
+                'operators': f'127.0.0.1:{running.ports.operators}',
+            }
+        checked = check_settings(
+            {
+                'host': {
+                    'name': model.name,
+                    'zone': model.zone,
+                    'region': regions[model.zone],
+                },
+                'listen': {
+                    name: {'address': address}
+                    for name, address in addresses.items()
+                },
+                'platform': {
+                    'url': self.platform.url,
+                    'calls_per_second': 100,
+                },
+                'trusted_resolvers': ['127.0.0.1'],
+            },
+            'deployment',
+        )
+        return checked.unwrap()
+
+    def _with_addresses(self) -> SteeringDocument:
+        content = self.document.model_dump(mode='json')
+        for row in content['hosts']:
+            ports = self.hosts[row['name']].ports
+            row['callers'] = f'127.0.0.1:{ports.callers}'
+            row['peers'] = f'127.0.0.1:{ports.peers}'
+            row['forward'] = f'127.0.0.1:{ports.forward}'
+            row['operators'] = f'127.0.0.1:{ports.operators}'
+        for row in content['upstreams']:
+            row['address'] = self.upstreams[row['name']].address
+        return SteeringDocument.model_validate(content)
+
+    def _is_ready(self) -> bool:
+        zones = len({host.zone for host in self.document.hosts})
+        return all(
+            host.configuration.version > 0
+            and host.capacity.is_settled
+            and len(host.fleet.zones.zones) == zones
+            and not host.fleet.zones.missing_hosts()
+            and len(host.fleet.live_names()) > self._zone_peers(name)
+            for name, host in self.hosts.items()
+        )
+
+    def _zone_peers(self, name: str) -> int:
+        zones = {host.name: host.zone for host in self.document.hosts}
+        return sum(zone == zones[name] for zone in zones.values()) - 1
--- /dev/null
+++ b/src/wardstair/standins/platform.py
@@ -0,0 +1,278 @@
+"""Stand-in of the platform's object API, in memory, with faults to order."""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+VALUE_BYTES = 1048576
+LOST_SECONDS = 0.05
+
+
+@dataclass
+class Faults:
+    """What the stand-in does wrong for now.
+
+    Attributes:
+        down: Answer nothing but 503.
+        delay: Seconds added to each call.
+        lose_replies: How many writes to apply and answer 503.
+        late_watch: Seconds by which watches tell late.
+        duplicate_watch: Whether watches tell each change twice.
+        forget_watch: Whether watches answer 410.
+    """
+
+    down: bool = False
+    delay: float = 0.0
+    lose_replies: int = 0
+    late_watch: float = 0.0
+    duplicate_watch: bool = False
+    forget_watch: bool = False
+
+
+@dataclass
+class _Entry:
+    kind: str
+    name: str
+    version: int
+    revision: int
+    value: Any
+
+    def as_json(self) -> dict[str, Any]:
+        return {
+            'kind': self.kind,
+            'name': self.name,
+            'version': self.version,
+            'value': self.value,
+        }
+
+
+@dataclass
+class ObjectStore:
+    """The objects, with one revision over all changes."""
+
+    faults: Faults = field(default_factory=Faults)
+    entries: dict[tuple[str, str], _Entry] = field(default_factory=dict)
+    hosts: dict[str, str] = field(default_factory=dict)
+    revision: int = 0
+    reads: int = 0
+    writes: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def list_kind(self, kind: str) -> list[_Entry]:
+        """Return the objects of a kind."""
+        return [one for one in self.entries.values() if one.kind == kind]
+
+    def put(
+        self,
+        kind: str,
+        name: str,
+        value: Any,
+        expected: int,
+    ) -> _Entry | None:
+        """Store a value if the version matches, or return None."""
+        entry = self.entries.get((kind, name))
+        version = entry.version if entry else 0
+        if version != expected:
+            return None
+        self.revision += 1
+        stored = _Entry(kind, name, version + 1, self.revision, value)
+        self.entries[kind, name] = stored
+        self._announce()
+        return stored
+
+    def delete(self, kind: str, name: str, expected: int) -> bool:
+        """Delete an object if the version matches."""
+        entry = self.entries.get((kind, name))
+        if entry is None or entry.version != expected:
+            return False
+        self.entries.pop((kind, name))
+        self.revision += 1
+        self._announce()
+        return True
+
+    def _announce(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class _StoreHandler(RequestHandler):
+    def initialize(self, store: ObjectStore) -> None:
+        self.store = store
+
+    async def prepare(self) -> None:
+        if self.store.faults.delay:
+            await asyncio.sleep(self.store.faults.delay)
+        if self.store.faults.down:
+            self.set_status(503)
+            await self.finish()
+
+    def reply(self, body: object) -> None:
+        self.finish(json.dumps(body))
+
+    def fail(self, status: int) -> None:
+        self.set_status(status)
+        self.finish()
+
+
+class _ObjectHandler(_StoreHandler):
+    def get(self, kind: str, name: str) -> None:
+        self.store.reads += 1
+        entry = self.store.entries.get((kind, name))
+        if entry is None:
+            return self.fail(404)
+        return self.reply(entry.as_json())
+
+    def put(self, kind: str, name: str) -> None:
+        self.store.writes += 1
+        body = json.loads(self.request.body)
+        if len(self.request.body) > VALUE_BYTES:
+            return self.fail(413)
+        stored = self.store.put(kind, name, body['value'], body['expected'])
+        if self._loses_reply():
+            return self.fail(503)
+        if stored is None:
+            return self.fail(409)
+        return self.reply(stored.as_json())
+
+    def delete(self, kind: str, name: str) -> None:
+        self.store.writes += 1
+        expected = int(self.get_query_argument('expected'))
+        deleted = self.store.delete(kind, name, expected)
+        if self._loses_reply():
+            return self.fail(503)
+        return self.reply({}) if deleted else self.fail(409)
+
+    def _loses_reply(self) -> bool:
+        if not self.store.faults.lose_replies:
+            return False
+        self.store.faults.lose_replies -= 1
+        return True
+
+
+class _KindHandler(_StoreHandler):
+    def get(self, kind: str) -> None:
+        self.store.reads += 1
+        self.reply(
+            {
+                'revision': self.store.revision,
+                'objects': [
+                    one.as_json() for one in self.store.list_kind(kind)
+                ],
+            }
+        )
+
+
+class _WatchHandler(_StoreHandler):
+    async def get(self, kind: str) -> None:
+        self.store.reads += 1
+        since = int(self.get_query_argument('since'))
+        seconds = float(self.get_query_argument('seconds'))
+        if self.store.faults.forget_watch or since > self.store.revision:
+            return self.fail(410)
+        news = await self._news(kind, since, seconds)
+        if self.store.faults.late_watch:
+            await asyncio.sleep(self.store.faults.late_watch)
+        if self.store.faults.duplicate_watch:
+            news += news
+        return self.reply(
+            {
+                'revision': self.store.revision,
+                'objects': [one.as_json() for one in news],
+            }
+        )
+
+    async def _news(
+        self,
+        kind: str,
+        since: int,
+        seconds: float,
+    ) -> list[_Entry]:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while True:
+            changed = self.store.changed
+            news = [
+                one
+                for one in self.store.list_kind(kind)
+                if one.revision > since
+            ]
+            left = end - loop.time()
+            if news or left <= 0:
+                return news
+            try:
+                async with asyncio.timeout(left):
+                    await changed.wait()
+            except TimeoutError:
+                return []
+
+
+class _HostsHandler(_StoreHandler):
+    def get(self) -> None:
+        self.store.reads += 1
+        hosts = [
+            {'name': name, 'state': state}
+            for name, state in self.store.hosts.items()
+        ]
+        self.reply({'hosts': hosts})
+
+
+class _FaultsHandler(RequestHandler):
+    def initialize(self, store: ObjectStore) -> None:
+        self.store = store
+
+    def post(self) -> None:
+        for name, setting in json.loads(self.request.body).items():
+            setattr(self.store.faults, name, setting)
+        self.finish('{}')
+
+
+def _log_nothing(_handler: RequestHandler) -> None:
+    """Keep tornado from logging each call."""
+
+
+class PlatformStandin:
+    """The object API on a socket of loopback."""
+
+    def __init__(self, store: ObjectStore | None = None) -> None:
+        """Prepare the stand-in.
+
+        Args:
+            store: Objects to serve; an empty store if None.
+        """
+        self.store = store or ObjectStore()
+        self.port = 0
+        self._server = HTTPServer(self._application())
+
+    @property
+    def url(self) -> str:
+        """Base URL of the API."""
+        return f'http://127.0.0.1:{self.port}'
+
+    def start(self, port: int = 0) -> None:
+        """Listen on a port of loopback; 0 lets the system choose."""
+        sockets = bind_sockets(port, '127.0.0.1')
+        self.port = sockets[0].getsockname()[1]
+        self._server.add_sockets(sockets)
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
+    def _application(self) -> Application:
+        arguments = {'store': self.store}
+        return Application(
+            [
+                ('/objects/([^/]+)/([^/]+)', _ObjectHandler, arguments),
+                ('/objects/([^/]+)', _KindHandler, arguments),
+                ('/watch/([^/]+)', _WatchHandler, arguments),
+                ('/hosts', _HostsHandler, arguments),
+                ('/faults', _FaultsHandler, arguments),
+            ],
+            log_function=_log_nothing,
+        )
--- /dev/null
+++ b/src/wardstair/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one version of the steering configuration."""
--- /dev/null
+++ b/src/wardstair/version/document.py
@@ -0,0 +1,316 @@
+"""The steering configuration as operators write it, and its checks.
+
+The models here validate at the border; `topology` holds what the rest of the
+program works with.
+"""
+
+import tomllib
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from ipaddress import IPv4Network
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from result import Err, Ok, Result
+
+from wardstair.errors import Fault
+
+Name = Annotated[str, Field(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
+Address = Annotated[
+    str,
+    Field(pattern=r'^\d{1,3}\.\d{1,3}\.\d{1,3}\.\d{1,3}:\d{1,5}$'),
+]
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class RegionModel(_Model):
+    """A region and the traffic it takes from outside."""
+
+    name: Name
+    outside_share: Annotated[float, Field(ge=0, le=1)] = 0.5
+    delays_ms: dict[Name, Annotated[float, Field(ge=0)]] = {}
+
+
+class ZoneModel(_Model):
+    """An availability zone of a region."""
+
+    name: Name
+    region: Name
+
+
+class HostModel(_Model):
+    """An entry host with the addresses of its listeners."""
+
+    name: Name
+    zone: Name
+    callers: Address
+    peers: Address
+    forward: Address
+    operators: Address
+
+
+class RouteModel(_Model):
+    """Which requests belong to a workload, and whether they repeat."""
+
+    methods: Annotated[tuple[str, ...], Field(min_length=1)]
+    prefix: Annotated[str, Field(pattern='^/')]
+    repeat: Literal['repeatable', 'once']
+
+
+class WorkloadModel(_Model):
+    """A class of requests that the same upstreams serve.
+
+    A workload without a deadline has requests of any length, such as slow
+    uploads; only idleness is limited there.
+    """
+
+    name: Name
+    importance: Annotated[int, Field(ge=0, le=9)]
+    deadline_seconds: Annotated[float, Field(gt=0)] | None = None
+    idle_seconds: Annotated[float, Field(gt=0)] = 60.0
+    routes: Annotated[tuple[RouteModel, ...], Field(min_length=1)]
+
+
+class UpstreamModel(_Model):
+    """One endpoint that serves a workload."""
+
+    name: Name
+    zone: Name
+    workload: Name
+    address: Address
+    slots: Annotated[int, Field(ge=1, le=10000)]
+    connections: Annotated[int, Field(ge=1)] = 400
+
+
+class SiteModel(_Model):
+    """A place that client blocks belong to, with its nearest region."""
+
+    name: Name
+    region: Name
+
+
+class BlockModel(_Model):
+    """A client block and its site."""
+
+    network: IPv4Network
+    site: Name
+
+
+class PolicyModel(_Model):
+    """The policy of a workload and its parameters."""
+
+    workload: Name
+    kind: Literal['nearest', 'least-in-flight', 'weighted', 'headroom-first']
+    spill_at: Annotated[float, Field(gt=0, le=1)] = 0.8
+    weights: dict[Name, Annotated[float, Field(ge=0)]] = {}
+
+
+class ShiftModel(_Model):
+    """A move of a workload's traffic between regions, under a cap."""
+
+    name: Name
+    workload: Name
+    source: Name
+    target: Name
+    cap: Annotated[int, Field(ge=0)]
+
+
+class DrainModel(_Model):
+    """A planned stop of an upstream, host, zone or region."""
+
+    kind: Literal['upstream', 'host', 'zone', 'region']
+    name: Name
+
+
+class SteeringDocument(_Model):
+    """The whole steering configuration."""
+
+    deployment: Name
+    lookup_ttl_seconds: Annotated[int, Field(ge=1, le=3600)] = 10
+    regions: Annotated[tuple[RegionModel, ...], Field(min_length=1)]
+    zones: Annotated[tuple[ZoneModel, ...], Field(min_length=1)]
+    hosts: Annotated[tuple[HostModel, ...], Field(min_length=1)]
+    workloads: Annotated[tuple[WorkloadModel, ...], Field(min_length=1)]
+    upstreams: tuple[UpstreamModel, ...] = ()
+    sites: Annotated[tuple[SiteModel, ...], Field(max_length=250)] = ()
+    blocks: tuple[BlockModel, ...] = ()
+    policies: tuple[PolicyModel, ...] = ()
+    shifts: tuple[ShiftModel, ...] = ()
+    drains: tuple[DrainModel, ...] = ()
+
+
+def read_document(path: Path) -> Result[SteeringDocument, list[Fault]]:
+    """Read and check a TOML file of steering configuration.
+
+    Args:
+        path: The file.
+
+    Returns:
+        The document, or every fault found in it.
+    """
+    return read_toml(path).and_then(
+        lambda content: check_document(content, str(path)),
+    )
+
+
+def read_toml(path: Path) -> Result[dict[str, object], list[Fault]]:
+    """Read a TOML file, or say why it cannot be read."""
+    try:
+        return Ok(tomllib.loads(path.read_text(encoding='utf-8')))
+    except OSError as error:
+        hint = 'check the path and its permissions'
+        return Err([Fault(str(path), '(file)', str(error.strerror), hint)])
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        hint = 'correct the TOML at that place'
+        return Err([Fault(str(path), '(file)', str(error), hint)])
+
+
+def check_document(
+    content: object,
+    source: str,
+) -> Result[SteeringDocument, list[Fault]]:
+    """Validate the content of a steering configuration.
+
+    Args:
+        content: Mapping as read from TOML or JSON.
+        source: Name to show in faults.
+    """
+    try:
+        document = SteeringDocument.model_validate(content)
+    except ValidationError as error:
+        return Err(faults_of(error, source))
+    faults = list(_cross_faults(document, source))
+    return Err(faults) if faults else Ok(document)
+
+
+def faults_of(error: ValidationError, source: str) -> list[Fault]:
+    """Turn the errors of a model into faults that name the remedy."""
+    return [
+        Fault(
+            source,
+            '.'.join(map(str, detail['loc'])) or '(file)',
+            detail['msg'],
+            _remedy(detail['type']),
+        )
+        for detail in error.errors()
+    ]
+
+
+def _remedy(error_type: str) -> str:
+    match error_type:
+        case 'extra_forbidden':
+            return 'remove the key or correct its spelling'
+        case 'missing':
+            return 'add the key'
+        case 'string_pattern_mismatch':
+            return 'write it in the form that the reference page gives'
+        case _:
+            return 'give a value of the right type and range'
+
+
+def _cross_faults(document: SteeringDocument, source: str) -> Iterator[Fault]:
+    yield from _duplicates(document, source)
+    yield from _dangling(document, source)
+
+
+def _duplicates(document: SteeringDocument, source: str) -> Iterator[Fault]:
+    tables = {
+        'regions': [region.name for region in document.regions],
+        'zones': [zone.name for zone in document.zones],
+        'hosts': [host.name for host in document.hosts],
+        'workloads': [workload.name for workload in document.workloads],
+        'upstreams': [upstream.name for upstream in document.upstreams],
+        'sites': [site.name for site in document.sites],
+        'shifts': [shift.name for shift in document.shifts],
+        'policies': [policy.workload for policy in document.policies],
+    }
+    for table, names in tables.items():
+        for name, count in Counter(names).items():
+            if count > 1:
+                message = f'{name} stands {count} times'
+                yield Fault(source, table, message, 'keep one of them')
+
+
+def _dangling(document: SteeringDocument, source: str) -> Iterator[Fault]:
+    regions = {region.name for region in document.regions}
+    zones = {zone.name for zone in document.zones}
+    workloads = {workload.name for workload in document.workloads}
+    sites = {site.name for site in document.sites}
+    yield from _unknown(
+        source,
+        'zones',
+        'region',
+        ((zone.name, zone.region) for zone in document.zones),
+        regions,
+    )
+    yield from _unknown(
+        source,
+        'hosts',
+        'zone',
+        ((host.name, host.zone) for host in document.hosts),
+        zones,
+    )
+    yield from _unknown(
+        source,
+        'upstreams',
+        'zone',
+        ((one.name, one.zone) for one in document.upstreams),
+        zones,
+    )
+    yield from _unknown(
+        source,
+        'upstreams',
+        'workload',
+        ((one.name, one.workload) for one in document.upstreams),
+        workloads,
+    )
+    yield from _unknown(
+        source,
+        'sites',
+        'region',
+        ((site.name, site.region) for site in document.sites),
+        regions,
+    )
+    yield from _unknown(
+        source,
+        'blocks',
+        'site',
+        ((str(block.network), block.site) for block in document.blocks),
+        sites,
+    )
+    yield from _unknown(
+        source,
+        'shifts',
+        'workload',
+        ((shift.name, shift.workload) for shift in document.shifts),
+        workloads,
+    )
+    for end in ('source', 'target'):
+        yield from _unknown(
+            source,
+            'shifts',
+            end,
+            ((shift.name, getattr(shift, end)) for shift in document.shifts),
+            regions,
+        )
+
+
+def _unknown(
+    source: str,
+    table: str,
+    key: str,
+    references: Iterable[tuple[str, str]],
+    known: set[str],
+) -> Iterator[Fault]:
+    for owner, reference in references:
+        if reference not in known:
+            yield Fault(
+                source,
+                f'{table}.{owner}.{key}',
+                f'{reference} is not defined',
+                'define it or correct its spelling',
+            )
--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the tests."""
--- /dev/null
+++ b/tests/lib/running.py
@@ -0,0 +1,104 @@
+"""Runs a small deployment for one test."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from wardstair.standins.deployment import Deployment
+from wardstair.version.document import SteeringDocument
+
+Test = Callable[['Trial'], Awaitable[None]]
+CLIENT_SECONDS = 60.0
+TRIAL_SECONDS = 50.0
+
+
+class Trial:
+    """A running deployment with a caller."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        """Make a caller of a deployment."""
+        self.deployment = deployment
+        self.client = SimpleAsyncHTTPClient(
+            force_instance=True,
+            max_clients=100,
+        )
+
+    async def send(
+        self,
+        host: str,
+        method: str,
+        path: str,
+        **options: Any,
+    ) -> HTTPResponse:
+        """Send a request to a host's callers' listener."""
+        return await self.client.fetch(
+            HTTPRequest(
+                self.deployment.url(host, path),
+                method=method,
+                request_timeout=CLIENT_SECONDS,
+                **options,
+            ),
+            raise_error=False,
+        )
+
+    async def order(
+        self,
+        host: str,
+        key: str,
+        body: str = 'copies=1',
+    ) -> HTTPResponse:
+        """Send a print order with a key."""
+        headers = {'Idempotency-Key': key}
+        return await self.send(
+            host,
+            'POST',
+            '/orders',
+            body=body,
+            headers=headers,
+        )
+
+    async def new_key(self, host: str, workload: str = 'orders') -> str:
+        """Look up a key."""
+        answer = await self.lookup(host, workload)
+        return str(answer['key'])
+
+    async def lookup(self, host: str, workload: str) -> dict[str, Any]:
+        """Look up where to go."""
+        path = f'/v1/lookup?workload={workload}'
+        response = await self.send(host, 'GET', path)
+        assert response.code == 200, response.body
+        found: dict[str, Any] = json.loads(response.body)
+        return found
+
+
+def kind_of(response: HTTPResponse) -> str:
+    """Return the kind of a refusal."""
+    return str(json.loads(response.body)['type'].rsplit(':', 1)[-1])
+
+
+def run_trial(document: SteeringDocument, test: Test) -> None:
+    """Start a deployment, run a test on it, and stop it."""
+    asyncio.run(_run(document, test))
+
+
+async def _run(document: SteeringDocument, test: Test) -> None:
+    async with started(document) as trial, asyncio.timeout(TRIAL_SECONDS):
+        await test(trial)
+
+
+@asynccontextmanager
+async def started(document: SteeringDocument) -> AsyncIterator[Trial]:
+    """Run a deployment inside a block."""
+    deployment = Deployment(document)
+    trial = Trial(deployment)
+    try:
+        await deployment.start()
+        yield trial
+    finally:
+        trial.client.close()
+        await deployment.stop()
--- /dev/null
+++ b/tests/unit/test_choice.py
@@ -0,0 +1,131 @@
+"""Choice of an upstream, against the naive best of all."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wardstair.decisions.admission import (
+    Enqueued,
+    Rejected,
+    Waiter,
+    WaitingLine,
+)
+from wardstair.decisions.choice import Candidate, choose, score, warmth
+from wardstair.decisions.health import (
+    FAILURES_TO_EJECT,
+    LEAVING_SECONDS,
+    UpstreamHealth,
+    see_failure,
+    see_leaving,
+    see_success,
+    set_drained,
+)
+
+CANDIDATES = st.lists(
+    st.builds(
+        Candidate,
+        name=st.uuids().map(str),
+        free_slots=st.integers(0, 3),
+        in_flight=st.integers(0, 9),
+        latency=st.floats(0.001, 2),
+        reported_load=st.floats(-1, 5),
+        report_age=st.floats(0, 10),
+        warm_seconds=st.floats(0, 60),
+    ),
+    max_size=8,
+    unique_by=lambda candidate: candidate.name,
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(CANDIDATES, st.integers(0, 1000))
+def test_never_chooses_what_has_no_slot_or_was_tried(
+    candidates: list[Candidate],
+    seed: int,
+) -> None:
+    tried = frozenset(one.name for one in candidates[::3])
+    chosen = choose(candidates, tried, Random(seed))
+    able = [
+        one for one in candidates if one.free_slots and one.name not in tried
+    ]
+    assert (chosen is None) == (not able)
+    assert chosen is None or chosen in able
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(CANDIDATES, st.integers(0, 1000))
+def test_beats_the_naive_worst(
+    candidates: list[Candidate],
+    seed: int,
+) -> None:
+    able = [one for one in candidates if one.free_slots]
+    chosen = choose(candidates, frozenset(), Random(seed))
+    if len(able) < 3:
+        best = min(able, key=score, default=None)
+        assert chosen == best
+        return
+    worst = max(able, key=score)
+    assert chosen is not None
+    assert score(chosen) < score(worst) or score(chosen) == score(worst)
+
+
+@pytest.mark.parametrize(
+    ('load', 'age', 'worse'),
+    [(1.0, 0.0, True), (1.0, 60.0, False), (-9.0, 0.0, False)],
+)
+def test_a_report_only_lowers_trust(
+    load: float,
+    age: float,
+    worse: bool,
+) -> None:
+    plain = Candidate('u', 1, 0, 0.1)
+    told = Candidate('u', 1, 0, 0.1, reported_load=load, report_age=age)
+    assert (score(told) > score(plain)) is worse
+    assert score(told) >= score(plain)
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'share'),
+    [(-5, 0.25), (0, 0.25), (15, 0.625), (30, 1.0), (1e9, 1.0)],
+)
+def test_cold_upstreams_are_ramped(seconds: float, share: float) -> None:
+    assert warmth(seconds) == pytest.approx(share)
+
+
+def test_the_least_important_newest_waiter_goes_first() -> None:
+    line = WaitingLine(limit=2)
+    line.enter(Waiter(1, 2, 10.0))
+    line.enter(Waiter(2, 2, 10.0))
+    assert line.enter(Waiter(3, 2, 10.0)) == Rejected()
+    entered = line.enter(Waiter(4, 8, 10.0))
+    assert entered == Enqueued((Waiter(2, 2, 10.0),))
+    assert [one.number for one in line.in_order()] == [4, 1]
+
+
+def test_waiters_past_their_deadline_are_dropped() -> None:
+    line = WaitingLine(limit=2)
+    line.enter(Waiter(1, 2, 10.0))
+    line.enter(Waiter(2, 2, 30.0))
+    assert [one.number for one in line.drop_late(9.0, 2.0)] == [1]
+
+
+def test_only_the_operator_brings_an_upstream_back_early() -> None:
+    leaving = see_leaving(UpstreamHealth(), 100.0)
+    assert not see_success(leaving).may_serve(101.0)
+    assert leaving.may_serve(100.0 + LEAVING_SECONDS)
+    drained = set_drained(leaving, 101.0, is_drained=True)
+    back = set_drained(drained, 102.0, is_drained=False)
+    assert back.may_serve(102.0)
+
+
+def test_failures_in_a_row_eject_for_longer_and_longer() -> None:
+    health = UpstreamHealth()
+    for _ in range(FAILURES_TO_EJECT - 1):
+        health = see_failure(health, 0.0)
+    assert health.may_serve(0.0)
+    first = see_failure(health, 0.0)
+    second = see_failure(first, 0.0)
+    assert not first.may_serve(0.0)
+    assert second.ejected_until > first.ejected_until
--- /dev/null
+++ b/tests/unit/test_ledger.py
@@ -0,0 +1,343 @@
+"""The ledger never lets two pieces of work use one token.
+
+A state machine plays several hosts with clocks, messages that are late, lost
+or doubled, pauses, deaths and restarts, and counts the work itself.
+"""
+
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from wardstair.decisions.ledger import (
+    LOAN_SECONDS,
+    Identity,
+    Ledger,
+    LoanOffer,
+    LoanReturn,
+    Slot,
+    Standing,
+    settle_seconds,
+)
+
+TOKENS = 3
+HOSTS = 3
+HOLD = 4.0
+
+
+@dataclass
+class Work:
+    """Work that an upstream does for one incarnation."""
+
+    token: int
+    ends_by: float | None
+
+
+@dataclass
+class Host:
+    """A host with its ledger and the work it believes it has."""
+
+    identity: Identity
+    ledger: Ledger
+    slots: list[Slot] = field(default_factory=list)
+    asked: dict[str, float] = field(default_factory=dict)
+    is_paused: bool = False
+
+
+@dataclass
+class Ask:
+    """A question on its way."""
+
+    borrower: Identity
+    lender: str
+    number: str
+
+
+@dataclass
+class Give:
+    """An offer on its way."""
+
+    lender: Identity
+    borrower: str
+    number: str
+    offer: LoanOffer
+
+
+@dataclass
+class Back:
+    """A return on its way."""
+
+    loan: LoanReturn
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Hosts of a zone, seen from outside."""
+
+    hold: float | None = HOLD
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.numbers = 0
+        self.hosts: dict[str, Host] = {}
+        self.work: dict[tuple[str, int], list[Work]] = {}
+        self.messages: list[Ask | Give | Back] = []
+
+    @initialize()
+    def start(self) -> None:
+        for index in range(HOSTS):
+            name = f'h{index}'
+            host = Host(Identity(name, '1'), Ledger(self.hold))
+            host.ledger.adopt(index, 0.0, 0.0)
+            self.hosts[name] = host
+
+    @rule(name=st.sampled_from(['h0', 'h1', 'h2']))
+    def take(self, name: str) -> None:
+        host = self.hosts[name]
+        if host.is_paused:
+            return
+        slot = host.ledger.take(self.now)
+        if slot is None:
+            return
+        host.slots.append(slot)
+        ends_by = None if self.hold is None else self.now + self.hold
+        self.work.setdefault((name, slot.token), []).append(
+            Work(slot.token, ends_by),
+        )
+
+    @rule(name=st.sampled_from(['h0', 'h1', 'h2']))
+    def finish(self, name: str) -> None:
+        host = self.hosts[name]
+        if host.slots and not host.is_paused:
+            self.end_slot(host, host.slots[0])
+
+    def end_slot(self, host: Host, slot: Slot) -> None:
+        host.slots.remove(slot)
+        self.work[host.identity.name, slot.token].pop()
+        loan = host.ledger.put_back(slot.token, self.now)
+        if loan is not None:
+            self.messages.append(Back(loan))
+
+    @rule(
+        borrower=st.sampled_from(['h0', 'h1', 'h2']),
+        lender=st.sampled_from(['h0', 'h1', 'h2']),
+    )
+    def ask(self, borrower: str, lender: str) -> None:
+        host = self.hosts[borrower]
+        if borrower == lender or host.is_paused:
+            return
+        self.numbers += 1
+        number = str(self.numbers)
+        host.asked[number] = self.now
+        self.messages.append(Ask(host.identity, lender, number))
+
+    @rule(
+        index=st.integers(0, 5),
+        again=st.booleans(),
+        lost=st.sampled_from([False, False, True]),
+    )
+    def deliver(self, index: int, again: bool, lost: bool) -> None:
+        if index >= len(self.messages):
+            return
+        message = self.messages[index]
+        if not again:
+            self.messages.pop(index)
+        if not lost:
+            self.receive(message)
+
+    def receive(self, message: Ask | Give | Back) -> None:
+        match message:
+            case Ask():
+                self.on_ask(message)
+            case Give():
+                self.on_give(message)
+            case Back(loan=loan):
+                lender = self.hosts[loan.lender.name]
+                if lender.identity == loan.lender and not lender.is_paused:
+                    lender.ledger.reclaim(loan.loan, loan.tokens)
+
+    def on_ask(self, message: Ask) -> None:
+        lender = self.hosts[message.lender]
+        if lender.is_paused:
+            return
+        self.numbers += 1
+        loan = f'{lender.identity.incarnation}-{self.numbers}'
+        offer = lender.ledger.lend(message.borrower, 2, loan, self.now)
+        if offer is not None:
+            self.messages.append(
+                Give(
+                    lender.identity,
+                    message.borrower.name,
+                    message.number,
+                    offer,
+                ),
+            )
+
+    def on_give(self, message: Give) -> None:
+        host = self.hosts[message.borrower]
+        asked_at = host.asked.get(message.number)
+        if asked_at is None or host.is_paused:
+            return
+        host.asked.pop(message.number)
+        host.ledger.accept(message.lender, message.offer, asked_at)
+
+    @rule(seconds=st.sampled_from([0.5, 2.0, LOAN_SECONDS, 12.0]))
+    def pass_time(self, seconds: float) -> None:
+        """Time passes; work past its hold ends at the upstream."""
+        self.now += seconds
+        for host in self.hosts.values():
+            for slot in list(host.slots):
+                works = self.work[host.identity.name, slot.token]
+                if works[0].ends_by is not None and (
+                    works[0].ends_by <= self.now
+                ):
+                    self.end_slot(host, slot)
+            if not host.is_paused:
+                self.messages.extend(
+                    Back(loan) for loan in host.ledger.expire(self.now)
+                )
+
+    @rule(name=st.sampled_from(['h0', 'h1', 'h2']))
+    def pause_or_resume(self, name: str) -> None:
+        self.hosts[name].is_paused = not self.hosts[name].is_paused
+
+    @rule(name=st.sampled_from(['h0', 'h1', 'h2']))
+    def restart(self, name: str) -> None:
+        """Restart with nothing; upstreams still work for the old one.
+
+        The new incarnation owns the tokens of its name, after the longest
+        time that work of the old one can last.
+        """
+        old = self.hosts[name]
+        settle = self.hold or 0.0
+        if self.hold is None:
+            # Uploads end with their connections.
+            for key in list(self.work):
+                if key[0] == name:
+                    self.work.pop(key)
+        else:
+            for slot in old.slots:
+                self.work.setdefault(('gone', slot.token), []).extend(
+                    self.work[name, slot.token],
+                )
+                self.work[name, slot.token] = []
+        number = str(int(old.identity.incarnation) + 1)
+        new = Host(Identity(name, number), Ledger(self.hold))
+        longest = 0.0 if self.hold is None else settle_seconds(self.hold)
+        for token in old.ledger.owned:
+            new.ledger.adopt(token, self.now, longest)
+        self.hosts[name] = new
+        for other in self.hosts.values():
+            other.ledger.forget_borrower(old.identity, self.now, settle)
+
+    @invariant()
+    def no_token_is_used_twice(self) -> None:
+        used: dict[int, int] = {}
+        for (name, token), works in self.work.items():
+            live = [
+                work
+                for work in works
+                if name != 'gone'
+                or (work.ends_by is not None and work.ends_by > self.now)
+            ]
+            used[token] = used.get(token, 0) + len(live)
+        assert all(count <= 1 for count in used.values()), used
+
+
+class UnboundedLedgerMachine(LedgerMachine):
+    """Work of any length, such as uploads: loans end by return only."""
+
+    hold = None
+
+    @rule(name=st.sampled_from(['h0', 'h1', 'h2']))
+    def restart(self, name: str) -> None:
+        """Only a host that lends nothing restarts here.
+
+        What it lent to others without limit of time would come to its new
+        incarnation by `forget_borrower` or the borrower's return only.
+        """
+        old = self.hosts[name]
+        lends = any(
+            state not in (Standing.idle, Standing.busy)
+            for state in old.ledger.owned.values()
+        )
+        if not lends and not self.messages:
+            super().restart(name)
+
+
+TestBounded = LedgerMachine.TestCase
+TestBounded.settings = settings(
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+)
+TestUnbounded = UnboundedLedgerMachine.TestCase
+TestUnbounded.settings = TestBounded.settings
+
+
+def make_ledger(tokens: int, hold: float | None = HOLD) -> Ledger:
+    """Return a ledger that owns some tokens."""
+    ledger = Ledger(hold)
+    for token in range(tokens):
+        ledger.adopt(token, 0.0, 0.0)
+    return ledger
+
+
+ME = Identity('me', '1')
+PEER = Identity('peer', '1')
+
+
+@pytest.mark.parametrize(
+    ('idle', 'wanted', 'lent'),
+    [(0, 1, 0), (1, 1, 1), (2, 5, 1), (3, 5, 2), (9, 2, 2), (9, 9, 5)],
+)
+def test_lends_half_but_one_at_least(
+    idle: int,
+    wanted: int,
+    lent: int,
+) -> None:
+    offer = make_ledger(idle).lend(PEER, wanted, 'a', 0.0)
+    assert (0 if offer is None else len(offer.tokens)) == lent
+
+
+def test_paused_borrower_does_not_start_on_an_ended_loan() -> None:
+    lender, borrower = make_ledger(1), Ledger(HOLD)
+    offer = lender.lend(PEER, 1, 'a', 10.0)
+    assert offer is not None
+    borrower.accept(ME, offer, asked_at=9.5)
+    assert borrower.take(9.5 + LOAN_SECONDS) is None
+
+
+def test_slot_tells_the_last_moment_to_start() -> None:
+    lender, borrower = make_ledger(1), Ledger(HOLD)
+    offer = lender.lend(PEER, 1, 'a', 10.0)
+    assert offer is not None
+    borrower.accept(ME, offer, asked_at=9.5)
+    assert borrower.take(10.0) == Slot(0, 9.5 + LOAN_SECONDS)
+
+
+def test_late_return_of_an_earlier_loan_does_nothing() -> None:
+    lender = make_ledger(1)
+    first = lender.lend(PEER, 1, 'a', 0.0)
+    assert first is not None
+    lender.reclaim('a', first.tokens)
+    second = lender.lend(PEER, 1, 'b', 0.0)
+    assert second is not None
+    lender.reclaim('a', first.tokens)
+    assert lender.available(0.0) == 0
+
+
+def test_retired_token_comes_back_while_lent_without_being_doubled() -> None:
+    lender = make_ledger(1)
+    lender.lend(PEER, 1, 'a', 0.0)
+    lender.retire(0)
+    lender.adopt(0, 0.0, 0.0)
+    assert lender.take(0.0) is None
