--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,439 @@
+"""Measures what control costs, and fits it against the size of the fleet.
+
+Each row of the table is a fleet of real entry hosts in a process of its own,
+started by this script, with the stand-ins in another process. The increment
+over the same hosts with control off is what control costs. Writes a table
+and a plot to docs/figures/.
+
+    python bench/slopes.py            all rows
+    python bench/slopes.py quick      the smaller ones
+"""
+
+import asyncio
+import json
+import subprocess
+import sys
+import time
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from random import Random
+from resource import RUSAGE_SELF, getpagesize, getrusage
+from typing import Any
+
+import numpy as np
+
+ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT / 'tests'))
+sys.path.insert(0, str(ROOT / 'bench'))
+
+from lib.documents import small_document  # noqa: E402
+from request_path import planned_table  # noqa: E402
+
+from wardstair.process.log import configure_logging  # noqa: E402
+from wardstair.process.orders import StartDrain, StopDrain  # noqa: E402
+from wardstair.standins.deployment import Deployment  # noqa: E402
+from wardstair.standins.platform import PlatformStandin  # noqa: E402
+from wardstair.standins.upstream import UpstreamStandin  # noqa: E402
+from wardstair.version.document import DrainModel, UpstreamModel  # noqa: E402
+from wardstair.version.parts import pack_table, unpack_table  # noqa: E402
+
+SETTLE_SECONDS = 6.0
+MEASURE_SECONDS = 15.0
+CHANGES = 12
+UPSTREAMS_A_HOST = 4
+FIGURES = ROOT / 'docs' / 'figures'
+FLEETS = [
+    (1, 2),
+    (1, 6),
+    (1, 12),
+    (1, 20),
+    (4, 2),
+    (8, 2),
+    (16, 2),
+    (24, 2),
+    (3, 12),
+    (3, 20),
+    (6, 8),
+]
+QUICK = [(1, 2), (1, 6), (4, 2), (8, 2), (3, 6)]
+PLAN_ZONES = 62
+PLAN_HOSTS = 20
+
+
+@dataclass(frozen=True)
+class Row:
+    """What one fleet cost, for each of its hosts."""
+
+    zones: int
+    hosts: int
+    control: bool
+    cpu_percent: float
+    sent_bytes: float
+    received_bytes: float
+    messages: float
+    platform_calls: float
+    rss_kb: float
+    change_median: float
+    change_worst: float
+    change_cpu_ms: float
+
+
+class BenchFleet(Deployment):
+    """A deployment whose stand-ins run in another process."""
+
+    def __init__(self, zones: int, hosts: int, *, control: bool) -> None:
+        """Prepare a fleet of a size."""
+        names = tuple(f'r{zone // 3}-{zone}' for zone in range(zones))
+        document = small_document(zones=names, hosts_a_zone=hosts)
+        upstreams = tuple(
+            UpstreamModel(
+                name=f'up-{zone}-{number}',
+                zone=zone,
+                workload=('views', 'orders', 'uploads')[number % 3],
+                address='127.0.0.1:1',
+                slots=(9, 6, 3)[number % 3],
+            )
+            for zone in names
+            for number in range(hosts * UPSTREAMS_A_HOST)
+        )
+        super().__init__(document.model_copy(update={'upstreams': upstreams}))
+        self.control = control
+
+    async def prepare(self, info: dict[str, Any]) -> None:
+        """Point everything at the stand-ins of the other process."""
+        self.platform.port = info['platform']
+        models = tuple(
+            model.model_copy(update={'address': info['upstream']})
+            for model in self.document.upstreams
+        )
+        self.document = self.document.model_copy(update={'upstreams': models})
+
+    def is_steady(self) -> bool:
+        """Return whether all hosts know the fleet and have tokens."""
+        return self._is_ready()
+
+
+async def standins() -> None:
+    """Run the stand-ins and tell where they listen."""
+    platform = PlatformStandin()
+    upstream = UpstreamStandin('bench', 9)
+    platform.start()
+    upstream.start()
+    info = {'platform': platform.port, 'upstream': upstream.address}
+    print(json.dumps(info), flush=True)
+    loop = asyncio.get_running_loop()
+    while await loop.run_in_executor(None, sys.stdin.readline):
+        calls = platform.store.reads + platform.store.writes
+        print(json.dumps(calls), flush=True)
+
+
+class Standins:
+    """The process of the stand-ins."""
+
+    def __init__(self) -> None:
+        """Start it."""
+        self.process = subprocess.Popen(
+            [sys.executable, __file__, 'standins'],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        assert self.process.stdout is not None
+        self.info = json.loads(self.process.stdout.readline())
+
+    def calls(self) -> int:
+        """Return the calls on the platform so far."""
+        assert self.process.stdin is not None
+        assert self.process.stdout is not None
+        self.process.stdin.write('\n')
+        self.process.stdin.flush()
+        return int(self.process.stdout.readline())
+
+
+def cpu_seconds() -> float:
+    """Return the processor time of this process."""
+    usage = getrusage(RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
+def resident_kb() -> float:
+    """Return the resident memory of this process."""
+    pages = int(Path('/proc/self/statm').read_text().split()[1])
+    return pages * getpagesize() / 1024
+
+
+async def measure(zones: int, hosts: int, *, control: bool) -> Row:
+    """Run one fleet and return its row."""
+    configure_logging('ERROR')
+    others = Standins()
+    fleet = BenchFleet(zones, hosts, control=control)
+    await fleet.prepare(others.info)
+    try:
+        return await _measure(fleet, others, zones, hosts)
+    finally:
+        others.process.terminate()
+
+
+async def _measure(
+    fleet: BenchFleet,
+    others: Standins,
+    zones: int,
+    hosts: int,
+) -> Row:
+    count = zones * hosts
+    for model in fleet.document.hosts:
+        await fleet.start_host(model, control=fleet.control)
+    fleet.document = fleet.addressed()
+    await fleet.apply()
+    if fleet.control:
+        await fleet.wait_until(fleet.is_steady, 120)
+    else:
+        for host in fleet.hosts.values():
+            await host.configuration.load()
+    await asyncio.sleep(SETTLE_SECONDS)
+    sent, received, messages = _traffic(fleet)
+    calls = others.calls()
+    cpu = cpu_seconds()
+    await asyncio.sleep(MEASURE_SECONDS)
+    cpu = cpu_seconds() - cpu
+    calls = others.calls() - calls
+    sent_now, received_now, messages_now = _traffic(fleet)
+    each = count * MEASURE_SECONDS
+    rss = resident_kb()
+    times, change_cpu = await _changes(fleet, cpu / MEASURE_SECONDS)
+    row = Row(
+        zones=zones,
+        hosts=hosts,
+        control=fleet.control,
+        cpu_percent=round(cpu / each * 100, 4),
+        sent_bytes=round((sent_now - sent) / each),
+        received_bytes=round((received_now - received) / each),
+        messages=round((messages_now - messages) / each, 2),
+        platform_calls=round(calls / MEASURE_SECONDS, 2),
+        rss_kb=round(rss),
+        change_median=round(float(np.median(times)), 3) if times else 0,
+        change_worst=round(max(times, default=0), 3),
+        change_cpu_ms=round(change_cpu / count * 1000, 2),
+    )
+    for host in fleet.hosts.values():
+        await host.stop()
+    return row
+
+
+def _traffic(fleet: BenchFleet) -> tuple[int, int, int]:
+    links = [host.links for host in fleet.hosts.values()]
+    return (
+        sum(link.sent_bytes for link in links),
+        sum(link.received_bytes for link in links),
+        sum(link.sent.total() for link in links),
+    )
+
+
+async def _changes(
+    fleet: BenchFleet,
+    idle: float,
+) -> tuple[list[float], float]:
+    """Make changes; return how long each took and the processor time."""
+    if not fleet.control:
+        return [], 0
+    drain = DrainModel(kind='upstream', name=fleet.document.upstreams[0].name)
+    times = []
+    started, cpu = time.monotonic(), cpu_seconds()
+    for number in range(CHANGES):
+        action = (
+            StopDrain(verb='drain-stop', drain=drain)
+            if number % 2
+            else StartDrain(verb='drain-start', drain=drain)
+        )
+        asked = time.monotonic()
+        version = await fleet.order(action)
+        await fleet.wait_version(version)
+        times.append(time.monotonic() - asked)
+        await asyncio.sleep(0.2)
+    spent = cpu_seconds() - cpu - idle * (time.monotonic() - started)
+    return times, spent / CHANGES
+
+
+def run_row(zones: int, hosts: int, *, control: bool) -> Row:
+    """Measure one fleet in a fresh process."""
+    words = ['fleet', str(zones), str(hosts), 'on' if control else 'off']
+    done = subprocess.run(
+        [sys.executable, __file__, *words],
+        stdout=subprocess.PIPE,
+        text=True,
+        check=True,
+    )
+    return Row(**json.loads(done.stdout.splitlines()[-1]))
+
+
+@dataclass(frozen=True)
+class Fit:
+    """A plane fitted to a cost of each host."""
+
+    name: str
+    unit: str
+    base: float
+    a_host: float
+    a_zone: float
+    worst_residual: float
+    measured_most: float
+
+    @property
+    def at_plan(self) -> float:
+        """The cost at the planned size."""
+        hosts = self.a_host * PLAN_HOSTS
+        return self.base + hosts + self.a_zone * PLAN_ZONES
+
+
+def fit(name: str, unit: str, rows: list[Row], values: list[float]) -> Fit:
+    """Fit cost against hosts a zone and zones by least squares."""
+    sizes = np.array([[1, row.hosts, row.zones] for row in rows], float)
+    costs = np.array(values, float)
+    found, *_ = np.linalg.lstsq(sizes, costs, rcond=None)
+    residual = float(np.max(np.abs(sizes @ found - costs)))
+    base, a_host, a_zone = (float(number) for number in found)
+    most = float(costs.max())
+    return Fit(name, unit, base, a_host, a_zone, residual, most)
+
+
+def table_costs() -> list[str]:
+    """Measure the block table against the number of blocks."""
+    lines = ['blocks  look-up us  table MB  parts  parts MB  rebuild ms']
+    random = Random(1)
+    for blocks in (70_000, 275_000, 1_100_000):
+        table = planned_table(blocks, 1)
+        addresses = [random.randrange(1 << 32) for _ in range(200_000)]
+        started = time.perf_counter()
+        for address in addresses:
+            table.find_site(address)
+        micros = (time.perf_counter() - started) / len(addresses) * 1e6
+        parts = list(pack_table(table))
+        started = time.perf_counter()
+        unpack_table(iter(parts))
+        rebuild = (time.perf_counter() - started) * 1000
+        size = sum(len(part) for part in parts) / 1e6
+        lines.append(
+            f'{blocks}  {micros:.2f}  {blocks * 5 / 1e6:.1f}  {len(parts)}  '
+            f'{size:.2f}  {rebuild:.1f}',
+        )
+    return lines
+
+
+def main(sizes: list[tuple[int, int]]) -> None:
+    """Measure all fleets, fit and write."""
+    rows = []
+    for zones, hosts in sizes:
+        on = run_row(zones, hosts, control=True)
+        off = run_row(zones, hosts, control=False)
+        rows.append((on, off))
+        print(on, off.rss_kb, off.cpu_percent, flush=True)
+    ons = [on for on, _ in rows]
+    memory = [
+        (on.rss_kb - off.rss_kb) / (on.zones * on.hosts) for on, off in rows
+    ]
+    fits = [
+        fit(
+            'processor',
+            '% of a core',
+            ons,
+            [on.cpu_percent - off.cpu_percent for on, off in rows],
+        ),
+        fit('sent', 'B/s', ons, [on.sent_bytes for on in ons]),
+        fit('received', 'B/s', ons, [on.received_bytes for on in ons]),
+        fit('messages', '/s', ons, [on.messages for on in ons]),
+        fit('memory', 'KB', ons, memory),
+        fit('change, processor', 'ms', ons, [on.change_cpu_ms for on in ons]),
+        fit('change, worst', 's', ons, [on.change_worst for on in ons]),
+    ]
+    write(ons, memory, fits)
+
+
+def write(rows: list[Row], memory: list[float], fits: list[Fit]) -> None:
+    """Write the table and the plot."""
+    FIGURES.mkdir(parents=True, exist_ok=True)
+    lines = ['# Slopes of control, as measured', '']
+    lines += _table(
+        [*asdict(rows[0]), 'memory_kb_a_host'],
+        [
+            [*asdict(row).values(), round(kilobytes)]
+            for row, kilobytes in zip(rows, memory, strict=True)
+        ],
+    )
+    lines += ['', '## Fits', '']
+    lines += _table(
+        [
+            'cost',
+            'unit',
+            'base',
+            'per host of the zone',
+            'per zone',
+            'worst residual',
+            'largest measured',
+            f'at {PLAN_HOSTS} hosts a zone, {PLAN_ZONES} zones',
+        ],
+        [
+            [
+                one.name,
+                one.unit,
+                f'{one.base:.4g}',
+                f'{one.a_host:.4g}',
+                f'{one.a_zone:.4g}',
+                f'{one.worst_residual:.3g}',
+                f'{one.measured_most:.4g}',
+                f'{one.at_plan:.4g}',
+            ]
+            for one in fits
+        ],
+    )
+    lines += ['', '## Block table', '', '```', *table_costs(), '```', '']
+    text = '\n'.join(lines)
+    (FIGURES / 'slopes.md').write_text(text, encoding='utf-8')
+    print(text)
+    plot(rows, fits)
+
+
+def _table(head: list[str], rows: list[list[Any]]) -> list[str]:
+    lines = [' | '.join(head), ' | '.join('---' for _ in head)]
+    lines += [' | '.join(map(str, row)) for row in rows]
+    return [f'| {line} |' for line in lines]
+
+
+def plot(rows: list[Row], fits: list[Fit]) -> None:
+    """Draw measured against fitted cost for the first fits."""
+    import matplotlib as mpl  # noqa: PLC0415
+
+    mpl.use('Agg')
+    from matplotlib import pyplot as plt  # noqa: PLC0415
+
+    values = [
+        [row.cpu_percent for row in rows],
+        [row.sent_bytes for row in rows],
+    ]
+    figure, axes = plt.subplots(1, 2, figsize=(10, 4))
+    for axis, one, measured in zip(axes, fits, values, strict=False):
+        fitted = [
+            one.base + one.a_host * row.hosts + one.a_zone * row.zones
+            for row in rows
+        ]
+        axis.scatter(fitted, measured)
+        axis.axline((0, 0), slope=1, linewidth=0.5)
+        axis.scatter([one.at_plan], [one.at_plan], marker='x')
+        axis.set_xlabel(f'fitted {one.name}, {one.unit}; x is the plan')
+        axis.set_ylabel('measured')
+    figure.tight_layout()
+    figure.savefig(FIGURES / 'slopes.png', dpi=100)
+
+
+if __name__ == '__main__':
+    match sys.argv[1:]:
+        case ['standins']:
+            asyncio.run(standins())
+        case ['fleet', zones, hosts, control]:
+            found = asyncio.run(
+                measure(int(zones), int(hosts), control=control == 'on'),
+            )
+            print(json.dumps(asdict(found)))
+        case ['quick']:
+            main(QUICK)
+        case _:
+            main(FLEETS)
--- a/src/wardstair/decisions/membership.py
+++ b/src/wardstair/decisions/membership.py
@@ -36,6 +36,7 @@
         beat: Counts its heartbeats.
         version: Version of the configuration it has in force.
         config_age: Seconds since that version was known to be the newest.
+        shares: Version of the zone's shares that it has adopted.
         leaving: Whether it is leaving.
         free: Requests it could start now, by workload in order of name.
     """
@@ -45,6 +46,7 @@
     beat: int
     version: int
     config_age: float
+    shares: int
     leaving: bool
     free: tuple[int, ...]
 
@@ -54,6 +56,21 @@
         return self.incarnation, self.beat
 
 
+@dataclass(frozen=True)
+class UpstreamReport:
+    """What an upstream said when a host of the zone probed it.
+
+    Attributes:
+        upstream: Its name.
+        load: Load it reports.
+        is_leaving: Whether it says that it is leaving.
+    """
+
+    upstream: str
+    load: float
+    is_leaving: bool
+
+
 @dataclass
 class Member:
     """A host and when its last heartbeat came."""
--- a/src/wardstair/process/capacity.py
+++ b/src/wardstair/process/capacity.py
@@ -44,7 +44,7 @@
 from wardstair.version.topology import Topology
 
 SHARES_KIND = 'shares'
-SYNC_SECONDS = 30.0
+SYNC_SECONDS = 300.0
 ASK_SECONDS = 1.0
 ASK_AGAIN_SECONDS = 0.05
 WRITE_TRIES = 8
@@ -99,6 +99,11 @@
         self._borrowing: dict[str, asyncio.Task[None]] = {}
         self._numbers = itertools.count(1)
 
+    @property
+    def shares_version(self) -> int:
+        """Version of the zone's shares that is adopted here."""
+        return 0 if self._stored is None else self._stored.version
+
     @property
     def is_settled(self) -> bool:
         """Whether this incarnation has its tokens of the version."""
@@ -215,6 +220,11 @@
         if count and receiver != self._me.name:
             await self._give(receiver, count)
 
+    def hear(self, version: int) -> None:
+        """Note the version of the shares that a peer has adopted."""
+        if version > self.shares_version:
+            self._kick.set()
+
     def shortage(self, name: str) -> None:
         """Borrow tokens of a resource in the background."""
         if name in self._borrowing or name not in self.ledgers:
--- a/src/wardstair/process/fleet.py
+++ b/src/wardstair/process/fleet.py
@@ -12,6 +12,7 @@
     HostRow,
     HostState,
     MemberTable,
+    UpstreamReport,
     ZoneReport,
     ZoneTable,
     hosts_digest,
@@ -31,7 +32,8 @@
 BEAT_SECONDS = 1.0
 REPORT_SECONDS = 2.0
 PAUSE_SECONDS = 2.0
-ROWS_PASSED_ON = 3
+ROWS_PASSED_ON = 24
+BEAT_LISTENERS = 6
 FAR_PARTNERS = 2
 AGE_MOST_SECONDS = 86400.0
 _MILLISECONDS = 1000
@@ -62,6 +64,8 @@
         self.is_leaving = False
         self.on_news: Callable[[], None] = lambda: None
         self.config_age: Callable[[], float] = lambda: 0.0
+        self.shares_version: Callable[[], int] = lambda: 0
+        self.take_reports: Callable[[], tuple[UpstreamReport, ...]] = tuple
         self._me = me
         self._zone = zone
         self._links = links
@@ -69,6 +73,9 @@
         self._free = free
         self._topology: Topology | None = None
         self._beat = 0
+        self._probed: list[str] = []
+        self._probed_for: object = None
+        self._own_row = self.row()
         self._last_tick = time.monotonic()
         self._last_report = float('-inf')
 
@@ -92,6 +99,18 @@
         """Return the hosts that speak for the zone."""
         return rendezvous(self.live_names(), self._zone, RELAYS_A_ZONE)
 
+    def probed_here(self, upstreams: list[str]) -> list[str]:
+        """Return the upstreams that this host probes for the zone."""
+        wanted = (tuple(upstreams), tuple(self.live_names()))
+        if self._probed_for != wanted:
+            self._probed_for = wanted
+            self._probed = [
+                upstream
+                for upstream in upstreams
+                if rendezvous(wanted[1], upstream, 1) == [self._me.name]
+            ]
+        return self._probed
+
     def live_names(self) -> list[str]:
         """Return the live hosts of the zone, this one included."""
         now = time.monotonic()
@@ -112,7 +131,7 @@
         return None
 
     def row(self) -> HostRow:
-        """Return this host's own row."""
+        """Return this host's own row, made anew for each heartbeat."""
         topology = self._topology
         return HostRow(
             self._me.name,
@@ -120,6 +139,7 @@
             self._beat,
             0 if topology is None else topology.version,
             round(min(self.config_age(), AGE_MOST_SECONDS), 1),
+            self.shares_version(),
             self.is_leaving,
             self._free_row(),
         )
@@ -140,7 +160,7 @@
         self._last_tick = now
         if gap > PAUSE_SECONDS:
             self.members.forgive_pause(gap)
-        self.beat()
+        self._tell_row(self._next_listeners())
         self._note_own_zone(now)
         if now - self._last_report >= REPORT_SECONDS:
             self._last_report = now
@@ -148,20 +168,34 @@
         self.on_news()
 
     def beat(self) -> None:
-        """Tell the zone this host's row now."""
+        """Tell the whole zone this host's row now."""
+        self._tell_row([host.name for host in self._zone_peers()])
+
+    def _tell_row(self, names: list[str]) -> None:
         self._beat += 1
-        now = time.monotonic()
-        own = self.row()
-        heard = self.members.freshest(ROWS_PASSED_ON, now)
-        message = Heartbeat(own, tuple(heard))
-        for host in self._zone_peers():
-            self._links.send(host.name, message)
+        heard = self.members.freshest(ROWS_PASSED_ON, time.monotonic())
+        reports = self.take_reports()
+        self._own_row = self.row()
+        message = Heartbeat(self._own_row, tuple(heard), reports)
+        self._links.broadcast(names, message)
+
+    def _next_listeners(self) -> list[str]:
+        """Return the peers that this beat goes to.
+
+        Each peer has its turn; what it does not hear from this host it
+        hears from others, which pass on the freshest rows.
+        """
+        names = [host.name for host in self._zone_peers()]
+        if len(names) <= BEAT_LISTENERS:
+            return names
+        start = self._beat * BEAT_LISTENERS % len(names)
+        return (names + names)[start : start + BEAT_LISTENERS]
 
     def on_link(self, name: str) -> None:
         """Tell a host that a new link leads to what it should know."""
         if name in self._zone_names():
             heard = self.members.freshest(ROWS_PASSED_ON, time.monotonic())
-            self._links.send(name, Heartbeat(self.row(), tuple(heard)))
+            self._links.send(name, Heartbeat(self._own_row, tuple(heard)))
         reports = self.zones.outgoing(time.monotonic())
         self._links.send(name, ZoneGossip(tuple(reports)))
 
@@ -315,7 +349,7 @@
 
     def _note_own_zone(self, now: float) -> None:
         rows = self.members.in_state(now, HostState.live, HostState.suspect)
-        rows = [*rows, self.row()]
+        rows = [*rows, self._own_row]
         hosts = tuple(
             sorted(
                 (
@@ -377,8 +411,8 @@
         return models[self._random.choice(relays)]
 
     def _tell_zone(self, message: ZoneGossip) -> None:
-        for host in self._zone_peers():
-            self._links.send(host.name, message)
+        names = [host.name for host in self._zone_peers()]
+        self._links.broadcast(names, message)
 
 
 def _delays(topology: Topology, region: str) -> dict[str, float]:
--- a/src/wardstair/process/host.py
+++ b/src/wardstair/process/host.py
@@ -126,7 +126,6 @@
         self.links = PeerLinks(
             Hello(self.me, settings.host.zone, ''),
             self._inbox,
-            self.metrics,
             random,
         )
         self.fleet = Fleet(
@@ -498,6 +497,10 @@
         self.configuration.is_watcher = lambda: self.fleet.is_relay
         self.fleet.on_news = self._render_lookups
         self.fleet.config_age = lambda: self.configuration.age
+        self.fleet.shares_version = lambda: self.capacity.shares_version
+        self.fleet.take_reports = self.prober.take_reports
+        self.prober.on_urgent = self.fleet.beat
+        self.prober.choose_mine = self.fleet.probed_here
         self.links.on_link = self.fleet.on_link
         self.capacity.on_gain = self.pool.serve_waiting
         self.capacity.demand = self.pool.demand
@@ -511,6 +514,19 @@
                 for name, ledger in self.capacity.ledgers.items()
             ],
         )
+        self.metrics.add_count(
+            'wardstair_control_messages',
+            'Messages to other entry hosts, by kind',
+            lambda: [
+                (float(count), {'kind': kind})
+                for kind, count in self.links.sent.items()
+            ],
+        )
+        self.metrics.add_count(
+            'wardstair_control_bytes',
+            'Bytes of messages to other entry hosts',
+            lambda: [(float(self.links.sent_bytes), {})],
+        )
         self.metrics.add_gauge(
             'wardstair_waiting',
             'Requests that wait for a slot',
@@ -625,6 +641,9 @@
             if previous < row.incarnation:
                 self.capacity.on_new_incarnation(row, previous)
             self.configuration.confirm(row.version, row.config_age)
+            self.capacity.hear(row.shares)
+        for report in heartbeat.reports:
+            self.prober.note(report)
         self._render_lookups()
         self.configuration.hear(sender, heartbeat.row.version)
 
--- a/src/wardstair/process/messages.py
+++ b/src/wardstair/process/messages.py
@@ -12,7 +12,12 @@
 from result import Err, Ok, Result
 
 from wardstair.decisions.ledger import Identity, LoanOffer
-from wardstair.decisions.membership import FarHost, HostRow, ZoneReport
+from wardstair.decisions.membership import (
+    FarHost,
+    HostRow,
+    UpstreamReport,
+    ZoneReport,
+)
 
 MESSAGE_BYTES = 4194304
 
@@ -29,10 +34,11 @@
 
 @dataclass(frozen=True)
 class Heartbeat:
-    """A host's own row, and rows it heard from others."""
+    """A host's own row, rows it heard, and what it probed since the last."""
 
     row: HostRow
     heard: tuple[HostRow, ...]
+    reports: tuple[UpstreamReport, ...] = ()
     kind: Literal['heartbeat'] = 'heartbeat'
 
 
--- a/src/wardstair/process/metrics.py
+++ b/src/wardstair/process/metrics.py
@@ -11,7 +11,7 @@
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import CollectorRegistry, generate_latest
 
-GaugeRows = Callable[[], Iterable[tuple[float, dict[str, str]]]]
+Rows = Callable[[], Iterable[tuple[float, dict[str, str]]]]
 
 
 class Metrics:
@@ -47,14 +47,6 @@
             'wardstair_retries_withheld',
             description='Further attempts not made, by verdict and workload',
         )
-        self.control_messages = meter.create_counter(
-            'wardstair_control_messages',
-            description='Messages to other entry hosts, by kind',
-        )
-        self.control_bytes = meter.create_counter(
-            'wardstair_control_bytes',
-            description='Bytes to other entry hosts',
-        )
         self.platform_calls = meter.create_counter(
             'wardstair_platform_calls',
             description='Calls on the platform, by outcome',
@@ -69,7 +61,7 @@
             description='Seconds from request to whole answer, by workload',
         )
 
-    def add_gauge(self, name: str, description: str, rows: GaugeRows) -> None:
+    def add_gauge(self, name: str, description: str, rows: Rows) -> None:
         """Add a gauge that is read when it is scraped.
 
         Args:
@@ -77,13 +69,23 @@
             description: What it counts, with its unit.
             rows: Called at each scrape; returns values with their labels.
         """
+        self._meter.create_observable_gauge(
+            name,
+            callbacks=[_observer(rows)],
+            description=description,
+        )
 
-        def observe(_options: CallbackOptions) -> Iterable[Observation]:
-            return [Observation(value, labels) for value, labels in rows()]
+    def add_count(self, name: str, description: str, rows: Rows) -> None:
+        """Add a counter that is kept elsewhere and read when scraped.
 
-        self._meter.create_observable_gauge(
+        Args:
+            name: Name of the metric.
+            description: What it counts, with its unit.
+            rows: Called at each scrape; returns totals with their labels.
+        """
+        self._meter.create_observable_counter(
             name,
-            callbacks=[observe],
+            callbacks=[_observer(rows)],
             description=description,
         )
 
@@ -94,3 +96,10 @@
     def close(self) -> None:
         """Release the instruments."""
         self._provider.shutdown()
+
+
+def _observer(rows: Rows) -> Callable[[CallbackOptions], list[Observation]]:
+    def observe(_options: CallbackOptions) -> list[Observation]:
+        return [Observation(value, labels) for value, labels in rows()]
+
+    return observe
--- a/src/wardstair/process/peers.py
+++ b/src/wardstair/process/peers.py
@@ -8,7 +8,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from random import Random
 
@@ -27,7 +28,6 @@
     decode,
     encode,
 )
-from wardstair.process.metrics import Metrics
 from wardstair.process.platform import backoff_seconds
 
 QUEUED_MESSAGES = 256
@@ -67,7 +67,6 @@
         self,
         hello: Hello,
         inbox: asyncio.Queue[Received],
-        metrics: Metrics,
         random: Random,
     ) -> None:
         """Prepare without any socket.
@@ -75,14 +74,15 @@
         Args:
             hello: How this host introduces itself.
             inbox: Where received messages go.
-            metrics: Where messages and bytes are counted.
             random: Source of jitter.
         """
         self.port = 0
+        self.sent: Counter[str] = Counter()
+        self.sent_bytes = 0
+        self.received_bytes = 0
         self.on_link: Callable[[str], None] = lambda name: None
         self._hello = hello
         self._inbox = inbox
-        self._metrics = metrics
         self._random = random
         self._links: dict[str, _Link] = {}
         self._dialling: dict[str, asyncio.Task[None]] = {}
@@ -141,18 +141,26 @@
 
     def send(self, name: str, message: PeerMessage) -> bool:
         """Queue a message; return False if no link leads to the host."""
-        link = self._links.get(name)
-        if link is None:
+        if name not in self._links:
             return False
+        return self._queue(name, message.kind, encode(message))
+
+    def broadcast(self, names: Iterable[str], message: PeerMessage) -> None:
+        """Queue one message for several hosts, encoded once."""
         raw = encode(message)
+        for name in names:
+            if name in self._links:
+                self._queue(name, message.kind, raw)
+
+    def _queue(self, name: str, kind: str, raw: bytes) -> bool:
         try:
-            link.outgoing.put_nowait(raw)
+            self._links[name].outgoing.put_nowait(raw)
         except asyncio.QueueFull:
             # A host that reads too slowly misses messages; all of them are
             # repeated or time out, so none has to be kept.
             return False
-        self._metrics.control_messages.add(1, {'kind': message.kind})
-        self._metrics.control_bytes.add(len(raw))
+        self.sent[kind] += 1
+        self.sent_bytes += len(raw)
         return True
 
     def _dial_in_background(self, name: str, dial: object) -> None:
@@ -230,6 +238,7 @@
         with contextlib.suppress(ConnectionClosed):
             async for raw in link.connection:
                 content = raw if isinstance(raw, bytes) else raw.encode()
+                self.received_bytes += len(content)
                 match decode(content):
                     case Ok(message):
                         await self._inbox.put(Received(link.peer, message))
--- a/src/wardstair/process/platform.py
+++ b/src/wardstair/process/platform.py
@@ -5,7 +5,6 @@
 `write_surely`, never repeated blindly.
 """
 
-import asyncio
 import json
 import time
 from collections.abc import Callable
@@ -15,7 +14,7 @@
 from urllib.parse import quote
 
 from result import Err, Ok, Result
-from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
 from wardstair.connection.client import close_client, make_client
 from wardstair.errors import (
@@ -277,7 +276,9 @@
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
-        except (OSError, asyncio.InvalidStateError) as error:
+        except (OSError, HTTPClientError) as error:
+            # raise_error=False covers statuses only: a refused connection
+            # still raises.
             response = HTTPResponse(request, 599, error=error)
         answer = _judge(response, path)
         self._count_call('ok' if answer.is_ok() else 'failed')
--- a/src/wardstair/process/slots.py
+++ b/src/wardstair/process/slots.py
@@ -175,8 +175,9 @@
         """Return how many requests of a workload could start now."""
         now = time.monotonic()
         return sum(
-            view.candidate(now).free_slots
+            view.ledger.available(now)
             for view in self.of_workload(workload)
+            if view.health.may_serve(now)
         )
 
     def has_upstream(self, wish: SlotWish) -> bool:
--- a/src/wardstair/standins/deployment.py
+++ b/src/wardstair/standins/deployment.py
@@ -55,13 +55,8 @@
             self.upstreams[model.name] = upstream
         for host in self.document.hosts:
             await self.start_host(host)
-        self.document = self._with_addresses()
-        await self.order(
-            ApplyDocument(
-                verb='apply',
-                document=self.document.model_dump(mode='json'),
-            ),
-        )
+        self.document = self.addressed()
+        await self.apply()
         await self.wait_until(self._is_ready)
 
     async def stop(self) -> None:
@@ -72,16 +67,32 @@
             await upstream.stop()
         await self.platform.stop()
 
-    async def start_host(self, model: HostModel) -> EntryHost:
-        """Start an entry host, or start it again with nothing."""
+    async def start_host(
+        self,
+        model: HostModel,
+        *,
+        control: bool = True,
+    ) -> EntryHost:
+        """Start an entry host, or start it again with nothing.
+
+        Args:
+            model: The host.
+            control: Whether its control tasks run; off only to measure.
+        """
         host = EntryHost(
             self._settings(model),
             Random(self._random.random()),
         )
+        host.is_control_on = control
         await host.start()
         self.hosts[model.name] = host
         return host
 
+    async def apply(self) -> int:
+        """Apply the configuration and return its version."""
+        content = self.document.model_dump(mode='json')
+        return await self.order(ApplyDocument(verb='apply', document=content))
+
     async def order(self, action: Action, key: str = '') -> int:
         """Give an order and return the version that has it."""
         self._orders += 1
@@ -176,7 +187,8 @@
         )
         return checked.unwrap()
 
-    def _with_addresses(self) -> SteeringDocument:
+    def addressed(self) -> SteeringDocument:
+        """Return the configuration with the addresses in use."""
         content = self.document.model_dump(mode='json')
         for row in content['hosts']:
             ports = self.hosts[row['name']].ports
@@ -185,7 +197,9 @@
             row['forward'] = f'127.0.0.1:{ports.forward}'
             row['operators'] = f'127.0.0.1:{ports.operators}'
         for row in content['upstreams']:
-            row['address'] = self.upstreams[row['name']].address
+            upstream = self.upstreams.get(row['name'])
+            if upstream is not None:
+                row['address'] = upstream.address
         return SteeringDocument.model_validate(content)
 
     def _is_ready(self) -> bool:
