--- a/src/wardstair/decisions/forecast.py
+++ b/src/wardstair/decisions/forecast.py
@@ -71,3 +71,23 @@
             for region in sorted(touched)
         )
     return forecasts
+
+
+def forecast_shift(
+    loads: Iterable[ZoneLoad],
+    workload: str,
+    target: str,
+    cap: int,
+) -> list[Forecast]:
+    """Forecast the target region of a shift that reaches its cap.
+
+    Args:
+        loads: Use of the workload in all zones.
+        workload: Its name.
+        target: Region that traffic moves to.
+        cap: Requests in flight that the shift may bring.
+    """
+    there = [load for load in loads if load.region == target]
+    slots = sum(load.slots for load in there)
+    in_use = sum(load.in_use for load in there)
+    return [Forecast(workload, target, slots, in_use + cap)]
--- a/src/wardstair/decisions/ledger.py
+++ b/src/wardstair/decisions/ledger.py
@@ -11,11 +11,13 @@
 borrower always stops first.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
 CLOCK_MARGIN_SECONDS = 1.0
 LOAN_SECONDS = 5.0
+DOUBT_SECONDS = LOAN_SECONDS + CLOCK_MARGIN_SECONDS
 
 
 def settle_seconds(hold_seconds: float) -> float:
@@ -52,12 +54,14 @@
     Attributes:
         borrower: Who holds it.
         loan: Identifies the loan.
+        granted_at: Time of the grant.
         reclaim_at: Time when it is free again without a return; None if
             the borrower may hold it for any time.
     """
 
     borrower: Identity
     loan: str
+    granted_at: float
     reclaim_at: float | None
 
 
@@ -117,6 +121,19 @@
     seconds: float
 
 
+@dataclass(frozen=True)
+class Holding:
+    """A token that a borrower still holds of an earlier owner.
+
+    Attributes:
+        token: Its number.
+        loan: The loan by which it came.
+    """
+
+    token: int
+    loan: str
+
+
 @dataclass(frozen=True)
 class LoanReturn:
     """Tokens that a borrower gives back."""
@@ -174,7 +191,8 @@
             token: Its number.
             now: Time now.
             settle: Seconds in which a predecessor's work may still run; 0
-                for a token that had no owner before.
+                for a token that had no owner before; infinity if only
+                `resolve` can tell.
         """
         self.retired.discard(token)
         if token in self.owned:
@@ -182,6 +200,86 @@
         state = Settling(now + settle) if settle > 0 else Standing.idle
         self.owned[token] = state
 
+    @property
+    def unresolved(self) -> list[int]:
+        """Owned tokens of which it is not known who may still use them.
+
+        Work of any length may run on a loan of an earlier owner: only the
+        answers of all others can tell.
+        """
+        return [
+            token
+            for token, state in self.owned.items()
+            if isinstance(state, Settling) and state.until == float('inf')
+        ]
+
+    def holdings(self) -> tuple[Holding, ...]:
+        """Return the tokens on loan here, used or not."""
+        return tuple(
+            Holding(token, loan.loan) for token, loan in self.borrowed.items()
+        )
+
+    def doubtful_borrowers(self, now: float) -> set[Identity]:
+        """Return who to ask about loans that no time ends.
+
+        A lost offer or return would keep such a token away for ever.
+        """
+        return {
+            state.borrower
+            for state in self.owned.values()
+            if isinstance(state, Lent)
+            and state.reclaim_at is None
+            and now - state.granted_at > DOUBT_SECONDS
+        }
+
+    def reconcile(
+        self,
+        borrower: Identity,
+        holdings: tuple[Holding, ...],
+        asked_at: float,
+    ) -> None:
+        """Take back what a borrower says that it does not hold.
+
+        Args:
+            borrower: Who answered.
+            holdings: All that it holds; when it was asked it withdrew its
+                open questions, so no earlier offer can reach it any more.
+            asked_at: Time when the question was sent; loans granted later
+                are not covered by the answer.
+        """
+        held = {(one.token, one.loan) for one in holdings}
+        for token, state in self.owned.items():
+            match state:
+                case Lent(borrower=other, loan=loan, granted_at=granted) if (
+                    other == borrower
+                    and granted < asked_at
+                    and (token, loan) not in held
+                ):
+                    self.owned[token] = Standing.idle
+
+    def resolve(
+        self,
+        held: Mapping[Identity, tuple[Holding, ...]],
+        now: float,
+        settle: float,
+    ) -> None:
+        """Take in what all others hold, once every one has answered.
+
+        Args:
+            held: What each other host of the zone holds.
+            now: Time now.
+            settle: Seconds in which upstreams may still work for a dead
+                predecessor.
+        """
+        unresolved = self.unresolved
+        for token in unresolved:
+            self.owned[token] = Settling(now + settle)
+        for borrower, holdings in held.items():
+            for one in holdings:
+                if one.token in unresolved:
+                    lent = Lent(borrower, one.loan, now, None)
+                    self.owned[one.token] = lent
+
     def give_up(self, token: int) -> bool:
         """Stop owning a token so that another may own it.
 
@@ -261,7 +359,7 @@
         if self.hold_seconds is not None:
             reclaim_at = now + settle_seconds(self.hold_seconds)
         for token in given:
-            self.owned[token] = Lent(borrower, loan, reclaim_at)
+            self.owned[token] = Lent(borrower, loan, now, reclaim_at)
         return LoanOffer(loan, given, LOAN_SECONDS)
 
     def accept(
--- a/src/wardstair/process/capacity.py
+++ b/src/wardstair/process/capacity.py
@@ -16,6 +16,7 @@
 from result import Err, Ok
 
 from wardstair.decisions.ledger import (
+    Holding,
     Identity,
     Ledger,
     LoanOffer,
@@ -33,7 +34,13 @@
 from wardstair.errors import ObjectMissing, PlatformError, VersionConflict
 from wardstair.process.fleet import Fleet
 from wardstair.process.log import log_event, log_warning
-from wardstair.process.messages import LoanAsk, LoanBack, LoanGive
+from wardstair.process.messages import (
+    HoldingsAsk,
+    HoldingsGive,
+    LoanAsk,
+    LoanBack,
+    LoanGive,
+)
 from wardstair.process.peers import PeerLinks, Received
 from wardstair.process.platform import (
     PlatformClient,
@@ -48,6 +55,8 @@
 ASK_SECONDS = 1.0
 ASK_AGAIN_SECONDS = 0.05
 WRITE_TRIES = 8
+QUESTION_SECONDS = 2.0
+QUESTIONS_KEPT = 1000
 
 
 @dataclass(frozen=True)
@@ -95,7 +104,11 @@
         self._predecessor = False
         self._registered = False
         self._kick = asyncio.Event()
-        self._asks: dict[str, asyncio.Future[_Answer]] = {}
+        self._asks: dict[str, asyncio.Future[_Answer | None]] = {}
+        self._asked: dict[str, str] = {}
+        self._questions: dict[str, float] = {}
+        self._questioned: dict[tuple[Identity, str], float] = {}
+        self._holdings: dict[str, dict[Identity, tuple[Holding, ...]]] = {}
         self._borrowing: dict[str, asyncio.Task[None]] = {}
         self._numbers = itertools.count(1)
 
@@ -259,6 +272,7 @@
 
     def on_give(self, received: Received, message: LoanGive) -> None:
         """Take the answer to a question of ours, once."""
+        self._asked.pop(message.ask, None)
         waiting = self._asks.pop(message.ask, None)
         if waiting is None or waiting.done():
             self._decline(received.sender, message)
@@ -272,12 +286,63 @@
             ledger.reclaim(message.loan, message.tokens)
             self.on_gain()
 
+    def ask_holdings(self) -> None:
+        """Ask the zone who still uses tokens that no time brings back."""
+        if self._stored is None:
+            return
+        shares = shares_from_json(self._stored.value)
+        others = {
+            Identity(name, incarnation)
+            for name, incarnation in shares.incarnations.items()
+            if name != self._me.name
+        }
+        now = time.monotonic()
+        for name, ledger in self.ledgers.items():
+            doubtful = ledger.doubtful_borrowers(now)
+            if ledger.unresolved:
+                doubtful |= others - self._holdings.get(name, {}).keys()
+            for other in doubtful:
+                self._ask_holdings_of(other, name)
+            if ledger.unresolved:
+                self._resolve(name, ledger, others)
+
+    def on_holdings_ask(self, sender: str, message: HoldingsAsk) -> None:
+        """Say what is held here, after giving up open questions.
+
+        An offer of the earlier owner may still be on its way: with the
+        question withdrawn it will be declined, so the answer stays true.
+        """
+        ledger = self.ledgers.get(message.resource)
+        for ask, resource in list(self._asked.items()):
+            if resource == message.resource:
+                self._withdraw(ask)
+        holdings = () if ledger is None else ledger.holdings()
+        answer = HoldingsGive(message.ask, message.resource, holdings)
+        self._links.send(sender, answer)
+
+    def on_holdings_give(
+        self,
+        sender: Identity,
+        message: HoldingsGive,
+    ) -> None:
+        """Note what a host of the zone holds."""
+        asked_at = self._questions.pop(message.ask, None)
+        ledger = self.ledgers.get(message.resource)
+        if asked_at is None or ledger is None:
+            return
+        ledger.reconcile(sender, message.holdings, asked_at)
+        if ledger.unresolved:
+            answers = self._holdings.setdefault(message.resource, {})
+            answers[sender] = message.holdings
+            self.ask_holdings()
+        self.on_gain()
+
     def on_new_incarnation(self, row: HostRow, previous: str) -> None:
         """Reclaim what the previous incarnation of a host had borrowed."""
         now = time.monotonic()
         dead = Identity(row.name, previous)
         for name, ledger in self.ledgers.items():
-            settle = self.resources[name].settle_seconds
+            settle = self.resources[name].cut_seconds
             ledger.forget_borrower(dead, now, settle)
 
     async def _improve(
@@ -400,26 +465,61 @@
     async def _ask(self, peer: str, name: str) -> _Answer | None:
         workload = self.resources[name].workload
         ask = f'{self._me.incarnation}-{next(self._numbers)}'
-        waiting: asyncio.Future[_Answer] = (
+        waiting: asyncio.Future[_Answer | None] = (
             asyncio.get_running_loop().create_future()
         )
         self._asks[ask] = waiting
+        self._asked[ask] = name
         asked_at = time.monotonic()
         wanted = max(self.demand(workload), 1)
         if not self._links.send(peer, LoanAsk(ask, name, wanted)):
-            self._asks.pop(ask)
+            self._withdraw(ask)
             return None
         try:
             async with asyncio.timeout(ASK_SECONDS):
                 answer = await waiting
         except TimeoutError:
-            self._asks.pop(ask, None)
+            self._withdraw(ask)
             return None
         ledger = self.ledgers.get(name)
-        if answer.offer is not None and ledger is not None:
+        if answer is None or ledger is None:
+            return None
+        if answer.offer is not None:
             ledger.accept(answer.lender, answer.offer, asked_at)
         return answer
 
+    def _ask_holdings_of(self, other: Identity, name: str) -> None:
+        now = time.monotonic()
+        last = self._questioned.get((other, name), float('-inf'))
+        if now - last < QUESTION_SECONDS:
+            return
+        ask = f'{self._me.incarnation}-{next(self._numbers)}'
+        self._questions[ask] = now
+        while len(self._questions) > QUESTIONS_KEPT:
+            self._questions.pop(next(iter(self._questions)))
+        if self._links.send(other.name, HoldingsAsk(ask, name)):
+            self._questioned[other, name] = now
+
+    def _resolve(
+        self,
+        name: str,
+        ledger: Ledger,
+        others: set[Identity],
+    ) -> None:
+        answers = self._holdings.get(name, {})
+        if others - answers.keys():
+            return
+        held = {other: answers[other] for other in others}
+        now = time.monotonic()
+        ledger.resolve(held, now, self.resources[name].cut_seconds)
+        self._holdings.pop(name, None)
+
+    def _withdraw(self, ask: str) -> None:
+        self._asked.pop(ask, None)
+        waiting = self._asks.pop(ask, None)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(None)
+
     def _decline(self, lender: Identity, message: LoanGive) -> None:
         # An offer that comes too late, or twice: its tokens go back unused
         # unless the same loan is in use here.
--- /dev/null
+++ b/src/wardstair/process/forecasts.py
@@ -0,0 +1,110 @@
+"""Forecasts of orders from what this host knows of the fleet."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wardstair.decisions.forecast import (
+    Forecast,
+    ZoneLoad,
+    forecast_drain,
+    forecast_shift,
+)
+from wardstair.process.orders import Action, StartDrain, StartShift
+from wardstair.version.document import DrainModel, UpstreamModel
+from wardstair.version.topology import Topology
+
+
+@dataclass(frozen=True)
+class Outlook:
+    """What an order would do.
+
+    Attributes:
+        lines: For people, one a workload and region.
+        is_safe: Whether the rest would carry it.
+    """
+
+    lines: list[str]
+    is_safe: bool
+
+
+def outlook(
+    topology: Topology,
+    action: Action,
+    free: Callable[[str, str], int],
+) -> Outlook:
+    """Forecast an order.
+
+    Args:
+        topology: The version in force.
+        action: What is ordered.
+        free: Free slots of a zone for a workload, by zone and workload; 0
+            where no fresh report is known.
+    """
+    loads = {
+        workload.name: [
+            _load(topology, zone, workload.name, free)
+            for zone in topology.zone_regions
+        ]
+        for workload in topology.document.workloads
+    }
+    match action:
+        case StartDrain(drain=drain):
+            forecasts = forecast_drain(loads, _taken(topology, drain))
+        case StartShift(shift=shift):
+            forecasts = forecast_shift(
+                loads[shift.workload],
+                shift.workload,
+                shift.target,
+                shift.cap,
+            )
+        case _:
+            forecasts = []
+    lines = [_line(one) for one in forecasts]
+    return Outlook(lines, all(one.is_safe for one in forecasts))
+
+
+def _load(
+    topology: Topology,
+    zone: str,
+    workload: str,
+    free: Callable[[str, str], int],
+) -> ZoneLoad:
+    slots = sum(one.slots for one in topology.serving(workload, zone))
+    in_use = max(slots - free(zone, workload), 0)
+    return ZoneLoad(zone, topology.zone_regions[zone], slots, in_use)
+
+
+def _taken(
+    topology: Topology,
+    drain: DrainModel,
+) -> dict[tuple[str, str], int]:
+    taken: dict[tuple[str, str], int] = {}
+    for upstream in topology.upstreams.values():
+        if _is_in(topology, upstream, drain):
+            place = (upstream.workload, upstream.zone)
+            taken[place] = taken.get(place, 0) + upstream.slots
+    return taken
+
+
+def _is_in(
+    topology: Topology,
+    upstream: UpstreamModel,
+    drain: DrainModel,
+) -> bool:
+    match drain.kind:
+        case 'upstream':
+            return upstream.name == drain.name
+        case 'zone':
+            return upstream.zone == drain.name
+        case 'region':
+            return topology.zone_regions[upstream.zone] == drain.name
+        case _:
+            return False
+
+
+def _line(one: Forecast) -> str:
+    verdict = 'fits' if one.is_safe else 'DOES NOT FIT'
+    return (
+        f'{one.workload} in {one.region}: {one.needed} in use, '
+        f'{one.slots_left} slots left: {verdict}'
+    )
--- a/src/wardstair/process/host.py
+++ b/src/wardstair/process/host.py
@@ -5,7 +5,7 @@
 import secrets
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
 
@@ -15,28 +15,16 @@
 
 from wardstair.connection.client import close_client, make_client
 from wardstair.decisions.ledger import Identity
-from wardstair.decisions.membership import HostState
 from wardstair.errors import Fault, Refusal
 from wardstair.process.admission import OutsideAdmission
 from wardstair.process.capacity import Capacity
 from wardstair.process.configuration import Configuration
+from wardstair.process.dispatch import Dispatcher
 from wardstair.process.fleet import Fleet
+from wardstair.process.forecasts import Outlook, outlook
 from wardstair.process.journal import Journal, JournalEntry
 from wardstair.process.log import log_event
-from wardstair.process.messages import (
-    HeadAsk,
-    HeadGive,
-    Heartbeat,
-    Hello,
-    HostsAsk,
-    HostsGive,
-    LoanAsk,
-    LoanBack,
-    LoanGive,
-    PartAsk,
-    PartGive,
-    ZoneGossip,
-)
+from wardstair.process.messages import Hello
 from wardstair.process.metrics import Metrics
 from wardstair.process.operators import operator_application
 from wardstair.process.orders import Order, OrderAnswer, OrderDesk
@@ -47,6 +35,7 @@
 from wardstair.process.settings import EntrySettings, ListenSettings
 from wardstair.process.slots import SlotPool
 from wardstair.process.supervision import Supervisor
+from wardstair.process.views import HostViews
 from wardstair.request import problem
 from wardstair.request.call import (
     AnswerSink,
@@ -172,6 +161,22 @@
             settings.host.region,
         )
         self.prober = Prober(self._client, self.pool)
+        self._dispatcher = Dispatcher(
+            self._inbox,
+            self.fleet,
+            self.configuration,
+            self.capacity,
+            self.prober,
+            self._render_lookups,
+        )
+        self._views = HostViews(
+            self.me,
+            settings.host,
+            self.configuration,
+            self.capacity,
+            self.fleet,
+            self.pool,
+        )
         self._desk = OrderDesk(self._platform)
         self._book: LookupBook | None = None
         self._book_generation: object = None
@@ -226,7 +231,7 @@
             'capacity': self.capacity.run,
             'fleet': self.fleet.run,
             'prober': self.prober.run,
-            'inbox': self._read_inbox,
+            'inbox': self._dispatcher.run,
             'sweep': self._sweep,
             'host-list': self._follow_host_list,
         }
@@ -355,108 +360,23 @@
     def status(self) -> dict[str, Any]:
         """Return what is happening, as JSON values."""
         return {
-            'host': self.me.name,
-            'incarnation': self.me.incarnation,
-            'zone': self.settings.host.zone,
-            'region': self.settings.host.region,
-            'version': self.configuration.version,
-            'config_age': round(
-                min(self.configuration.age, AGE_MOST_SECONDS), 1
-            ),
             'leaving': self.fleet.is_leaving,
-            'fenced': self.capacity.is_fenced,
             'open_requests': self.open_requests,
-            'waiting': self.pool.waiting,
             'keys': self.keeper.size,
-            'linked': sorted(self.links.linked),
-            'ledgers': {
-                name: {
-                    'owned': len(ledger.owned),
-                    'borrowed': len(ledger.borrowed),
-                    'in_use': ledger.in_use,
-                }
-                for name, ledger in self.capacity.ledgers.items()
-            },
+            **self._views.status(),
         }
 
     def upstreams(self) -> list[dict[str, Any]]:
         """Return the upstreams of the zone, as JSON values."""
-        now = time.monotonic()
-        return [
-            {
-                'upstream': view.model.name,
-                'workload': view.model.workload,
-                'zone': view.model.zone,
-                'slots': view.model.slots,
-                'held': len(view.ledger.owned) + len(view.ledger.borrowed),
-                'in_use': view.ledger.in_use,
-                'latency_ms': round(view.latency * 1000, 1),
-                'state': 'serving' if view.health.may_serve(now) else 'out',
-                'reported_load': round(view.reported_load, 2),
-                'report_age': round(
-                    min(now - view.reported_at, AGE_MOST_SECONDS), 1
-                ),
-            }
-            for view in self.pool.views.values()
-        ]
+        return self._views.upstreams()
 
     def fleet_hosts(self) -> list[dict[str, Any]]:
         """Return the known entry hosts, as JSON values."""
-        now = time.monotonic()
-        near = [
-            {
-                'host': name,
-                'zone': self.settings.host.zone,
-                'state': self.fleet.members.state_of(name, now).value,
-                'version': member.row.version,
-                'leaving': member.row.leaving,
-                'heard': round(now - member.heard_at, 1),
-            }
-            for name, member in self.fleet.members.members.items()
-        ]
-        far = [
-            {
-                'host': host.name,
-                'zone': zone,
-                'state': 'reported',
-                'version': known.report.version,
-                'leaving': host.leaving,
-                'heard': round(now - known.heard_at, 1),
-            }
-            for zone, known in self.fleet.zones.zones.items()
-            if zone != self.settings.host.zone
-            for host in self.fleet.zones.hosts_of(zone)
-        ]
-        own = {
-            'host': self.me.name,
-            'zone': self.settings.host.zone,
-            'state': HostState.live.value,
-            'version': self.configuration.version,
-            'leaving': self.fleet.is_leaving,
-            'heard': 0.0,
-        }
-        return [own, *near, *far]
+        return self._views.fleet_hosts()
 
     def config_status(self) -> dict[str, Any]:
         """Return which version is in force where, as JSON values."""
-        lowest = self.fleet.lowest_versions()
-        lowest[self.settings.host.zone] = (
-            min(
-                [self.configuration.version]
-                + [
-                    member.row.version
-                    for member in self.fleet.members.members.values()
-                ],
-            ),
-            0.0,
-        )
-        return {
-            'version': self.configuration.version,
-            'zones': {
-                zone: {'lowest': version, 'age': round(age, 1)}
-                for zone, (version, age) in sorted(lowest.items())
-            },
-        }
+        return self._views.config_status()
 
     def config_document(self) -> dict[str, Any] | None:
         """Return the configuration in force, as JSON values."""
@@ -477,6 +397,15 @@
         order: Order,
     ) -> Result[OrderAnswer, list[Fault]]:
         """Carry out an order and bring its version into force here."""
+        forecast = self._forecast(order)
+        if not (forecast.is_safe or order.force or order.dry_run):
+            hint = 'wait, choose less, or give the order with force'
+            return Err(
+                [
+                    Fault('order', order.action.verb, line, hint)
+                    for line in forecast.lines
+                ]
+            )
         answer = await self._desk.carry_out(order)
         match answer:
             case Ok(done):
@@ -488,9 +417,19 @@
                     version=done.version,
                 )
                 await self.configuration.load()
+                return Ok(replace(done, forecast=forecast.lines))
             case Err(faults):
                 log_event('order-refused', key=order.key, fault=faults[0])
-        return answer
+                return answer
+
+    def _forecast(self, order: Order) -> Outlook:
+        if self.topology is None:
+            return Outlook([], is_safe=True)
+        return outlook(self.topology, order.action, self._free_in)
+
+    def _free_in(self, zone: str, workload: str) -> int:
+        # This zone's own report sums the rows of its hosts too.
+        return self.fleet.far_free(zone, workload)
 
     def _connect(self) -> None:
         self.configuration.on_adopt = self._adopt
@@ -598,59 +537,11 @@
             return Refused(problem.outcome_unknown(reason))
         return await self.forwarder.relay(call, host, sink)
 
-    async def _read_inbox(self) -> None:
-        while True:
-            received = await self._inbox.get()
-            self._handle(received)
-
-    def _handle(self, received: Received) -> None:
-        sender = received.sender.name
-        match received.message:
-            case Heartbeat() as heartbeat:
-                self._on_heartbeat(sender, heartbeat)
-            case ZoneGossip() as gossip:
-                self.fleet.on_gossip(sender, gossip)
-                for report in gossip.reports:
-                    self.configuration.hear(sender, report.version)
-            case HostsAsk() as hosts_ask:
-                self.fleet.on_hosts_ask(sender, hosts_ask)
-            case HostsGive() as hosts_give:
-                self.fleet.on_hosts_give(hosts_give)
-            case LoanAsk() as loan_ask:
-                self.capacity.on_ask(received.sender, loan_ask)
-            case LoanGive() as loan_give:
-                self.capacity.on_give(received, loan_give)
-            case LoanBack() as loan_back:
-                self.capacity.on_back(loan_back)
-            case HeadAsk() as head_ask:
-                self.configuration.on_head_ask(sender, head_ask)
-            case HeadGive() as head_give:
-                self.configuration.on_head_give(sender, head_give)
-            case PartAsk() as part_ask:
-                self.configuration.on_part_ask(sender, part_ask)
-            case PartGive() as part_give:
-                self.configuration.on_part_give(part_give)
-
-    def _on_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
-        before = {
-            name: member.row.incarnation
-            for name, member in self.fleet.members.members.items()
-        }
-        for row in self.fleet.on_heartbeat(heartbeat):
-            previous = before.get(row.name, row.incarnation)
-            if previous < row.incarnation:
-                self.capacity.on_new_incarnation(row, previous)
-            self.configuration.confirm(row.version, row.config_age)
-            self.capacity.hear(row.shares)
-        for report in heartbeat.reports:
-            self.prober.note(report)
-        self._render_lookups()
-        self.configuration.hear(sender, heartbeat.row.version)
-
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(IDLE_SWEEP_SECONDS)
             self.capacity.expire()
+            self.capacity.ask_holdings()
             self.pool.serve_waiting()
             now = time.monotonic()
             for exchange in list(self.forwarder.open_exchanges):
--- a/src/wardstair/process/messages.py
+++ b/src/wardstair/process/messages.py
@@ -11,7 +11,7 @@
 from pydantic.dataclasses import dataclass
 from result import Err, Ok, Result
 
-from wardstair.decisions.ledger import Identity, LoanOffer
+from wardstair.decisions.ledger import Holding, Identity, LoanOffer
 from wardstair.decisions.membership import (
     FarHost,
     HostRow,
@@ -96,6 +96,25 @@
     kind: Literal['loan-back'] = 'loan-back'
 
 
+@dataclass(frozen=True)
+class HoldingsAsk:
+    """Asks what the receiver still holds of a resource's tokens."""
+
+    ask: str
+    resource: str
+    kind: Literal['holdings-ask'] = 'holdings-ask'
+
+
+@dataclass(frozen=True)
+class HoldingsGive:
+    """Answers a `HoldingsAsk`."""
+
+    ask: str
+    resource: str
+    holdings: tuple[Holding, ...]
+    kind: Literal['holdings-give'] = 'holdings-give'
+
+
 @dataclass(frozen=True)
 class HeadAsk:
     """Asks for the head of the version in force, if it is newer."""
@@ -141,6 +160,8 @@
     | LoanAsk
     | LoanGive
     | LoanBack
+    | HoldingsAsk
+    | HoldingsGive
     | HeadAsk
     | HeadGive
     | PartAsk
--- a/src/wardstair/version/resources.py
+++ b/src/wardstair/version/resources.py
@@ -36,11 +36,23 @@
 
     @property
     def settle_seconds(self) -> float:
-        """Seconds in which a dead holder's work may still run."""
+        """Seconds that a new owner of a token waits out.
+
+        Infinite where work has no longest time: there the other hosts have
+        to say what they hold.
+        """
         if self.hold_seconds is None:
-            return SETTLE_UNBOUNDED_SECONDS
+            return float('inf')
         return settle_seconds(self.hold_seconds)
 
+    @property
+    def cut_seconds(self) -> float:
+        """Seconds in which an upstream may still work for a dead host."""
+        if self.hold_seconds is None:
+            # An upload ends when its connection breaks.
+            return SETTLE_UNBOUNDED_SECONDS
+        return self.hold_seconds
+
 
 def zone_resources(topology: Topology, zone: str) -> dict[str, Resource]:
     """Return the capacities of a zone, by name.
--- a/tests/unit/test_ledger.py
+++ b/tests/unit/test_ledger.py
@@ -4,10 +4,13 @@
 or doubled, pauses, deaths and restarts, and counts the work itself.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from random import Random
+from typing import Any
 
 import pytest
-from hypothesis import settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -18,12 +21,12 @@
 
 from wardstair.decisions.ledger import (
     LOAN_SECONDS,
+    Holding,
     Identity,
     Ledger,
     LoanOffer,
     LoanReturn,
     Slot,
-    Standing,
     settle_seconds,
 )
 
@@ -88,7 +91,7 @@
         self.numbers = 0
         self.hosts: dict[str, Host] = {}
         self.work: dict[tuple[str, int], list[Work]] = {}
-        self.messages: list[Ask | Give | Back] = []
+        self.messages: list[Any] = []
 
     @initialize()
     def start(self) -> None:
@@ -152,7 +155,7 @@
         if not lost:
             self.receive(message)
 
-    def receive(self, message: Ask | Give | Back) -> None:
+    def receive(self, message: Any) -> None:
         match message:
             case Ask():
                 self.on_ask(message)
@@ -251,25 +254,118 @@
         assert all(count <= 1 for count in used.values()), used
 
 
+@dataclass
+class HoldingsAsk:
+    """A new owner's question on its way."""
+
+    owner: Identity
+    asked: str
+    asked_at: float
+
+
+@dataclass
+class HoldingsGive:
+    """An answer on its way."""
+
+    owner: Identity
+    asked_at: float
+    holder: Identity
+    holdings: tuple[Holding, ...]
+
+
 class UnboundedLedgerMachine(LedgerMachine):
-    """Work of any length, such as uploads: loans end by return only."""
+    """Work of any length, such as uploads.
+
+    Loans end by return only, and a new incarnation may use its tokens only
+    after every other host has said what it holds.
+    """
 
     hold = None
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.answers: dict[str, dict[Identity, tuple[Holding, ...]]] = {
+            'h0': {},
+            'h1': {},
+            'h2': {},
+        }
+
     @rule(name=st.sampled_from(['h0', 'h1', 'h2']))
     def restart(self, name: str) -> None:
-        """Only a host that lends nothing restarts here.
-
-        What it lent to others without limit of time would come to its new
-        incarnation by `forget_borrower` or the borrower's return only.
-        """
+        """Restart with nothing; uploads end with their connections."""
         old = self.hosts[name]
-        lends = any(
-            state not in (Standing.idle, Standing.busy)
-            for state in old.ledger.owned.values()
+        for key in list(self.work):
+            if key[0] == name:
+                self.work.pop(key)
+        number = str(int(old.identity.incarnation) + 1)
+        new = Host(Identity(name, number), Ledger(self.hold))
+        for token in old.ledger.owned:
+            new.ledger.adopt(token, self.now, float('inf'))
+        self.hosts[name] = new
+        self.answers[name] = {}
+        for other in self.hosts.values():
+            other.ledger.forget_borrower(old.identity, self.now, 0.0)
+
+    @rule(name=st.sampled_from(['h0', 'h1', 'h2']))
+    def ask_holdings(self, name: str) -> None:
+        host = self.hosts[name]
+        doubtful = {
+            one.name for one in host.ledger.doubtful_borrowers(self.now)
+        }
+        if host.ledger.unresolved:
+            doubtful |= self.hosts.keys() - {name}
+        waiting = {
+            message.asked
+            for message in self.messages
+            if isinstance(message, HoldingsAsk)
+            and message.owner == host.identity
+        }
+        self.messages.extend(
+            HoldingsAsk(host.identity, other, self.now)
+            for other in sorted(doubtful - waiting)
+        )
+        self.resolve(host)
+
+    def resolve(self, host: Host) -> None:
+        """Use the tokens if all present incarnations have answered."""
+        answers = self.answers.get(host.identity.name, {})
+        others = {
+            other.identity for other in self.hosts.values() if other is not host
+        }
+        if others <= answers.keys() and not host.is_paused:
+            held = {other: answers[other] for other in others}
+            host.ledger.resolve(held, self.now, 0.0)
+
+    def receive(self, message: Any) -> None:
+        match message:
+            case HoldingsAsk(owner=owner, asked=asked, asked_at=asked_at):
+                host = self.hosts[asked]
+                if host.is_paused:
+                    return
+                host.asked.clear()
+                self.messages.append(
+                    HoldingsGive(
+                        owner,
+                        asked_at,
+                        host.identity,
+                        host.ledger.holdings(),
+                    ),
+                )
+            case HoldingsGive():
+                self.on_holdings(message)
+            case _:
+                super().receive(message)
+
+    def on_holdings(self, message: HoldingsGive) -> None:
+        owner = self.hosts[message.owner.name]
+        if owner.identity != message.owner or owner.is_paused:
+            return
+        self.answers[owner.identity.name][message.holder] = message.holdings
+        owner.ledger.reconcile(
+            message.holder,
+            message.holdings,
+            message.asked_at,
         )
-        if not lends and not self.messages:
-            super().restart(name)
 
 
 TestBounded = LedgerMachine.TestCase
@@ -283,6 +379,48 @@
 TestUnbounded.settings = TestBounded.settings
 
 
+def walk(machine: LedgerMachine, random: Random, steps: int) -> None:
+    """Take random steps, many more than hypothesis draws one by one."""
+    machine.start()
+    name = ['h0', 'h1', 'h2']
+    moves: list[tuple[float, Callable[[], None]]] = [
+        (6, lambda: machine.take(random.choice(name))),
+        (2, lambda: machine.finish(random.choice(name))),
+        (4, lambda: machine.ask(*random.sample(name, 2))),
+        (
+            12,
+            lambda: machine.deliver(
+                random.choice([0, 0, 0, 1, 2]),
+                random.random() < 0.1,
+                random.random() < 0.05,
+            ),
+        ),
+        (4, lambda: machine.pass_time(random.choice([0.5, 0.5, 2.0, 4.0]))),
+        (0.3, lambda: machine.restart(random.choice(name))),
+    ]
+    if isinstance(machine, UnboundedLedgerMachine):
+        moves.append((4, lambda: machine.ask_holdings(random.choice(name))))
+    weights = [weight for weight, _ in moves]
+    for _ in range(steps):
+        _, move = random.choices(moves, weights)[0]
+        move()
+        toggled = random.choice(name)
+        chance = 0.2 if machine.hosts[toggled].is_paused else 0.01
+        if random.random() < chance:
+            machine.pause_or_resume(toggled)
+        machine.no_token_is_used_twice()
+
+
+@pytest.mark.parametrize('kind', [LedgerMachine, UnboundedLedgerMachine])
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(seed=st.integers(0, 2**32))
+def test_long_walks_use_no_token_twice(
+    kind: type[LedgerMachine],
+    seed: int,
+) -> None:
+    walk(kind(), Random(seed), 600)
+
+
 def make_ledger(tokens: int, hold: float | None = HOLD) -> Ledger:
     """Return a ledger that owns some tokens."""
     ledger = Ledger(hold)
