Prove the fleet's promises with faults of the platform, restarts and races

Cause: tokens of a removed or shrunk resource were forgotten by the shares and given out anew when it came back, while work from before could still run on them; a host's tokens were not inherited when the stored shares had moved on; a slot of a removed upstream was never put back.

Change: rows of the shares never shrink, so a token past what was known had no owner before and needs no waiting; ledgers of removed resources are kept; a held slot carries its ledger; every change of the shares is made to what is stored by then and tried again on a conflict.

Ruled out for the failed inheritance: the list of heirs (it held the dead host, which pass_on leaves out).

--- a/src/wardstair/decisions/shares.py
+++ b/src/wardstair/decisions/shares.py
@@ -49,7 +49,9 @@
     """Fit the owners to the capacities of a configuration.
 
     Tokens that exist keep their owners; new ones go to the hosts that own
-    least. Tokens past the new size and resources that are gone are dropped.
+    least. Nothing is dropped: tokens past a smaller size, and those of a
+    removed resource, stay with their owners unused. When they come back,
+    work from before may still run on them, and only the owner knows.
 
     Args:
         shares: The owners so far.
@@ -64,9 +66,9 @@
     load = Counter(dict.fromkeys(names, 0))
     for kept in shares.owners.values():
         load.update(owner for owner in kept if owner in load)
-    owners = {}
+    owners = dict(shares.owners)
     for resource in sorted(sizes):
-        kept = shares.owners.get(resource, ())[: sizes[resource]]
+        kept = shares.owners.get(resource, ())
         owners[resource] = _extended(kept, sizes[resource], names, load)
     return replace(shares, owners=owners, version=version)
 
--- a/src/wardstair/process/admission.py
+++ b/src/wardstair/process/admission.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from wardstair.decisions.ledger import LoanReturn, Slot
+from wardstair.decisions.ledger import Ledger, Slot
 from wardstair.decisions.outside import (
     SHIFT_STALE_SECONDS,
     ActiveShift,
@@ -21,6 +21,7 @@
 @dataclass(frozen=True)
 class _Taken:
     resource: str
+    ledger: Ledger
     slot: Slot
 
 
@@ -52,12 +53,12 @@
         needed = tokens_needed(origin, self._region, self.shifts)
         taken: list[_Taken] = []
         for resource in needed:
-            slot = self._take(resource)
-            if slot is None:
+            one = self._take(resource)
+            if one is None:
                 self._put_back(taken)
                 self._capacity.shortage(resource)
                 return cap_reached(resource)
-            taken.append(_Taken(resource, slot))
+            taken.append(one)
         if taken:
             self._taken[call.request_id] = taken
         return None
@@ -66,21 +67,21 @@
         """Return the tokens of a call that has ended."""
         self._put_back(self._taken.pop(call.request_id, []))
 
-    def _take(self, resource: str) -> Slot | None:
+    def _take(self, resource: str) -> _Taken | None:
         is_shift = resource.startswith(shift_resource(''))
         if is_shift and self._config_age() > SHIFT_STALE_SECONDS:
             # The cap may have been lowered meanwhile; nothing new moves on
             # a cap that cannot be confirmed.
             return None
         ledger = self._capacity.ledgers.get(resource)
-        return None if ledger is None else ledger.take(time.monotonic())
+        slot = None if ledger is None else ledger.take(time.monotonic())
+        if ledger is None or slot is None:
+            return None
+        return _Taken(resource, ledger, slot)
 
     def _put_back(self, taken: list[_Taken]) -> None:
         now = time.monotonic()
         for one in taken:
-            ledger = self._capacity.ledgers.get(one.resource)
-            if ledger is None:
-                continue
-            loan: LoanReturn | None = ledger.put_back(one.slot.token, now)
+            loan = one.ledger.put_back(one.slot.token, now)
             if loan is not None:
                 self._capacity.give_back(one.resource, loan)
--- a/src/wardstair/process/capacity.py
+++ b/src/wardstair/process/capacity.py
@@ -103,6 +103,8 @@
         self._stored: StoredObject | None = None
         self._predecessor = False
         self._registered = False
+        self._kept_ledgers: dict[str, Ledger] = {}
+        self._known_tokens: dict[str, int] = {}
         self._kick = asyncio.Event()
         self._asks: dict[str, asyncio.Future[_Answer | None]] = {}
         self._asked: dict[str, str] = {}
@@ -136,17 +138,10 @@
         self._hosts = tuple(
             host.name for host in topology.zone_hosts(self._zone)
         )
-        for resource in resources.values():
-            ledger = self.ledgers.setdefault(
-                resource.name,
-                Ledger(resource.hold_seconds),
-            )
-            ledger.hold_seconds = resource.hold_seconds
-            for token in list(ledger.owned):
-                if token >= resource.size:
-                    ledger.retire(token)
-        for gone in self.ledgers.keys() - resources.keys():
-            self.ledgers.pop(gone)
+        self.ledgers = {
+            resource.name: self._fitting_ledger(resource)
+            for resource in resources.values()
+        }
         self._kick.set()
 
     async def run(self) -> None:
@@ -172,41 +167,17 @@
         Returns:
             Whether the shares are known and fit the configuration.
         """
-        if not self.resources:
-            return False
-        for _ in range(WRITE_TRIES):
-            found = await self._platform.read(SHARES_KIND, self._zone)
-            match found:
-                case Ok(stored):
-                    written = await self._improve(stored)
-                case Err(ObjectMissing()):
-                    written = await self._write(Shares(), 0)
-                case Err():
-                    return False
-            match written:
-                case Ok(stored):
-                    self._adopt_shares(stored)
-                    return True
-                case Err(error) if not isinstance(error, VersionConflict):
-                    return False
-        return False
+        return await self._change(_unchanged)
 
     async def bury(self, dead: Identity) -> None:
         """Give the tokens of a host that the platform says is gone."""
         heirs = self._fleet.live_names()
-        if self._stored is None or self._me.name != min(heirs):
-            return
-        shares = shares_from_json(self._stored.value)
-        changed = pass_on(shares, dead.name, dead.incarnation, heirs)
-        if changed == shares:
+        if self._me.name != min(set(heirs) - {dead.name}, default=''):
             return
-        written = await self._write(changed, self._stored.version)
-        match written:
-            case Ok(stored):
-                log_event('tokens-passed-on', dead=dead.name)
-                self._adopt_shares(stored)
-            case Err():
-                self._kick.set()
+        done = await self._change(
+            lambda shares: pass_on(shares, dead.name, dead.incarnation, heirs),
+        )
+        log_event('tokens-passed-on', dead=dead.name, done=done)
 
     async def hand_over_all(self) -> None:
         """Give all idle tokens to a live host, before this one ends."""
@@ -345,40 +316,73 @@
             settle = self.resources[name].cut_seconds
             ledger.forget_borrower(dead, now, settle)
 
-    async def _improve(
+    def _fitting_ledger(self, resource: Resource) -> Ledger:
+        # The ledger of a resource that was removed is kept: when it comes
+        # back, work from before may still run on its tokens.
+        ledger = self._kept_ledgers.setdefault(
+            resource.name,
+            Ledger(resource.hold_seconds),
+        )
+        ledger.hold_seconds = resource.hold_seconds
+        for token in list(ledger.owned):
+            if token >= resource.size:
+                ledger.retire(token)
+        return ledger
+
+    async def _change(self, change: Callable[[Shares], Shares]) -> bool:
+        """Change the newest shares and adopt them; False if it failed.
+
+        The change is made to whatever is stored by then, so it has to be
+        right for any state of the shares.
+        """
+        if not self.resources:
+            return False
+        for _ in range(WRITE_TRIES):
+            written = await self._change_once(change)
+            match written:
+                case Ok(stored):
+                    self._adopt_shares(stored)
+                    return True
+                case Err(error) if not isinstance(error, VersionConflict):
+                    return False
+        return False
+
+    async def _change_once(
         self,
-        stored: StoredObject,
+        change: Callable[[Shares], Shares],
     ) -> Ok[StoredObject] | Err[PlatformError]:
-        shares = shares_from_json(stored.value)
+        found = await self._platform.read(SHARES_KIND, self._zone)
+        stored: StoredObject | None = None
+        shares = Shares()
+        match found:
+            case Ok(there):
+                stored = there
+                shares = shares_from_json(there.value)
+            case Err(ObjectMissing()):
+                pass  # noqa: WPS420
+            case Err() as failed:
+                return failed
         rival = shares.incarnations.get(self._me.name, '')
-        if rival > self._me.incarnation:
+        if rival > self._me.incarnation and stored is not None:
             self._fence(rival)
             return Ok(stored)
         if not self._registered and rival:
             self._predecessor = rival != self._me.incarnation
-        wanted = self._wanted(shares)
-        if wanted == shares:
+        wanted = self._fitted(change(shares))
+        if stored is not None and wanted == shares:
             return Ok(stored)
-        return await self._write(wanted, stored.version)
-
-    def _wanted(self, shares: Shares) -> Shares:
-        registered = register(shares, self._me.name, self._me.incarnation)
-        sizes = {one.name: one.size for one in self.resources.values()}
-        return fit(registered, sizes, self._hosts, self._version)
-
-    async def _write(
-        self,
-        shares: Shares,
-        expected: int,
-    ) -> Ok[StoredObject] | Err[PlatformError]:
-        wanted = self._wanted(shares)
         return await self._platform.write_surely(
             SHARES_KIND,
             self._zone,
             shares_as_json(wanted),
-            expected,
+            0 if stored is None else stored.version,
         )
 
+    def _fitted(self, shares: Shares) -> Shares:
+        registered = register(shares, self._me.name, self._me.incarnation)
+        sizes = {one.name: one.size for one in self.resources.values()}
+        return fit(registered, sizes, self._hosts, self._version)
+
     def _adopt_shares(self, stored: StoredObject) -> None:
         if self._stored and stored.version < self._stored.version:
             return
@@ -388,31 +392,32 @@
         if self.is_fenced:
             return
         shares = shares_from_json(stored.value)
-        for name, ledger in self.ledgers.items():
-            settle = self.resources[name].settle_seconds
-            if is_first and not self._predecessor:
-                # No earlier incarnation of this host ever held a token.
-                settle = 0
-            self._adopt_resource(shares, name, ledger, settle)
+        if is_first and not self._predecessor:
+            # No earlier incarnation of this host ever held a token.
+            self._known_tokens = {}
+        elif is_first:
+            self._known_tokens = _sizes(shares)
+        for name in self.ledgers:
+            self._adopt_resource(shares, name)
+        self._known_tokens = _sizes(shares)
         self.on_gain()
 
-    def _adopt_resource(
-        self,
-        shares: Shares,
-        name: str,
-        ledger: Ledger,
-        settle: float,
-    ) -> None:
+    def _adopt_resource(self, shares: Shares, name: str) -> None:
         now = time.monotonic()
-        size = self.resources[name].size
+        resource = self.resources[name]
+        ledger = self.ledgers[name]
         mine = {
             token
             for token in shares.owned_by(self._me.name, name)
-            if token < size
+            if token < resource.size
         }
         for token in ledger.owned.keys() - mine:
             ledger.retire(token)
+        # Rows of the shares never shrink, so a token past what was known
+        # had no owner before.
+        known = self._known_tokens.get(name, 0)
         for token in sorted(mine):
+            settle = resource.settle_seconds if token < known else 0
             ledger.adopt(token, now, settle)
 
     def _fence(self, rival: str) -> None:
@@ -439,17 +444,12 @@
                     count += 1
         if not given:
             return
-        shares = shares_from_json(self._stored.value)
-        changed = hand_over(shares, self._me.name, receiver, given)
-        written = await self._write(changed, self._stored.version)
-        match written:
-            case Ok(stored):
-                log_event('tokens-handed-over', to=receiver, count=count)
-                self._adopt_shares(stored)
-            case Err():
-                # Given up here already; the next reading of the shares
-                # tells whose they are.
-                self._kick.set()
+        # Given up here already: if the write fails, the next reading of the
+        # shares tells whose they are, and they settle anew.
+        done = await self._change(
+            lambda shares: hand_over(shares, self._me.name, receiver, given),
+        )
+        log_event('tokens-handed-over', to=receiver, count=count, done=done)
 
     async def _borrow(self, name: str) -> None:
         while name in self.ledgers and not self.is_fenced:
@@ -551,6 +551,14 @@
                     self.give_back(name, loan)
 
 
+def _sizes(shares: Shares) -> dict[str, int]:
+    return {name: len(row) for name, row in shares.owners.items()}
+
+
+def _unchanged(shares: Shares) -> Shares:
+    return shares
+
+
 def shares_as_json(shares: Shares) -> dict[str, object]:
     """Return the form in which shares are stored."""
     return {
--- a/src/wardstair/process/host.py
+++ b/src/wardstair/process/host.py
@@ -238,6 +238,10 @@
         for name, work in tasks.items():
             self._supervisor.spawn(name, work)
 
+    def cut_platform(self) -> None:
+        """Stop reaching the platform, as a cut link would; for trials."""
+        self._platform.cut()
+
     async def drain(self) -> float:
         """Leave in order: no request is cut.
 
--- a/src/wardstair/process/platform.py
+++ b/src/wardstair/process/platform.py
@@ -30,6 +30,7 @@
 BACKOFF_MOST_SECONDS = 10.0
 BUDGET_BURST_SECONDS = 4.0
 CALLS_AT_ONCE = 16
+NOWHERE = 'http://127.0.0.1:9'
 ANSWER_BYTES = 16777216
 _NO_BODY: Any = None
 
@@ -229,6 +230,10 @@
             ),
         )
 
+    def cut(self) -> None:
+        """Send all further calls to a port where nobody listens."""
+        self._url = NOWHERE
+
     def close(self) -> None:
         """Close all connections."""
         close_client(self._client)
--- a/src/wardstair/process/slots.py
+++ b/src/wardstair/process/slots.py
@@ -72,6 +72,7 @@
 
     upstream: UpstreamModel
     slot: Slot
+    ledger: Ledger
 
 
 @dataclass(frozen=True)
@@ -202,7 +203,7 @@
             return None
         if chosen.free_slots == 1:
             self.on_shortage(chosen.name)
-        return HeldSlot(view.model, slot)
+        return HeldSlot(view.model, slot, view.ledger)
 
     async def wait(self, wish: SlotWish, seconds: float) -> HeldSlot | None:
         """Wait for a slot; None if none came free in time.
@@ -236,10 +237,7 @@
 
     def give_back(self, held: HeldSlot) -> None:
         """End the work on a slot and serve who waits."""
-        view = self.views.get(held.upstream.name)
-        if view is None:
-            return
-        loan = view.ledger.put_back(held.slot.token, time.monotonic())
+        loan = held.ledger.put_back(held.slot.token, time.monotonic())
         if loan is not None:
             self.on_return(held.upstream.name, loan)
         self.serve_waiting()
