--- a/src/wardstair/decisions/forecast.py
+++ b/src/wardstair/decisions/forecast.py
@@ -41,8 +41,12 @@
 
     @property
     def is_safe(self) -> bool:
-        """Whether the rest would carry it with something to spare."""
-        return self.needed <= self.slots_left * SAFE_SHARE
+        """Whether the rest would carry it with something to spare.
+
+        A region without any slot is never safe, even if it is idle now.
+        """
+        has_room = self.needed <= self.slots_left * SAFE_SHARE
+        return self.slots_left > 0 and has_room
 
 
 def forecast_drain(
--- a/src/wardstair/process/messages.py
+++ b/src/wardstair/process/messages.py
@@ -4,6 +4,7 @@
 acts on it.
 """
 
+import zlib
 from typing import Annotated, Literal
 
 import cbor2
@@ -20,6 +21,10 @@
 )
 
 MESSAGE_BYTES = 4194304
+DEFLATE_FROM_BYTES = 256
+DEFLATE_LEVEL = 1
+# A CBOR map never begins with this byte.
+DEFLATED = b'\x00'
 
 
 @dataclass(frozen=True)
@@ -174,17 +179,27 @@
 
 
 def encode(message: PeerMessage) -> bytes:
-    """Return the bytes of a message."""
-    return cbor2.dumps(_ADAPTER.dump_python(message))
+    """Return the bytes of a message, deflated if that is worth it."""
+    raw = cbor2.dumps(_ADAPTER.dump_python(message))
+    if len(raw) < DEFLATE_FROM_BYTES:
+        return raw
+    return DEFLATED + zlib.compress(raw, DEFLATE_LEVEL)
 
 
 def decode(raw: bytes) -> Result[PeerMessage, str]:
     """Read and validate a message, or say what is wrong with it."""
     try:
-        content = cbor2.loads(raw)
-    except (cbor2.CBORDecodeError, ValueError) as error:
+        content = cbor2.loads(_inflated(raw))
+    except (cbor2.CBORDecodeError, ValueError, zlib.error) as error:
         return Err(f'not CBOR: {error}')
     try:
         return Ok(_ADAPTER.validate_python(content))
     except ValidationError as error:
         return Err(f'not a message: {error.error_count()} errors')
+
+
+def _inflated(raw: bytes) -> bytes:
+    if not raw.startswith(DEFLATED):
+        return raw
+    # Bounded, so that a small message cannot unpack to a huge one.
+    return zlib.decompressobj().decompress(raw[1:], MESSAGE_BYTES)
