--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,358 @@
+"""Measures the decisions: their time at the planned size, and the grants.
+
+Prints tables; nothing is asserted. The comparison of grants plays arrivals
+against the real ledgers with exponential times; a request that finds no token
+waits up to two seconds, as in the product.
+"""
+
+import gc
+import heapq
+import sys
+import time
+import tracemalloc
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT / 'tests'))
+
+from lib.documents import small_document  # noqa: E402
+
+from wardstair.decisions.choice import Candidate, choose  # noqa: E402
+from wardstair.decisions.ledger import Identity, Ledger  # noqa: E402
+from wardstair.decisions.policies import (  # noqa: E402
+    HeadroomFirst,
+    LeastInFlight,
+    Nearest,
+    Policy,
+    Weighted,
+    ZoneView,
+    draw,
+    weigh,
+)
+from wardstair.version.document import UpstreamModel  # noqa: E402
+from wardstair.version.parts import pack, unpack  # noqa: E402
+from wardstair.version.resources import zone_resources  # noqa: E402
+from wardstair.version.topology import build_topology  # noqa: E402
+
+ZONES = 62
+HOSTS = 20
+UPSTREAMS_A_ZONE = 80
+HOLD_SECONDS = 6.0
+WAIT_SECONDS = 2.0
+LOAN_DELAY = 0.002
+RUN_SECONDS = 400.0
+MEAN_SECONDS = 0.1
+
+
+def timed(work: Callable[[], object], turns: int) -> float:
+    """Return the microseconds of one turn."""
+    started = time.perf_counter()
+    for _ in range(turns):
+        work()
+    return (time.perf_counter() - started) / turns * 1e6
+
+
+def time_choice() -> None:
+    """Time the choice of an upstream."""
+    print('choice of an upstream: candidates, us')
+    for count in (4, 24, 180, 1200):
+        candidates = [
+            Candidate(str(number), 3, number % 5, 0.01)
+            for number in range(count)
+        ]
+        random = Random(1)
+        micros = timed(
+            lambda given=candidates: choose(given, frozenset(), random),
+            2000,
+        )
+        print(f'  {count:5}  {micros:8.1f}')
+
+
+def time_policies() -> None:
+    """Time each policy: weights twice a second, a draw a request."""
+    policies: dict[str, Policy] = {
+        'nearest': Nearest(),
+        'weighted': Weighted({f'z{number}': 1.0 for number in range(1200)}),
+        'least-in-flight': LeastInFlight(),
+        'headroom-first': HeadroomFirst(),
+    }
+    print('policies: zones, us to weigh, us to draw')
+    for name, policy in policies.items():
+        for count in (24, 180, 1200):
+            zones = [
+                ZoneView(f'z{number}', number % 50, 90, 1 + number % 80)
+                for number in range(count)
+            ]
+            weights = weigh(policy, zones)
+            random = Random(1)
+            weighing = timed(lambda p=policy, z=zones: weigh(p, z), 200)
+            drawing = timed(lambda w=weights: draw(w, random), 500)
+            print(f'  {name:16} {count:5} {weighing:9.1f} {drawing:8.1f}')
+
+
+def time_document() -> None:
+    """Time the adoption of a version of the planned size."""
+    zones = tuple(f'r{zone // 3}-{zone}' for zone in range(ZONES))
+    document = small_document(zones=zones, hosts_a_zone=HOSTS)
+    upstreams = tuple(
+        UpstreamModel(
+            name=f'up-{zone}-{number}',
+            zone=zone,
+            workload=('views', 'orders', 'uploads')[number % 3],
+            address='127.0.0.1:8080',
+            slots=9,
+        )
+        for zone in zones
+        for number in range(UPSTREAMS_A_ZONE)
+    )
+    document = document.model_copy(update={'upstreams': upstreams})
+    package = pack(document, 'key', 'bench')
+    size = len(package.parts[package.head.base])
+    del document, upstreams
+    gc.collect()
+    started = time.perf_counter()
+    unpacked = unpack(package.head, package.parts).unwrap()
+    unpacking = time.perf_counter() - started
+    started = time.perf_counter()
+    topology = build_topology(1, unpacked.document, unpacked.table)
+    resources = zone_resources(topology, zones[0])
+    indexing = time.perf_counter() - started
+    del unpacked, topology
+    gc.collect()
+    tracemalloc.start()
+    unpacked = unpack(package.head, package.parts).unwrap()
+    topology = build_topology(1, unpacked.document, unpacked.table)
+    kept = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    print(
+        f'a version with {ZONES * HOSTS} hosts and '
+        f'{ZONES * UPSTREAMS_A_ZONE} upstreams: part {size / 1000:.0f} KB, '
+        f'unpacked in {unpacking * 1000:.0f} ms, indexed in '
+        f'{indexing * 1000:.0f} ms, {kept:.1f} MB kept, '
+        f'{len(resources)} resources a zone',
+    )
+
+
+@dataclass
+class Sender:
+    """A host in the comparison of grants."""
+
+    name: Identity
+    ledger: Ledger
+    rate: float
+    waiting: deque[float] = field(default_factory=deque)
+
+
+@dataclass
+class Outcome:
+    """What a scheme served."""
+
+    served: int = 0
+    late: int = 0
+    waited: float = 0.0
+    peak: int = 0
+
+
+def play(
+    scheme: str,
+    slots: int,
+    hosts: int,
+    load: float,
+    skew: float,
+    seed: int,
+) -> Outcome:
+    """Play arrivals against a scheme.
+
+    Args:
+        scheme: `perfect`, `static` or `ledger`.
+        slots: Slots of one upstream.
+        hosts: Hosts that send to it.
+        load: Offered load as a share of the slots.
+        skew: How many times more the first host gets than the last.
+        seed: Seed of arrivals and times.
+    """
+    random = Random(seed)
+    shares = [
+        1 + (skew - 1) * (hosts - 1 - n) / max(hosts - 1, 1)
+        for n in range(hosts)
+    ]
+    total = slots * load / MEAN_SECONDS
+    senders = [
+        Sender(
+            Identity(str(n), '1'),
+            Ledger(HOLD_SECONDS),
+            total * share / sum(shares),
+        )
+        for n, share in enumerate(shares)
+    ]
+    if scheme == 'perfect':
+        senders[0].ledger = Ledger(HOLD_SECONDS)
+        for sender in senders:
+            sender.ledger = senders[0].ledger
+    for token in range(slots):
+        senders[token % hosts].ledger.adopt(token, 0.0, 0.0)
+    return _Game(scheme, senders, random).run()
+
+
+class _Game:
+    """Events of one play, in order of time."""
+
+    def __init__(
+        self,
+        scheme: str,
+        senders: list[Sender],
+        random: Random,
+    ) -> None:
+        self.scheme = scheme
+        self.senders = senders
+        self.random = random
+        self.outcome = Outcome()
+        self.events: list[tuple[float, int, str, int, int]] = []
+        self.number = 0
+        self.busy = 0
+        self.loans = 0
+
+    def run(self) -> Outcome:
+        """Play to the end."""
+        for index, sender in enumerate(self.senders):
+            self.push(self.random.expovariate(sender.rate), 'arrive', index)
+        while self.events:
+            now, _, kind, index, token = heapq.heappop(self.events)
+            if now > RUN_SECONDS:
+                return self.outcome
+            getattr(self, kind)(now, index, token)
+        return self.outcome
+
+    def push(self, at: float, kind: str, index: int, token: int = 0) -> None:
+        """Add an event."""
+        self.number += 1
+        heapq.heappush(self.events, (at, self.number, kind, index, token))
+
+    def arrive(self, now: float, index: int, _token: int) -> None:
+        """A request comes to a host."""
+        sender = self.senders[index]
+        self.push(now + self.random.expovariate(sender.rate), 'arrive', index)
+        sender.waiting.append(now)
+        self.serve(now, index)
+
+    def serve(self, now: float, index: int) -> None:
+        """Start what can start; borrow if something waits."""
+        sender = self.senders[index]
+        while sender.waiting:
+            if now - sender.waiting[0] > WAIT_SECONDS:
+                sender.waiting.popleft()
+                self.outcome.late += 1
+                continue
+            slot = sender.ledger.take(now)
+            if slot is None:
+                break
+            self.outcome.waited += now - sender.waiting.popleft()
+            self.outcome.served += 1
+            self.busy += 1
+            self.outcome.peak = max(self.outcome.peak, self.busy)
+            ends = now + self.random.expovariate(1 / MEAN_SECONDS)
+            self.push(ends, 'finish', index, slot.token)
+        if sender.waiting and self.scheme == 'ledger':
+            self.push(now + LOAN_DELAY, 'borrow', index)
+
+    def finish(self, now: float, index: int, token: int) -> None:
+        """A request ends; its token goes back."""
+        self.busy -= 1
+        back = self.senders[index].ledger.put_back(token, now)
+        if back is not None:
+            lender = next(
+                one for one in self.senders if one.name == back.lender
+            )
+            lender.ledger.reclaim(back.loan, back.tokens)
+        turns = range(len(self.senders))
+        for turn in turns if self.scheme == 'perfect' else (index,):
+            self.serve(now, turn)
+
+    def borrow(self, now: float, index: int, _token: int) -> None:
+        """Ask the others, those with the most idle tokens first."""
+        sender = self.senders[index]
+        if not sender.waiting:
+            return
+        for returned in sender.ledger.expire(now):
+            lender = next(
+                one for one in self.senders if one.name == returned.lender
+            )
+            lender.ledger.reclaim(returned.loan, returned.tokens)
+        others = sorted(
+            (one for one in self.senders if one is not sender),
+            key=lambda one: -len(one.ledger.idle_owned),
+        )
+        for other in others:
+            if other.waiting:
+                continue
+            self.loans += 1
+            wanted = len(sender.waiting)
+            offer = other.ledger.lend(
+                sender.name,
+                wanted,
+                str(self.loans),
+                now,
+            )
+            if offer is not None:
+                sender.ledger.accept(other.name, offer, now - LOAN_DELAY)
+                break
+        self.serve_or_ask_again(now, index)
+
+    def serve_or_ask_again(self, now: float, index: int) -> None:
+        """Use what came; the product asks again after 50 ms."""
+        sender = self.senders[index]
+        while sender.waiting:
+            slot = sender.ledger.take(now)
+            if slot is None:
+                self.push(now + 0.05, 'borrow', index)
+                return
+            self.outcome.waited += now - sender.waiting.popleft()
+            self.outcome.served += 1
+            self.busy += 1
+            self.outcome.peak = max(self.outcome.peak, self.busy)
+            ends = now + self.random.expovariate(1 / MEAN_SECONDS)
+            self.push(ends, 'finish', index, slot.token)
+
+
+def compare_grants() -> None:
+    """Compare the grants with a perfect allocator and a static split."""
+    print(
+        'grants: slots, hosts, load, skew; served as a share of a perfect '
+        "allocator's, mean wait in ms, peak",
+    )
+    cases = [
+        (3, 2, 0.9, 1.0),
+        (3, 2, 0.9, 4.0),
+        (6, 2, 0.9, 4.0),
+        (9, 2, 0.9, 4.0),
+        (9, 2, 1.2, 4.0),
+        (36, 2, 0.9, 4.0),
+        (3, 20, 0.9, 4.0),
+        (9, 20, 0.9, 4.0),
+        (180, 20, 0.9, 4.0),
+    ]
+    for slots, hosts, load, skew in cases:
+        row = f'  {slots:4} {hosts:3} {load:4} {skew:3}'
+        perfect = 0
+        for scheme in ('perfect', 'static', 'ledger'):
+            found = [
+                play(scheme, slots, hosts, load, skew, seed)
+                for seed in (1, 2, 3)
+            ]
+            served = sum(one.served for one in found)
+            perfect = perfect or served
+            wait = sum(one.waited for one in found) / max(served, 1) * 1000
+            peak = max(one.peak for one in found)
+            row += f'  {scheme} {served / perfect:6.1%} {wait:6.0f} {peak:3}'
+        print(row, flush=True)
+
+
+if __name__ == '__main__':
+    time_choice()
+    time_policies()
+    time_document()
+    compare_grants()
