--- a/src/wardstair/decisions/ledger.py
+++ b/src/wardstair/decisions/ledger.py
@@ -11,7 +11,7 @@
 borrower always stops first.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -143,6 +143,44 @@
     tokens: tuple[int, ...]
 
 
+@dataclass(frozen=True)
+class PatientAsk:
+    """A question that waits for a token to come free.
+
+    Attributes:
+        borrower: Who asks.
+        ask: Identifies the question.
+        waiting: Requests that wait at the borrower.
+        until: Time after which the borrower no longer waits.
+    """
+
+    borrower: Identity
+    ask: str
+    waiting: int
+    until: float
+
+
+def choose_ask(
+    asks: Iterable[PatientAsk],
+    own_waiting: int,
+    now: float,
+) -> PatientAsk | None:
+    """Return the question that a token coming free should answer.
+
+    The longer queue gets it, whichever host it is on: a host that served its
+    own first would let the queue of a busier one grow to its limit.
+
+    Args:
+        asks: Questions that wait.
+        own_waiting: Requests that wait at the owner itself.
+        now: Time now.
+    """
+    longer = [
+        ask for ask in asks if ask.until > now and ask.waiting > own_waiting
+    ]
+    return max(longer, key=lambda ask: ask.waiting, default=None)
+
+
 @dataclass
 class Ledger:
     """What one host knows of the tokens of one capacity.
@@ -314,17 +352,29 @@
         self.owned[idle[0]] = Standing.busy
         return Slot(idle[0], None)
 
-    def put_back(self, token: int, now: float) -> LoanReturn | None:
+    def put_back(
+        self,
+        token: int,
+        now: float,
+        *,
+        keeps_loans: bool = False,
+    ) -> LoanReturn | None:
         """End the work on a token.
 
+        Args:
+            token: Its number.
+            now: Time now.
+            keeps_loans: Whether other work waits here; without any, a loan
+                that is kept would stand idle while its owner's queue grows.
+
         Returns:
             A message to the lender if the token was borrowed and its time
-            is over.
+            is over, or nothing waits for it here.
         """
         loan = self.borrowed.get(token)
         if loan is not None and loan.is_busy:
             loan.is_busy = False
-            if now < loan.start_by:
+            if keeps_loans and now < loan.start_by:
                 return None
             self.borrowed.pop(token)
             return LoanReturn(loan.lender, loan.loan, (token,))
--- a/src/wardstair/process/capacity.py
+++ b/src/wardstair/process/capacity.py
@@ -21,6 +21,8 @@
     Ledger,
     LoanOffer,
     LoanReturn,
+    PatientAsk,
+    choose_ask,
 )
 from wardstair.decisions.membership import HostRow, HostState
 from wardstair.decisions.shares import (
@@ -54,6 +56,7 @@
 SYNC_SECONDS = 300.0
 ASK_SECONDS = 1.0
 ASK_AGAIN_SECONDS = 0.05
+PATIENT_LENDERS = 3
 WRITE_TRIES = 8
 QUESTION_SECONDS = 2.0
 QUESTIONS_KEPT = 1000
@@ -108,6 +111,7 @@
         self._kick = asyncio.Event()
         self._asks: dict[str, asyncio.Future[_Answer | None]] = {}
         self._asked: dict[str, str] = {}
+        self._patient: dict[str, dict[str, PatientAsk]] = {}
         self._questions: dict[str, float] = {}
         self._questioned: dict[tuple[Identity, str], float] = {}
         self._holdings: dict[str, dict[Identity, tuple[Holding, ...]]] = {}
@@ -230,17 +234,52 @@
                 self.give_back(name, loan)
 
     def on_ask(self, sender: Identity, message: LoanAsk) -> None:
-        """Lend what is idle."""
+        """Lend what is idle; a patient question waits for a release."""
         offer = None
-        ledger = self.ledgers.get(message.resource)
-        waits = self._is_waited_for(message.resource)
-        if ledger is not None and not self.is_fenced and not waits:
-            loan = f'{self._me.incarnation}-{next(self._numbers)}'
-            now = time.monotonic()
-            offer = ledger.lend(sender, message.wanted, loan, now)
+        if not self._is_waited_for(message.resource):
+            offer = self._offer(sender, message.resource, message.wanted)
+        if offer is None and message.is_patient:
+            asks = self._patient.setdefault(message.resource, {})
+            until = time.monotonic() + ASK_SECONDS
+            asks[sender.name] = PatientAsk(
+                sender,
+                message.ask,
+                message.wanted,
+                until,
+            )
+            return
         answer = LoanGive(message.ask, message.resource, offer)
         self._links.send(sender.name, answer)
 
+    def on_release(self, name: str) -> None:
+        """Give a token that came free to a longer queue elsewhere."""
+        asks = self._patient.get(name)
+        if not asks or name not in self.resources:
+            return
+        now = time.monotonic()
+        own = self.demand(self.resources[name].workload)
+        chosen = choose_ask(asks.values(), own, now)
+        if chosen is None:
+            return
+        offer = self._offer(chosen.borrower, name, 1)
+        if offer is None:
+            return
+        asks.pop(chosen.borrower.name)
+        answer = LoanGive(chosen.ask, name, offer)
+        self._links.send(chosen.borrower.name, answer)
+
+    def _offer(
+        self,
+        borrower: Identity,
+        name: str,
+        wanted: int,
+    ) -> LoanOffer | None:
+        ledger = self.ledgers.get(name)
+        if ledger is None or self.is_fenced:
+            return None
+        loan = f'{self._me.incarnation}-{next(self._numbers)}'
+        return ledger.lend(borrower, wanted, loan, time.monotonic())
+
     def on_give(self, received: Received, message: LoanGive) -> None:
         """Take the answer to a question of ours, once."""
         self._asked.pop(message.ask, None)
@@ -255,6 +294,7 @@
         ledger = self.ledgers.get(message.resource)
         if ledger is not None:
             ledger.reclaim(message.loan, message.tokens)
+            self.on_release(message.resource)
             self.on_gain()
 
     def ask_holdings(self) -> None:
@@ -453,16 +493,30 @@
 
     async def _borrow(self, name: str) -> None:
         while name in self.ledgers and not self.is_fenced:
-            for peer in self._lenders(name):
-                answer = await self._ask(peer, name)
-                if answer is not None and answer.offer is not None:
-                    self.on_gain()
-                    break
+            lenders = self._lenders(name)
+            has_gained = await self._borrow_idle(name, lenders)
             if not self._is_waited_for(name):
                 return
-            await asyncio.sleep(ASK_AGAIN_SECONDS)
+            if has_gained:
+                continue
+            patient = [
+                self._ask(peer, name, is_patient=True)
+                for peer in lenders[:PATIENT_LENDERS]
+            ]
+            if not patient:
+                await asyncio.sleep(ASK_AGAIN_SECONDS)
+            for answered in asyncio.as_completed(patient):
+                if await answered:
+                    self.on_gain()
 
-    async def _ask(self, peer: str, name: str) -> _Answer | None:
+    async def _borrow_idle(self, name: str, lenders: list[str]) -> bool:
+        for peer in lenders:
+            if await self._ask(peer, name, is_patient=False):
+                self.on_gain()
+                return True
+        return False
+
+    async def _ask(self, peer: str, name: str, *, is_patient: bool) -> bool:
         workload = self.resources[name].workload
         ask = f'{self._me.incarnation}-{next(self._numbers)}'
         waiting: asyncio.Future[_Answer | None] = (
@@ -472,21 +526,22 @@
         self._asked[ask] = name
         asked_at = time.monotonic()
         wanted = max(self.demand(workload), 1)
-        if not self._links.send(peer, LoanAsk(ask, name, wanted)):
+        if not self._links.send(peer, LoanAsk(ask, name, wanted, is_patient)):
             self._withdraw(ask)
-            return None
+            return False
         try:
             async with asyncio.timeout(ASK_SECONDS):
                 answer = await waiting
         except TimeoutError:
             self._withdraw(ask)
-            return None
+            return False
         ledger = self.ledgers.get(name)
         if answer is None or ledger is None:
-            return None
-        if answer.offer is not None:
-            ledger.accept(answer.lender, answer.offer, asked_at)
-        return answer
+            return False
+        if answer.offer is None:
+            return False
+        ledger.accept(answer.lender, answer.offer, asked_at)
+        return True
 
     def _ask_holdings_of(self, other: Identity, name: str) -> None:
         now = time.monotonic()
--- a/src/wardstair/process/host.py
+++ b/src/wardstair/process/host.py
@@ -452,6 +452,7 @@
         self.capacity.demand = self.pool.demand
         self.pool.on_shortage = self.capacity.shortage
         self.pool.on_return = self.capacity.give_back
+        self.pool.on_release = self.capacity.on_release
         self.metrics.add_gauge(
             'wardstair_slots_in_use',
             'Slots in use by this host, by resource',
--- a/src/wardstair/process/messages.py
+++ b/src/wardstair/process/messages.py
@@ -73,11 +73,12 @@
 
 @dataclass(frozen=True)
 class LoanAsk:
-    """Asks for tokens of a resource."""
+    """Asks for tokens of a resource; a patient one waits for the answer."""
 
     ask: str
     resource: str
     wanted: int
+    is_patient: bool = False
     kind: Literal['loan-ask'] = 'loan-ask'
 
 
--- a/src/wardstair/process/slots.py
+++ b/src/wardstair/process/slots.py
@@ -110,6 +110,7 @@
         """
         self.views: dict[str, UpstreamView] = {}
         self.on_shortage: Callable[[str], None] = lambda upstream: None
+        self.on_release: Callable[[str], None] = lambda upstream: None
         self.on_return: Callable[[str, LoanReturn], None] = (
             lambda upstream, loan: None
         )
@@ -237,9 +238,14 @@
 
     def give_back(self, held: HeldSlot) -> None:
         """End the work on a slot and serve who waits."""
-        loan = held.ledger.put_back(held.slot.token, time.monotonic())
+        loan = held.ledger.put_back(
+            held.slot.token,
+            time.monotonic(),
+            keeps_loans=self.demand(held.upstream.workload) > 0,
+        )
         if loan is not None:
             self.on_return(held.upstream.name, loan)
+        self.on_release(held.upstream.name)
         self.serve_waiting()
 
     def serve_waiting(self) -> None:
