--- a/src/wardstair/process/host.py
+++ b/src/wardstair/process/host.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import secrets
+import ssl
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
@@ -28,11 +29,15 @@
 from wardstair.process.metrics import Metrics
 from wardstair.process.operators import operator_application
 from wardstair.process.orders import Order, OrderAnswer, OrderDesk
-from wardstair.process.peers import PeerLinks, Received
+from wardstair.process.peers import PeerAddress, PeerLinks, Received
 from wardstair.process.placement import Placement
 from wardstair.process.platform import PlatformClient
 from wardstair.process.probing import Prober
-from wardstair.process.settings import EntrySettings, ListenSettings
+from wardstair.process.settings import (
+    EntrySettings,
+    ListenSettings,
+    TlsSettings,
+)
 from wardstair.process.shifting import ShiftPacer
 from wardstair.process.slots import SlotPool
 from wardstair.process.supervision import Supervisor
@@ -65,6 +70,7 @@
 LEAVE_MARGIN_SECONDS = 2.0
 END_POLL_SECONDS = 0.05
 HOST_LIST_SECONDS = 10.0
+SEED_SECONDS = 0.5
 INCARNATION_BYTES = 4
 AGE_MOST_SECONDS = 1e6
 
@@ -237,6 +243,7 @@
             'inbox': self._dispatcher.run,
             'sweep': self._sweep,
             'host-list': self._follow_host_list,
+            'seeds': self._ask_seeds,
         }
         for name, work in tasks.items():
             self._supervisor.spawn(name, work)
@@ -574,6 +581,14 @@
                     continue
             await self.capacity.even_out()
 
+    async def _ask_seeds(self) -> None:
+        """Hear of a version from peers while the platform tells of none."""
+        while not self.configuration.version:
+            for address in self.settings.seeds:
+                self.links.reach(PeerAddress(address, address))
+            await asyncio.sleep(SEED_SECONDS)
+        await asyncio.Event().wait()
+
     async def _bury(self, names: Sequence[str]) -> None:
         for name in names:
             incarnation = self.fleet.incarnation_of(name)
@@ -599,6 +614,7 @@
             max_body_size=BODY_BYTES,
             max_header_size=limits.header_bytes,
             idle_connection_timeout=limits.header_seconds,
+            ssl_options=_tls_context(listen.tls),
             chunk_size=CHUNK_BYTES,
         )
         address, _, port = listen.address.rpartition(':')
@@ -608,6 +624,17 @@
         return int(sockets[0].getsockname()[1])
 
 
+def _tls_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
+    if tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(tls.certificate, tls.key)
+    if tls.authority is not None:
+        context.load_verify_locations(tls.authority)
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
 async def run_until_stopped(host: EntryHost, stop: asyncio.Event) -> None:
     """Run a host until told to stop, then drain it."""
     await host.start()
--- a/src/wardstair/process/settings.py
+++ b/src/wardstair/process/settings.py
@@ -113,7 +113,10 @@
         settings = EntrySettings.model_validate(content)
     except ValidationError as error:
         return Err(faults_of(error, source))
-    faults = _plain_faults(settings, source)
+    faults = [
+        *_plain_faults(settings, source),
+        *_tls_faults(settings, source),
+    ]
     return Err(faults) if faults else Ok(settings)
 
 
@@ -136,3 +139,20 @@
         and not listener.allow_plain
         and not listener.address.startswith(LOOPBACK_PREFIX)
     ]
+
+
+def _tls_faults(settings: EntrySettings, source: str) -> list[Fault]:
+    between = {
+        'peers': settings.listen.peers,
+        'forward': settings.listen.forward,
+    }
+    return [
+        Fault(
+            source,
+            f'listen.{name}.tls',
+            'TLS between entry hosts is not built yet',
+            'remove it, and keep this listener on a network of your own',
+        )
+        for name, listener in between.items()
+        if listener.tls is not None
+    ]
--- a/src/wardstair/standins/deployment.py
+++ b/src/wardstair/standins/deployment.py
@@ -80,15 +80,17 @@
         model: HostModel,
         *,
         control: bool = True,
+        seeds: tuple[str, ...] = (),
     ) -> EntryHost:
         """Start an entry host, or start it again with nothing.
 
         Args:
             model: The host.
             control: Whether its control tasks run; off only to measure.
+            seeds: Peers to hear of a version from.
         """
         host = EntryHost(
-            self._settings(model),
+            self._settings(model).model_copy(update={'seeds': seeds}),
             Random(self._random.random()),
         )
         host.is_control_on = control
--- a/tests/functional/test_fleet.py
+++ b/tests/functional/test_fleet.py
@@ -312,3 +312,25 @@
     blocks = [{'network': '127.0.0.0/8', 'site': 'east-site'}]
     document = small_document(zones=ZONES, slots=20, blocks=blocks)
     run_trial(document, test)
+
+
+def test_a_host_that_starts_without_platform_hears_from_its_seeds() -> None:
+    async def test(trial: Trial) -> None:
+        deployment = trial.deployment
+        version = await deployment.order(START)
+        await deployment.wait_version(version)
+        deployment.platform.store.faults.down = True
+        model = deployment.document.hosts[0]
+        await deployment.hosts[model.name].stop()
+        peer = deployment.hosts['west-a-2']
+        seed = f'127.0.0.1:{peer.ports.peers}'
+        host = await deployment.start_host(model, seeds=(seed,))
+        await deployment.wait_version(version, [model.name])
+        await deployment.wait_until(
+            lambda: 'west-a-2' in host.fleet.live_names(),
+        )
+        # It owns nothing without the platform, and borrows from its peer.
+        answer = await trial.order(model.name, await trial.new_key('west-a-2'))
+        assert answer.code == 200
+
+    run_trial(small_document(), test)
