Tell a caller when an upload makes no progress

Change: giving up for idleness is its own end, told to the caller as upstream-failed (not run: false) or outcome-unknown; a caller may stall for 300 s, an upstream for the workload's idle_seconds.

--- a/src/wardstair/connection/exchange.py
+++ b/src/wardstair/connection/exchange.py
@@ -29,6 +29,7 @@
 
 CONNECT_SECONDS = 1.0
 IDLE_SECONDS = 60.0
+CALLER_IDLE_SECONDS = 300.0
 POOLED_IDLE_SECONDS = 20
 REQUEST_ID_HEADER = 'request-id'
 NOT_RUN_HEADER = 'not-run'
@@ -113,6 +114,7 @@
         self._is_sent = False
         self._is_foreign = False
         self._is_abandoned = False
+        self._is_idled = False
         self._read_paused = False
         self._write_paused = False
 
@@ -122,13 +124,14 @@
         return self._is_sent
 
     def is_idle(self, now: float) -> bool:
-        """Return whether the upstream has made no progress for too long.
+        """Return whether there was no progress for too long.
 
-        A slow caller is not the upstream's fault and is limited elsewhere.
+        A caller on a weak line may stall for much longer than an upstream.
         """
+        limit = self._outgoing.idle_seconds
         if self._read_paused or self._write_paused:
-            return False
-        return now - self.last_progress > self._outgoing.idle_seconds
+            limit = max(limit, CALLER_IDLE_SECONDS)
+        return now - self.last_progress > limit
 
     def start(self) -> None:
         """Begin the exchange; its future ends with its outcome.
@@ -162,8 +165,17 @@
         return await self.outcome()
 
     def abort(self) -> None:
-        """End the exchange now; its connection is closed, not reused."""
+        """End the exchange since the caller has gone."""
         self._is_abandoned = True
+        self._stop()
+
+    def give_up(self) -> None:
+        """End the exchange since it makes no progress."""
+        self._is_idled = True
+        self._stop()
+
+    def _stop(self) -> None:
+        """Close the connection of the exchange; it is not used again."""
         self.answer.fail()
         if self._curl is None:
             return
@@ -256,7 +268,7 @@
         self._set_head(head)
 
     def _on_answer(self, chunk: bytes) -> int | None:
-        if self._is_foreign or self._is_abandoned:
+        if self._is_foreign or self._is_abandoned or self._is_idled:
             return 0
         if self.answer.offer(chunk):
             self.last_progress = time.monotonic()
@@ -320,7 +332,7 @@
         return Answered(head.status)
 
     def _failure(self, errno: int | None) -> AttemptOutcome:
-        timed_out = errno == pycurl.E_OPERATION_TIMEDOUT
+        timed_out = self._is_idled or errno == pycurl.E_OPERATION_TIMEDOUT
         if self._is_foreign:
             return Foreign()
         if not self._is_sent:
--- a/src/wardstair/process/host.py
+++ b/src/wardstair/process/host.py
@@ -564,7 +564,7 @@
             now = time.monotonic()
             for exchange in list(self.forwarder.open_exchanges):
                 if exchange.is_idle(now):
-                    exchange.abort()
+                    exchange.give_up()
 
     async def _follow_host_list(self) -> None:
         while True:
--- a/src/wardstair/request/forwarding.py
+++ b/src/wardstair/request/forwarding.py
@@ -443,7 +443,9 @@
 
 def _late(call: Call) -> Refusal:
     if call.route.is_once:
-        return problem.outcome_unknown('its deadline passed meanwhile')
+        return problem.outcome_unknown('no answer came in time')
+    if call.deadline is None:
+        return problem.upstream_failed('no progress', not_run=False)
     return problem.deadline_passed(not_run=False)
 
 
--- /dev/null
+++ b/tests/functional/test_memory.py
@@ -0,0 +1,68 @@
+"""What may grow is bounded."""
+
+from random import Random
+
+import pytest
+
+from wardstair.connection.pipe import Pipe
+from wardstair.decisions.membership import FarHost
+from wardstair.process.journal import Journal
+from wardstair.process.messages import (
+    DEFLATED,
+    MESSAGE_BYTES,
+    HostsGive,
+    PartGive,
+    decode,
+    encode,
+)
+
+
+def test_a_pipe_holds_its_limit_and_one_chunk() -> None:
+    pipe = Pipe(limit=100)
+    accepted = 0
+    while pipe.offer(b'x' * 64):
+        accepted += 64
+    assert accepted == 128
+    assert pipe.take(1000) == b'x' * 64
+    assert pipe.offer(b'y')
+
+
+def test_the_journal_forgets_the_oldest() -> None:
+    journal = Journal(entries=3)
+    for number in range(5):
+        journal.open(str(number), 1)
+    assert journal.find('1') is None
+    assert journal.find('4') is not None
+
+
+@pytest.mark.parametrize('count', [1, 300])
+def test_messages_come_back_as_they_were(count: int) -> None:
+    hosts = tuple(
+        FarHost(f'host-{number}', '01', leaving=False)
+        for number in range(count)
+    )
+    raw = encode(HostsGive(hosts))
+    assert raw.startswith(DEFLATED) == (count > 1)
+    assert decode(raw).unwrap() == HostsGive(hosts)
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [b'', b'\xff', DEFLATED, DEFLATED + b'junk', b'\xa1\x64kind\x61x'],
+)
+def test_junk_is_refused(raw: bytes) -> None:
+    assert decode(raw).is_err()
+
+
+def test_a_small_message_cannot_unpack_to_a_huge_one() -> None:
+    raw = encode(PartGive(b'0' * (2 * MESSAGE_BYTES)))
+    assert len(raw) < MESSAGE_BYTES / 100
+    assert decode(raw).is_err()
+
+
+def test_random_bytes_never_raise() -> None:
+    random = Random(1)
+    for _ in range(2000):
+        raw = random.randbytes(random.randrange(40))
+        decode(raw)
+        decode(DEFLATED + raw)
--- a/tests/functional/test_request_path.py
+++ b/tests/functional/test_request_path.py
@@ -185,6 +185,18 @@
     run_trial(small_document(), test)
 
 
+def test_a_caller_is_told_when_the_upstream_makes_no_progress() -> None:
+    # Uploads have no deadline: only idleness ends them, and the caller has
+    # to hear of it.
+    async def test(trial: Trial) -> None:
+        behave(trial, 'uploads-west-a', stall=True)
+        answer = await trial.send(HOST, 'PUT', '/uploads/1', body=b'scan')
+        assert (answer.code, kind_of(answer)) == (502, 'upstream-failed')
+        assert answer.headers['Not-Run'] == 'false'
+
+    run_trial(small_document(idle_seconds=0.5), test)
+
+
 def test_a_large_answer_goes_through_in_bounded_memory() -> None:
     async def test(trial: Trial) -> None:
         size = 8 * 1024 * 1024
--- a/tests/lib/documents.py
+++ b/tests/lib/documents.py
@@ -11,6 +11,7 @@
     zones: tuple[str, ...] = ('west-a',),
     hosts_a_zone: int = 2,
     slots: int = 3,
+    idle_seconds: float = 60,
     **changes: Any,
 ) -> SteeringDocument:
     """Return a configuration with one upstream of each workload a zone.
@@ -19,6 +20,7 @@
         zones: Names of zones; the part before the dash is the region.
         hosts_a_zone: Entry hosts in each zone.
         slots: Slots of each upstream.
+        idle_seconds: Seconds without progress that uploads may take.
         changes: Tables that replace those made here.
     """
     regions = sorted({zone.split('-')[0] for zone in zones})
@@ -69,6 +71,7 @@
             {
                 'name': 'uploads',
                 'importance': 7,
+                'idle_seconds': idle_seconds,
                 'routes': [
                     {
                         'methods': ['PUT'],
