Check every name of a configuration; one server for all stand-ins

Cause: drains and policies could name what does not exist and did nothing; the checks of references were eight calls of one shape, and the stand-ins repeated their server.

Change: references are a table; drains and policies are in it; stand-ins share a base.

--- a/src/wardstair/standins/platform.py
+++ b/src/wardstair/standins/platform.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from wardstair.standins.server import StandinServer, log_nothing
+
 VALUE_BYTES = 1048576
 LOST_SECONDS = 0.05
 
@@ -231,11 +231,7 @@
         self.finish('{}')
 
 
-def _log_nothing(_handler: RequestHandler) -> None:
-    """Keep tornado from logging each call."""
-
-
-class PlatformStandin:
+class PlatformStandin(StandinServer):
     """The object API on a socket of loopback."""
 
     def __init__(self, store: ObjectStore | None = None) -> None:
@@ -245,34 +241,21 @@
             store: Objects to serve; an empty store if None.
         """
         self.store = store or ObjectStore()
-        self.port = 0
-        self._server = HTTPServer(self._application())
+        arguments = {'store': self.store}
+        super().__init__(
+            Application(
+                [
+                    ('/objects/([^/]+)/([^/]+)', _ObjectHandler, arguments),
+                    ('/objects/([^/]+)', _KindHandler, arguments),
+                    ('/watch/([^/]+)', _WatchHandler, arguments),
+                    ('/hosts', _HostsHandler, arguments),
+                    ('/faults', _FaultsHandler, arguments),
+                ],
+                log_function=log_nothing,
+            ),
+        )
 
     @property
     def url(self) -> str:
         """Base URL of the API."""
-        return f'http://127.0.0.1:{self.port}'
-
-    def start(self, port: int = 0) -> None:
-        """Listen on a port of loopback; 0 lets the system choose."""
-        sockets = bind_sockets(port, '127.0.0.1')
-        self.port = sockets[0].getsockname()[1]
-        self._server.add_sockets(sockets)
-
-    async def stop(self) -> None:
-        """Stop listening and close all connections."""
-        self._server.stop()
-        await self._server.close_all_connections()
-
-    def _application(self) -> Application:
-        arguments = {'store': self.store}
-        return Application(
-            [
-                ('/objects/([^/]+)/([^/]+)', _ObjectHandler, arguments),
-                ('/objects/([^/]+)', _KindHandler, arguments),
-                ('/watch/([^/]+)', _WatchHandler, arguments),
-                ('/hosts', _HostsHandler, arguments),
-                ('/faults', _FaultsHandler, arguments),
-            ],
-            log_function=_log_nothing,
-        )
+        return f'http://{self.address}'
--- a/src/wardstair/standins/upstream.py
+++ b/src/wardstair/standins/upstream.py
@@ -5,11 +5,11 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
-from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler, stream_request_body
 
+from wardstair.standins.server import StandinServer, log_nothing
+
 BODY_LIMIT = 1 << 40
 
 
@@ -194,11 +194,7 @@
         )
 
 
-def _log_nothing(_handler: RequestHandler) -> None:
-    """Keep tornado from logging each request."""
-
-
-class UpstreamStandin:
+class UpstreamStandin(StandinServer):
     """An upstream on a socket of loopback."""
 
     def __init__(self, name: str, slots: int) -> None:
@@ -210,30 +206,13 @@
                 nothing, so that a test sees what it is sent.
         """
         self.state = UpstreamState(name, slots)
-        self.port = 0
         arguments = {'state': self.state}
-        self._server = HTTPServer(
+        super().__init__(
             Application(
                 [
                     ('/health', _HealthHandler, arguments),
                     ('.*', _ServeHandler, arguments),
                 ],
-                log_function=_log_nothing,
+                log_function=log_nothing,
             ),
         )
-
-    @property
-    def address(self) -> str:
-        """Address and port."""
-        return f'127.0.0.1:{self.port}'
-
-    def start(self, port: int = 0) -> None:
-        """Listen on a port of loopback; 0 lets the system choose."""
-        sockets = bind_sockets(port, '127.0.0.1')
-        self.port = sockets[0].getsockname()[1]
-        self._server.add_sockets(sockets)
-
-    async def stop(self) -> None:
-        """Stop listening and close all connections."""
-        self._server.stop()
-        await self._server.close_all_connections()
--- a/src/wardstair/version/document.py
+++ b/src/wardstair/version/document.py
@@ -7,9 +7,10 @@
 import tomllib
 from collections import Counter
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 from ipaddress import IPv4Network
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Literal, Protocol
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
@@ -235,82 +236,73 @@
                 yield Fault(source, table, message, 'keep one of them')
 
 
-def _dangling(document: SteeringDocument, source: str) -> Iterator[Fault]:
-    regions = {region.name for region in document.regions}
-    zones = {zone.name for zone in document.zones}
-    workloads = {workload.name for workload in document.workloads}
-    sites = {site.name for site in document.sites}
-    yield from _unknown(
-        source,
-        'zones',
-        'region',
-        ((zone.name, zone.region) for zone in document.zones),
-        regions,
-    )
-    yield from _unknown(
-        source,
-        'hosts',
-        'zone',
-        ((host.name, host.zone) for host in document.hosts),
-        zones,
-    )
-    yield from _unknown(
-        source,
-        'upstreams',
-        'zone',
-        ((one.name, one.zone) for one in document.upstreams),
-        zones,
-    )
-    yield from _unknown(
-        source,
-        'upstreams',
-        'workload',
-        ((one.name, one.workload) for one in document.upstreams),
-        workloads,
-    )
-    yield from _unknown(
-        source,
-        'sites',
-        'region',
-        ((site.name, site.region) for site in document.sites),
-        regions,
-    )
-    yield from _unknown(
-        source,
-        'blocks',
-        'site',
-        ((str(block.network), block.site) for block in document.blocks),
-        sites,
-    )
-    yield from _unknown(
-        source,
-        'shifts',
-        'workload',
-        ((shift.name, shift.workload) for shift in document.shifts),
-        workloads,
-    )
-    for end in ('source', 'target'):
-        yield from _unknown(
-            source,
-            'shifts',
-            end,
-            ((shift.name, getattr(shift, end)) for shift in document.shifts),
-            regions,
-        )
+@dataclass(frozen=True)
+class _Reference:
+    """A name in one table that must be defined in another.
+
+    Attributes:
+        key: Dotted path of the name, as faults show it.
+        name: The name.
+        known: The names that are defined.
+    """
 
+    key: str
+    name: str
+    known: frozenset[str]
 
-def _unknown(
-    source: str,
-    table: str,
-    key: str,
-    references: Iterable[tuple[str, str]],
-    known: set[str],
-) -> Iterator[Fault]:
-    for owner, reference in references:
-        if reference not in known:
+
+def _dangling(document: SteeringDocument, source: str) -> Iterator[Fault]:
+    for reference in _references(document):
+        if reference.name not in reference.known:
             yield Fault(
                 source,
-                f'{table}.{owner}.{key}',
-                f'{reference} is not defined',
+                reference.key,
+                f'{reference.name} is not defined',
                 'define it or correct its spelling',
             )
+
+
+def _references(document: SteeringDocument) -> Iterator[_Reference]:
+    regions = _names(document.regions)
+    zones = _names(document.zones)
+    workloads = _names(document.workloads)
+    sites = _names(document.sites)
+    for zone in document.zones:
+        yield _Reference(f'zones.{zone.name}.region', zone.region, regions)
+    for host in document.hosts:
+        yield _Reference(f'hosts.{host.name}.zone', host.zone, zones)
+    for one in document.upstreams:
+        table = f'upstreams.{one.name}'
+        yield _Reference(f'{table}.zone', one.zone, zones)
+        yield _Reference(f'{table}.workload', one.workload, workloads)
+    for site in document.sites:
+        yield _Reference(f'sites.{site.name}.region', site.region, regions)
+    for block in document.blocks:
+        yield _Reference(f'blocks.{block.network}.site', block.site, sites)
+    for policy in document.policies:
+        key = f'policies.{policy.workload}.workload'
+        yield _Reference(key, policy.workload, workloads)
+    for shift in document.shifts:
+        table = f'shifts.{shift.name}'
+        yield _Reference(f'{table}.workload', shift.workload, workloads)
+        yield _Reference(f'{table}.source', shift.source, regions)
+        yield _Reference(f'{table}.target', shift.target, regions)
+    places = {
+        'upstream': _names(document.upstreams),
+        'host': _names(document.hosts),
+        'zone': zones,
+        'region': regions,
+    }
+    for drain in document.drains:
+        key = f'drains.{drain.kind}.name'
+        yield _Reference(key, drain.name, places[drain.kind])
+
+
+class _Named(Protocol):
+    @property
+    def name(self) -> str:
+        """Name of a row."""
+
+
+def _names(rows: Iterable[_Named]) -> frozenset[str]:
+    return frozenset(row.name for row in rows)
--- a/tests/functional/test_ctl.py
+++ b/tests/functional/test_ctl.py
@@ -143,6 +143,7 @@
         ('palermo', 'slots = 9', 'slots = 0', 'upstreams.0.slots'),
         ('palermo', 'importance = 2', 'weight = 2', 'workloads.0.importance'),
         ('mexico', 'zone = "norte-a"', 'zone = "sur-a"', 'zone'),
+        ('mexico', 'workload = "intake"', 'workload = "x"', 'policies.x'),
         ('entry', '127.0.0.1:20000', '10.0.0.1:20000', 'listen.callers.tls'),
         ('entry', 'seeds', 'seed', 'seed'),
     ],
