Leave dead hosts out of other zones' look-ups after 3 s of silence, not 8

Cause: a zone's report listed suspected hosts too, so callers of other zones were sent to a dead host for 8 s and the gossip's time.

Change: the list of a report holds live hosts only; the versions still count suspected ones. Tests: a stopped host leaves another zone's list; two hosts that cannot reach each other stay live to each other through a third.

--- a/src/wardstair/process/fleet.py
+++ b/src/wardstair/process/fleet.py
@@ -375,13 +375,19 @@
         return {host.name for host in self._zone_peers()}
 
     def _note_own_zone(self, now: float) -> None:
-        rows = self.members.in_state(now, HostState.live, HostState.suspect)
-        rows = [*rows, self._own_row]
+        heard = self.members.in_state(
+            now,
+            HostState.live,
+            HostState.suspect,
+        )
+        rows = [*heard, self._own_row]
+        live = set(self.live_names())
         hosts = tuple(
             sorted(
                 (
                     FarHost(row.name, row.incarnation, row.leaving)
                     for row in rows
+                    if row.name in live
                 ),
                 key=lambda host: host.name,
             ),
--- a/src/wardstair/process/peers.py
+++ b/src/wardstair/process/peers.py
@@ -87,6 +87,7 @@
         self._links: dict[str, _Link] = {}
         self._dialling: dict[str, asyncio.Task[None]] = {}
         self._wanted: dict[str, str] = {}
+        self._refused: set[str] = set()
         self._server: Server | None = None
 
     @property
@@ -139,6 +140,13 @@
             return
         self._dial_in_background(peer.name, self._dial_once(peer.address))
 
+    def refuse(self, name: str) -> None:
+        """Have no link to a host from now, as if it were cut; for trials."""
+        self._refused.add(name)
+        link = self._links.pop(name, None)
+        if link is not None:
+            link.connection.transport.abort()
+
     def send(self, name: str, message: PeerMessage) -> bool:
         """Queue a message; return False if no link leads to the host."""
         if name not in self._links:
@@ -202,7 +210,7 @@
 
     async def _talk(self, connection: Connection) -> bool:
         peer = await self._introduce(connection)
-        if peer is None:
+        if peer is None or peer.name in self._refused:
             return False
         link = _Link(peer, connection, asyncio.Queue(QUEUED_MESSAGES))
         self._links[peer.name] = link
--- a/tests/functional/test_fleet.py
+++ b/tests/functional/test_fleet.py
@@ -334,3 +334,37 @@
         assert answer.code == 200
 
     run_trial(small_document(), test)
+
+
+def test_a_dead_host_leaves_the_lookups_of_other_zones() -> None:
+    async def test(trial: Trial) -> None:
+        deployment = trial.deployment
+        await deployment.hosts.pop('west-a-2').stop()
+        fleet = deployment.hosts['east-a-1'].fleet
+        await deployment.wait_until(
+            lambda: (
+                [one.name for one in fleet.far_hosts('west-a')] == ['west-a-1']
+            ),
+        )
+
+    run_trial(small_document(zones=ZONES), test)
+
+
+def test_a_broken_link_makes_nobody_look_dead() -> None:
+    """Two of three hosts cannot reach each other; the third passes on."""
+
+    async def test(trial: Trial) -> None:
+        hosts = trial.deployment.hosts
+        first, second = hosts['west-a-1'], hosts['west-a-2']
+        first.links.refuse('west-a-2')
+        second.links.refuse('west-a-1')
+        before = first.fleet.members.members['west-a-2'].row.beat
+        await trial.deployment.wait_until(
+            lambda: (
+                first.fleet.members.members['west-a-2'].row.beat > before + 5
+            ),
+        )
+        assert 'west-a-2' not in first.links.linked
+        assert 'west-a-2' in first.fleet.live_names()
+
+    run_trial(small_document(hosts_a_zone=3), test)
