Add scenarios of hosts together; end borrowing and probes at a stop

Cause: the scenarios covered single requests only; while adding them a stopped host left a borrowing task pending ("Task was destroyed but it is pending").

Change: four scenarios (cap of a shift, a version that never reverts, a zone without platform, a replaced host); the stop of a host ends what runs in the background.

--- /dev/null
+++ b/features/steps/fleet.py
@@ -0,0 +1,150 @@
+"""Steps of the scenarios about hosts together."""
+
+import asyncio
+from typing import Any
+
+from behave import given, then, when
+from lib.documents import small_document
+from lib.running import Trial
+
+from wardstair.process.messages import HeadGive
+from wardstair.process.orders import StartDrain, StartShift
+from wardstair.standins.deployment import Deployment
+from wardstair.standins.upstream import Behaviour
+from wardstair.version.document import DrainModel, ShiftModel
+
+DRAIN = DrainModel(kind='upstream', name='orders-west-a')
+
+
+def run(context: Any, work: Any) -> Any:
+    """Run a coroutine on the scenario's loop."""
+    return context.loop.run_until_complete(work)
+
+
+@given('two regions with callers of the east')
+def start_regions(context: Any) -> None:
+    async def start() -> Trial:
+        document = small_document(
+            zones=('east-a', 'west-a'),
+            slots=20,
+            blocks=[{'network': '127.0.0.0/8', 'site': 'east-site'}],
+        )
+        trial = Trial(Deployment(document))
+        await trial.deployment.start()
+        return trial
+
+    context.trial = run(context, start())
+
+
+@given('a shift of views from east to west with cap {cap:d}')
+def start_shift(context: Any, cap: int) -> None:
+    async def start() -> None:
+        deployment = context.trial.deployment
+        shift = ShiftModel(
+            name='choir',
+            workload='views',
+            source='east',
+            target='west',
+            cap=cap,
+        )
+        order = StartShift(verb='shift-start', shift=shift)
+        await deployment.wait_version(await deployment.order(order))
+        west = [deployment.hosts[f'west-a-{number}'] for number in (1, 2)]
+        await deployment.wait_until(
+            lambda: (
+                sum(
+                    len(host.capacity.ledgers['shift/choir'].idle_owned)
+                    for host in west
+                )
+                == cap
+            ),
+        )
+
+    run(context, start())
+
+
+@given('one host that cannot reach the platform')
+def cut_host(context: Any) -> None:
+    context.trial.deployment.hosts['west-a-2'].cut_platform()
+
+
+@given('a platform that is down')
+def stop_platform(context: Any) -> None:
+    context.trial.deployment.platform.store.faults.down = True
+
+
+@when('{count:d} views are asked for at once in the west')
+def ask_west(context: Any, count: int) -> None:
+    async def ask() -> list[Any]:
+        upstream = context.trial.deployment.upstreams['views-west-a']
+        upstream.state.behaviour = Behaviour(seconds=0.1)
+        return await asyncio.gather(
+            *(
+                context.trial.send(
+                    f'west-a-{1 + number % 2}',
+                    'GET',
+                    f'/parts/{number}',
+                )
+                for number in range(count)
+            )
+        )
+
+    context.answers = run(context, ask())
+
+
+@when('the print upstream is drained')
+def drain_upstream(context: Any) -> None:
+    deployment = context.trial.deployment
+    context.old = deployment.hosts['west-a-1'].configuration.head
+    order = StartDrain(verb='drain-start', drain=DRAIN)
+    context.version = run(context, deployment.order(order))
+    run(context, deployment.wait_version(context.version))
+
+
+@when('an old version is told again')
+def tell_old(context: Any) -> None:
+    old = context.old
+    late = HeadGive(1, old.base, old.blocks, old.command, old.operator)
+    for host in context.trial.deployment.hosts.values():
+        host.configuration.on_head_give('west-a-1', late)
+    run(context, asyncio.sleep(0))
+
+
+@when('one host is replaced by a new incarnation')
+def replace_host(context: Any) -> None:
+    async def replace() -> None:
+        deployment = context.trial.deployment
+        model = deployment.document.hosts[0]
+        await deployment.hosts[model.name].stop()
+        await deployment.start_host(model)
+        await deployment.wait_version(1)
+
+    run(context, replace())
+
+
+@then('never more than {cap:d} were in flight there')
+def check_cap(context: Any, cap: int) -> None:
+    state = context.trial.deployment.upstreams['views-west-a'].state
+    assert 1 <= state.peak <= cap
+
+
+@then('what was refused did not run')
+def check_refused(context: Any) -> None:
+    refused = [one for one in context.answers if one.code != 200]
+    assert refused
+    assert all(one.headers['Not-Run'] == 'true' for one in refused)
+    state = context.trial.deployment.upstreams['views-west-a'].state
+    assert state.received == len(context.answers) - len(refused)
+
+
+@then('the drain is in force on all hosts')
+def check_drain(context: Any) -> None:
+    for host in context.trial.deployment.hosts.values():
+        assert host.topology.version == context.version
+        assert DRAIN in host.topology.drained
+
+
+@then('both hosts have the same version')
+def check_versions(context: Any) -> None:
+    hosts = context.trial.deployment.hosts.values()
+    assert {host.configuration.version for host in hosts} == {1}
--- a/src/wardstair/process/capacity.py
+++ b/src/wardstair/process/capacity.py
@@ -165,6 +165,13 @@
                 async with asyncio.timeout(wait):
                     await self._kick.wait()
 
+    async def stop(self) -> None:
+        """End the borrowing that is under way."""
+        borrowing = list(self._borrowing.values())
+        for task in borrowing:
+            task.cancel()
+        await asyncio.gather(*borrowing, return_exceptions=True)
+
     async def sync(self) -> bool:
         """Read the zone's shares, change them if need be, and adopt them.
 
--- a/src/wardstair/process/host.py
+++ b/src/wardstair/process/host.py
@@ -277,6 +277,8 @@
     async def stop(self) -> None:
         """Close everything now."""
         await self._supervisor.stop()
+        await self.capacity.stop()
+        await self.prober.stop()
         for server in self._servers:
             server.stop()
         await self.links.stop()
--- a/src/wardstair/process/probing.py
+++ b/src/wardstair/process/probing.py
@@ -52,6 +52,13 @@
             if not names:
                 await asyncio.sleep(PROBE_SECONDS)
 
+    async def stop(self) -> None:
+        """End the probes that are under way."""
+        running = list(self._running)
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
     async def probe(self, name: str) -> None:
         """Probe one upstream and note what it says."""
         view = self._pool.views.get(name)
