--- a/src/wardstair/process/admission.py
+++ b/src/wardstair/process/admission.py
@@ -14,6 +14,7 @@
 )
 from wardstair.errors import Refusal
 from wardstair.process.capacity import Capacity
+from wardstair.process.loans import Loans
 from wardstair.request.call import Call
 from wardstair.request.problem import cap_reached
 
@@ -32,6 +33,7 @@
         self,
         region: str,
         capacity: Capacity,
+        loans: Loans,
         config_age: Callable[[], float],
     ) -> None:
         """Start without shifts.
@@ -39,11 +41,13 @@
         Args:
             region: Region of this host.
             capacity: Where the tokens are.
+            loans: Brings and returns borrowed ones.
             config_age: Seconds since the configuration was confirmed.
         """
         self.shifts: tuple[ActiveShift, ...] = ()
         self._region = region
         self._capacity = capacity
+        self._loans = loans
         self._config_age = config_age
         self._taken: dict[str, list[_Taken]] = {}
 
@@ -65,7 +69,7 @@
             one = self._take(resource)
             if one is None:
                 self._put_back(taken)
-                self._capacity.shortage(resource)
+                self._loans.shortage(resource)
                 return cap_reached(resource)
             taken.append(one)
         if taken:
@@ -93,4 +97,4 @@
         for one in taken:
             loan = one.ledger.put_back(one.slot.token, now)
             if loan is not None:
-                self._capacity.give_back(one.resource, loan)
+                self._loans.give_back(one.resource, loan)
--- a/src/wardstair/process/dispatch.py
+++ b/src/wardstair/process/dispatch.py
@@ -6,6 +6,7 @@
 from wardstair.process.capacity import Capacity
 from wardstair.process.configuration import Configuration
 from wardstair.process.fleet import Fleet
+from wardstair.process.loans import Loans
 from wardstair.process.messages import (
     HeadAsk,
     HeadGive,
@@ -34,6 +35,7 @@
         fleet: Fleet,
         configuration: Configuration,
         capacity: Capacity,
+        loans: Loans,
         prober: Prober,
         on_news: Callable[[], None],
     ) -> None:
@@ -43,7 +45,8 @@
             inbox: Messages with their senders.
             fleet: Takes heartbeats and reports.
             configuration: Takes heads and parts.
-            capacity: Takes loans and holdings.
+            capacity: Hears of versions of the shares.
+            loans: Takes loans and holdings.
             prober: Takes reports of upstreams.
             on_news: Called after each heartbeat.
         """
@@ -51,6 +54,7 @@
         self._fleet = fleet
         self._configuration = configuration
         self._capacity = capacity
+        self._loans = loans
         self._prober = prober
         self._on_news = on_news
 
@@ -75,18 +79,18 @@
     def _handle_loan(self, received: Received) -> None:
         match received.message:
             case LoanAsk() as ask:
-                self._capacity.on_ask(received.sender, ask)
+                self._loans.on_ask(received.sender, ask)
             case LoanGive() as give:
-                self._capacity.on_give(received, give)
+                self._loans.on_give(received, give)
             case LoanBack() as back:
-                self._capacity.on_back(back)
+                self._loans.on_back(back)
 
     def _handle_holdings(self, received: Received) -> None:
         match received.message:
             case HoldingsAsk() as ask:
-                self._capacity.on_holdings_ask(received.sender.name, ask)
+                self._loans.on_holdings_ask(received.sender.name, ask)
             case HoldingsGive() as give:
-                self._capacity.on_holdings_give(received.sender, give)
+                self._loans.on_holdings_give(received.sender, give)
 
     def _handle_version(self, received: Received) -> None:
         sender = received.sender.name
@@ -122,7 +126,7 @@
         for row in self._fleet.on_heartbeat(heartbeat):
             previous = before.get(row.name, row.incarnation)
             if previous < row.incarnation:
-                self._capacity.on_new_incarnation(row, previous)
+                self._loans.on_new_incarnation(row, previous)
             self._configuration.confirm(row.version, row.config_age)
             self._capacity.hear(row.shares)
         for report in heartbeat.reports:
--- a/src/wardstair/process/host.py
+++ b/src/wardstair/process/host.py
@@ -24,6 +24,7 @@
 from wardstair.process.fleet import Fleet
 from wardstair.process.forecasts import Outlook, outlook
 from wardstair.process.journal import Journal, JournalEntry
+from wardstair.process.loans import Loans
 from wardstair.process.log import log_event
 from wardstair.process.messages import Hello
 from wardstair.process.metrics import Metrics
@@ -41,6 +42,7 @@
 from wardstair.process.shifting import ShiftPacer
 from wardstair.process.slots import SlotPool
 from wardstair.process.supervision import Supervisor
+from wardstair.process.tokens import TokenBook
 from wardstair.process.views import HostViews
 from wardstair.request import problem
 from wardstair.request.call import (
@@ -137,17 +139,21 @@
             self.links.send,
             random,
         )
+        book = TokenBook()
+        self.loans = Loans(self.me, book, self.links, self.fleet, random)
         self.capacity = Capacity(
             self.me,
             settings.host.zone,
             self._platform,
-            self.links,
+            self.loans,
+            book,
             self.fleet,
             random,
         )
         self.outside = OutsideAdmission(
             settings.host.region,
             self.capacity,
+            self.loans,
             lambda: self.configuration.age,
         )
         self.keeper = KeyKeeper(
@@ -175,6 +181,7 @@
             self.fleet,
             self.configuration,
             self.capacity,
+            self.loans,
             self.prober,
             self._render_lookups,
         )
@@ -277,7 +284,7 @@
     async def stop(self) -> None:
         """Close everything now."""
         await self._supervisor.stop()
-        await self.capacity.stop()
+        await self.loans.stop()
         await self.prober.stop()
         for server in self._servers:
             server.stop()
@@ -458,10 +465,11 @@
         self.prober.choose_mine = self.fleet.probed_here
         self.links.on_link = self.fleet.on_link
         self.capacity.on_gain = self.pool.serve_waiting
-        self.capacity.demand = self.pool.demand
-        self.pool.on_shortage = self.capacity.shortage
-        self.pool.on_return = self.capacity.give_back
-        self.pool.on_release = self.capacity.on_release
+        self.loans.on_gain = self.pool.serve_waiting
+        self.loans.demand = self.pool.demand
+        self.pool.on_shortage = self.loans.shortage
+        self.pool.on_return = self.loans.give_back
+        self.pool.on_release = self.loans.on_release
         self.metrics.add_gauge(
             'wardstair_slots_in_use',
             'Slots in use by this host, by resource',
@@ -560,8 +568,8 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(IDLE_SWEEP_SECONDS)
-            self.capacity.expire()
-            self.capacity.ask_holdings()
+            self.loans.expire()
+            self.loans.ask_holdings()
             self.pool.serve_waiting()
             now = time.monotonic()
             for exchange in list(self.forwarder.open_exchanges):
--- a/tests/functional/test_fleet.py
+++ b/tests/functional/test_fleet.py
@@ -228,7 +228,7 @@
         lender = trial.deployment.hosts['west-a-1']
         offer = LoanOffer('late-loan', (0,), 5.0)
         late = LoanGive('withdrawn', 'uploads-west-a', offer)
-        host.capacity.on_give(Received(lender.me, late), late)
+        host.loans.on_give(Received(lender.me, late), late)
         ledger = host.capacity.ledgers['uploads-west-a']
         assert ledger.borrowed == {}
 
