Refuse new zones in the target of a running shift

Cause: each zone of a shift's target keeps a part of the cap. While one zone has a version with another set of zones in force and the other has not, the parts can sum to more than the cap (10 in one zone of one, 5 in the second of two: 15 of 10).

Change: such a version is refused, with the remedy to stop the shift first.

Left: a cap that is lowered holds in each zone from when it has the version.

--- a/src/wardstair/process/orders.py
+++ b/src/wardstair/process/orders.py
@@ -358,8 +358,8 @@
     action = order.action
     match action:
         case ApplyDocument(document=content):
-            return check_document(content, 'order').map(
-                lambda document: pack(document, order.key, order.operator),
+            return check_document(content, 'order').and_then(
+                lambda document: _packed(order, document, current),
             )
         case _ if current is None:
             hint = 'apply a configuration first'
@@ -371,6 +371,49 @@
             )
 
 
+def _packed(
+    order: Order,
+    document: SteeringDocument,
+    current: _Current | None,
+) -> Result[Package, list[Fault]]:
+    faults = [] if current is None else moved_caps(current.document, document)
+    if faults:
+        return Err(faults)
+    return Ok(pack(document, order.key, order.operator))
+
+
+def moved_caps(
+    before: SteeringDocument,
+    after: SteeringDocument,
+) -> list[Fault]:
+    """Return faults for shifts whose cap would be divided anew in force.
+
+    Each zone of a shift's target keeps a part of the cap. While one zone has
+    the new zones in force and another not yet, the parts could sum to more
+    than the cap.
+
+    Args:
+        before: The version in force.
+        after: The version that is ordered.
+    """
+    running = {shift.name for shift in before.shifts}
+    return [
+        Fault(
+            'order',
+            f'shifts.{shift.name}.target',
+            f'the zones of {shift.target} change under a running shift',
+            'stop the shift, change the zones, then start it again',
+        )
+        for shift in after.shifts
+        if shift.name in running
+        and _zones_of(before, shift.target) != _zones_of(after, shift.target)
+    ]
+
+
+def _zones_of(document: SteeringDocument, region: str) -> set[str]:
+    return {zone.name for zone in document.zones if zone.region == region}
+
+
 def _platform_fault(error: PlatformError) -> Err[list[Fault]]:
     hint = f'{error.hint}; the same key makes it safe to order again'
     return Err([Fault('platform', 'call', str(error), hint)])
--- a/tests/functional/test_fleet.py
+++ b/tests/functional/test_fleet.py
@@ -16,6 +16,7 @@
     StartDrain,
     StartShift,
     StopDrain,
+    moved_caps,
 )
 from wardstair.process.peers import Received
 from wardstair.standins.upstream import Behaviour
@@ -368,3 +369,27 @@
         assert 'west-a-2' in first.fleet.live_names()
 
     run_trial(small_document(hosts_a_zone=3), test)
+
+
+@pytest.mark.parametrize(
+    ('name', 'zones', 'faults'),
+    [
+        ('choir', ('east-a', 'west-a', 'west-b'), 1),
+        ('choir', ('east-a', 'east-b', 'west-a'), 0),
+        ('other', ('east-a', 'west-a', 'west-b'), 0),
+    ],
+)
+def test_a_running_cap_is_not_divided_anew(
+    name: str,
+    zones: tuple[str, ...],
+    faults: int,
+) -> None:
+    shift = {
+        'workload': 'views',
+        'source': 'east',
+        'target': 'west',
+        'cap': 2,
+    }
+    before = small_document(zones=ZONES, shifts=[{'name': 'choir', **shift}])
+    after = small_document(zones=zones, shifts=[{'name': name, **shift}])
+    assert len(moved_caps(before, after)) == faults
