--- a/src/wardstair/cli/gateway.py
+++ b/src/wardstair/cli/gateway.py
@@ -11,14 +11,14 @@
 from wardstair.gateway.host import GatewayHost
 from wardstair.gateway.settings import GatewaySettings
 from wardstair.platform.settings import load_settings
-from wardstair.process.log import configure_logging, log_event
+from wardstair.process.log import log_event, log_to_output
 
 SETTINGS_VARIABLE = 'WARDSTAIR_CONFIG'
 
 
 def main() -> None:
     """Run until the process is told to stop."""
-    configure_logging()
+    log_to_output()
     name = os.environ.get(SETTINGS_VARIABLE, '')
     if len(sys.argv) > 1:
         name = sys.argv[1]
--- a/src/wardstair/decisions/placement.py
+++ b/src/wardstair/decisions/placement.py
@@ -2,21 +2,17 @@
 
 The estimate is time to a whole answer: the way there, waiting for a slot, and
 the work, which is short where the key is warm. A request leaves the home of
-its key only when that is expected to pay.
+its key only when that is expected to pay, and the work it would take from
+others there is counted as well: a cold run needs a slot several times as long,
+so a fleet that spills early makes itself slow.
 """
 
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-# Ranks that are expected to remember a key: the home and the one that takes
-# its overflow.
-WARM_RANKS = 2
 # Work on a key that the upstream does not remember, beside one that it does.
-# First guess until a route's own figures are measured.
-COLD_KEY_FACTOR = 2.5
-# Requests that an upstream is sent above its slots, as a share of them; its
-# queue is longer, but what waits there for long comes late.
-QUEUE_SHARE = 1.0
+# The users' services work 3.3 times as long on a key that is not warm.
+COLD_KEY_FACTOR = 3.0
 # Keeps equal candidates in rank order: a later rank knows the key less well.
 RANK_STEP_SECONDS = 0.01
 
@@ -31,6 +27,7 @@
         round_trip: Seconds there and back.
         load: Requests expected to be at it now, from all hosts.
         slots: Requests it works on at once.
+        is_warm: Whether it probably remembers the key.
         slowness: Its work time beside others of the service; 1 is usual.
         transfer_cost: What sending it there costs, in seconds of delay that
             would be as bad.
@@ -41,6 +38,7 @@
     round_trip: float
     load: float
     slots: int
+    is_warm: bool = True
     slowness: float = 1.0
     transfer_cost: float = 0.0
 
@@ -61,7 +59,7 @@
 def choose_place(
     candidates: Sequence[Candidate],
     work: float,
-    queue_share: float = QUEUE_SHARE,
+    queue_share: float,
 ) -> Choice | None:
     """Choose the candidate with the lowest cost.
 
@@ -80,7 +78,7 @@
         if candidate.load >= candidate.slots * (1 + queue_share):
             continue
         seconds = expected_seconds(candidate, work)
-        cost = seconds + candidate.transfer_cost
+        cost = seconds + _burden(candidate, work) + candidate.transfer_cost
         cost += RANK_STEP_SECONDS * candidate.rank
         if cost < best_cost:
             best = Choice(candidate, seconds)
@@ -90,9 +88,17 @@
 
 def expected_seconds(candidate: Candidate, work: float) -> float:
     """Return the expected seconds to a whole answer."""
-    own_work = work * candidate.slowness
-    if candidate.rank >= WARM_RANKS:
-        own_work *= COLD_KEY_FACTOR
     over = max(0.0, candidate.load + 1 - candidate.slots)
     wait = over * work * candidate.slowness / candidate.slots
+    own_work = work * candidate.slowness
+    if not candidate.is_warm:
+        own_work *= COLD_KEY_FACTOR
     return candidate.round_trip + wait + own_work
+
+
+def _burden(candidate: Candidate, work: float) -> float:
+    """Return the seconds that a cold run takes from others."""
+    if candidate.is_warm:
+        return 0.0
+    used_share = min(candidate.load / candidate.slots, 1.0)
+    return (COLD_KEY_FACTOR - 1) * work * used_share
--- a/src/wardstair/fleet/radio.py
+++ b/src/wardstair/fleet/radio.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
+from typing import cast
 
 from wardstair.fleet.beats import (
     MOST_NAMED,
@@ -69,8 +70,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport."""
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self._transport = transport
+        # asyncio's own datagram transport is not a subclass of the type that
+        # it documents, so an isinstance check would fail here.
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take in a heartbeat."""
--- a/src/wardstair/gateway/callers.py
+++ b/src/wardstair/gateway/callers.py
@@ -6,10 +6,14 @@
 """
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Awaitable, Callable
 
-from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import (
+    HTTP1Connection,
+    HTTP1ServerConnection,
+)
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -18,7 +22,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
 from wardstair.gateway import refusals
 from wardstair.gateway.messages import Inbound, Reply
@@ -41,9 +45,11 @@
                 leaves.
         """
         self.is_stopping = False
-        self.open_requests: set[CallerExchange] = set()
-        self.connections: set[object] = set()
+        self._open_requests: set[CallerExchange] = set()
+        self._connections: set[HTTP1ServerConnection] = set()
         self._serve = serve
+        self._is_idle = asyncio.Event()
+        self._is_idle.set()
 
     def start_request(
         self,
@@ -52,12 +58,46 @@
     ) -> HTTPMessageDelegate:
         """Return the delegate of a new request."""
         assert isinstance(request_conn, HTTP1Connection)
-        self.connections.add(server_conn)
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        self._connections.add(server_conn)
         return CallerExchange(self, request_conn, self._serve)
 
     def on_close(self, server_conn: object) -> None:
         """Forget a connection."""
-        self.connections.discard(server_conn)
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        self._connections.discard(server_conn)
+
+    @property
+    def open_count(self) -> int:
+        """Requests that are not answered yet."""
+        return len(self._open_requests)
+
+    def note_open(self, exchange: 'CallerExchange') -> None:
+        """Note that a request has begun."""
+        self._open_requests.add(exchange)
+        self._is_idle.clear()
+
+    def note_ended(self, exchange: 'CallerExchange') -> None:
+        """Note that a request is answered or its caller gone."""
+        self._open_requests.discard(exchange)
+        if not self._open_requests:
+            self._is_idle.set()
+
+    async def wait_idle(self, seconds: float) -> None:
+        """Wait until no request is open, or until time is up.
+
+        Args:
+            seconds: Longest time to wait.
+        """
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._is_idle.wait(), max(seconds, 0))
+
+    def close_resting(self) -> None:
+        """Close the connections on which no request is open."""
+        busy = {id(exchange.stream) for exchange in self._open_requests}
+        for connection in tuple(self._connections):
+            if id(connection.stream) not in busy:
+                connection.stream.close()
 
 
 class CallerExchange(HTTPMessageDelegate):
@@ -85,6 +125,11 @@
         self._received_at = 0.0
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def stream(self) -> IOStream | None:
+        """The connection's stream, None once it is closed."""
+        return self._connection.stream
+
     def headers_received(
         self,
         start_line: RequestStartLine | ResponseStartLine,
@@ -96,6 +141,7 @@
         self._line = start_line
         self._headers = headers
         self._connection.set_close_callback(self.on_connection_close)
+        self._listener.note_open(self)
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
@@ -105,13 +151,20 @@
 
     def finish(self) -> None:
         """Serve the request, which is whole."""
-        self._listener.open_requests.add(self)
+        stream = self.stream
+        if stream is None or stream.closed():
+            # It crossed the closing of its connection: its caller will not
+            # get the answer and may send it again, so it must not run.
+            self._listener.note_ended(self)
+            return
         self._task = asyncio.ensure_future(self._run())
         self._task.add_done_callback(self._on_done)
 
     def on_connection_close(self) -> None:
         """End the work for a caller that has gone."""
-        if self._task is not None:
+        if self._task is None:
+            self._listener.note_ended(self)
+        else:
             self._task.cancel()
 
     async def _run(self) -> None:
@@ -171,7 +224,7 @@
             return
 
     def _on_done(self, task: 'asyncio.Task[None]') -> None:
-        self._listener.open_requests.discard(self)
+        self._listener.note_ended(self)
         if not task.cancelled():
             # Logged where it arose; read here so that asyncio is quiet.
             task.exception()
--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -1,12 +1,13 @@
 """Finds the upstream for a request from what this host knows now."""
 
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from wardstair.decisions.cold import HostView, Pace, sender_rate
 from wardstair.decisions.placement import Candidate, Choice, choose_place
 from wardstair.decisions.ranking import Nearness, Place, rank
 from wardstair.decisions.split import SplitTally
+from wardstair.gateway.distances import Distances
 from wardstair.gateway.settings import GatewaySettings
 from wardstair.state.belief import Belief
 from wardstair.state.catalog import Upstream
@@ -15,8 +16,8 @@
 # Bodies from here on make the way to an upstream count for more than the
 # spread of keys; most requests have none, uploads have tens of kilobytes.
 LARGE_BYTES = 16384
-SMALL_NEARNESS = Nearness(zone=5.0, region=4.0)
-LARGE_NEARNESS = Nearness(zone=60.0, region=20.0)
+SMALL_NEARNESS = Nearness(zone=1.6, region=1.5)
+LARGE_NEARNESS = Nearness(zone=6.0, region=4.0)
 # What moving a kilobyte costs, as seconds of delay that would be as bad:
 # between zones about 0.011 and between regions 0.028 of a small request's
 # worth, which loses four fifths of its worth when it is half a second late.
@@ -29,38 +30,9 @@
 MOST_RANKED = 20000
 # A cold upstream works about twice as long on everything.
 COLD_SLOWNESS = 2.0
-# Until a round trip to a region was measured.
-FIRST_FAR_SECONDS = 0.08
-ZONE_SECONDS = 0.001
-REGION_SECONDS = 0.002
-_SHARE = 0.2
-
-
-@dataclass(slots=True)
-class Distances:
-    """Round trips to other zones, from the times connections took."""
-
-    settings: GatewaySettings
-    _measured: dict[str, float] = field(default_factory=dict)
-
-    def note(self, zone: str, seconds: float) -> None:
-        """Take in how long a connection to a zone took to open."""
-        known = self._measured.get(zone)
-        if known is None or seconds < known:
-            self._measured[zone] = seconds
-            return
-        self._measured[zone] = known + _SHARE * 0.1 * (seconds - known)
-
-    def to(self, zone: str) -> float:
-        """Return the seconds there and back."""
-        known = self._measured.get(zone)
-        if known is not None:
-            return known
-        if zone == self.settings.zone:
-            return ZONE_SECONDS
-        if self.settings.zones.get(zone) == self.settings.region:
-            return REGION_SECONDS
-        return FIRST_FAR_SECONDS
+# How fast the usual work of a route follows shorter and longer answers.
+_DOWN_SHARE = 0.1
+_UP_SHARE = 0.03
 
 
 @dataclass(slots=True)
@@ -70,8 +42,40 @@
     seconds: float
 
     def note(self, seconds: float) -> None:
-        """Take in the time of one answer without the way."""
-        self.seconds += 0.05 * (max(seconds, 0.001) - self.seconds)
+        """Take in the time of one answer without the way.
+
+        Slow answers count for less: among those on warm keys are some whose
+        key was displaced meanwhile.
+        """
+        share = _DOWN_SHARE if seconds < self.seconds else _UP_SHARE
+        self.seconds += share * (max(seconds, 0.001) - self.seconds)
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """What an upstream is wanted for.
+
+    Attributes:
+        route: The request's route.
+        service: The service chosen for it.
+        key: What it concerns.
+        body_bytes: Size of its body.
+        queue_share: Requests above its slots that an upstream may have, as a
+            share of the slots.
+        tried: Names of upstreams that it must not go to again.
+    """
+
+    route: SteeredRoute
+    service: str
+    key: str
+    body_bytes: int
+    queue_share: float
+    tried: frozenset[str] = frozenset()
+
+    @property
+    def is_large(self) -> bool:
+        """Whether the way of the body counts for more than warmth."""
+        return self.body_bytes >= LARGE_BYTES
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,88 +142,45 @@
             self._work[route.name] = known
         return known
 
-    def choose(
-        self,
-        route: SteeredRoute,
-        service: str,
-        key: str,
-        body_bytes: int,
-        tried: frozenset[str],
-        queue_share: float,
-    ) -> Placement | None:
-        """Choose an upstream for one send, or None if there is no room.
-
-        Args:
-            route: The request's route.
-            service: The service chosen for it.
-            key: What it concerns.
-            body_bytes: Size of its body.
-            tried: Names of upstreams that it must not go to again.
-            queue_share: Requests above its slots that an upstream may have.
-        """
-        ranked = self.ranked(route, service, key, body_bytes)
-        work = self.work_of(route).seconds
+    def choose(self, ask: Ask) -> Placement | None:
+        """Choose an upstream for one send, or None if there is no room."""
         now = time.monotonic()
-        open_ones = [
+        ranked = [
             (position, upstream)
-            for position, upstream in enumerate(ranked)
-            if upstream.name not in tried and self._is_open(upstream, now)
+            for position, upstream in enumerate(self.ranked(ask))
+            if upstream.name not in ask.tried
         ]
-        if not open_ones:
-            # Rather one that failed lately than none.
-            open_ones = [
-                (position, upstream)
-                for position, upstream in enumerate(ranked)
-                if upstream.name not in tried and not upstream.is_cold(now)
-            ]
-        for group in (open_ones[:FIRST_RANKS], open_ones[FIRST_RANKS:]):
-            placed = self._choose_among(
-                group,
-                work,
-                body_bytes,
-                queue_share,
-                now,
-            )
+        trusted = [one for one in ranked if self._is_open(one[1], now)]
+        # Rather one that failed lately than none.
+        usable = trusted or [one for one in ranked if not one[1].is_cold(now)]
+        for group in (usable[:FIRST_RANKS], usable[FIRST_RANKS:]):
+            placed = self._choose_among(group, ask, now)
             if placed is not None:
                 return placed
         return None
 
-    def ranked(
-        self,
-        route: SteeredRoute,
-        service: str,
-        key: str,
-        body_bytes: int,
-    ) -> list[Upstream]:
+    def ranked(self, ask: Ask) -> list[Upstream]:
         """Return the upstreams that may serve a key, its home first."""
         catalog = self._belief.catalog
         if self._generation != catalog.generation:
             self._generation = catalog.generation
             self._ranked.clear()
-        is_large = body_bytes >= LARGE_BYTES
-        name = (service, key, is_large, route.regions)
+        name = (ask.service, ask.key, ask.is_large, ask.route.regions)
         known = self._ranked.get(name)
         if known is None:
             if len(self._ranked) >= MOST_RANKED:
                 self._ranked.clear()
-            known = self._rank(route, service, key, is_large=is_large)
+            known = self._rank(ask)
             self._ranked[name] = known
         return known
 
-    def _rank(
-        self,
-        route: SteeredRoute,
-        service: str,
-        key: str,
-        *,
-        is_large: bool,
-    ) -> list[Upstream]:
+    def _rank(self, ask: Ask) -> list[Upstream]:
         by_name = {
             upstream.name: upstream
-            for upstream in self._belief.catalog.of_service(service)
-            if self._is_allowed(route, upstream)
+            for upstream in self._belief.catalog.of_service(ask.service)
+            if self._is_allowed(ask.route, upstream)
         }
-        nearness = LARGE_NEARNESS if is_large else SMALL_NEARNESS
+        nearness = LARGE_NEARNESS if ask.is_large else SMALL_NEARNESS
         places = [
             Place(
                 name,
@@ -227,7 +188,7 @@
             )
             for name, upstream in by_name.items()
         ]
-        return [by_name[name] for name in rank(key, places)]
+        return [by_name[name] for name in rank(ask.key, places)]
 
     def _is_allowed(self, route: SteeredRoute, upstream: Upstream) -> bool:
         zone = upstream.entry.zone
@@ -257,32 +218,28 @@
     def _choose_among(
         self,
         group: list[tuple[int, Upstream]],
-        work: float,
-        body_bytes: int,
-        queue_share: float,
+        ask: Ask,
         now: float,
     ) -> Placement | None:
-        if not group:
-            return None
         by_name = {upstream.name: upstream for _, upstream in group}
         candidates = [
-            self._candidate(position, upstream, body_bytes, now)
+            self._candidate(position, upstream, ask, now)
             for position, upstream in group
         ]
-        choice = choose_place(candidates, work, queue_share)
+        work = self.work_of(ask.route).seconds
+        choice = choose_place(candidates, work, ask.queue_share)
         if choice is None:
             return None
         upstream = by_name[choice.candidate.name]
         if upstream.is_cold(now):
-            rate = self._cold_rate(upstream)
-            self._pace_of(upstream).take(rate, now)
+            self._pace_of(upstream).take(self._cold_rate(upstream), now)
         return Placement(upstream, choice, len(candidates))
 
     def _candidate(
         self,
         position: int,
         upstream: Upstream,
-        body_bytes: int,
+        ask: Ask,
         now: float,
     ) -> Candidate:
         zone = upstream.entry.zone
@@ -295,10 +252,28 @@
             round_trip=self._distances.to(zone),
             load=upstream.load(now),
             slots=upstream.entry.slots,
+            is_warm=self._is_warm(position, upstream, ask, now),
             slowness=slowness,
-            transfer_cost=self._transfer_cost(zone, body_bytes),
+            transfer_cost=self._transfer_cost(zone, ask.body_bytes),
         )
 
+    def _is_warm(
+        self,
+        position: int,
+        upstream: Upstream,
+        ask: Ask,
+        now: float,
+    ) -> bool:
+        """Return whether an upstream probably remembers a key.
+
+        The home counts as warm whatever this host has seen: the other hosts
+        send the key there too, and a fleet whose hosts each keep to where
+        they were once makes many upstreams warm for one key.
+        """
+        if position == 0 or not ask.route.is_sticky:
+            return True
+        return upstream.warm.has(ask.key, now)
+
     def _transfer_cost(self, zone: str, body_bytes: int) -> float:
         if zone == self._settings.zone:
             return 0.0
--- a/src/wardstair/gateway/directory.py
+++ b/src/wardstair/gateway/endpoints.py
@@ -1,4 +1,4 @@
-"""The endpoints for look-ups and readiness checks."""
+"""The endpoints for look-ups, readiness checks and other entry hosts."""
 
 from collections.abc import Callable
 
@@ -7,6 +7,7 @@
 from wardstair.fleet.beats import PeerName
 from wardstair.fleet.members import Members
 from wardstair.fleet.naming import NamedHost, name_hosts
+from wardstair.fleet.sharing import decode_versions
 from wardstair.gateway.settings import GatewaySettings
 from wardstair.platform.lookups import (
     LOOKUP_PATH,
@@ -14,10 +15,12 @@
     decode_lookup,
     encode_addresses,
 )
+from wardstair.state.exchange import STATE_PATH, StateExchange
 
 # How long a caller may keep an answer. Shorter costs look-ups, longer leaves
 # callers with hosts that have gone; some keep it three times as long.
 KEEP_SECONDS = 2.0
+METRICS_PATH = '/metrics'
 
 
 class Directory:
@@ -106,5 +109,48 @@
     )
 
 
+class _StateHandler(RequestHandler):
+    def initialize(self, exchange: StateExchange) -> None:
+        self._exchange = exchange
+
+    def get(self) -> None:
+        theirs = decode_versions(self.get_argument('have', ''))
+        if theirs is None:
+            self.set_status(400)
+            self.finish('name versions as have=N.N.N')
+            return
+        self.set_header('Content-Type', 'application/cbor')
+        self.finish(self._exchange.answer(theirs))
+
+
+class _MetricsHandler(RequestHandler):
+    def initialize(self, render: Callable[[], bytes]) -> None:
+        self._render = render
+
+    def get(self) -> None:
+        self.set_header('Content-Type', 'text/plain; version=0.0.4')
+        self.finish(self._render())
+
+
+def metrics_application(render: Callable[[], bytes]) -> Application:
+    """Return the endpoint for scrapes of metrics.
+
+    Args:
+        render: Returns all metrics as text.
+    """
+    return Application(
+        [(METRICS_PATH, _MetricsHandler, {'render': render})],
+        log_function=_no_log,
+    )
+
+
+def state_application(exchange: StateExchange) -> Application:
+    """Return the endpoint at which other entry hosts fetch state."""
+    return Application(
+        [(STATE_PATH, _StateHandler, {'exchange': exchange})],
+        log_function=_no_log,
+    )
+
+
 def _no_log(_handler: RequestHandler) -> None:
     """Write no line a request; the process logs its own events."""
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -15,8 +16,9 @@
     host_limit,
 )
 from wardstair.gateway import refusals
-from wardstair.gateway.choosing import Chooser, Placement
+from wardstair.gateway.choosing import Ask, Chooser, Placement
 from wardstair.gateway.messages import Inbound, Reply
+from wardstair.gateway.reporting import Reporter, Trail
 from wardstair.gateway.sending import (
     Delivered,
     Lost,
@@ -26,7 +28,6 @@
     TurnedAway,
 )
 from wardstair.process.log import log_event
-from wardstair.process.metrics import Metrics
 from wardstair.state.belief import Belief
 from wardstair.version.steering import SteeredRoute
 
@@ -41,15 +42,11 @@
 # for this many times the expected time.
 HEDGE_RATIO = 2.5
 LEAST_HEDGE_SECONDS = 0.25
-# When an upstream that is full should have room again.
-ROOM_SECONDS = 0.4
-# When one that cannot be reached may be back.
-RETURN_SECONDS = 1.0
 # Requests that an upstream may have above its slots, as a share of them: the
 # most important kind, and how much less each next one.
-FULL_QUEUE_SHARE = 1.2
-PRIORITY_STEP = 0.2
-LEAST_QUEUE_SHARE = 0.4
+FULL_QUEUE_SHARE = 2.8
+PRIORITY_STEP = 0.3
+LEAST_QUEUE_SHARE = 1.0
 
 
 class ResendReason(StrEnum):
@@ -70,10 +67,10 @@
     service: str
     key: str
     until: float
+    trail: Trail
     sends: int = 0
-    unreachable: int = 0
     may_have_run: bool = False
-    tried: set[str] = field(default_factory=set)
+    is_ended: bool = False
     running: dict['asyncio.Task[SendOutcome]', Placement] = field(
         default_factory=dict,
     )
@@ -88,7 +85,7 @@
         chooser: Chooser,
         sender: Sender,
         limit: ResendLimit,
-        metrics: Metrics,
+        reporter: Reporter,
     ) -> None:
         """Prepare without requests.
 
@@ -97,39 +94,51 @@
             chooser: Chooses upstreams.
             sender: Sends to them.
             limit: The fleet's limit of resends.
-            metrics: Counters.
+            reporter: Tells of each request.
         """
         self._belief = belief
         self._chooser = chooser
         self._sender = sender
         self._limit = limit
-        self._metrics = metrics
+        self._reporter = reporter
         self._budgets: dict[str, ResendBudget] = {}
 
     async def serve(self, inbound: Inbound) -> Reply:
         """Carry a request to its answer."""
         steering = self._belief.steering
         if steering is None:
-            self._refuse_unrouted(inbound, 'starting')
+            self._reporter.unrouted(inbound, 'starting', -1)
             return refusals.starting(inbound.request_id)
         route = steering.find_route(inbound.host, inbound.path)
         if route is None:
-            self._refuse_unrouted(inbound, 'no-route')
+            self._reporter.unrouted(inbound, 'no-route', steering.version)
             return refusals.no_route(inbound.request_id)
+        course = self._begin(inbound, route, steering.version)
+        try:
+            return await self._run(course)
+        finally:
+            for task in course.running:
+                task.cancel()
+            if not course.is_ended:
+                self._reporter.caller_left(course.trail)
+
+    def _begin(
+        self,
+        inbound: Inbound,
+        route: SteeredRoute,
+        version: int,
+    ) -> _Course:
         key = inbound.key or inbound.request_id
+        service = self._chooser.service_of(route, key)
         seconds = min(inbound.seconds, route.timeout)
-        course = _Course(
+        return _Course(
             inbound=inbound,
             route=route,
-            service=self._chooser.service_of(route, key),
+            service=service,
             key=key,
             until=inbound.received_at + seconds - ANSWER_SECONDS,
+            trail=Trail(inbound, route, version, service),
         )
-        try:
-            return await self._run(course)
-        finally:
-            for task in course.running:
-                task.cancel()
 
     async def _run(self, course: _Course) -> Reply:
         reply = self._send_next(course)
@@ -142,7 +151,8 @@
             if done:
                 reply = self._settle(course, done)
             elif time.monotonic() >= course.until:
-                reply = self._time_is_up(course)
+                # What is running may have run: the answer promises nothing.
+                reply = self._end(course, 'time-is-up', refusals.too_late)
             else:
                 self._hedge(course)
         return reply
@@ -187,7 +197,7 @@
                 case Delivered() as delivered:
                     return self._deliver(course, placement, delivered)
                 case NotSent():
-                    course.unreachable += 1
+                    course.trail.unreachable += 1
                     course.sends -= 1
                     reason = ResendReason.unreachable
                 case TurnedAway():
@@ -205,7 +215,7 @@
     ) -> Reply | None:
         if course.may_have_run and not course.route.is_repeatable:
             return self._give_up(course)
-        if course.unreachable > MOST_UNREACHABLE:
+        if course.trail.unreachable > MOST_UNREACHABLE:
             return self._give_up(course)
         if course.sends >= course.route.most_attempts:
             return self._give_up(course)
@@ -230,12 +240,14 @@
     def _place(self, course: _Course) -> Placement | None:
         share = FULL_QUEUE_SHARE - PRIORITY_STEP * course.route.priority
         return self._chooser.choose(
-            course.route,
-            course.service,
-            course.key,
-            len(course.inbound.body),
-            frozenset(course.tried),
-            max(share, LEAST_QUEUE_SHARE),
+            Ask(
+                route=course.route,
+                service=course.service,
+                key=course.key,
+                body_bytes=len(course.inbound.body),
+                queue_share=max(share, LEAST_QUEUE_SHARE),
+                tried=frozenset(course.trail.upstreams),
+            ),
         )
 
     def _start(
@@ -247,16 +259,10 @@
         if course.sends == 0 and reason is None:
             self._budget(course).note_first(time.monotonic())
         if reason is not None:
-            self._metrics.retries.add(reason, course.route.name)
-            log_event(
-                'request-resent',
-                request=course.inbound.request_id,
-                reason=reason,
-                upstream=placement.upstream.name,
-                sends=course.sends,
-            )
+            self._reporter.sent_again(course.trail, reason, placement)
         course.sends += 1
-        course.tried.add(placement.upstream.name)
+        course.trail.sends += 1
+        course.trail.upstreams.append(placement.upstream.name)
         task = asyncio.ensure_future(
             self._sender.send(
                 course.inbound,
@@ -271,10 +277,7 @@
         own = host_limit(self._limit, self._chooser.view.known)
         taken = self._budget(course).take(own, time.monotonic())
         if not taken:
-            self._metrics.retries_withheld.add(
-                'budget-spent',
-                course.route.name,
-            )
+            self._reporter.withheld(course.trail, 'budget-spent')
         return taken
 
     def _budget(self, course: _Course) -> ResendBudget:
@@ -329,11 +332,19 @@
     ) -> None:
         candidate = placement.choice.candidate
         own = max(seconds - candidate.round_trip, 0.001)
-        if candidate.load < candidate.slots and candidate.rank == 0:
+        now = time.monotonic()
+        upstream = placement.upstream
+        was_warm = upstream.warm.has(course.key, now)
+        upstream.warm.note(course.key, now)
+        if not was_warm and course.route.is_sticky:
+            # A first run on a key tells of the key, not of the upstream.
+            upstream.note_answer()
+            return
+        if candidate.load < candidate.slots:
             self._chooser.work_of(course.route).note(own)
         expected = max(placement.choice.seconds, 0.01)
         ratio = candidate.slowness * seconds / expected
-        placement.upstream.note_success(ratio, time.monotonic())
+        upstream.note_success(ratio, now)
 
     def _deliver(
         self,
@@ -341,19 +352,8 @@
         placement: Placement,
         delivered: Delivered,
     ) -> Reply:
-        self._metrics.requests.add(course.route.name)
-        log_event(
-            'request-answered',
-            request=course.inbound.request_id,
-            route=course.route.name,
-            status=delivered.answer.status,
-            upstream=placement.upstream.name,
-            rank=placement.choice.candidate.rank,
-            load=round(placement.choice.candidate.load, 1),
-            expected=round(placement.choice.seconds, 3),
-            seconds=round(delivered.seconds, 3),
-            sends=course.sends,
-        )
+        course.is_ended = True
+        self._reporter.answered(course.trail, placement, delivered)
         answer = delivered.answer
         return Reply(
             answer.status,
@@ -362,43 +362,25 @@
             answer.body,
         )
 
-    def _time_is_up(self, course: _Course) -> Reply:
-        # What is running may have run: the answer promises nothing.
-        self._note_refusal(course, 'time-is-up')
-        return refusals.too_late(course.inbound.request_id)
-
     def _give_up(self, course: _Course) -> Reply:
-        request_id = course.inbound.request_id
         if course.may_have_run:
-            self._note_refusal(course, 'outcome-unknown')
-            return refusals.outcome_unknown(request_id)
-        if course.unreachable:
-            self._note_refusal(course, 'no-upstream')
-            return refusals.no_upstream(request_id, RETURN_SECONDS)
-        self._note_refusal(course, 'overloaded')
-        return refusals.overloaded(request_id, ROOM_SECONDS)
-
-    def _note_refusal(self, course: _Course, kind: str) -> None:
-        self._metrics.refusals.add(kind, course.route.name)
-        log_event(
-            'request-refused',
-            request=course.inbound.request_id,
-            kind=kind,
-            route=course.route.name,
-            service=course.service,
-            sends=course.sends,
-            unreachable=course.unreachable,
-            known=len(self._belief.catalog.of_service(course.service)),
-            left=round(course.until - time.monotonic(), 3),
-        )
+            return self._end(
+                course,
+                'outcome-unknown',
+                refusals.outcome_unknown,
+            )
+        if course.trail.unreachable:
+            return self._end(course, 'no-upstream', refusals.no_upstream)
+        return self._end(course, 'overloaded', refusals.overloaded)
 
-    def _refuse_unrouted(self, inbound: Inbound, kind: str) -> None:
-        self._metrics.refusals.add(kind, '')
-        log_event(
-            'request-refused',
-            request=inbound.request_id,
-            kind=kind,
-            version=self._belief.versions.configuration,
-            host=inbound.host,
-            path=inbound.path,
-        )
+    def _end(
+        self,
+        course: _Course,
+        kind: str,
+        make: Callable[[str], Reply],
+    ) -> Reply:
+        course.is_ended = True
+        known = len(self._belief.catalog.of_service(course.service))
+        left = course.until - time.monotonic()
+        self._reporter.refused(course.trail, kind, known, left)
+        return make(course.inbound.request_id)
--- /dev/null
+++ b/src/wardstair/gateway/gauges.py
@@ -0,0 +1,101 @@
+"""Gauges of a gateway: what it believes, how old that is, what it is doing.
+
+They are read when metrics are scraped and cost nothing between.
+"""
+
+import time
+from collections import Counter
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from wardstair.gateway.host import GatewayHost
+
+Row = tuple[float, dict[str, str]]
+
+
+def add_gauges(host: 'GatewayHost') -> None:
+    """Add the gauges of a gateway to its metrics."""
+    metrics = host.metrics
+    belief = host.belief
+    metrics.add_gauge(
+        'wardstair_configuration_version',
+        'Version of the configuration in force; -1 for none',
+        lambda: [(float(belief.versions.configuration), {})],
+    )
+    metrics.add_gauge(
+        'wardstair_configuration_age_seconds',
+        'Seconds since the version in force was adopted',
+        lambda: [(time.monotonic() - belief.adopted_at, {})],
+    )
+    metrics.add_gauge(
+        'wardstair_store_age_seconds',
+        'Seconds since the store last answered; -1 for never',
+        lambda: [(_store_age(host), {})],
+    )
+    metrics.add_gauge(
+        'wardstair_hosts_live',
+        'Entry hosts that this one hears, itself included',
+        lambda: [(float(len(host.members.live()) + 1), {})],
+    )
+    metrics.add_gauge(
+        'wardstair_sentinel',
+        'Whether this host watches the store closely',
+        lambda: [(float(host.is_sentinel), {})],
+    )
+    metrics.add_gauge(
+        'wardstair_requests_open',
+        'Requests of callers that are not answered yet',
+        lambda: [(float(host.callers.open_count), {})],
+    )
+    metrics.add_gauge(
+        'wardstair_upstreams',
+        'Upstreams by service and state',
+        lambda: _upstreams(host),
+    )
+    metrics.add_gauge(
+        'wardstair_upstream_requests',
+        'Requests of this host at upstreams, by service and state',
+        lambda: _upstreams(host, counts_requests=True),
+    )
+    metrics.add_count(
+        'wardstair_store_calls',
+        'Calls on the store',
+        lambda: [(float(host.store.calls), {})],
+    )
+    metrics.add_count(
+        'wardstair_upstream_connections_opened',
+        'Connections opened to upstreams',
+        lambda: [(float(host.pool.opened), {})],
+    )
+    metrics.add_count(
+        'wardstair_state_fetches',
+        'Fetches of state from other entry hosts',
+        lambda: [(float(host.exchange.fetches), {})],
+    )
+    metrics.add_count(
+        'wardstair_directory_answers',
+        'Look-ups answered',
+        lambda: [(float(host.directory.answered), {})],
+    )
+
+
+def _store_age(host: 'GatewayHost') -> float:
+    heard_at = host.contact.heard_at
+    return -1.0 if heard_at is None else time.monotonic() - heard_at
+
+
+def _upstreams(
+    host: 'GatewayHost',
+    *,
+    counts_requests: bool = False,
+) -> list[Row]:
+    now = time.monotonic()
+    counts: Counter[tuple[str, str]] = Counter()
+    for upstream in host.belief.catalog.upstreams.values():
+        state = upstream.state_now(now)
+        amount = upstream.own if counts_requests else 1
+        counts[upstream.entry.service, state] += amount
+    return [
+        (float(count), {'service': service, 'state': state})
+        for (service, state), count in counts.items()
+    ]
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -11,17 +11,23 @@
 from wardstair.connection.pool import UpstreamPool
 from wardstair.decisions.cold import HostView
 from wardstair.decisions.resends import ResendLimit
+from wardstair.decisions.sentinels import Watcher, choose_sentinels
 from wardstair.fleet.beats import PeerName
 from wardstair.fleet.members import Members
 from wardstair.fleet.radio import Radio
 from wardstair.gateway.callers import CallerListener
-from wardstair.gateway.choosing import Chooser, Distances
-from wardstair.gateway.directory import (
+from wardstair.gateway.choosing import Chooser
+from wardstair.gateway.distances import Distances
+from wardstair.gateway.endpoints import (
     Directory,
     lookup_application,
+    metrics_application,
     ready_application,
+    state_application,
 )
 from wardstair.gateway.forwarding import Forwarder
+from wardstair.gateway.gauges import add_gauges
+from wardstair.gateway.reporting import Reporter
 from wardstair.gateway.sending import Sender
 from wardstair.gateway.settings import GatewaySettings, Listener
 from wardstair.platform.store import Store
@@ -31,6 +37,7 @@
 from wardstair.state.belief import Belief
 from wardstair.state.catalog import Catalog
 from wardstair.state.contact import StoreContact
+from wardstair.state.exchange import StateExchange
 from wardstair.state.registration import Registration
 from wardstair.state.sync import StoreSync
 
@@ -45,11 +52,11 @@
 # A caller may rest on a connection for up to the configured time.
 IDLE_FACTOR = 1.3
 # Left of the grace period when the process ends by itself.
-GRACE_LEFT_SECONDS = 0.7
-# A stopping host serves on for at least this long: callers keep look-ups for
-# two seconds, and connect on them meanwhile.
-LINGER_SECONDS = 3.0
-_STOP_CHECK_SECONDS = 0.1
+GRACE_LEFT_SECONDS = 0.25
+# A stopping host takes new callers for this long: most keep look-ups for two
+# seconds, and connect on them meanwhile. Those that keep them for longer are
+# refused the connection and go to another address.
+LINGER_SECONDS = 2.5
 
 
 class GatewayHost:
@@ -86,7 +93,20 @@
             lambda: self.contact.is_held,
             random,
         )
-        self.sync = StoreSync(self.store, self.contact, self.belief)
+        self.sync = StoreSync(
+            self.store,
+            self.contact,
+            self.belief,
+            lambda: self.is_sentinel,
+        )
+        self.exchange = StateExchange(
+            self.belief,
+            self.contact,
+            settings.fleet_ports[0],
+            lambda: self.is_sentinel,
+        )
+        self.radio.on_beat = self.exchange.on_beat
+        self.sync.on_news = self.radio.send_beats
         self.registration = Registration(
             self.store,
             self.contact,
@@ -106,27 +126,49 @@
                 bounds.retry_extra,
                 bounds.retry_window,
             ),
-            self.metrics,
+            Reporter(self.metrics),
         )
         self.directory = Directory(settings, own, self.members)
         self.callers = CallerListener(self.forwarder.serve)
+        add_gauges(self)
         self._supervisor = Supervisor(self.metrics.task_failures.add)
         self._servers: list[HTTPServer] = []
         self._caller_server = HTTPServer(self.callers)
         self._is_stopping = False
+        self._is_closed = False
 
     @property
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
         return self.belief.steering is not None and not self._is_stopping
 
+    @property
+    def is_sentinel(self) -> bool:
+        """Whether this host watches the store closely for the others."""
+        own = Watcher(self.settings.name, self.settings.zone)
+        hosts = [
+            Watcher(one.peer.name, one.peer.zone)
+            for one in self.members.live()
+            if one.hears_store and not one.is_leaving
+        ]
+        if self.contact.is_held and not self._is_stopping:
+            hosts.append(own)
+        chosen = choose_sentinels(hosts, self.settings.zones)
+        # Without any, everyone has to look for itself.
+        return not chosen or own.name in chosen
+
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
         settings = self.settings
         self._listen(self._caller_server, settings.callers)
         self._serve(ready_application(lambda: self.is_ready), settings.ready)
         self._serve(lookup_application(self.directory), settings.lookups)
+        self._serve(metrics_application(self.metrics.render), settings.metrics)
         await self.radio.start(settings.address)
+        self._serve(
+            state_application(self.exchange),
+            Listener(settings.address, settings.fleet_ports[0]),
+        )
         seeds = tuple(seed.rpartition(':')[0] for seed in settings.seeds)
         spawn = self._supervisor.spawn
         spawn('configuration', self.sync.configuration.run)
@@ -154,24 +196,27 @@
         self.directory.is_leaving = True
         self.radio.is_leaving = True
         self.radio.send_beats()
-        log_event('host-stopping', open=len(self.callers.open_requests))
+        log_event('host-stopping', open=self.callers.open_count)
+        await asyncio.sleep(LINGER_SECONDS)
+        self._caller_server.stop()
+        self.callers.close_resting()
         end = began + self.settings.bounds.grace_seconds - GRACE_LEFT_SECONDS
-        while self._clock() < end:
-            lingered = self._clock() - began >= LINGER_SECONDS
-            if lingered and not self.callers.open_requests:
-                break
-            await asyncio.sleep(_STOP_CHECK_SECONDS)
-        log_event('host-stopped', cut=len(self.callers.open_requests))
+        await self.callers.wait_idle(end - self._clock())
+        log_event('host-stopped', cut=self.callers.open_count)
         await self.close()
 
     async def close(self) -> None:
         """End the tasks and close all sockets at once."""
+        if self._is_closed:
+            return
+        self._is_closed = True
         await self._supervisor.stop()
         for server in (self._caller_server, *self._servers):
             server.stop()
             await server.close_all_connections()
         self.radio.stop()
         self.pool.close()
+        self.exchange.close()
         self.store.close()
 
     def _serve(self, application: Application, listener: Listener) -> None:
--- a/src/wardstair/gateway/refusals.py
+++ b/src/wardstair/gateway/refusals.py
@@ -21,6 +21,10 @@
 }
 # A host that has just started knows a configuration within about this time.
 STARTING_RETRY_SECONDS = 0.5
+# When an upstream that is full should have room again: some two answers.
+ROOM_SECONDS = 0.4
+# When one that cannot be reached may be back.
+RETURN_SECONDS = 1.0
 
 
 def no_request_id() -> Reply:
@@ -54,35 +58,25 @@
     )
 
 
-def overloaded(request_id: str, retry_after: float) -> Reply:
-    """Refuse a request that has not run, for lack of room.
-
-    Args:
-        request_id: The request.
-        retry_after: Seconds after which there should be room.
-    """
+def overloaded(request_id: str) -> Reply:
+    """Refuse a request that has not run, for lack of room."""
     return _reply(
         503,
         request_id,
         RefusalKind.overloaded,
         'no upstream has room; come back after the stated seconds',
-        retry_after=retry_after,
+        retry_after=ROOM_SECONDS,
     )
 
 
-def no_upstream(request_id: str, retry_after: float) -> Reply:
-    """Refuse a request that has not run, since nothing can serve it now.
-
-    Args:
-        request_id: The request.
-        retry_after: Seconds after which an upstream may be back.
-    """
+def no_upstream(request_id: str) -> Reply:
+    """Refuse a request that has not run, since nothing can serve it now."""
     return _reply(
         503,
         request_id,
         RefusalKind.no_upstream,
         'no upstream can be reached; come back after the stated seconds',
-        retry_after=retry_after,
+        retry_after=RETURN_SECONDS,
     )
 
 
--- /dev/null
+++ b/src/wardstair/gateway/reporting.py
@@ -0,0 +1,230 @@
+"""Tells of each request: log lines, counters and latencies.
+
+Good requests answered in time are thinned when there are many: a line for one
+in so many, chosen by the request's id, so that all hosts keep the same ones.
+Refused, failed, late and repeated ones are told each, up to a bound a second.
+"""
+
+import time
+from dataclasses import dataclass, field
+
+from wardstair.decisions.ranking import unit_hash
+from wardstair.gateway.choosing import Placement
+from wardstair.gateway.messages import Inbound
+from wardstair.gateway.sending import Delivered
+from wardstair.process.log import log_event
+from wardstair.process.metrics import Metrics
+from wardstair.version.steering import SteeredRoute
+
+# Good requests a second on one host up to which each gets a line.
+GOOD_LINES_A_SECOND = 10
+# Lines a second for everything else; more are only counted.
+OTHER_LINES_A_SECOND = 200
+
+
+@dataclass(slots=True)
+class LinePace:
+    """Counts lines by the second and says which part is to be kept."""
+
+    most: int
+    _second: int = 0
+    _count: int = 0
+    _last: int = 0
+
+    def keeps(self, name: str, now: float) -> bool:
+        """Return whether the line of a request is written.
+
+        Args:
+            name: The request's id.
+            now: Monotonic time in seconds.
+        """
+        second = int(now)
+        if second != self._second:
+            self._last = self._count if second == self._second + 1 else 0
+            self._second = second
+            self._count = 0
+        self._count += 1
+        if self._count > self.most * 2:
+            return False
+        if self._last <= self.most:
+            return True
+        return unit_hash(name) < self.most / self._last
+
+
+@dataclass(slots=True)
+class Trail:
+    """What is told of a request beside its end.
+
+    Attributes:
+        inbound: The request.
+        route: Its route.
+        version: Version of the configuration that it was routed by.
+        service: The service chosen for it.
+        sends: Upstreams it was sent to.
+        unreachable: Upstreams that no connection came up to.
+        upstreams: Names of those upstreams, in order.
+    """
+
+    inbound: Inbound
+    route: SteeredRoute
+    version: int
+    service: str
+    sends: int = 0
+    unreachable: int = 0
+    upstreams: list[str] = field(default_factory=list)
+
+
+class Reporter:
+    """Tells of requests; one a process."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        """Prepare.
+
+        Args:
+            metrics: Where counts and latencies go.
+        """
+        self._metrics = metrics
+        self._good = LinePace(GOOD_LINES_A_SECOND)
+        self._other = LinePace(OTHER_LINES_A_SECOND)
+
+    def answered(
+        self,
+        trail: Trail,
+        placement: Placement,
+        delivered: Delivered,
+    ) -> None:
+        """Tell of a request that an upstream answered."""
+        now = time.monotonic()
+        took = now - trail.inbound.received_at
+        status = delivered.answer.status
+        is_late = took > trail.route.objective
+        is_good = status < 400 and not is_late and trail.sends == 1
+        self._metrics.requests.add(trail.route.name)
+        self._metrics.observe_request(trail.route.name, took)
+        self._metrics.observe_upstream(trail.service, delivered.seconds)
+        pace = self._good if is_good else self._other
+        if not pace.keeps(trail.inbound.request_id, now):
+            self._metrics.lines_thinned.add('request-answered')
+            return
+        candidate = placement.choice.candidate
+        log_event(
+            'request-answered',
+            request=trail.inbound.request_id,
+            route=trail.route.name,
+            version=trail.version,
+            status=status,
+            late=is_late,
+            seconds=round(took, 3),
+            upstream=placement.upstream.name,
+            upstream_seconds=round(delivered.seconds, 3),
+            expected=round(placement.choice.seconds, 3),
+            rank=candidate.rank,
+            warm=candidate.is_warm,
+            load=round(candidate.load, 1),
+            load_age=_age(now, placement.upstream.told_at),
+            slots=candidate.slots,
+            slowness=round(candidate.slowness, 2),
+            sends=trail.sends,
+        )
+
+    def sent_again(
+        self,
+        trail: Trail,
+        reason: str,
+        placement: Placement,
+    ) -> None:
+        """Tell of a request that goes to another upstream."""
+        self._metrics.retries.add(reason, trail.route.name)
+        if not self._keeps_other(trail):
+            return
+        log_event(
+            'request-resent',
+            request=trail.inbound.request_id,
+            reason=reason,
+            before=','.join(trail.upstreams),
+            upstream=placement.upstream.name,
+            sends=trail.sends,
+        )
+
+    def withheld(self, trail: Trail, verdict: str) -> None:
+        """Tell of a second send that was not made."""
+        self._metrics.retries_withheld.add(verdict, trail.route.name)
+        if not self._keeps_other(trail):
+            return
+        log_event(
+            'resend-withheld',
+            request=trail.inbound.request_id,
+            reason=verdict,
+            sends=trail.sends,
+        )
+
+    def refused(self, trail: Trail, kind: str, known: int, left: float) -> None:
+        """Tell of a request that this host ends by itself.
+
+        Args:
+            trail: The request.
+            kind: Why.
+            known: Upstreams of its service that take work.
+            left: Seconds that it had left.
+        """
+        now = time.monotonic()
+        took = now - trail.inbound.received_at
+        self._metrics.refusals.add(kind, trail.route.name)
+        self._metrics.observe_request(trail.route.name, took)
+        if not self._keeps_other(trail):
+            return
+        log_event(
+            'request-refused',
+            request=trail.inbound.request_id,
+            reason=kind,
+            route=trail.route.name,
+            version=trail.version,
+            service=trail.service,
+            sends=trail.sends,
+            unreachable=trail.unreachable,
+            upstreams=','.join(trail.upstreams),
+            known=known,
+            seconds=round(took, 3),
+            left=round(left, 3),
+        )
+
+    def unrouted(self, inbound: Inbound, kind: str, version: int) -> None:
+        """Tell of a request that no route was found for."""
+        self._metrics.refusals.add(kind, '')
+        if not self._other.keeps(inbound.request_id, time.monotonic()):
+            self._metrics.lines_thinned.add('request-unrouted')
+            return
+        log_event(
+            'request-unrouted',
+            request=inbound.request_id,
+            reason=kind,
+            version=version,
+            host=inbound.host,
+            path=inbound.path,
+        )
+
+    def caller_left(self, trail: Trail) -> None:
+        """Tell of a request whose caller left before its answer."""
+        self._metrics.refusals.add('caller-left', trail.route.name)
+        if not self._keeps_other(trail):
+            return
+        log_event(
+            'caller-left',
+            request=trail.inbound.request_id,
+            route=trail.route.name,
+            upstreams=','.join(trail.upstreams),
+            seconds=round(time.monotonic() - trail.inbound.received_at, 3),
+        )
+
+    def _keeps_other(self, trail: Trail) -> bool:
+        now = time.monotonic()
+        if self._other.keeps(trail.inbound.request_id, now):
+            return True
+        self._metrics.lines_thinned.add('other')
+        return False
+
+
+def _age(now: float, told_at: float) -> float | None:
+    """Return the age of a load report in seconds, None if there is none."""
+    age = now - told_at
+    return round(age, 3) if age < float('inf') else None
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -12,7 +12,8 @@
     RawAnswer,
     UpstreamConnection,
 )
-from wardstair.gateway.choosing import Distances, Placement
+from wardstair.gateway.choosing import Placement
+from wardstair.gateway.distances import Distances
 from wardstair.gateway.messages import Inbound
 from wardstair.platform.headers import (
     UpstreamFields,
--- a/src/wardstair/gateway/settings.py
+++ b/src/wardstair/gateway/settings.py
@@ -60,8 +60,9 @@
         zones: Region of each zone.
         callers: Listener for callers' requests.
         ready: Listener for readiness checks.
-        control: Listener for the fleet's first contact and metrics.
+        control: Listener whose address other hosts have as a seed.
         lookups: Listener for look-ups.
+        metrics: Listener for scrapes of metrics.
         fleet_ports: First and last port for talk between entry hosts.
         seeds: Addresses (`ip:port`) of entry hosts to ask first.
         store: Address (`ip:port`) of the platform's store.
@@ -78,6 +79,7 @@
     ready: Listener
     control: Listener
     lookups: Listener
+    metrics: Listener
     fleet_ports: tuple[int, int]
     seeds: tuple[str, ...]
     store: str
--- a/src/wardstair/platform/settings.py
+++ b/src/wardstair/platform/settings.py
@@ -26,6 +26,7 @@
     ready: str
     control: str
     lookups: str
+    metrics: str
 
 
 class _Limits(_Model):
@@ -71,6 +72,7 @@
         ready=_listener(parsed.listen.ready),
         control=_listener(parsed.listen.control),
         lookups=_listener(parsed.listen.lookups),
+        metrics=_listener(parsed.listen.metrics),
         fleet_ports=parsed.fleet_ports,
         seeds=parsed.seeds,
         store=parsed.store,
--- a/src/wardstair/platform/store.py
+++ b/src/wardstair/platform/store.py
@@ -12,9 +12,9 @@
 import pycurl
 from pydantic import BaseModel, ConfigDict, ValidationError
 from result import Err, Ok, Result
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
+from wardstair.connection.client import close_client, make_client
 from wardstair.errors import (
     ObjectMissing,
     PlatformError,
@@ -31,7 +31,10 @@
 WATCH_SLACK_SECONDS = 1.5
 CONNECT_SECONDS = 1.0
 _MILLISECONDS = 1000
-_MANY_TRANSFERS = 16
+# Watches that were dropped go on until they time out.
+_MANY_TRANSFERS = 24
+# The store hands out at most about a megabyte in one answer.
+_ANSWER_BYTES = 4194304
 
 
 class _Model(BaseModel):
@@ -100,14 +103,11 @@
         """
         self.calls = 0
         self._address = address
-        self._client = CurlAsyncHTTPClient(
-            force_instance=True,
-            max_clients=_MANY_TRANSFERS,
-        )
+        self._client = make_client(_MANY_TRANSFERS, _ANSWER_BYTES)
 
     def close(self) -> None:
         """Drop all connections."""
-        self._client.close()
+        close_client(self._client)
 
     async def list_kind(self, kind: str) -> Result[Listing, PlatformError]:
         """List all objects of a kind, page by page."""
--- a/src/wardstair/process/log.py
+++ b/src/wardstair/process/log.py
@@ -4,6 +4,8 @@
 
 from loguru import logger
 
+from wardstair.process.sink import LineSink
+
 _QUOTED = frozenset(' "=\n')
 
 
@@ -17,6 +19,28 @@
     )
 
 
+def log_to_output(level: str = 'INFO') -> LineSink:
+    """Send events to standard output, one line each, without waiting for it.
+
+    Args:
+        level: Least severity that is written.
+
+    Returns:
+        The sink, whose counts go into the metrics.
+    """
+    sink = LineSink(sys.stdout.fileno())
+    logger.remove()
+    logger.add(
+        sink.write,
+        level=level,
+        format='time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} {message}',
+        # Both would add cost to each line for traces that no line has.
+        backtrace=False,
+        catch=False,
+    )
+    return sink
+
+
 def log_event(event: str, **fields: object) -> None:
     """Log one event.
 
--- a/src/wardstair/process/metrics.py
+++ b/src/wardstair/process/metrics.py
@@ -10,8 +10,10 @@
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
-from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client import CollectorRegistry, Histogram, generate_latest
 
+# Seconds; from an answer of a warm upstream nearby to the longest deadline.
+LATENCY_BUCKETS = (0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 1.5, 2.0, 4.0, 8.0)
 Rows = Callable[[], Iterable[tuple[float, dict[str, str]]]]
 
 
@@ -98,12 +100,51 @@
             'Tasks of this host that failed and began again',
             'task',
         )
+        self.lines_thinned = self._tally(
+            'log_lines_thinned',
+            'Log lines of requests that were left out',
+            'event',
+        )
+        # These two are of the Prometheus client itself: a histogram of
+        # OpenTelemetry takes some 40 us a value, this one 2.
+        self._request_seconds = Histogram(
+            'wardstair_gateway_request_seconds',
+            'Seconds from the head of a request to its answer',
+            ['route'],
+            buckets=LATENCY_BUCKETS,
+            registry=self._registry,
+        )
+        self._upstream_seconds = Histogram(
+            'wardstair_gateway_upstream_seconds',
+            'Seconds from sending a request to the whole answer',
+            ['service'],
+            buckets=LATENCY_BUCKETS,
+            registry=self._registry,
+        )
         self.latency = meter.create_histogram(
             'wardstair_request_seconds',
             unit='s',
             description='Seconds from request to whole answer, by workload',
         )
 
+    def observe_request(self, route: str, seconds: float) -> None:
+        """Note how long a request took from its head to its answer.
+
+        Args:
+            route: Its route.
+            seconds: The time.
+        """
+        self._request_seconds.labels(route).observe(seconds)
+
+    def observe_upstream(self, service: str, seconds: float) -> None:
+        """Note how long an upstream took from the send to its answer.
+
+        Args:
+            service: The upstream's service.
+            seconds: The time.
+        """
+        self._upstream_seconds.labels(service).observe(seconds)
+
     def add_gauge(self, name: str, description: str, rows: Rows) -> None:
         """Add a gauge that is read when it is scraped.
 
--- a/src/wardstair/state/belief.py
+++ b/src/wardstair/state/belief.py
@@ -96,8 +96,8 @@
         zones: Iterable[str],
         revision: int,
         source: str,
-    ) -> None:
-        """Take in the zones that get nothing.
+    ) -> bool:
+        """Take in the zones that get nothing; return whether that is news.
 
         Args:
             zones: All of them.
@@ -105,12 +105,14 @@
             source: Where it came from, for the log.
         """
         if revision < self.evacuations_revision:
-            return
-        self.evacuations_revision = revision
+            return False
         now_evacuated = frozenset(zones)
         ended = self.evacuated - now_evacuated
-        if now_evacuated == self.evacuated:
-            return
+        if now_evacuated == self.evacuated and self.evacuations_revision:
+            # The revision stays that of the change, so that hosts which read
+            # the same set at different times tell the same.
+            return False
+        self.evacuations_revision = revision
         self.evacuated = now_evacuated
         self.catalog.generation += 1
         for zone in ended:
@@ -124,6 +126,7 @@
             revision=revision,
             source=source,
         )
+        return True
 
     def _cold_seconds(self, service: str) -> float:
         if self.steering is None:
--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from wardstair.decisions.warmth import WarmKeys
 from wardstair.process.log import log_event
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
 
@@ -44,6 +45,7 @@
         slowness_at: When that was last measured.
         running: Start and expected seconds of this host's requests at it, in
             the order they were sent.
+        warm: Keys that it has answered lately.
         has_ended: Whether another upstream answered at its address; its
             entry may stay for a while and does not bring it back.
     """
@@ -59,6 +61,7 @@
     failures: int = 0
     slowness_at: float = 0.0
     running: dict[int, tuple[float, float]] = field(default_factory=dict)
+    warm: WarmKeys = field(default_factory=WarmKeys)
     has_ended: bool = False
 
     @property
@@ -81,6 +84,16 @@
         """Return whether it bears only a bounded rate now."""
         return now < self.cold_until
 
+    def state_now(self, now: float) -> str:
+        """Return its state in one word, for people and metrics."""
+        if self.gone_at is not None:
+            return 'gone'
+        if self.entry.phase is UpstreamPhase.draining:
+            return 'draining'
+        if self.is_cold(now):
+            return 'cold'
+        return 'avoided' if now < self.distrusted_until else 'ready'
+
     def load(self, now: float) -> float:
         """Return the requests that are probably at it now, of all hosts."""
         age = now - self.told_at
@@ -108,6 +121,11 @@
         waiting = self._waiting_ratio(now)
         return max(faded, waiting, LEAST_SLOWNESS)
 
+    def note_answer(self) -> None:
+        """Take in an answer whose time tells nothing."""
+        self.failures = 0
+        self.distrusted_until = 0.0
+
     def note_success(self, ratio: float, now: float) -> None:
         """Take in an answer.
 
@@ -115,8 +133,7 @@
             ratio: Its time beside the time that was expected.
             now: Monotonic time in seconds.
         """
-        self.failures = 0
-        self.distrusted_until = 0.0
+        self.note_answer()
         self.slowness += LATENCY_SHARE * (ratio - self.slowness)
         self.slowness_at = now
 
@@ -263,12 +280,13 @@
         now = self.clock()
         self._missing.pop(entry.name, None)
         known = self.upstreams.get(entry.name)
+        is_new = known is None
         if known is None:
             known = Upstream(entry)
             self.upstreams[entry.name] = known
         if not known.has_ended:
             known.gone_at = None
-        if known.entry.phase is not entry.phase or not known.cold_until:
+        if is_new or known.entry.phase is not entry.phase:
             log_event(
                 'upstream-changed',
                 upstream=entry.name,
--- a/src/wardstair/state/contact.py
+++ b/src/wardstair/state/contact.py
@@ -64,7 +64,7 @@
         """Note that the store answered."""
         self.heard_at = self._clock()
         self._failures = 0
-        self._release()
+        self.pass_turn()
         if self.is_lost:
             self.is_lost = False
             self._back_at = self._clock()
@@ -78,7 +78,7 @@
     def note_failure(self, reason: str) -> None:
         """Note that the store did not answer as it should."""
         self._failures += 1
-        self._release()
+        self.pass_turn()
         if not self.is_lost:
             self.is_lost = True
             self._lost_at = self._clock()
@@ -94,7 +94,8 @@
             self._changed.clear()
             await self._changed.wait()
 
-    def _release(self) -> None:
+    def pass_turn(self) -> None:
+        """Let another task ask, since this one has ended."""
         self._is_asked = False
         self._changed.set()
 
--- /dev/null
+++ b/src/wardstair/state/exchange.py
@@ -0,0 +1,192 @@
+"""Gives other entry hosts what they miss, and asks them for what is missed.
+
+A host that cannot reach the store, or whose watch says nothing, learns from
+the heartbeats that another is ahead, and fetches the parts it lacks.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+from tornado.httpclient import HTTPRequest
+
+from wardstair.connection.client import close_client, make_client
+from wardstair.fleet.beats import Beat, Versions
+from wardstair.fleet.sharing import (
+    SharedConfiguration,
+    SharedEvacuations,
+    SharedState,
+    SharedUpstreams,
+    decode_state,
+    encode_state,
+    encode_versions,
+)
+from wardstair.platform.objects import (
+    CONFIGURATION_NAME,
+    Metadata,
+    StoredObject,
+)
+from wardstair.process.log import log_event, log_warning
+from wardstair.state.belief import Belief
+from wardstair.state.contact import StoreContact
+
+STATE_PATH = '/v1/state'
+# How long this host's own watch may take to bring what another has already.
+GRACE_SECONDS = 0.15
+FETCH_SECONDS = 1.0
+CONNECT_SECONDS = 0.4
+_MANY_FETCHES = 4
+# A configuration is at most a megabyte, 1,000 upstreams are a tenth of one.
+_STATE_BYTES = 4194304
+
+
+class StateExchange:
+    """State between entry hosts; one a process."""
+
+    def __init__(
+        self,
+        belief: Belief,
+        contact: StoreContact,
+        port: int,
+        follows_upstreams: Callable[[], bool],
+    ) -> None:
+        """Prepare without a connection.
+
+        Args:
+            belief: What this host holds to be true.
+            contact: Contact with the store.
+            port: Port of all hosts for state.
+            follows_upstreams: Whether this host itself follows the
+                upstreams in the store.
+        """
+        self.fetches = 0
+        self._belief = belief
+        self._contact = contact
+        self._port = port
+        self._follows_upstreams = follows_upstreams
+        self._fetching: asyncio.Task[None] | None = None
+        self._client = make_client(_MANY_FETCHES, _STATE_BYTES)
+
+    def close(self) -> None:
+        """End a fetch and drop connections."""
+        if self._fetching is not None:
+            self._fetching.cancel()
+        close_client(self._client)
+
+    def answer(self, theirs: Versions) -> bytes:
+        """Return the parts in which this host is ahead of another.
+
+        Args:
+            theirs: How far the other is.
+        """
+        belief = self._belief
+        own = belief.versions
+        configuration = None
+        if own.configuration > theirs.configuration:
+            stored = belief.document
+            assert stored is not None
+            configuration = SharedConfiguration(
+                stored.metadata.revision,
+                stored.spec,
+            )
+        evacuations = None
+        if own.evacuations > theirs.evacuations:
+            evacuations = SharedEvacuations(
+                own.evacuations,
+                tuple(sorted(belief.evacuated)),
+            )
+        upstreams = None
+        if own.upstreams > theirs.upstreams:
+            upstreams = SharedUpstreams(
+                own.upstreams,
+                tuple(belief.catalog.entries()),
+            )
+        return encode_state(SharedState(configuration, evacuations, upstreams))
+
+    def on_beat(self, beat: Beat) -> None:
+        """Fetch from a host that is ahead, unless a fetch is under way."""
+        if not self._is_behind(beat.versions):
+            return
+        if self._fetching is not None and not self._fetching.done():
+            return
+        self._fetching = asyncio.ensure_future(self._catch_up(beat))
+
+    def _is_behind(self, theirs: Versions) -> bool:
+        own = self._belief.versions
+        if theirs.configuration > own.configuration:
+            return True
+        if theirs.evacuations > own.evacuations:
+            return True
+        return theirs.upstreams > own.upstreams and not self._follows_itself
+
+    @property
+    def _follows_itself(self) -> bool:
+        return self._contact.is_held and self._follows_upstreams()
+
+    async def _catch_up(self, beat: Beat) -> None:
+        if self._contact.is_held:
+            await asyncio.sleep(GRACE_SECONDS)
+            if not self._is_behind(beat.versions):
+                return
+        fetched = await self._fetch(beat.sender.address)
+        if isinstance(fetched, Err):
+            log_warning(
+                'state-not-fetched',
+                host=beat.sender.name,
+                reason=fetched.err_value,
+            )
+            return
+        self._take_in(fetched.ok_value, beat.sender.name)
+
+    async def _fetch(self, address: str) -> Result[SharedState, str]:
+        self.fetches += 1
+        own = encode_versions(self._belief.versions)
+        request = HTTPRequest(
+            f'http://{address}:{self._port}{STATE_PATH}?have={own}',
+            connect_timeout=CONNECT_SECONDS,
+            request_timeout=FETCH_SECONDS,
+            follow_redirects=False,
+        )
+        response = await self._client.fetch(request, raise_error=False)
+        if response.code != 200:
+            return Err(str(response.error))
+        state = decode_state(response.body)
+        if state is None:
+            return Err('unreadable')
+        return Ok(state)
+
+    def _take_in(self, state: SharedState, host: str) -> None:
+        source = f'host:{host}'
+        belief = self._belief
+        if state.configuration is not None:
+            stored = StoredObject(
+                metadata=Metadata(
+                    name=CONFIGURATION_NAME,
+                    revision=state.configuration.revision,
+                ),
+                spec=state.configuration.document,
+            )
+            belief.offer_configuration(stored, source)
+        if state.evacuations is not None:
+            belief.set_evacuated(
+                state.evacuations.zones,
+                state.evacuations.revision,
+                source,
+            )
+        upstreams = state.upstreams
+        if upstreams is None or self._follows_itself:
+            return
+        if upstreams.revision <= belief.catalog.revision:
+            return
+        # The other host has waited for entries that lapsed with the store.
+        belief.catalog.replace_all(
+            upstreams.entries,
+            upstreams.revision,
+            store_was_away=False,
+        )
+        log_event(
+            'upstreams-adopted',
+            revision=upstreams.revision,
+            count=len(upstreams.entries),
+            source=source,
+        )
--- a/src/wardstair/state/following.py
+++ b/src/wardstair/state/following.py
@@ -15,6 +15,21 @@
 WATCH_SECONDS = 25.0
 # A watch that only asks whether the store is back.
 ASKING_SECONDS = 0.02
+# How often a host that need not follow a kind looks whether that has changed.
+UNWANTED_SECONDS = 0.25
+# A watch younger than this is not dropped for being behind: what it should
+# tell may be on its way.
+YOUNG_SECONDS = 0.3
+
+
+def always() -> bool:
+    """Return True; the default of a plan's condition."""
+    return True
+
+
+def watch_long() -> float:
+    """Return the longest wait of a watch, in seconds."""
+    return WATCH_SECONDS
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,10 +40,29 @@
         kind: The kind of objects.
         pause: Seconds between a watch's answer and the next watch, so that
             changes close together cost one call.
+        is_wanted: Whether this host itself should follow the kind now.
+        wait: Longest wait of the next watch, in seconds.
     """
 
     kind: str
     pause: float = 0.0
+    is_wanted: Callable[[], bool] = always
+    wait: Callable[[], float] = watch_long
+
+
+@dataclass(frozen=True, slots=True)
+class FollowSinks:
+    """Where what a follower learns goes.
+
+    Attributes:
+        on_listing: Takes in a whole listing.
+        on_changes: Takes in changes.
+        on_revision: Told the store's revision with each answer.
+    """
+
+    on_listing: Callable[[Listing], None]
+    on_changes: Callable[[Changes], None]
+    on_revision: Callable[[int], None]
 
 
 class Follower:
@@ -39,8 +73,7 @@
         store: Store,
         contact: StoreContact,
         plan: FollowPlan,
-        on_listing: Callable[[Listing], None],
-        on_changes: Callable[[Changes], None],
+        sinks: FollowSinks,
     ) -> None:
         """Prepare without a call.
 
@@ -48,16 +81,35 @@
             store: The store.
             contact: Told of each success and failure.
             plan: What to follow.
-            on_listing: Takes in a whole listing.
-            on_changes: Takes in changes.
+            sinks: Where news goes.
         """
         self.revision = 0
         self._store = store
         self._contact = contact
         self._plan = plan
-        self._on_listing = on_listing
-        self._on_changes = on_changes
+        self._sinks = sinks
         self._needs_listing = True
+        self._watching_since: float | None = None
+        self._dropped = asyncio.Event()
+
+    @property
+    def has_listed(self) -> bool:
+        """Whether it has read the whole kind and can go on from there."""
+        return not self._needs_listing
+
+    def skip_to(self, revision: int) -> None:
+        """Go on from a revision up to which another host knows everything."""
+        if revision > self.revision:
+            self.revision = revision
+            self._needs_listing = False
+
+    def drop_watch(self) -> None:
+        """Renew a waiting watch, which has missed a change."""
+        since = self._watching_since
+        if since is None:
+            return
+        if asyncio.get_running_loop().time() - since >= YOUNG_SECONDS:
+            self._dropped.set()
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -65,8 +117,10 @@
             await self._contact.wait_turn()
             if self._needs_listing:
                 await self._list()
-            else:
+            elif self._plan.is_wanted():
                 await self._watch()
+            else:
+                await asyncio.sleep(UNWANTED_SECONDS)
 
     async def _list(self) -> None:
         listed = await self._store.list_kind(self._plan.kind)
@@ -76,11 +130,12 @@
         self._contact.note_success()
         self._needs_listing = False
         self.revision = listed.ok_value.revision
-        self._on_listing(listed.ok_value)
+        self._sinks.on_listing(listed.ok_value)
 
     async def _watch(self) -> None:
         watched = await self._watch_once()
         if watched is None:
+            self._contact.pass_turn()
             return
         if isinstance(watched, Err):
             self._fail(watched.err_value)
@@ -89,24 +144,30 @@
         changes = watched.ok_value
         if changes.revision > self.revision:
             self.revision = changes.revision
-            self._on_changes(changes)
+            self._sinks.on_changes(changes)
+        self._sinks.on_revision(changes.revision)
         if changes.changes and self._plan.pause:
             await asyncio.sleep(self._plan.pause)
 
     async def _watch_once(self) -> Result[Changes, PlatformError] | None:
         """Watch once; None if the watch was dropped and is to be renewed."""
         # While contact is lost the answer itself is what matters.
-        seconds = ASKING_SECONDS if self._contact.is_lost else WATCH_SECONDS
+        lost = self._contact.is_lost
+        seconds = ASKING_SECONDS if lost else self._plan.wait()
         watching = asyncio.ensure_future(
             self._store.watch_kind(self._plan.kind, self.revision, seconds),
         )
-        regained = self._contact.next_regain()
+        self._dropped.clear()
+        dropped = asyncio.ensure_future(self._dropped.wait())
+        self._watching_since = asyncio.get_running_loop().time()
         try:
             await asyncio.wait(
-                (watching, regained),
+                (watching, dropped, self._contact.next_regain()),
                 return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
+            self._watching_since = None
+            dropped.cancel()
             if not watching.done():
                 watching.cancel()
         return watching.result() if watching.done() else None
@@ -114,6 +175,8 @@
     def _fail(self, error: PlatformError) -> None:
         match error:
             case WatchForgotten():
+                # The store answered, whatever it remembers.
+                self._contact.note_success()
                 self._needs_listing = True
                 log_event(
                     'watch-forgotten',
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -1,6 +1,7 @@
 """Keeps this host's belief up to date from the platform's store."""
 
 import asyncio
+from collections.abc import Callable
 
 from result import Err
 
@@ -17,13 +18,26 @@
 from wardstair.state.belief import Belief
 from wardstair.state.contact import StoreContact
 from wardstair.state.entries import UpstreamEntry
-from wardstair.state.following import Follower, FollowPlan
+from wardstair.state.following import (
+    WATCH_SECONDS,
+    Follower,
+    FollowPlan,
+    FollowSinks,
+    always,
+)
 
 # Upstreams change one by one at a release or a start. A leaving one has to be
 # known within the drain bound (2.5 s), so half a second costs little of it.
 UPSTREAM_PAUSE_SECONDS = 0.5
 # How often contact is proved by a cheap read.
 PROOF_SECONDS = 2.0
+# How long a sentinel's watch of the evacuations waits. Its answer carries the
+# store's revision, which tells of changes that another watch has missed: a
+# watch may be cut without a word. The tightest bound, on leaving upstreams and
+# on configurations, is 2.5 s.
+SENTINEL_SECONDS = 1.0
+# How long another watch may take to bring a change that the revision tells of.
+LAG_SECONDS = 0.15
 
 
 class StoreSync:
@@ -34,6 +48,7 @@
         store: Store,
         contact: StoreContact,
         belief: Belief,
+        is_sentinel: Callable[[], bool] = always,
     ) -> None:
         """Prepare without a call.
 
@@ -41,31 +56,48 @@
             store: The store.
             contact: Contact with it.
             belief: Where news goes.
+            is_sentinel: Whether this host watches closely for the others.
         """
         self._store = store
         self._contact = contact
         self._belief = belief
+        self.on_news: Callable[[], None] = _ignore
         self._evacuated: set[str] = set()
+        self._is_sentinel = is_sentinel
+        self._checking: asyncio.Task[None] | None = None
         self.configuration = Follower(
             store,
             contact,
             FollowPlan(CONFIGURATION_KIND),
-            self._list_configuration,
-            self._change_configuration,
+            FollowSinks(
+                self._list_configuration,
+                self._change_configuration,
+                self._note_revision,
+            ),
         )
         self.evacuations = Follower(
             store,
             contact,
-            FollowPlan(EVACUATION_KIND),
-            self._list_evacuations,
-            self._change_evacuations,
+            FollowPlan(EVACUATION_KIND, wait=self._evacuation_wait),
+            FollowSinks(
+                self._list_evacuations,
+                self._change_evacuations,
+                self._note_revision,
+            ),
         )
         self.upstreams = Follower(
             store,
             contact,
-            FollowPlan(UPSTREAM_KIND, UPSTREAM_PAUSE_SECONDS),
-            self._list_upstreams,
-            self._change_upstreams,
+            FollowPlan(
+                UPSTREAM_KIND,
+                UPSTREAM_PAUSE_SECONDS,
+                is_wanted=self._wants_upstreams,
+            ),
+            FollowSinks(
+                self._list_upstreams,
+                self._change_upstreams,
+                self._note_revision,
+            ),
         )
 
     async def prove_contact(self) -> None:
@@ -87,16 +119,47 @@
                 self._contact.note_failure(f'proof of contact: {reason}')
                 continue
             self._contact.note_success()
-            self._belief.offer_configuration(read.ok_value, 'stale-read')
+            self._offer(read.ok_value, 'stale-read')
+
+    def _evacuation_wait(self) -> float:
+        return SENTINEL_SECONDS if self._is_sentinel() else WATCH_SECONDS
+
+    def _wants_upstreams(self) -> bool:
+        if not self._is_sentinel():
+            return False
+        # Others may have told more than this host's own watch did before.
+        self.upstreams.skip_to(self._belief.catalog.revision)
+        return True
+
+    def _note_revision(self, revision: int) -> None:
+        """Renew watches that have not brought what the revision tells of."""
+        behind = self._behind(revision)
+        if not behind or not self._is_sentinel():
+            return
+        if self._checking is None or self._checking.done():
+            self._checking = asyncio.ensure_future(self._check(revision))
+
+    def _behind(self, revision: int) -> list[Follower]:
+        followers = (self.configuration, self.evacuations, self.upstreams)
+        return [one for one in followers if one.revision < revision]
+
+    async def _check(self, revision: int) -> None:
+        await asyncio.sleep(LAG_SECONDS)
+        for follower in self._behind(revision):
+            follower.drop_watch()
 
     def _list_configuration(self, listing: Listing) -> None:
         for stored in listing.objects:
-            self._belief.offer_configuration(stored, 'listing')
+            self._offer(stored, 'listing')
+
+    def _offer(self, stored: StoredObject, source: str) -> None:
+        if self._belief.offer_configuration(stored, source):
+            self.on_news()
 
     def _change_configuration(self, changes: Changes) -> None:
         for change in changes.changes:
             if not change.is_deleted:
-                self._belief.offer_configuration(change.stored, 'watch')
+                self._offer(change.stored, 'watch')
 
     def _list_evacuations(self, listing: Listing) -> None:
         self._evacuated = {stored.metadata.name for stored in listing.objects}
@@ -112,7 +175,8 @@
         self._tell_evacuated(changes.revision, 'watch')
 
     def _tell_evacuated(self, revision: int, source: str) -> None:
-        self._belief.set_evacuated(self._evacuated, revision, source)
+        if self._belief.set_evacuated(self._evacuated, revision, source):
+            self.on_news()
 
     def _list_upstreams(self, listing: Listing) -> None:
         entries = _decode_all(listing.objects)
@@ -138,6 +202,12 @@
             changes.revision,
             store_was_away=self._contact.was_away_lately,
         )
+        if last:
+            self.on_news()
+
+
+def _ignore() -> None:
+    """Do nothing; the default of the callback."""
 
 
 def _decode_all(
--- /dev/null
+++ b/tests/functional/test_gateway_fleet.py
@@ -0,0 +1,242 @@
+"""Several gateways of one fleet: heartbeats, state, starts and stops."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from functools import partial
+from random import Random
+
+from lib.municipal import (
+    Caller,
+    Rig,
+    Seen,
+    StoreStandin,
+    UpstreamStandin,
+    answer_never,
+    answer_ok,
+    configuration_spec,
+    free_port,
+    gateway_settings,
+    until,
+    upstream_spec,
+)
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from wardstair.gateway.host import GatewayHost
+from wardstair.state.belief import Belief
+
+
+@asynccontextmanager
+async def fleet(
+    size: int = 2,
+    store: StoreStandin | None = None,
+) -> AsyncIterator[tuple[StoreStandin, list[GatewayHost]]]:
+    """Run gateways on addresses of their own, 127.0.0.1 and on."""
+    store = store or StoreStandin()
+    store.start()
+    store.put('config', 'main', configuration_spec(1))
+    port = free_port()
+    hosts = []
+    for number in range(1, size + 1):
+        settings = gateway_settings(
+            store.port,
+            name=f'host-{number}',
+            address=f'127.0.0.{number}',
+            fleet_port=port,
+        )
+        host = GatewayHost(settings, Random(number))
+        await host.start()
+        hosts.append(host)
+    try:
+        yield store, hosts
+    finally:
+        for host in hosts:
+            await host.close()
+        await store.stop()
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test within a bound of time."""
+
+    async def main() -> None:
+        async with asyncio.timeout(40):
+            await test()
+
+    asyncio.run(main())
+
+
+def hear_each_other(hosts: list[GatewayHost]) -> bool:
+    return all(len(host.members.live_names()) == len(hosts) for host in hosts)
+
+
+def knows(belief: Belief) -> bool:
+    is_new = belief.versions.configuration == 9
+    return is_new and belief.evacuated == {'south-a'}
+
+
+async def lookup(host: GatewayHost) -> list[str]:
+    """Return the addresses that a look-up names."""
+    client = SimpleAsyncHTTPClient(force_instance=True)
+    answer = await client.fetch(
+        f'http://{host.settings.lookups}/resolve?name=music.example'
+        '&region=north&zone=north-a',
+    )
+    client.close()
+    document = json.loads(answer.body)
+    assert 0 < document['ttl_s'] <= 5
+    return [str(address) for address in document['addresses']]
+
+
+async def readiness(host: GatewayHost) -> int:
+    """Return the status of a readiness check."""
+    client = SimpleAsyncHTTPClient(force_instance=True)
+    answer = await client.fetch(
+        f'http://{host.settings.ready}/readyz',
+        raise_error=False,
+    )
+    client.close()
+    return answer.code
+
+
+def test_hosts_find_each_other_and_are_named_in_look_ups() -> None:
+    async def test() -> None:
+        async with fleet(3) as (store, hosts):
+            await until(lambda: hear_each_other(hosts))
+            fronts = {str(host.settings.callers) for host in hosts}
+            assert set(await lookup(hosts[0])) == fronts
+            assert len(store.kind('entry-hosts').objects) == 3
+
+    run(test)
+
+
+def test_a_host_that_leaves_or_dies_is_not_named() -> None:
+    async def test() -> None:
+        async with fleet(3) as (_store, hosts):
+            await until(lambda: hear_each_other(hosts))
+            stopping = asyncio.ensure_future(hosts[1].stop())
+            own = str(hosts[1].settings.callers)
+            await until(lambda: len(hosts[0].members.live_names()) == 2)
+            assert own not in await lookup(hosts[0])
+            assert own not in await lookup(hosts[1])
+            await stopping
+            await hosts[2].close()
+            await until(lambda: len(hosts[0].members.live_names()) == 1)
+            assert await lookup(hosts[0]) == [str(hosts[0].settings.callers)]
+
+    run(test)
+
+
+def test_a_host_without_the_store_learns_from_another() -> None:
+    async def test() -> None:
+        async with fleet(2) as (store, hosts):
+            await until(lambda: hear_each_other(hosts))
+            hosts[1].store._address = '127.0.0.1:1'
+            store.cut_watches()
+            store.put('config', 'main', configuration_spec(9))
+            store.put('evacuations', 'south-a', {})
+            store.put('servers', 'i-1', upstream_spec(1))
+            belief = hosts[1].belief
+            await until(lambda: belief.versions.configuration == 9)
+            await until(lambda: belief.evacuated == {'south-a'})
+            await until(lambda: 'i-1' in belief.catalog.upstreams)
+
+    run(test)
+
+
+def test_a_watch_that_says_nothing_is_found_out() -> None:
+    async def test() -> None:
+        async with fleet(2) as (store, hosts):
+            await until(lambda: hear_each_other(hosts))
+            await until(lambda: all(host.is_ready for host in hosts))
+            # All waiting watches hang; new ones work, the history is gone.
+            store.silence_watches()
+            store.put('config', 'main', configuration_spec(9))
+            store.put('evacuations', 'south-a', {})
+            store.compact('config')
+            store.compact('evacuations')
+            for host in hosts:
+                belief = host.belief
+                await until(partial(knows, belief))
+
+    run(test)
+
+
+def test_a_host_in_contact_with_nobody_answers_that_it_is_starting() -> None:
+    async def test() -> None:
+        store = StoreStandin()
+        store.status = 503
+        async with fleet(1, store) as (_store, hosts):
+            caller = await Caller.connect_to(hosts[0].settings.callers)
+            answer = await caller.ask()
+            assert answer.status == 503
+            assert float(answer.headers['retry-after']) > 0
+            caller.close()
+            assert await readiness(hosts[0]) == 503
+            store.status = None
+            await until(lambda: hosts[0].is_ready)
+            assert await readiness(hosts[0]) == 200
+
+    run(test)
+
+
+def test_a_version_never_goes_back() -> None:
+    async def test() -> None:
+        async with fleet(1) as (store, hosts):
+            versions: list[int] = []
+            belief = hosts[0].belief
+            seen = belief.on_steering
+
+            def note() -> None:
+                versions.append(belief.versions.configuration)
+                seen()
+
+            belief.on_steering = note
+            for version in (4, 3, 7, 5, 8):
+                store.put('config', 'main', configuration_spec(version))
+            await until(lambda: belief.versions.configuration == 8)
+            assert versions == sorted(versions)
+
+    run(test)
+
+
+def test_a_stop_lets_a_request_end() -> None:
+    async def slow(
+        upstream: UpstreamStandin,
+        seen: Seen,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await release.wait()
+        await answer_ok(upstream, seen, writer)
+
+    release = asyncio.Event()
+    one = UpstreamStandin('i-1', slow)
+
+    async def test() -> None:
+        async with Rig(one) as rig:
+            caller = await Caller.connect(rig)
+            await caller.send('/order/x', 'POST', b'x')
+            await one.got_one.wait()
+            stopping = asyncio.ensure_future(rig.gateway.stop())
+            await until(lambda: not rig.gateway.is_ready)
+            release.set()
+            answer = await caller.answer()
+            assert answer.status == 200
+            assert answer.headers['connection'] == 'close'
+            await stopping
+
+    run(test)
+
+
+def test_a_stop_ends_although_a_request_does_not() -> None:
+    one = UpstreamStandin('i-1', answer_never)
+
+    async def test() -> None:
+        async with Rig(one) as rig:
+            caller = await Caller.connect(rig)
+            await caller.send('/order/x', 'POST', b'x')
+            await one.got_one.wait()
+            await rig.gateway.stop()
+            assert (await caller.answer()).status in {0, 504}
+
+    run(test)
--- a/tests/lib/municipal.py
+++ b/tests/lib/municipal.py
@@ -38,6 +38,7 @@
         self.kinds: dict[str, StoredKind] = {}
         self.calls: list[str] = []
         self.status: int | None = None
+        self.silenced = 0
         self.changed = asyncio.Event()
         self.port = 0
         self._server: HTTPServer | None = None
@@ -84,6 +85,19 @@
         self.kind(kind).forgotten_below = self.revision
         self._wake()
 
+    def silence_watches(self) -> None:
+        """Let every watch that waits now hang for good."""
+        self.silenced = len(self.calls)
+
+    def cut_watches(self) -> None:
+        """End every waiting watch with an error."""
+        self.status = 503
+        self._wake()
+        asyncio.get_running_loop().call_later(0.05, self._serve_again)
+
+    def _serve_again(self) -> None:
+        self.status = None
+
     def events(self, kind: str, after: int) -> list[Stored]:
         return [
             {'object': stored, 'deleted': deleted}
@@ -124,6 +138,7 @@
 
     async def _watch(self, kind: str, after: int) -> None:
         store = self._store
+        number = len(store.calls)
         wait = float(self.get_argument('wait_ms', '0')) / 1000
         end = asyncio.get_running_loop().time() + wait
         while not store.events(kind, after):
@@ -137,6 +152,8 @@
                 await asyncio.wait_for(changed.wait(), left)
             except TimeoutError:
                 break
+        if number <= store.silenced:
+            await asyncio.Event().wait()
         if store.status is not None:
             self.set_status(store.status)
             return
@@ -383,21 +400,23 @@
 def gateway_settings(
     store_port: int,
     name: str = 'host-1',
+    address: str = ADDRESS,
     fleet_port: int | None = None,
     bounds: Bounds | None = None,
 ) -> GatewaySettings:
     """Return settings of a gateway on loopback."""
-    ports = [free_port() for _ in range(4)]
+    ports = [free_port() for _ in range(5)]
     fleet = fleet_port or free_port()
     return GatewaySettings(
         name=name,
-        address=ADDRESS,
+        address=address,
         zone='north-a',
         zones={'north-a': 'north', 'north-b': 'north', 'south-a': 'south'},
-        callers=Listener(ADDRESS, ports[0]),
-        ready=Listener(ADDRESS, ports[1]),
-        control=Listener(ADDRESS, ports[2]),
-        lookups=Listener(ADDRESS, ports[3]),
+        callers=Listener(address, ports[0]),
+        ready=Listener(address, ports[1]),
+        control=Listener(address, ports[2]),
+        lookups=Listener(address, ports[3]),
+        metrics=Listener(address, ports[4]),
         fleet_ports=(fleet, fleet + 1),
         seeds=(),
         store=f'{ADDRESS}:{store_port}',
@@ -416,6 +435,14 @@
     body: bytes
 
 
+async def until(is_true: Callable[[], bool]) -> None:
+    """Wait for a condition; the bound only ends a test that has failed."""
+    async with asyncio.timeout(20):
+        # Conditions of many parts; none has an event of its own.
+        while not is_true():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
 class Rig:
     """A store, upstreams and one gateway, all in this process."""
 
@@ -458,11 +485,8 @@
         await self.store.stop()
 
     async def until(self, is_true: Callable[[], bool]) -> None:
-        """Wait for a condition; the test's own time-out bounds it."""
-        async with asyncio.timeout(20):
-            # Conditions of many parts; none has an event of its own.
-            while not is_true():  # noqa: ASYNC110
-                await asyncio.sleep(0.01)
+        """Wait for a condition."""
+        await until(is_true)
 
     async def ask(
         self,
@@ -493,7 +517,10 @@
 
     @classmethod
     async def connect(cls, rig: Rig) -> 'Caller':
-        listener = rig.gateway.settings.callers
+        return await cls.connect_to(rig.gateway.settings.callers)
+
+    @classmethod
+    async def connect_to(cls, listener: Listener) -> 'Caller':
         return cls(*await asyncio.open_connection(listener.host, listener.port))
 
     def close(self) -> None:
--- /dev/null
+++ b/tests/unit/test_fleet_shares.py
@@ -0,0 +1,136 @@
+"""What each host may do by itself so that the fleet keeps its bounds."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wardstair.decisions.cold import HostView, Pace, sender_rate
+from wardstair.decisions.resends import ResendBudget, ResendLimit, host_limit
+from wardstair.decisions.sentinels import Watcher, choose_sentinels
+from wardstair.decisions.split import SplitTally
+
+FLEET = ResendLimit(0.2, 64, 10)
+
+
+@given(
+    hosts=st.integers(1, 40),
+    rate=st.floats(0, 30),
+    greed=st.floats(0, 3),
+    seed=st.integers(0, 99),
+)
+def test_resends_of_all_hosts_stay_in_the_limit(
+    hosts: int,
+    rate: float,
+    greed: float,
+    seed: int,
+) -> None:
+    random = Random(seed)
+    firsts: list[float] = []
+    resends: list[float] = []
+    for _ in range(hosts):
+        budget = ResendBudget()
+        own = host_limit(FLEET, hosts)
+        now = 0.0
+        while now < 25:
+            now += random.expovariate(max(rate, 0.2))
+            budget.note_first(now)
+            firsts.append(now)
+            wanted = int(greed) + (random.random() < greed % 1)
+            resends.extend(now for _ in range(wanted) if budget.take(own, now))
+    for end in range(10, 26, 3):
+        in_window = sum(1 for at in firsts if end - 10 <= at < end)
+        again = sum(1 for at in resends if end - 10 <= at < end)
+        # A resend may fall into a window whose firsts have just left it.
+        earlier = sum(1 for at in firsts if end - 20 <= at < end - 10)
+        most = max(in_window, earlier)
+        assert again <= FLEET.ratio * most + FLEET.extra
+
+
+@pytest.mark.parametrize(
+    'views',
+    [
+        # All agree; two halves; every host alone.
+        [(12, 12)] * 12,
+        [(6, 12)] * 12,
+        [(1, 12)] * 12,
+        [(11, 12)] * 11 + [(1, 12)],
+    ],
+)
+def test_cold_sends_of_all_hosts_stay_in_the_bound(
+    views: list[tuple[int, int]],
+) -> None:
+    rate, overshoot, slack = 11.0, 1.5, 5.0
+    names = [f'host-{number}' for number in range(len(views))]
+    sent: list[float] = []
+    for number, (live, known) in enumerate(views):
+        start = number - number % live
+        heard = (names * 2)[start : start + live]
+        view = HostView(names[number], {*heard, names[number]}, known)
+        own_rate = sender_rate('i-1', rate, view)
+        pace = Pace()
+        sent.extend(
+            step / 100 for step in range(600) if pace.take(own_rate, step / 100)
+        )
+    for begin in range(500):
+        count = sum(1 for at in sent if begin / 100 <= at < begin / 100 + 1)
+        assert count <= rate * overshoot + slack
+
+
+def test_a_host_that_has_just_started_sends_nothing_to_a_cold_upstream() -> (
+    None
+):
+    view = HostView('a', {'a'}, 1, is_settled=False)
+    assert sender_rate('i-1', 11, view) == 0
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from('abc'), st.floats(0.05, 1)),
+        min_size=2,
+        max_size=3,
+        unique_by=lambda share: share[0],
+    ),
+    st.integers(1, 60),
+)
+def test_parts_of_a_split_follow_the_weights(
+    shares: list[tuple[str, float]],
+    keys: int,
+) -> None:
+    tally = SplitTally()
+    random = Random(keys)
+    count: Counter[str] = Counter()
+    for _ in range(600):
+        count[tally.choose(f'key {random.randrange(keys)}', shares)] += 1
+    total = sum(weight for _, weight in shares)
+    for name, weight in shares:
+        assert abs(count[name] / 600 - weight / total) < 0.06
+
+
+def test_a_key_keeps_to_its_part_while_weights_are_met() -> None:
+    tally = SplitTally()
+    random = Random(1)
+    parts: dict[str, Counter[str]] = {}
+    for _ in range(4000):
+        key = f'key {random.randrange(500)}'
+        chosen = tally.choose(key, [('a', 70), ('b', 30)])
+        parts.setdefault(key, Counter())[chosen] += 1
+    moved = sum(
+        sum(count.values()) - max(count.values()) for count in parts.values()
+    )
+    assert moved < 4000 * 0.05
+
+
+def test_sentinels_are_the_same_for_all_and_of_different_regions() -> None:
+    regions = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
+    hosts = [
+        Watcher(f'h{n}', zone) for n, zone in enumerate(['a1', 'a2', 'b1'])
+    ]
+    chosen = choose_sentinels(hosts, regions)
+    assert chosen == choose_sentinels(reversed(hosts), regions)
+    assert 'h2' in chosen
+    assert len(chosen) == 2
+    left = [host for host in hosts if host.name != chosen[0]]
+    assert chosen[1] in choose_sentinels(left, regions)
--- /dev/null
+++ b/tests/unit/test_placement.py
@@ -0,0 +1,126 @@
+"""Ranking of upstreams and the choice among them."""
+
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wardstair.decisions.placement import (
+    Candidate,
+    choose_place,
+    expected_seconds,
+)
+from wardstair.decisions.ranking import Place, rank
+from wardstair.decisions.warmth import KEPT_SECONDS, MOST_KEYS, WarmKeys
+
+HOME = Candidate('home', 0, 0.0, 0, 4)
+NEXT = Candidate('next', 1, 0.0, 0, 4)
+WORK = 0.2
+
+
+@pytest.mark.parametrize(
+    ('home', 'other', 'chosen'),
+    [
+        ({}, {}, 'home'),
+        ({'load': 3}, {}, 'home'),
+        # A short queue at home is better than a cold run elsewhere.
+        ({'load': 6}, {'is_warm': False}, 'home'),
+        # A long one is worse, unless the other is busy as well.
+        ({'load': 13}, {'is_warm': False}, 'next'),
+        ({'load': 11}, {'is_warm': False, 'load': 4}, 'home'),
+        # Whoever remembers the key gets it, though it is not the home.
+        ({'is_warm': False}, {}, 'next'),
+        # Far, slow and expensive ways count as time.
+        ({'is_warm': False}, {'is_warm': False, 'round_trip': 0.1}, 'home'),
+        ({'slowness': 5.0}, {'is_warm': False}, 'next'),
+        ({'load': 6}, {'transfer_cost': 0.4}, 'home'),
+        # What is full gets nothing.
+        ({'load': 16}, {'is_warm': False, 'load': 15}, 'next'),
+        ({'load': 16}, {'load': 16}, None),
+    ],
+)
+def test_the_choice_of_two(
+    home: dict[str, Any],
+    other: dict[str, Any],
+    chosen: str | None,
+) -> None:
+    candidates = [replace(HOME, **home), replace(NEXT, **other)]
+    choice = choose_place(candidates, WORK, 3.0)
+    assert (choice and choice.candidate.name) == chosen
+
+
+candidates = st.builds(
+    Candidate,
+    name=st.uuids().map(str),
+    rank=st.integers(0, 20),
+    round_trip=st.floats(0, 0.2),
+    load=st.integers(0, 40),
+    slots=st.integers(1, 9),
+    is_warm=st.booleans(),
+    slowness=st.floats(0.5, 10),
+    transfer_cost=st.floats(0, 1),
+)
+
+
+@given(st.lists(candidates, max_size=12), st.floats(0.01, 2), st.floats(0, 4))
+def test_the_choice_against_a_naive_one(
+    given_ones: list[Candidate],
+    work: float,
+    queue_share: float,
+) -> None:
+    choice = choose_place(given_ones, work, queue_share)
+    able = [
+        one for one in given_ones if one.load < one.slots * (1 + queue_share)
+    ]
+    if choice is None:
+        assert not able
+        return
+    # Never full, and nobody is better in every respect that counts.
+    chosen = choice.candidate
+    assert chosen in able
+    assert choice.seconds == expected_seconds(chosen, work)
+    for other in able:
+        assert not (
+            other.load < chosen.load
+            and other.slots >= chosen.slots
+            and other.is_warm >= chosen.is_warm
+            and other.slowness < chosen.slowness
+            and other.round_trip < chosen.round_trip
+            and other.rank < chosen.rank
+            and other.transfer_cost < chosen.transfer_cost
+        )
+
+
+@given(
+    st.lists(st.uuids().map(str), min_size=2, max_size=9, unique=True),
+    st.text(),
+)
+def test_only_the_keys_of_one_that_leaves_move(
+    names: list[str], key: str
+) -> None:
+    places = [Place(name, 3) for name in names]
+    before = rank(key, places)
+    gone = Random(len(names)).choice(names)
+    after = rank(key, [place for place in places if place.name != gone])
+    assert after == [name for name in before if name != gone]
+
+
+def test_keys_fall_on_places_by_weight() -> None:
+    places = [Place('small', 1), Place('large', 3), Place('none', 0)]
+    homes = [rank(f'key {number}', places)[0] for number in range(4000)]
+    assert 2800 < homes.count('large') < 3200
+    assert homes.count('none') == 0
+
+
+def test_warm_keys_fade_and_are_bounded() -> None:
+    warm = WarmKeys()
+    warm.note('old', 0)
+    assert warm.has('old', KEPT_SECONDS / 2)
+    assert not warm.has('old', KEPT_SECONDS)
+    for number in range(MOST_KEYS):
+        warm.note(f'key {number}', 1)
+    assert not warm.has('old', 1)
+    assert warm.has('key 0', 1)
