Let a key leave its home only for an upstream with a slot to spare

Keys had spread over six ranks, each upstream saw more keys than it remembers, so each run took three times as long, and the load made more of them spill.

Memory of warm keys: 24 keys and 6 s an upstream.

Tests: the table of choices follows the rule (a cold busy upstream is no longer taken for a full home), and the naive comparison states it independently; it found that one-slot upstreams never took a spilled key, mended here.

--- a/src/wardstair/decisions/placement.py
+++ b/src/wardstair/decisions/placement.py
@@ -2,9 +2,9 @@
 
 The estimate is time to a whole answer: the way there, waiting for a slot, and
 the work, which is short where the key is warm. A request leaves the home of
-its key only when that is expected to pay, and the work it would take from
-others there is counted as well: a cold run needs a slot several times as long,
-so a fleet that spills early makes itself slow.
+its key only for an upstream with a slot to spare: a run on a key that is not
+warm needs a slot several times as long and displaces a key that is, so a busy
+fleet that spills makes itself slower and spills more.
 """
 
 from collections.abc import Sequence
@@ -13,6 +13,10 @@
 # Work on a key that the upstream does not remember, beside one that it does.
 # The users' services work 3.3 times as long on a key that is not warm.
 COLD_KEY_FACTOR = 3.0
+# Part of its slots up to which an upstream takes keys that are not its own:
+# all of them while it remembers the key, some while it does not.
+WARM_SPARE_SHARE = 1.0
+COLD_SPARE_SHARE = 0.6
 # Keeps equal candidates in rank order: a later rank knows the key less well.
 RANK_STEP_SECONDS = 0.01
 
@@ -75,10 +79,10 @@
     best: Choice | None = None
     best_cost = float('inf')
     for candidate in candidates:
-        if candidate.load >= candidate.slots * (1 + queue_share):
+        if not _has_room(candidate, queue_share):
             continue
         seconds = expected_seconds(candidate, work)
-        cost = seconds + _burden(candidate, work) + candidate.transfer_cost
+        cost = seconds + candidate.transfer_cost
         cost += RANK_STEP_SECONDS * candidate.rank
         if cost < best_cost:
             best = Choice(candidate, seconds)
@@ -96,9 +100,8 @@
     return candidate.round_trip + wait + own_work
 
 
-def _burden(candidate: Candidate, work: float) -> float:
-    """Return the seconds that a cold run takes from others."""
-    if candidate.is_warm:
-        return 0.0
-    used_share = min(candidate.load / candidate.slots, 1.0)
-    return (COLD_KEY_FACTOR - 1) * work * used_share
+def _has_room(candidate: Candidate, queue_share: float) -> bool:
+    if candidate.rank == 0:
+        return candidate.load < candidate.slots * (1 + queue_share)
+    share = WARM_SPARE_SHARE if candidate.is_warm else COLD_SPARE_SHARE
+    return candidate.load + 1 <= max(candidate.slots * share, 1)
--- a/src/wardstair/decisions/warmth.py
+++ b/src/wardstair/decisions/warmth.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass, field
 
 # Keys that are kept an upstream; those it answered last. Upstreams remember
-# some thirty to fifty from all hosts together.
-MOST_KEYS = 64
+# some thirty to fifty from all hosts together, most of them their own.
+MOST_KEYS = 24
 # Keys that were not asked for during this time have probably been displaced.
-KEPT_SECONDS = 20.0
+KEPT_SECONDS = 6.0
 
 
 @dataclass(slots=True)
