Leave out upstreams that are far slower than others, in growing steps

Cause: a slow upstream stayed the home of its keys until its queue was full.

Change: whoever failed lately, is overdue or was 2.5 times slower than usual has no rank for a while, so its keys go to the next as their home; at most two fifths of a service are left out for slowness. Upstreams queue about three times their slots: a home takes 2.2 times its slots above them (was 2.8).

--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -26,6 +26,8 @@
 _KILOBYTE = 1024
 # Ranks looked at first; the rest only if all of these are full.
 FIRST_RANKS = 6
+# Part of a service's upstreams that slowness alone does not take out.
+LEAST_USABLE_SHARE = 0.6
 # Ranked keys kept; an upstream's change empties the table.
 MOST_RANKED = 20000
 # A cold upstream works about twice as long on everything.
@@ -145,20 +147,35 @@
     def choose(self, ask: Ask) -> Placement | None:
         """Choose an upstream for one send, or None if there is no room."""
         now = time.monotonic()
-        ranked = [
-            (position, upstream)
-            for position, upstream in enumerate(self.ranked(ask))
-            if upstream.name not in ask.tried
-        ]
-        trusted = [one for one in ranked if self._is_open(one[1], now)]
-        # Rather one that failed lately than none.
-        usable = trusted or [one for one in ranked if not one[1].is_cold(now)]
-        for group in (usable[:FIRST_RANKS], usable[FIRST_RANKS:]):
+        for group in self._groups(ask, now):
             placed = self._choose_among(group, ask, now)
             if placed is not None:
                 return placed
         return None
 
+    def _groups(self, ask: Ask, now: float) -> list[list[tuple[int, Upstream]]]:
+        """Return upstreams with their ranks, in groups to be looked at.
+
+        Whoever is avoided has no rank: the next one is the home meanwhile.
+        """
+        ranked = [
+            upstream
+            for upstream in self.ranked(ask)
+            if not (upstream.is_cold(now) and not self._bears(upstream, now))
+        ]
+        usable = [one for one in ranked if not one.is_avoided(now)]
+        if len(usable) < len(ranked) * LEAST_USABLE_SHARE:
+            # So many cannot all be worse than the others.
+            usable = [one for one in ranked if now >= one.distrusted_until]
+        # Rather one that failed lately than none.
+        usable = usable or ranked
+        numbered = [
+            (position, upstream)
+            for position, upstream in enumerate(usable)
+            if upstream.name not in ask.tried
+        ]
+        return [numbered[:FIRST_RANKS], numbered[FIRST_RANKS:]]
+
     def ranked(self, ask: Ask) -> list[Upstream]:
         """Return the upstreams that may serve a key, its home first."""
         catalog = self._belief.catalog
@@ -206,14 +223,10 @@
             return nearness.region
         return nearness.far
 
-    def _is_open(self, upstream: Upstream, now: float) -> bool:
-        if now < upstream.distrusted_until:
-            return False
-        if not upstream.is_cold(now):
-            return True
-        return self._pace_of(upstream).is_due(now) and (
-            self._cold_rate(upstream) > 0
-        )
+    def _bears(self, upstream: Upstream, now: float) -> bool:
+        """Return whether a cold upstream bears a request from here now."""
+        is_due = self._pace_of(upstream).is_due(now)
+        return is_due and self._cold_rate(upstream) > 0
 
     def _choose_among(
         self,
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -44,8 +44,8 @@
 LEAST_HEDGE_SECONDS = 0.25
 # Requests that an upstream may have above its slots, as a share of them: the
 # most important kind, and how much less each next one.
-FULL_QUEUE_SHARE = 2.8
-PRIORITY_STEP = 0.3
+FULL_QUEUE_SHARE = 2.2
+PRIORITY_STEP = 0.2
 LEAST_QUEUE_SHARE = 1.0
 
 
--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -23,6 +23,12 @@
 LEAST_SLOWNESS = 0.8
 # Longest work is some three times the mean.
 OVERDUE_RATIO = 3.0
+# Averaged time beside the usual from which an upstream is left out.
+EJECT_SLOWNESS = 2.5
+EJECT_SECONDS = 2.0
+MOST_EJECT_FACTOR = 4
+# One that was not slow for this long starts anew.
+FORGIVEN_SECONDS = 6.0
 LEAST_EXPECTED_SECONDS = 0.05
 _FIRST_DISTRUST_SECONDS = 0.5
 _LONGEST_DISTRUST_SECONDS = 4.0
@@ -43,6 +49,8 @@
         distrusted_until: Monotonic time until which it is avoided.
         failures: Failures in a row.
         slowness_at: When that was last measured.
+        ejected_until: Monotonic time until which it is left out as slow.
+        ejections: How often that happened in a row.
         running: Start and expected seconds of this host's requests at it, in
             the order they were sent.
         warm: Keys that it has answered lately.
@@ -60,6 +68,8 @@
     distrusted_until: float = 0.0
     failures: int = 0
     slowness_at: float = 0.0
+    ejected_until: float = 0.0
+    ejections: int = 0
     running: dict[int, tuple[float, float]] = field(default_factory=dict)
     warm: WarmKeys = field(default_factory=WarmKeys)
     has_ended: bool = False
@@ -84,6 +94,12 @@
         """Return whether it bears only a bounded rate now."""
         return now < self.cold_until
 
+    def is_avoided(self, now: float) -> bool:
+        """Return whether it failed lately or is far slower than others."""
+        if now < self.distrusted_until or now < self.ejected_until:
+            return True
+        return self._waiting_ratio(now) > 0
+
     def state_now(self, now: float) -> str:
         """Return its state in one word, for people and metrics."""
         if self.gone_at is not None:
@@ -92,7 +108,7 @@
             return 'draining'
         if self.is_cold(now):
             return 'cold'
-        return 'avoided' if now < self.distrusted_until else 'ready'
+        return 'avoided' if self.is_avoided(now) else 'ready'
 
     def load(self, now: float) -> float:
         """Return the requests that are probably at it now, of all hosts."""
@@ -136,6 +152,8 @@
         self.note_answer()
         self.slowness += LATENCY_SHARE * (ratio - self.slowness)
         self.slowness_at = now
+        if self.slowness >= EJECT_SLOWNESS and now >= self.ejected_until:
+            self._eject(now)
 
     def _waiting_ratio(self, now: float) -> float:
         """Return how overdue its oldest request is, beside what is usual."""
@@ -146,6 +164,23 @@
         # A single long request is nothing; work differs from one to another.
         return overdue if overdue > OVERDUE_RATIO else 0.0
 
+    def _eject(self, now: float) -> None:
+        """Leave it out for a while; longer each time it comes back slow."""
+        if now - self.ejected_until > FORGIVEN_SECONDS:
+            self.ejections = 0
+        self.ejections += 1
+        seconds = EJECT_SECONDS * min(self.ejections, MOST_EJECT_FACTOR)
+        log_event(
+            'upstream-ejected',
+            upstream=self.name,
+            service=self.entry.service,
+            slowness=round(self.slowness, 2),
+            seconds=seconds,
+        )
+        self.ejected_until = now + seconds
+        # When it is back it is judged by what it does then.
+        self.slowness = 1.0
+
     def note_failure(self, now: float) -> float:
         """Take in a failure; return for how long it is avoided, seconds."""
         self.failures += 1
