--- a/src/wardstair/gateway/reporting.py
+++ b/src/wardstair/gateway/reporting.py
@@ -28,7 +28,8 @@
 
     most: int
     _second: int = 0
-    _count: int = 0
+    _asked: int = 0
+    _kept: int = 0
     _last: int = 0
 
     def keeps(self, name: str, now: float) -> bool:
@@ -40,15 +41,17 @@
         """
         second = int(now)
         if second != self._second:
-            self._last = self._count if second == self._second + 1 else 0
+            self._last = self._asked if second == self._second + 1 else 0
             self._second = second
-            self._count = 0
-        self._count += 1
-        if self._count > self.most * 2:
+            self._asked = 0
+            self._kept = 0
+        self._asked += 1
+        if self._kept >= self.most * 2:
             return False
-        if self._last <= self.most:
-            return True
-        return unit_hash(name) < self.most / self._last
+        if self._last > self.most and unit_hash(name) >= self.most / self._last:
+            return False
+        self._kept += 1
+        return True
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/src/wardstair/process/events.py
@@ -0,0 +1,169 @@
+"""The log lines of a gateway: their names, fields and meaning, in one place.
+
+`docs/reference/events.md` is written from this table, and a test compares
+both and every call in the source with it.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class EventKind:
+    """One kind of log line.
+
+    Attributes:
+        name: Its name, the value of `event`.
+        meaning: When it is written.
+        fields: Names of its fields.
+    """
+
+    name: str
+    meaning: str
+    fields: tuple[str, ...]
+
+
+def _kind(name: str, meaning: str, fields: str) -> EventKind:
+    return EventKind(name, meaning, tuple(fields.split()))
+
+
+EVENT_KINDS = (
+    _kind(
+        'request-answered',
+        'an upstream answered; thinned if good and in time',
+        'request route version status late seconds upstream upstream_seconds '
+        'expected rank warm load load_age slots slowness sends',
+    ),
+    _kind(
+        'request-resent',
+        'the request goes to another upstream',
+        'request reason before upstream sends',
+    ),
+    _kind(
+        'resend-withheld',
+        'a second send was wanted and not allowed',
+        'request reason sends',
+    ),
+    _kind(
+        'request-refused',
+        'this host ended the request by itself; `sends=0`, or only upstreams '
+        'that turned it away, means that it has not run',
+        'request reason route version service sends unreachable upstreams '
+        'known seconds left',
+    ),
+    _kind(
+        'request-unrouted',
+        'no route covers the request, or no configuration is known yet',
+        'request reason version host path',
+    ),
+    _kind(
+        'caller-left',
+        'the caller closed its connection before the answer',
+        'request route upstreams seconds',
+    ),
+    _kind(
+        'request-failed',
+        'a fault of this program; the caller got a 500',
+        'request error',
+    ),
+    _kind(
+        'configuration-adopted',
+        'a newer version is in force on this host',
+        'version before source routes',
+    ),
+    _kind(
+        'configuration-rejected',
+        'a stored version cannot be used; the one before stays',
+        'source revision reason',
+    ),
+    _kind(
+        'evacuations-changed',
+        'the set of zones that get nothing has changed',
+        'zones ended revision source',
+    ),
+    _kind(
+        'upstream-changed',
+        'an upstream is new or has changed its phase',
+        'upstream service zone phase cold',
+    ),
+    _kind(
+        'upstream-missing',
+        'an entry vanished while the store was away; it may come back',
+        'upstream wait',
+    ),
+    _kind(
+        'upstream-gone',
+        'an upstream gets nothing any more',
+        'upstream service in_flight',
+    ),
+    _kind(
+        'upstream-avoided',
+        'a connection or an exchange failed; it is avoided for a while',
+        'request upstream reason seconds',
+    ),
+    _kind(
+        'upstream-ejected',
+        'an upstream is far slower than usual; it is left out for a while',
+        'upstream service slowness seconds',
+    ),
+    _kind(
+        'upstream-unreadable',
+        'an entry in the store cannot be decoded',
+        'upstream',
+    ),
+    _kind(
+        'upstreams-adopted',
+        'the list of upstreams came from another host',
+        'revision count source',
+    ),
+    _kind('host-joined', 'another entry host is heard', 'host zone'),
+    _kind('host-leaving', 'another entry host is stopping', 'host zone'),
+    _kind(
+        'host-lost',
+        'another entry host has fallen silent',
+        'host zone silent',
+    ),
+    _kind(
+        'host-removed',
+        "a dead host's object was taken out of the store",
+        'host outcome',
+    ),
+    _kind('hosts-found', 'hosts were read from the store', 'count'),
+    _kind(
+        'host-started',
+        'this process listens',
+        'host zone callers store',
+    ),
+    _kind('host-stopping', 'this process was told to stop', 'open'),
+    _kind('host-stopped', 'this process ends', 'cut'),
+    _kind('host-paused', 'this process did not run for a while', 'seconds'),
+    _kind(
+        'settings-reread',
+        'the settings file was read again',
+        'outcome',
+    ),
+    _kind('store-lost', 'the store does not answer as it should', 'reason'),
+    _kind('store-regained', 'the store answers again', 'away'),
+    _kind(
+        'watch-forgotten',
+        'the store forgot its history; everything is listed anew',
+        'kind revision',
+    ),
+    _kind(
+        'state-not-fetched',
+        'another host could not be asked for its state',
+        'host reason',
+    ),
+    _kind(
+        'beat-unreadable',
+        'a datagram was no heartbeat',
+        'source size',
+    ),
+    _kind(
+        'task-failed', 'a task failed and begins again', 'task error file line'
+    ),
+    _kind(
+        'log-lines-dropped',
+        'the reader of the log was too slow; so many lines are missing',
+        'count',
+    ),
+)
--- /dev/null
+++ b/tests/unit/test_events.py
@@ -0,0 +1,60 @@
+"""Log lines against their schema, and the schema against its page."""
+
+import ast
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from wardstair.process.events import EVENT_KINDS
+
+ROOT = Path(__file__).parents[2]
+SOURCE = ROOT / 'src' / 'wardstair'
+PACKAGES = ('gateway', 'fleet', 'state', 'platform')
+KINDS = {kind.name: kind for kind in EVENT_KINDS}
+
+
+def calls() -> Iterator[tuple[str, int, ast.Call]]:
+    files = [SOURCE / 'cli' / 'gateway.py', SOURCE / 'process/supervision.py']
+    for package in PACKAGES:
+        files.extend(sorted((SOURCE / package).glob('*.py')))
+    for file in files:
+        for node in ast.walk(ast.parse(file.read_text())):
+            if not isinstance(node, ast.Call):
+                continue
+            if getattr(node.func, 'id', '') in {'log_event', 'log_warning'}:
+                yield file.name, node.lineno, node
+
+
+def names(expression: ast.expr) -> list[str]:
+    """Return the event names an argument may have."""
+    if isinstance(expression, ast.IfExp):
+        return names(expression.body) + names(expression.orelse)
+    assert isinstance(expression, ast.Constant)
+    return [str(expression.value)]
+
+
+ALL_CALLS = list(calls())
+
+
+@pytest.mark.parametrize(
+    'call',
+    [pytest.param(call, id=f'{file}:{line}') for file, line, call in ALL_CALLS],
+)
+def test_each_line_has_the_fields_of_its_kind(call: ast.Call) -> None:
+    given = {keyword.arg for keyword in call.keywords}
+    for name in names(call.args[0]):
+        assert given == set(KINDS[name].fields)
+
+
+def test_each_kind_is_written_somewhere() -> None:
+    written = {name for _, _, call in ALL_CALLS for name in names(call.args[0])}
+    # The sink writes this one by itself, past the queue that is full.
+    assert written | {'log-lines-dropped'} == set(KINDS)
+
+
+def test_the_page_lists_every_kind() -> None:
+    page = (ROOT / 'docs' / 'reference' / 'events.md').read_text()
+    for kind in EVENT_KINDS:
+        fields = ', '.join(f'`{field}`' for field in kind.fields)
+        assert f'| `{kind.name}` | {kind.meaning} | {fields} |' in page
