--- /dev/null
+++ b/tests/functional/test_explain.py
@@ -0,0 +1,112 @@
+"""From the id of a failed request to its cause, by the log alone."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+
+import pytest
+from lib.municipal import (
+    Rig,
+    Seen,
+    UpstreamStandin,
+    answer_full,
+    answer_ok,
+    upstream_spec,
+)
+from loguru import logger
+
+from wardstair.process.story import Cause, Story, tell_story
+
+FORMAT = 'time={time:HH:mm:ss.SSS} level={level} {message}'
+Test = Callable[[Rig], Awaitable[None]]
+
+
+@contextmanager
+def logged() -> Iterator[list[str]]:
+    """Collect log lines as they are written."""
+    lines: list[str] = []
+    number = logger.add(lines.append, format=FORMAT)
+    try:
+        yield lines
+    finally:
+        logger.remove(number)
+
+
+def story_of(test: Test, *upstreams: UpstreamStandin) -> Story:
+    """Run a test and return the story of the request r1."""
+
+    async def main() -> None:
+        async with Rig(*upstreams) as rig, asyncio.timeout(25):
+            await test(rig)
+
+    with logged() as lines:
+        asyncio.run(main())
+    return tell_story(lines, 'r1')
+
+
+async def breaks_off(
+    _upstream: UpstreamStandin,
+    _seen: Seen,
+    writer: asyncio.StreamWriter,
+) -> None:
+    writer.transport.abort()
+
+
+async def is_slow(
+    upstream: UpstreamStandin,
+    seen: Seen,
+    writer: asyncio.StreamWriter,
+) -> None:
+    await asyncio.sleep(0.6)
+    await answer_ok(upstream, seen, writer)
+
+
+def test_refused_without_having_run() -> None:
+    async def test(rig: Rig) -> None:
+        answer = await rig.ask('/order/x', 'POST', b'x')
+        assert answer.status == 503
+
+    story = story_of(test, UpstreamStandin('i-1', answer_full))
+    assert story.cause is Cause.refused_full
+    assert story.lines[-1].fields['upstreams'] == 'i-1'
+    assert story.lines[-1].fields['known'] == '1'
+
+
+def test_outcome_unknown_after_an_upstream_died() -> None:
+    async def test(rig: Rig) -> None:
+        answer = await rig.ask('/order/x', 'POST', b'x')
+        assert answer.status == 502
+
+    story = story_of(test, UpstreamStandin('i-1', breaks_off))
+    assert story.cause is Cause.unknown
+    events = [line.event for line in story.lines]
+    assert events == ['upstream-avoided', 'request-refused']
+    assert any(line.event == 'upstream-changed' for line in story.context)
+
+
+def test_late_since_the_upstream_was_slow() -> None:
+    async def test(rig: Rig) -> None:
+        answer = await rig.ask('/order/x', 'POST', b'x')
+        assert answer.status == 200
+
+    story = story_of(test, UpstreamStandin('i-1', is_slow))
+    assert story.cause is Cause.late_slow
+    assert story.lines[-1].fields['upstream'] == 'i-1'
+
+
+def test_unreachable_upstreams() -> None:
+    async def test(rig: Rig) -> None:
+        rig.store.put('servers', 'i-2', upstream_spec(1))
+        await rig.until(lambda: 'i-2' in rig.gateway.belief.catalog.upstreams)
+        answer = await rig.ask('/order/x', 'POST', b'x')
+        assert answer.status == 503
+
+    assert story_of(test).cause is Cause.refused_gone
+
+
+@pytest.mark.parametrize(
+    'raw',
+    ['', 'no line of ours', 'event="cut', 'time=1 event=request-answered'],
+)
+def test_what_the_log_does_not_tell(raw: str) -> None:
+    assert tell_story([raw], 'r1').cause is Cause.untold
