--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -8,7 +8,7 @@
 from wardstair.decisions.ranking import Nearness, Place, rank
 from wardstair.decisions.split import SplitTally
 from wardstair.gateway.distances import Distances
-from wardstair.gateway.settings import GatewaySettings
+from wardstair.gateway.settings import LiveSettings
 from wardstair.state.belief import Belief
 from wardstair.state.catalog import Upstream
 from wardstair.version.steering import SteeredRoute
@@ -100,7 +100,7 @@
 
     def __init__(
         self,
-        settings: GatewaySettings,
+        settings: LiveSettings,
         belief: Belief,
         distances: Distances,
     ) -> None:
@@ -111,7 +111,8 @@
             belief: What this host knows.
             distances: Round trips to zones.
         """
-        self.view = HostView(settings.name, (settings.name,), 1)
+        own = settings.current.name
+        self.view = HostView(own, (own,), 1)
         self._settings = settings
         self._belief = belief
         self._distances = distances
@@ -213,13 +214,13 @@
             return False
         if not route.regions:
             return True
-        return self._settings.zones.get(zone) in route.regions
+        return self._settings.current.zones.get(zone) in route.regions
 
     def _nearness(self, upstream: Upstream, nearness: Nearness) -> float:
         zone = upstream.entry.zone
-        if zone == self._settings.zone:
+        if zone == self._settings.current.zone:
             return nearness.zone
-        if self._settings.zones.get(zone) == self._settings.region:
+        if self._settings.current.is_in_region(zone):
             return nearness.region
         return nearness.far
 
@@ -288,10 +289,10 @@
         return upstream.warm.has(ask.key, now)
 
     def _transfer_cost(self, zone: str, body_bytes: int) -> float:
-        if zone == self._settings.zone:
+        if zone == self._settings.current.zone:
             return 0.0
         kilobytes = 1 + body_bytes / _KILOBYTE
-        if self._settings.zones.get(zone) == self._settings.region:
+        if self._settings.current.is_in_region(zone):
             return ZONE_SECONDS_A_KILOBYTE * kilobytes
         return REGION_SECONDS_A_KILOBYTE * kilobytes
 
--- a/src/wardstair/gateway/distances.py
+++ b/src/wardstair/gateway/distances.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from wardstair.gateway.settings import GatewaySettings
+from wardstair.gateway.settings import LiveSettings
 
 # Until a round trip to another region was measured.
 FIRST_FAR_SECONDS = 0.08
@@ -17,7 +17,7 @@
 class Distances:
     """Round trips to other zones, from the times connections took."""
 
-    settings: GatewaySettings
+    settings: LiveSettings
     _measured: dict[str, float] = field(default_factory=dict)
 
     def note(self, zone: str, seconds: float) -> None:
@@ -33,8 +33,8 @@
         known = self._measured.get(zone)
         if known is not None:
             return known
-        if zone == self.settings.zone:
+        if zone == self.settings.current.zone:
             return ZONE_SECONDS
-        if self.settings.zones.get(zone) == self.settings.region:
+        if self.settings.current.is_in_region(zone):
             return REGION_SECONDS
         return FIRST_FAR_SECONDS
--- a/src/wardstair/gateway/endpoints.py
+++ b/src/wardstair/gateway/endpoints.py
@@ -8,7 +8,7 @@
 from wardstair.fleet.members import Members
 from wardstair.fleet.naming import NamedHost, name_hosts
 from wardstair.fleet.sharing import decode_versions
-from wardstair.gateway.settings import GatewaySettings
+from wardstair.gateway.settings import LiveSettings
 from wardstair.platform.lookups import (
     LOOKUP_PATH,
     READY_PATH,
@@ -28,7 +28,7 @@
 
     def __init__(
         self,
-        settings: GatewaySettings,
+        settings: LiveSettings,
         own: PeerName,
         members: Members,
     ) -> None:
@@ -57,9 +57,10 @@
             self._hosts(),
             lookup.zone,
             lookup.region,
-            self._settings.zones,
+            self._settings.current.zones,
         )
-        seconds = min(KEEP_SECONDS, self._settings.bounds.lookup_seconds)
+        bounds = self._settings.current.bounds
+        seconds = min(KEEP_SECONDS, bounds.lookup_seconds)
         return encode_addresses([host.front for host in named], seconds)
 
     def _hosts(self) -> list[NamedHost]:
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -27,6 +27,7 @@
     SendOutcome,
     TurnedAway,
 )
+from wardstair.gateway.settings import LiveSettings
 from wardstair.process.log import log_event
 from wardstair.state.belief import Belief
 from wardstair.version.steering import SteeredRoute
@@ -84,7 +85,7 @@
         belief: Belief,
         chooser: Chooser,
         sender: Sender,
-        limit: ResendLimit,
+        settings: LiveSettings,
         reporter: Reporter,
     ) -> None:
         """Prepare without requests.
@@ -93,13 +94,13 @@
             belief: What this host knows.
             chooser: Chooses upstreams.
             sender: Sends to them.
-            limit: The fleet's limit of resends.
+            settings: Settings, with the fleet's limit of resends.
             reporter: Tells of each request.
         """
         self._belief = belief
         self._chooser = chooser
         self._sender = sender
-        self._limit = limit
+        self._settings = settings
         self._reporter = reporter
         self._budgets: dict[str, ResendBudget] = {}
 
@@ -274,7 +275,13 @@
         course.running[task] = placement
 
     def _take_resend(self, course: _Course) -> bool:
-        own = host_limit(self._limit, self._chooser.view.known)
+        bounds = self._settings.current.bounds
+        fleet = ResendLimit(
+            bounds.retry_ratio,
+            bounds.retry_extra,
+            bounds.retry_window,
+        )
+        own = host_limit(fleet, self._chooser.view.known)
         taken = self._budget(course).take(own, time.monotonic())
         if not taken:
             self._reporter.withheld(course.trail, 'budget-spent')
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from dataclasses import fields
 from random import Random
 
 from tornado.http1connection import HTTP1ConnectionParameters
@@ -10,7 +11,6 @@
 
 from wardstair.connection.pool import UpstreamPool
 from wardstair.decisions.cold import HostView
-from wardstair.decisions.resends import ResendLimit
 from wardstair.decisions.sentinels import Watcher, choose_sentinels
 from wardstair.fleet.beats import PeerName
 from wardstair.fleet.members import Members
@@ -29,7 +29,11 @@
 from wardstair.gateway.gauges import add_gauges
 from wardstair.gateway.reporting import Reporter
 from wardstair.gateway.sending import Sender
-from wardstair.gateway.settings import GatewaySettings, Listener
+from wardstair.gateway.settings import (
+    GatewaySettings,
+    Listener,
+    LiveSettings,
+)
 from wardstair.platform.store import Store
 from wardstair.process.log import log_event
 from wardstair.process.metrics import Metrics
@@ -70,6 +74,7 @@
             random: Source of jitter.
         """
         self.settings = settings
+        self.live_settings = LiveSettings(settings)
         self.metrics = Metrics()
         clock = time.monotonic
         self._clock = clock
@@ -113,22 +118,17 @@
             own,
             self.members,
         )
-        distances = Distances(settings)
+        distances = Distances(self.live_settings)
         self.pool = UpstreamPool(self._most_connections)
-        self.chooser = Chooser(settings, self.belief, distances)
-        bounds = settings.bounds
+        self.chooser = Chooser(self.live_settings, self.belief, distances)
         self.forwarder = Forwarder(
             self.belief,
             self.chooser,
             Sender(self.pool, distances),
-            ResendLimit(
-                bounds.retry_ratio,
-                bounds.retry_extra,
-                bounds.retry_window,
-            ),
+            self.live_settings,
             Reporter(self.metrics),
         )
-        self.directory = Directory(settings, own, self.members)
+        self.directory = Directory(self.live_settings, own, self.members)
         self.callers = CallerListener(self.forwarder.serve)
         add_gauges(self)
         self._supervisor = Supervisor(self.metrics.task_failures.add)
@@ -200,7 +200,8 @@
         await asyncio.sleep(LINGER_SECONDS)
         self._caller_server.stop()
         self.callers.close_resting()
-        end = began + self.settings.bounds.grace_seconds - GRACE_LEFT_SECONDS
+        grace = self.live_settings.current.bounds.grace_seconds
+        end = began + grace - GRACE_LEFT_SECONDS
         await self.callers.wait_idle(end - self._clock())
         log_event('host-stopped', cut=self.callers.open_count)
         await self.close()
@@ -219,6 +220,20 @@
         self.exchange.close()
         self.store.close()
 
+    def adopt_settings(self, settings: GatewaySettings) -> list[str]:
+        """Take over changed settings; sockets stay as they are bound.
+
+        Returns:
+            Names of the settings that have changed.
+        """
+        before = self.live_settings.current
+        self.live_settings.current = settings
+        return [
+            setting.name
+            for setting in fields(GatewaySettings)
+            if getattr(settings, setting.name) != getattr(before, setting.name)
+        ]
+
     def _serve(self, application: Application, listener: Listener) -> None:
         server = HTTPServer(application)
         self._servers.append(server)
--- a/src/wardstair/gateway/settings.py
+++ b/src/wardstair/gateway/settings.py
@@ -91,3 +91,21 @@
     def region(self) -> str:
         """The region of this host's zone."""
         return self.zones[self.zone]
+
+    def is_in_region(self, zone: str) -> bool:
+        """Return whether a zone is in the region of this host."""
+        return self.zones.get(zone) == self.region
+
+
+@dataclass(slots=True)
+class LiveSettings:
+    """The settings in force; replaced as a whole when the file changes.
+
+    Addresses and ports hold for the life of the process: its sockets are
+    bound to them. Zones and bounds are read at each use.
+
+    Attributes:
+        current: The settings in force.
+    """
+
+    current: GatewaySettings
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -139,7 +139,12 @@
     _kind(
         'settings-reread',
         'the settings file was read again',
-        'outcome',
+        'changed',
+    ),
+    _kind(
+        'settings-rejected',
+        'the changed settings file is not valid; the old settings stay',
+        'reason',
     ),
     _kind('store-lost', 'the store does not answer as it should', 'reason'),
     _kind('store-regained', 'the store answers again', 'away'),
