Start the program again: test it as a process

Change: the call is back; a test starts the program as its own process, asks it, reloads good and bad settings, stops it. It failed before.

--- a/src/wardstair/cli/gateway.py
+++ b/src/wardstair/cli/gateway.py
@@ -79,3 +79,7 @@
     except OSError:
         return 0, 0
     return status.st_mtime_ns, status.st_size
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/functional/test_gateway_process.py
@@ -0,0 +1,122 @@
+"""The program as its own process: start, reload, stop."""
+
+import asyncio
+import os
+import signal
+import sys
+from asyncio.subprocess import PIPE, Process
+from pathlib import Path
+
+from lib.municipal import (
+    ADDRESS,
+    Caller,
+    StoreStandin,
+    UpstreamStandin,
+    configuration_spec,
+    free_port,
+    upstream_spec,
+)
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from wardstair.gateway.settings import Listener
+
+MODULE = 'wardstair.cli.gateway'
+
+
+def settings_text(store: StoreStandin, ports: list[int]) -> str:
+    names = ('callers', 'ready', 'control', 'lookups', 'metrics')
+    listen = '\n'.join(
+        f'{name} = "{ADDRESS}:{port}"'
+        for name, port in zip(names, ports, strict=False)
+    )
+    return (
+        f'name = "host-1"\naddress = "{ADDRESS}"\nzone = "north-a"\n'
+        f'fleet_ports = [{ports[5]}, {ports[5]}]\nseeds = []\n'
+        f'store = "{ADDRESS}:{store.port}"\nbounds = ["grace_s=5"]\n'
+        f'[listen]\n{listen}\n[zones]\n"north-a" = "north"\n'
+    )
+
+
+async def start(path: Path) -> Process:
+    """Start the program as the platform does."""
+    source = Path(__file__).parents[2] / 'src'
+    environment = {
+        **os.environ,
+        'WARDSTAIR_CONFIG': str(path),
+        'PYTHONPATH': str(source),
+    }
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        MODULE,
+        stdout=PIPE,
+        env=environment,
+    )
+
+
+async def wait_line(process: Process, event: str) -> str:
+    """Read the log up to a line of a kind."""
+    assert process.stdout is not None
+    while True:
+        line = (await process.stdout.readline()).decode()
+        assert line, f'the log ended before {event}'
+        if f'event={event}' in line:
+            return line
+
+
+def test_a_process_starts_serves_reloads_and_stops(tmp_path: Path) -> None:
+    async def main() -> None:
+        store, upstream = StoreStandin(), UpstreamStandin('i-1')
+        store.start()
+        await upstream.start()
+        store.put('config', 'main', configuration_spec(1))
+        store.put('servers', 'i-1', upstream_spec(upstream.port))
+        ports = [free_port() for _ in range(6)]
+        path = tmp_path / 'gateway.toml'
+        path.write_text(settings_text(store, ports))
+        process = await start(path)
+        await wait_line(process, 'host-started')
+        await wait_line(process, 'upstream-changed')
+
+        caller = await Caller.connect_to(Listener(ADDRESS, ports[0]))
+        answer = await caller.ask(request_id='r77')
+        assert (answer.status, answer.body) == (200, b'i-1')
+        assert 'request=r77' in await wait_line(process, 'request-answered')
+        assert 'wardstair_requests_total' in await scrape(ports[4])
+
+        path.write_text(path.read_text() + '"south-a" = "south"\n')
+        process.send_signal(signal.SIGHUP)
+        assert 'zones' in await wait_line(process, 'settings-reread')
+        path.write_text('broken')
+        process.send_signal(signal.SIGHUP)
+        await wait_line(process, 'settings-rejected')
+
+        process.send_signal(signal.SIGTERM)
+        await wait_line(process, 'host-stopped')
+        assert await process.wait() == 0
+        await store.stop()
+        await upstream.stop()
+
+    async def scrape(port: int) -> str:
+        client = SimpleAsyncHTTPClient(force_instance=True)
+        answer = await client.fetch(f'http://{ADDRESS}:{port}/metrics')
+        client.close()
+        return answer.body.decode()
+
+    async def bounded() -> None:
+        async with asyncio.timeout(40):
+            await main()
+
+    asyncio.run(bounded())
+
+
+def test_a_wrong_settings_file_ends_the_process_with_a_hint(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        path = tmp_path / 'gateway.toml'
+        path.write_text('name = 1')
+        process = await start(path)
+        assert await process.wait() == 2
+
+    asyncio.run(main())
