--- a/src/wardstair/decisions/ranking.py
+++ b/src/wardstair/decisions/ranking.py
@@ -28,6 +28,21 @@
     weight: float
 
 
+@dataclass(frozen=True, slots=True)
+class Nearness:
+    """Factors on the weight of an upstream by its place.
+
+    Attributes:
+        zone: For the availability zone of this host.
+        region: For other zones of its region.
+        far: For other regions.
+    """
+
+    zone: float
+    region: float
+    far: float = 1.0
+
+
 def rank(key: str, places: Iterable[Place]) -> list[str]:
     """Return upstream names, the key's home first.
 
--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -1,15 +1,11 @@
 """Finds the upstream for a request from what this host knows now."""
 
 import time
-from collections import Counter
-from collections.abc import Iterable
 from dataclasses import dataclass
-from enum import Enum
 
 from wardstair.decisions.cold import HostView, Pace, sender_rate
-from wardstair.decisions.locality import Capacity, levels_of, spare_share
 from wardstair.decisions.placement import Candidate, Choice, choose_place
-from wardstair.decisions.ranking import Place, rank, unit_hash
+from wardstair.decisions.ranking import Nearness, Place, rank
 from wardstair.decisions.split import SplitTally
 from wardstair.gateway.distances import Distances
 from wardstair.gateway.settings import LiveSettings
@@ -17,14 +13,11 @@
 from wardstair.state.catalog import Upstream
 from wardstair.version.steering import SteeredRoute
 
-# Kilobytes there and back from which a route's requests stay nearer: moving one
-# between zones costs up to 0.03 of a small request's worth.
-HEAVY_KILOBYTES = 2.0
-# Load that upstreams nearby may have beside the mean of all.
-HEAVY_HEADROOM = 1.5
-LIGHT_HEADROOM = 1.0
-# Heads of a request and its answer together.
-_HEAD_KILOBYTES = 0.7
+# Bodies from here on make the way to an upstream count for more than the
+# spread of keys; most requests have none, uploads have tens of kilobytes.
+LARGE_BYTES = 16384
+SMALL_NEARNESS = Nearness(zone=1.6, region=1.5)
+LARGE_NEARNESS = Nearness(zone=6.0, region=4.0)
 # What moving a kilobyte costs, as seconds of delay that would be as bad:
 # between zones about 0.011 and between regions 0.028 of a small request's
 # worth, which loses four fifths of its worth when it is half a second late.
@@ -41,34 +34,14 @@
 COLD_SLOWNESS = 2.0
 # How fast the usual work of a route follows shorter and longer answers.
 _DOWN_SHARE = 0.1
-_SIZE_SHARE = 0.05
 _UP_SHARE = 0.03
 
 
-class Nearness(Enum):
-    """How far an upstream is from this host."""
-
-    zone = 'zone'
-    region = 'region'
-    far = 'far'
-
-
 @dataclass(slots=True)
 class RouteWork:
-    """What the requests of a route usually take, averaged.
-
-    Attributes:
-        seconds: Work on a key that is warm.
-        kilobytes: Bytes there and back, heads included.
-    """
+    """Usual time of work on warm keys of a route, averaged."""
 
     seconds: float
-    kilobytes: float = HEAVY_KILOBYTES * 2
-
-    def note_size(self, body_bytes: int) -> None:
-        """Take in the bytes of both bodies of a request."""
-        size = _HEAD_KILOBYTES + body_bytes / _KILOBYTE
-        self.kilobytes += _SIZE_SHARE * (size - self.kilobytes)
 
     def note(self, seconds: float) -> None:
         """Take in the time of one answer without the way.
@@ -101,6 +74,11 @@
     queue_share: float
     tried: frozenset[str] = frozenset()
 
+    @property
+    def is_large(self) -> bool:
+        """Whether the way of the body counts for more than warmth."""
+        return self.body_bytes >= LARGE_BYTES
+
 
 @dataclass(frozen=True, slots=True)
 class Placement:
@@ -139,7 +117,7 @@
         self._belief = belief
         self._distances = distances
         self._ranked: dict[
-            tuple[str, str, float, frozenset[str]], list[Upstream]
+            tuple[str, str, bool, frozenset[str]], list[Upstream]
         ] = {}
         self._generation = -1
         self._paces: dict[str, Pace] = {}
@@ -205,8 +183,7 @@
         if self._generation != catalog.generation:
             self._generation = catalog.generation
             self._ranked.clear()
-        headroom = self._headroom(ask.route)
-        name = (ask.service, ask.key, headroom, ask.route.regions)
+        name = (ask.service, ask.key, ask.is_large, ask.route.regions)
         known = self._ranked.get(name)
         if known is None:
             if len(self._ranked) >= MOST_RANKED:
@@ -216,43 +193,20 @@
         return known
 
     def _rank(self, ask: Ask) -> list[Upstream]:
-        allowed = [
-            upstream
+        by_name = {
+            upstream.name: upstream
             for upstream in self._belief.catalog.of_service(ask.service)
             if self._is_allowed(ask.route, upstream)
+        }
+        nearness = LARGE_NEARNESS if ask.is_large else SMALL_NEARNESS
+        places = [
+            Place(
+                name,
+                upstream.entry.slots * self._nearness(upstream, nearness),
+            )
+            for name, upstream in by_name.items()
         ]
-        headroom = self._headroom(ask.route)
-        capacity = self._capacity(allowed)
-        ranked: list[Upstream] = []
-        for nearness in self._order(ask.key, capacity, headroom):
-            group = [one for one in allowed if self._nearness(one) is nearness]
-            ranked.extend(_rank_group(ask.key, group, capacity, headroom))
-        return ranked
-
-    def _capacity(self, upstreams: Iterable[Upstream]) -> Capacity:
-        slots: Counter[str] = Counter()
-        for upstream in upstreams:
-            slots[upstream.entry.zone] += upstream.entry.slots
-        return Capacity(slots, self._settings.current.zones)
-
-    def _order(
-        self,
-        key: str,
-        capacity: Capacity,
-        headroom: float,
-    ) -> tuple[Nearness, ...]:
-        """Return how near a key's home is, then where it overflows to."""
-        levels = levels_of(capacity, self._settings.current.zone, headroom)
-        point = unit_hash(f'level {key}')
-        if point < levels.zone:
-            return (Nearness.zone, Nearness.region, Nearness.far)
-        if point < levels.zone + levels.region:
-            return (Nearness.region, Nearness.zone, Nearness.far)
-        return (Nearness.far, Nearness.region, Nearness.zone)
-
-    def _headroom(self, route: SteeredRoute) -> float:
-        is_heavy = self.work_of(route).kilobytes >= HEAVY_KILOBYTES
-        return HEAVY_HEADROOM if is_heavy else LIGHT_HEADROOM
+        return [by_name[name] for name in rank(ask.key, places)]
 
     def _is_allowed(self, route: SteeredRoute, upstream: Upstream) -> bool:
         zone = upstream.entry.zone
@@ -262,13 +216,13 @@
             return True
         return self._settings.current.zones.get(zone) in route.regions
 
-    def _nearness(self, upstream: Upstream) -> Nearness:
+    def _nearness(self, upstream: Upstream, nearness: Nearness) -> float:
         zone = upstream.entry.zone
         if zone == self._settings.current.zone:
-            return Nearness.zone
+            return nearness.zone
         if self._settings.current.is_in_region(zone):
-            return Nearness.region
-        return Nearness.far
+            return nearness.region
+        return nearness.far
 
     def _bears(self, upstream: Upstream, now: float) -> bool:
         """Return whether a cold upstream bears a request from here now."""
@@ -362,23 +316,3 @@
         """
         for name in self._paces.keys() - names:
             self._paces.pop(name)
-
-
-def _rank_group(
-    key: str,
-    group: list[Upstream],
-    capacity: Capacity,
-    headroom: float,
-) -> list[Upstream]:
-    """Rank upstreams of one nearness; far ones by the room they spare."""
-    by_name = {upstream.name: upstream for upstream in group}
-    spare = {
-        upstream.name: upstream.entry.slots
-        * spare_share(capacity, upstream.entry.zone, headroom)
-        for upstream in group
-    }
-    if not any(spare.values()):
-        spare = {name: one.entry.slots for name, one in by_name.items()}
-    ranked = rank(key, [Place(name, room) for name, room in spare.items()])
-    rest = [Place(name, 1) for name, room in spare.items() if not room]
-    return [by_name[name] for name in (*ranked, *rank(key, rest))]
