Keep heavy routes rather in the zone; end a stop in time; own addresses in tests

Change: routes of 4 KB and more, there and back, weigh the own zone by 2.4 and others by 1; closing is bounded by 0.1 s; gateways in tests listen on loopback addresses of their own, and their ports are drawn while all are held.

Tried on the way and not kept: nearness 1.2/1.2, 2.5/2.2 and 2.4/1 for all routes (docs/design/placement.md).

--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -14,10 +14,17 @@
 from wardstair.version.steering import SteeredRoute
 
 # Bodies from here on make the way to an upstream count for more than the
-# spread of keys; most requests have none, uploads have tens of kilobytes.
+# spread of keys: uploads have tens of kilobytes.
 LARGE_BYTES = 16384
-SMALL_NEARNESS = Nearness(zone=1.6, region=1.5)
+# Kilobytes there and back from which a route's requests rather stay in the
+# zone. Below that it pays more that all hosts agree on the home of a key:
+# callers move between zones, and a zone with one host shares its region's.
+HEAVY_KILOBYTES = 4.0
+LIGHT_NEARNESS = Nearness(zone=1.6, region=1.5)
+HEAVY_NEARNESS = Nearness(zone=2.4, region=1.0)
 LARGE_NEARNESS = Nearness(zone=6.0, region=4.0)
+# Heads of a request and its answer together.
+_HEAD_KILOBYTES = 0.7
 # What moving a kilobyte costs, as seconds of delay that would be as bad:
 # between zones about 0.011 and between regions 0.028 of a small request's
 # worth, which loses four fifths of its worth when it is half a second late.
@@ -34,14 +41,33 @@
 COLD_SLOWNESS = 2.0
 # How fast the usual work of a route follows shorter and longer answers.
 _DOWN_SHARE = 0.1
+_SIZE_SHARE = 0.05
 _UP_SHARE = 0.03
 
 
 @dataclass(slots=True)
 class RouteWork:
-    """Usual time of work on warm keys of a route, averaged."""
+    """What the requests of a route usually take, averaged.
+
+    Attributes:
+        seconds: Work on a key that is warm.
+        kilobytes: Bytes there and back, heads included.
+    """
 
     seconds: float
+    kilobytes: float = 0.0
+
+    @property
+    def is_heavy(self) -> bool:
+        """Whether its requests rather stay in the zone."""
+        return self.kilobytes >= HEAVY_KILOBYTES
+
+    def note_size(self, body_bytes: int) -> None:
+        """Take in the bytes of both bodies of a request."""
+        size = _HEAD_KILOBYTES + body_bytes / _KILOBYTE
+        if not self.kilobytes:
+            self.kilobytes = size
+        self.kilobytes += _SIZE_SHARE * (size - self.kilobytes)
 
     def note(self, seconds: float) -> None:
         """Take in the time of one answer without the way.
@@ -117,7 +143,7 @@
         self._belief = belief
         self._distances = distances
         self._ranked: dict[
-            tuple[str, str, bool, frozenset[str]], list[Upstream]
+            tuple[str, str, Nearness, frozenset[str]], list[Upstream]
         ] = {}
         self._generation = -1
         self._paces: dict[str, Pace] = {}
@@ -183,22 +209,28 @@
         if self._generation != catalog.generation:
             self._generation = catalog.generation
             self._ranked.clear()
-        name = (ask.service, ask.key, ask.is_large, ask.route.regions)
+        nearness = self._nearness_of(ask)
+        name = (ask.service, ask.key, nearness, ask.route.regions)
         known = self._ranked.get(name)
         if known is None:
             if len(self._ranked) >= MOST_RANKED:
                 self._ranked.clear()
-            known = self._rank(ask)
+            known = self._rank(ask, nearness)
             self._ranked[name] = known
         return known
 
-    def _rank(self, ask: Ask) -> list[Upstream]:
+    def _nearness_of(self, ask: Ask) -> Nearness:
+        if ask.is_large:
+            return LARGE_NEARNESS
+        is_heavy = self.work_of(ask.route).is_heavy
+        return HEAVY_NEARNESS if is_heavy else LIGHT_NEARNESS
+
+    def _rank(self, ask: Ask, nearness: Nearness) -> list[Upstream]:
         by_name = {
             upstream.name: upstream
             for upstream in self._belief.catalog.of_service(ask.service)
             if self._is_allowed(ask.route, upstream)
         }
-        nearness = LARGE_NEARNESS if ask.is_large else SMALL_NEARNESS
         places = [
             Place(
                 name,
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -360,6 +360,8 @@
         delivered: Delivered,
     ) -> Reply:
         course.is_ended = True
+        bodies = len(course.inbound.body) + len(delivered.answer.body)
+        self._chooser.work_of(course.route).note_size(bodies)
         self._reporter.answered(course.trail, placement, delivered)
         answer = delivered.answer
         return Reply(
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -35,7 +35,7 @@
     LiveSettings,
 )
 from wardstair.platform.store import Store
-from wardstair.process.log import log_event
+from wardstair.process.log import log_event, log_warning
 from wardstair.process.metrics import Metrics
 from wardstair.process.supervision import Supervisor
 from wardstair.state.belief import Belief
@@ -57,6 +57,8 @@
 IDLE_FACTOR = 1.3
 # Left of the grace period when the process ends by itself.
 GRACE_LEFT_SECONDS = 0.25
+# What closing the sockets may take of that.
+CLOSE_SECONDS = 0.1
 # A stopping host takes new callers for this long: most keep look-ups for two
 # seconds, and connect on them meanwhile. Those that keep them for longer are
 # refused the connection and go to another address.
@@ -204,7 +206,12 @@
         end = began + grace - GRACE_LEFT_SECONDS
         await self.callers.wait_idle(end - self._clock())
         log_event('host-stopped', cut=self.callers.open_count)
-        await self.close()
+        try:
+            await asyncio.wait_for(self.close(), CLOSE_SECONDS)
+        except TimeoutError:
+            # A caller that does not read keeps its connection from closing;
+            # the end of the process closes it.
+            log_warning('host-close-unfinished', seconds=CLOSE_SECONDS)
 
     async def close(self) -> None:
         """End the tasks and close all sockets at once."""
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -135,6 +135,11 @@
     ),
     _kind('host-stopping', 'this process was told to stop', 'open'),
     _kind('host-stopped', 'this process ends', 'cut'),
+    _kind(
+        'host-close-unfinished',
+        'a connection was still open when this process ended',
+        'seconds',
+    ),
     _kind('host-paused', 'this process did not run for a while', 'seconds'),
     _kind(
         'settings-reread',
--- a/tests/functional/test_gateway_fleet.py
+++ b/tests/functional/test_gateway_fleet.py
@@ -16,7 +16,7 @@
     answer_never,
     answer_ok,
     configuration_spec,
-    free_port,
+    free_ports,
     gateway_settings,
     until,
     upstream_spec,
@@ -32,17 +32,16 @@
     size: int = 2,
     store: StoreStandin | None = None,
 ) -> AsyncIterator[tuple[StoreStandin, list[GatewayHost]]]:
-    """Run gateways on addresses of their own, 127.0.0.1 and on."""
+    """Run gateways on addresses of their own."""
     store = store or StoreStandin()
     store.start()
     store.put('config', 'main', configuration_spec(1))
-    port = free_port()
+    (port,) = free_ports(1)
     hosts = []
     for number in range(1, size + 1):
         settings = gateway_settings(
             store.port,
             name=f'host-{number}',
-            address=f'127.0.0.{number}',
             fleet_port=port,
         )
         host = GatewayHost(settings, Random(number))
--- a/tests/functional/test_gateway_process.py
+++ b/tests/functional/test_gateway_process.py
@@ -13,7 +13,8 @@
     StoreStandin,
     UpstreamStandin,
     configuration_spec,
-    free_port,
+    free_ports,
+    own_address,
     upstream_spec,
 )
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
@@ -23,14 +24,14 @@
 MODULE = 'wardstair.cli.gateway'
 
 
-def settings_text(store: StoreStandin, ports: list[int]) -> str:
+def settings_text(store: StoreStandin, address: str, ports: list[int]) -> str:
     names = ('callers', 'ready', 'control', 'lookups', 'metrics')
     listen = '\n'.join(
-        f'{name} = "{ADDRESS}:{port}"'
+        f'{name} = "{address}:{port}"'
         for name, port in zip(names, ports, strict=False)
     )
     return (
-        f'name = "host-1"\naddress = "{ADDRESS}"\nzone = "north-a"\n'
+        f'name = "host-1"\naddress = "{address}"\nzone = "north-a"\n'
         f'fleet_ports = [{ports[5]}, {ports[5]}]\nseeds = []\n'
         f'store = "{ADDRESS}:{store.port}"\nbounds = ["grace_s=5"]\n'
         f'[listen]\n{listen}\n[zones]\n"north-a" = "north"\n'
@@ -71,18 +72,19 @@
         await upstream.start()
         store.put('config', 'main', configuration_spec(1))
         store.put('servers', 'i-1', upstream_spec(upstream.port))
-        ports = [free_port() for _ in range(6)]
+        ports = free_ports(6)
+        address = own_address()
         path = tmp_path / 'gateway.toml'
-        path.write_text(settings_text(store, ports))
+        path.write_text(settings_text(store, address, ports))
         process = await start(path)
         await wait_line(process, 'host-started')
         await wait_line(process, 'upstream-changed')
 
-        caller = await Caller.connect_to(Listener(ADDRESS, ports[0]))
+        caller = await Caller.connect_to(Listener(address, ports[0]))
         answer = await caller.ask(request_id='r77')
         assert (answer.status, answer.body) == (200, b'i-1')
         assert 'request=r77' in await wait_line(process, 'request-answered')
-        assert 'wardstair_requests_total' in await scrape(ports[4])
+        assert 'wardstair_requests_total' in await scrape(address, ports[4])
 
         path.write_text(path.read_text() + '"south-a" = "south"\n')
         process.send_signal(signal.SIGHUP)
@@ -97,9 +99,9 @@
         await store.stop()
         await upstream.stop()
 
-    async def scrape(port: int) -> str:
+    async def scrape(address: str, port: int) -> str:
         client = SimpleAsyncHTTPClient(force_instance=True)
-        answer = await client.fetch(f'http://{ADDRESS}:{port}/metrics')
+        answer = await client.fetch(f'http://{address}:{port}/metrics')
         client.close()
         return answer.body.decode()
 
--- a/tests/lib/municipal.py
+++ b/tests/lib/municipal.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import json
+import os
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from itertools import count
 from random import Random
 
 from tornado.httpserver import HTTPServer
@@ -389,24 +391,39 @@
     }
 
 
-def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    (held,) = bind_sockets(0, ADDRESS)
-    port = held.getsockname()[1]
-    held.close()
-    return int(port)
+_addresses = count(1)
+
+
+def own_address() -> str:
+    """Return a loopback address that nothing else in this run uses.
+
+    A port that was free on 127.0.0.1 may be taken a moment later by an
+    outgoing connection; on an address of its own it stays free.
+    """
+    number = next(_addresses)
+    high, low = divmod(number, 250)
+    return f'127.{10 + os.getpid() % 200}.{high}.{low + 1}'
+
+
+def free_ports(amount: int) -> list[int]:
+    """Return different ports that are free now."""
+    held = [bind_sockets(0, ADDRESS)[0] for _ in range(amount)]
+    ports = [int(one.getsockname()[1]) for one in held]
+    for one in held:
+        one.close()
+    return ports
 
 
 def gateway_settings(
     store_port: int,
     name: str = 'host-1',
-    address: str = ADDRESS,
     fleet_port: int | None = None,
     bounds: Bounds | None = None,
 ) -> GatewaySettings:
     """Return settings of a gateway on loopback."""
-    ports = [free_port() for _ in range(5)]
-    fleet = fleet_port or free_port()
+    address = own_address()
+    *ports, own_port = free_ports(6)
+    fleet = fleet_port or own_port
     return GatewaySettings(
         name=name,
         address=address,
