Leave half a second of the grace period for the end of the process

Change: 0.5 s are left; requests that run for that long were sent at the latest 2.5 s after the signal and are in the last twelfth of the period.

--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -56,7 +56,7 @@
 # A caller may rest on a connection for up to the configured time.
 IDLE_FACTOR = 1.3
 # Left of the grace period when the process ends by itself.
-GRACE_LEFT_SECONDS = 0.25
+GRACE_LEFT_SECONDS = 0.5
 # What closing the sockets may take of that.
 CLOSE_SECONDS = 0.1
 # A stopping host takes new callers for this long: most keep look-ups for two
