Split process/host.py by subject: listeners, calls, gauges

Cause: the file held assembly, calls, orders, metrics and listeners in 654 lines.

Change: listeners.py, calls.py and entry_gauges.py; host.py keeps assembly, start and stop, orders and views (513 lines). No behaviour changed.

--- a/src/wardstair/process/host.py
+++ b/src/wardstair/process/host.py
@@ -3,27 +3,27 @@
 import asyncio
 import contextlib
 import secrets
-import ssl
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
 from typing import Any
 
 from result import Err, Ok, Result
-from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 
 from wardstair.connection.client import close_client, make_client
 from wardstair.decisions.ledger import Identity
 from wardstair.errors import Fault, Refusal
 from wardstair.process.admission import OutsideAdmission
+from wardstair.process.calls import CallCarrier
 from wardstair.process.capacity import Capacity
 from wardstair.process.configuration import Configuration
 from wardstair.process.dispatch import Dispatcher
+from wardstair.process.entry_gauges import add_entry_gauges
 from wardstair.process.fleet import Fleet
 from wardstair.process.forecasts import Outlook, outlook
 from wardstair.process.journal import Journal, JournalEntry
+from wardstair.process.listeners import BODY_BYTES, HostPorts, Listeners
 from wardstair.process.loans import Loans
 from wardstair.process.log import log_event
 from wardstair.process.messages import Hello
@@ -36,8 +36,6 @@
 from wardstair.process.probing import Prober
 from wardstair.process.settings import (
     EntrySettings,
-    ListenSettings,
-    TlsSettings,
 )
 from wardstair.process.shifting import ShiftPacer
 from wardstair.process.slots import SlotPool
@@ -49,25 +47,16 @@
     AnswerSink,
     Call,
     CallEnd,
-    CallerLeft,
-    CutShort,
-    Delivered,
-    Refused,
 )
 from wardstair.request.caller import CallerServer
 from wardstair.request.forwarding import Forwarder
 from wardstair.request.lookup import LookupBook
 from wardstair.request.once import (
-    HomeElsewhere,
-    HomeHere,
-    HomeLost,
     KeyKeeper,
 )
 from wardstair.version.resources import shifts_to, zone_resources
 from wardstair.version.topology import Topology
 
-BODY_BYTES = 1 << 50
-CHUNK_BYTES = 65536
 IDLE_SWEEP_SECONDS = 1.0
 LEAVE_MARGIN_SECONDS = 2.0
 END_POLL_SECONDS = 0.05
@@ -77,16 +66,6 @@
 AGE_MOST_SECONDS = 1e6
 
 
-@dataclass(frozen=True)
-class HostPorts:
-    """Ports that the listeners of a host got."""
-
-    callers: int
-    peers: int
-    forward: int
-    operators: int
-
-
 def new_incarnation() -> str:
     """Return an incarnation that sorts after all earlier ones."""
     milliseconds = time.time_ns() // 1_000_000
@@ -174,6 +153,14 @@
             self.placement,
             settings.host.region,
         )
+        self._calls = CallCarrier(
+            self.configuration,
+            self.fleet,
+            self.forwarder,
+            self.keeper,
+            self.journal,
+            self.metrics,
+        )
         self.pacer = ShiftPacer(self.fleet)
         self.prober = Prober(self._client, self.pool)
         self._dispatcher = Dispatcher(
@@ -198,7 +185,7 @@
         self._book_generation: object = None
         self._callers = CallerServer(self, is_internal=False)
         self._forwarded = CallerServer(self, is_internal=True)
-        self._servers: list[HTTPServer] = []
+        self._listeners = Listeners(settings.limits)
         self._supervisor = Supervisor(self._count_task_failure)
         self._leaving_since: float | None = None
         self._refuses_new = False
@@ -222,9 +209,9 @@
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
         listen = self.settings.listen
-        callers = self._serve(self._callers, listen.callers)
-        forward = self._serve(self._forwarded, listen.forward)
-        operators = self._serve(
+        callers = self._listeners.open(self._callers, listen.callers)
+        forward = self._listeners.open(self._forwarded, listen.forward)
+        operators = self._listeners.open(
             operator_application(self, self.settings.operator_token_hashes),
             listen.operators,
         )
@@ -286,11 +273,9 @@
         await self._supervisor.stop()
         await self.loans.stop()
         await self.prober.stop()
-        for server in self._servers:
-            server.stop()
+        self._listeners.refuse_new()
         await self.links.stop()
-        for server in self._servers:
-            await server.close_all_connections()
+        await self._listeners.close()
         self._platform.close()
         close_client(self._client)
         self.metrics.close()
@@ -336,48 +321,15 @@
 
     async def carry(self, call: Call, sink: AnswerSink) -> CallEnd:
         """Carry a call to its end."""
-        entry = self.journal.open(call.request_id, self.configuration.version)
-        entry.facts.update(
-            workload=call.route.workload.name,
-            method=call.method,
-            origin=call.origin,
-            key=call.key,
-        )
-        if call.key is None:
-            return await self.forwarder.forward(call, sink, entry)
-        self.journal.alias(call.key, entry)
-        return await self._carry_once(call, sink, entry)
+        return await self._calls.carry(call, sink)
 
     def note_end(self, call: Call, end: CallEnd, seconds: float) -> None:
         """Count and record the end of a call."""
-        workload = call.route.workload.name
-        labels = {'workload': workload}
-        entry = self.journal.find(call.request_id)
-        match end:
-            case Delivered(head=head):
-                self.metrics.requests.add(workload)
-                self.metrics.latency.record(seconds, labels)
-                step = f'answered {head.status}'
-            case Refused(refusal=refusal):
-                self.note_refusal(workload, refusal)
-                step = f'refused {refusal.kind} not_run={refusal.not_run}'
-                log_event(
-                    'refused',
-                    request=call.request_id,
-                    workload=workload,
-                    kind=refusal.kind,
-                    not_run=refusal.not_run,
-                )
-            case CutShort():
-                step = 'answer cut short'
-            case CallerLeft():
-                step = 'caller left'
-        if entry is not None:
-            entry.add_step(f'{step} after {seconds:.3f} s')
+        self._calls.note_end(call, end, seconds)
 
     def note_refusal(self, workload: str, refusal: Refusal) -> None:
         """Count a refusal."""
-        self.metrics.refusals.add(str(refusal.kind), workload)
+        self._calls.note_refusal(workload, refusal)
 
     def status(self) -> dict[str, Any]:
         """Return what is happening, as JSON values."""
@@ -470,37 +422,7 @@
         self.pool.on_shortage = self.loans.shortage
         self.pool.on_return = self.loans.give_back
         self.pool.on_release = self.loans.on_release
-        self.metrics.add_gauge(
-            'wardstair_slots_in_use',
-            'Slots in use by this host, by resource',
-            lambda: [
-                (float(ledger.in_use), {'resource': name})
-                for name, ledger in self.capacity.ledgers.items()
-            ],
-        )
-        self.metrics.add_count(
-            'wardstair_control_messages',
-            'Messages to other entry hosts, by kind',
-            lambda: [
-                (float(count), {'kind': kind})
-                for kind, count in self.links.sent.items()
-            ],
-        )
-        self.metrics.add_count(
-            'wardstair_control_bytes',
-            'Bytes of messages to other entry hosts',
-            lambda: [(float(self.links.sent_bytes), {})],
-        )
-        self.metrics.add_gauge(
-            'wardstair_waiting',
-            'Requests that wait for a slot',
-            lambda: [(float(self.pool.waiting), {})],
-        )
-        self.metrics.add_gauge(
-            'wardstair_version',
-            'Version of the configuration in force',
-            lambda: [(float(self.configuration.version), {})],
-        )
+        add_entry_gauges(self)
 
     def _adopt(self, topology: Topology) -> None:
         zone = self.settings.host.zone
@@ -529,42 +451,6 @@
             self.settings.host.region,
         )
 
-    async def _carry_once(
-        self,
-        call: Call,
-        sink: AnswerSink,
-        entry: JournalEntry,
-    ) -> CallEnd:
-        home = await self.keeper.find_home(call.key or '')
-        match home:
-            case HomeHere(issued_at=issued_at):
-                return await self.keeper.run(
-                    call,
-                    issued_at,
-                    lambda: self.forwarder.forward(call, sink, entry),
-                    sink,
-                )
-            case HomeElsewhere(home=identity):
-                entry.add_step(f'home is {identity.name}')
-                return await self._relay_home(call, identity, sink)
-            case HomeLost(reason=reason):
-                return Refused(problem.outcome_unknown(reason))
-
-    async def _relay_home(
-        self,
-        call: Call,
-        home: Identity,
-        sink: AnswerSink,
-    ) -> CallEnd:
-        topology = self.topology
-        host = None if topology is None else topology.hosts.get(home.name)
-        known = self.fleet.incarnation_of(home.name)
-        is_gone = known is not None and known != home.incarnation
-        if host is None or is_gone or call.is_internal:
-            reason = 'the host that remembers its key has been replaced'
-            return Refused(problem.outcome_unknown(reason))
-        return await self.forwarder.relay(call, host, sink)
-
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(IDLE_SWEEP_SECONDS)
@@ -617,33 +503,6 @@
     def _count_task_failure(self, task: str) -> None:
         self.metrics.task_failures.add(task)
 
-    def _serve(self, app: Any, listen: ListenSettings) -> int:
-        limits = self.settings.limits
-        server = HTTPServer(
-            app,
-            max_body_size=BODY_BYTES,
-            max_header_size=limits.header_bytes,
-            idle_connection_timeout=limits.header_seconds,
-            ssl_options=_tls_context(listen.tls),
-            chunk_size=CHUNK_BYTES,
-        )
-        address, _, port = listen.address.rpartition(':')
-        sockets = bind_sockets(int(port), address)
-        server.add_sockets(sockets)
-        self._servers.append(server)
-        return int(sockets[0].getsockname()[1])
-
-
-def _tls_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
-    if tls is None:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(tls.certificate, tls.key)
-    if tls.authority is not None:
-        context.load_verify_locations(tls.authority)
-        context.verify_mode = ssl.CERT_REQUIRED
-    return context
-
 
 async def run_until_stopped(host: EntryHost, stop: asyncio.Event) -> None:
     """Run a host until told to stop, then drain it."""
