Hand on no promise that an upstream did not make

Cause: a 503, 429 or 408 of an upstream without its mark for "not run" would have gone on unchanged; callers take such a status for a promise and send a request again that may have run.

Change: such an answer counts as lost: a repeatable request goes to another upstream, the others end as "may have run". The table of answers has the case, which failed before.

--- a/src/wardstair/connection/upstream.py
+++ b/src/wardstair/connection/upstream.py
@@ -27,6 +27,8 @@
     reset = 'reset'
     malformed = 'malformed'
     foreign = 'foreign'
+    # A status that promises "not run" from an upstream that did not say it.
+    unsaid = 'unsaid'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -24,6 +24,8 @@
 
 _MISDIRECTED = 421
 _SUCCESS = range(200, 300)
+# Statuses by which a caller takes a request for not run.
+_PROMISES = frozenset((408, 429, 503))
 
 
 @dataclass(frozen=True, slots=True)
@@ -182,6 +184,9 @@
         return TurnedAway(answer.status, answer.status == _MISDIRECTED)
     if answer.status in _SUCCESS and not fields.is_proven:
         return Lost(BreakReason.malformed)
+    if answer.status in _PROMISES:
+        # Handed on, it would tell the caller what the upstream did not say.
+        return Lost(BreakReason.unsaid)
     return Delivered(answer, fields, seconds)
 
 
--- a/tests/functional/test_gateway_requests.py
+++ b/tests/functional/test_gateway_requests.py
@@ -69,6 +69,7 @@
 WHOLE = b'Content-Length: 2\r\n\r\nok'
 INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
 MISDIRECTED = b'HTTP/1.1 421 Misdirected Request\r\n' + ID + EMPTY
+UNSAID = b'HTTP/1.1 503 Service Unavailable\r\n' + ID + EMPTY
 UNPROVEN = b'HTTP/1.1 200 OK\r\n' + ID + EMPTY
 POST = (
     b'POST /read/x HTTP/1.1\r\nHost: music.example\r\n'
@@ -148,6 +149,8 @@
         (writes(UNPROVEN), 502, None),
         (closes_at_once(), 502, None),
         (answer_full, 503, None),
+        # A status that promises "not run", from one that did not say so.
+        (writes(UNSAID), 502, None),
     ],
 )
 @pytest.mark.parametrize('target', ['/read/x', '/order/x'])
