Say each own ending of a request in one table

Cause: gateway/refusals.py had eight functions of one shape, and the forwarder named the reasons of its log lines a second time.

Change: an Ending has status, kind, message and time to come back; the log and the metrics use its kind (the reason time-is-up is now deadline-passed, as the product calls it elsewhere). No answer changed.

--- a/src/wardstair/gateway/callers.py
+++ b/src/wardstair/gateway/callers.py
@@ -170,7 +170,7 @@
     async def _run(self) -> None:
         inbound = self._inbound()
         if inbound is None:
-            self._write(refusals.no_request_id())
+            self._write(refusals.NO_REQUEST_ID.reply(''))
             return
         try:
             reply = await self._serve(inbound)
@@ -182,7 +182,7 @@
                 request=inbound.request_id,
                 error=repr(error),
             )
-            self._write(refusals.internal_fault(inbound.request_id))
+            self._write(refusals.INTERNAL_FAULT.reply(inbound.request_id))
             raise
         self._write(reply)
 
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import time
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -108,12 +107,10 @@
         """Carry a request to its answer."""
         steering = self._belief.steering
         if steering is None:
-            self._reporter.unrouted(inbound, 'starting', -1)
-            return refusals.starting(inbound.request_id)
+            return self._refuse(inbound, refusals.STARTING)
         route = steering.find_route(inbound.host, inbound.path)
         if route is None:
-            self._reporter.unrouted(inbound, 'no-route', steering.version)
-            return refusals.no_route(inbound.request_id)
+            return self._refuse(inbound, refusals.NO_ROUTE)
         course = self._begin(inbound, route, steering.version)
         try:
             return await self._run(course)
@@ -153,7 +150,7 @@
                 reply = self._settle(course, done)
             elif time.monotonic() >= course.until:
                 # What is running may have run: the answer promises nothing.
-                reply = self._end(course, 'time-is-up', refusals.too_late)
+                reply = self._end(course, refusals.TOO_LATE)
             else:
                 self._hedge(course)
         return reply
@@ -374,23 +371,20 @@
 
     def _give_up(self, course: _Course) -> Reply:
         if course.may_have_run:
-            return self._end(
-                course,
-                'outcome-unknown',
-                refusals.outcome_unknown,
-            )
+            return self._end(course, refusals.OUTCOME_UNKNOWN)
         if course.trail.unreachable:
-            return self._end(course, 'no-upstream', refusals.no_upstream)
-        return self._end(course, 'overloaded', refusals.overloaded)
+            return self._end(course, refusals.NO_UPSTREAM)
+        return self._end(course, refusals.OVERLOADED)
 
-    def _end(
-        self,
-        course: _Course,
-        kind: str,
-        make: Callable[[str], Reply],
-    ) -> Reply:
+    def _end(self, course: _Course, ending: refusals.Ending) -> Reply:
         course.is_ended = True
         known = len(self._belief.catalog.of_service(course.service))
         left = course.until - time.monotonic()
-        self._reporter.refused(course.trail, kind, known, left)
-        return make(course.inbound.request_id)
+        self._reporter.refused(course.trail, ending.kind, known, left)
+        return ending.reply(course.inbound.request_id)
+
+    def _refuse(self, inbound: Inbound, ending: refusals.Ending) -> Reply:
+        """Refuse a request that no route was found for."""
+        version = self._belief.versions.configuration
+        self._reporter.unrouted(inbound, ending.kind, version)
+        return ending.reply(inbound.request_id)
--- a/src/wardstair/gateway/refusals.py
+++ b/src/wardstair/gateway/refusals.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from dataclasses import dataclass
 
 from wardstair.errors import RefusalKind
 from wardstair.gateway.messages import Reply
@@ -19,107 +20,82 @@
     503: 'Service Unavailable',
     504: 'Gateway Timeout',
 }
-# A host that has just started knows a configuration within about this time.
-STARTING_RETRY_SECONDS = 0.5
-# When an upstream that is full should have room again: some two answers.
-ROOM_SECONDS = 0.4
-# When one that cannot be reached may be back.
-RETURN_SECONDS = 1.0
 
 
-def no_request_id() -> Reply:
-    """Refuse a request that does not name itself."""
-    return _reply(
-        400,
-        '',
-        RefusalKind.bad_header,
-        f'the request carries no {REQUEST_ID}; send one',
-    )
-
-
-def no_route(request_id: str) -> Reply:
-    """Refuse a request that no route covers."""
-    return _reply(
-        404,
-        request_id,
-        RefusalKind.no_route,
-        'no route covers this host and path; check both',
-    )
-
-
-def starting(request_id: str) -> Reply:
-    """Refuse a request on a host that knows no configuration yet."""
-    return _reply(
-        503,
-        request_id,
-        RefusalKind.starting,
-        'this entry host knows no configuration yet; come back',
-        retry_after=STARTING_RETRY_SECONDS,
-    )
-
-
-def overloaded(request_id: str) -> Reply:
-    """Refuse a request that has not run, for lack of room."""
-    return _reply(
-        503,
-        request_id,
-        RefusalKind.overloaded,
-        'no upstream has room; come back after the stated seconds',
-        retry_after=ROOM_SECONDS,
-    )
-
-
-def no_upstream(request_id: str) -> Reply:
-    """Refuse a request that has not run, since nothing can serve it now."""
-    return _reply(
-        503,
-        request_id,
-        RefusalKind.no_upstream,
-        'no upstream can be reached; come back after the stated seconds',
-        retry_after=RETURN_SECONDS,
-    )
-
-
-def too_late(request_id: str) -> Reply:
-    """End a request whose time is up and that may have run."""
-    return _reply(
-        504,
-        request_id,
-        RefusalKind.deadline_passed,
-        'the time of the request is up; it may have run',
-    )
-
-
-def outcome_unknown(request_id: str) -> Reply:
-    """End a request that broke off and may have run."""
-    return _reply(
-        502,
-        request_id,
-        RefusalKind.outcome_unknown,
-        'the upstream gave no whole answer; the request may have run',
-    )
-
-
-def internal_fault(request_id: str) -> Reply:
-    """End a request that a fault of this program broke off."""
-    return _reply(
-        500,
-        request_id,
-        RefusalKind.internal_fault,
-        'the entry host failed; see its log under this request id',
-    )
-
-
-def _reply(
-    status: int,
-    request_id: str,
-    kind: RefusalKind,
-    message: str,
-    *,
-    retry_after: float | None = None,
-) -> Reply:
-    headers = [('Content-Type', _JSON), (REQUEST_ID, request_id)]
-    if retry_after is not None:
-        headers.append(('Retry-After', f'{retry_after:.2f}'))
-    body = json.dumps({'kind': kind, 'message': message}).encode()
-    return Reply(status, _PHRASES[status], tuple(headers), body)
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """A way in which the gateway itself ends a request.
+
+    Attributes:
+        status: Status code; 503 promises that the request has not run.
+        kind: Stable name, for the caller, the log and the metrics.
+        message: What happened and what to do about it.
+        retry_after: Seconds after which coming back makes sense, or None.
+    """
+
+    status: int
+    kind: RefusalKind
+    message: str
+    retry_after: float | None = None
+
+    def reply(self, request_id: str) -> Reply:
+        """Return the answer to one request."""
+        headers = [('Content-Type', _JSON), (REQUEST_ID, request_id)]
+        if self.retry_after is not None:
+            headers.append(('Retry-After', f'{self.retry_after:.2f}'))
+        body = json.dumps({'kind': self.kind, 'message': self.message})
+        return Reply(
+            self.status,
+            _PHRASES[self.status],
+            tuple(headers),
+            body.encode(),
+        )
+
+
+NO_REQUEST_ID = Ending(
+    400,
+    RefusalKind.bad_header,
+    f'the request carries no {REQUEST_ID}; send one',
+)
+NO_ROUTE = Ending(
+    404,
+    RefusalKind.no_route,
+    'no route covers this host and path; check both',
+)
+# A host that has just started knows a configuration within about half a
+# second.
+STARTING = Ending(
+    503,
+    RefusalKind.starting,
+    'this entry host knows no configuration yet; come back',
+    retry_after=0.5,
+)
+# An upstream that is full has room again after some two answers.
+OVERLOADED = Ending(
+    503,
+    RefusalKind.overloaded,
+    'no upstream has room; come back after the stated seconds',
+    retry_after=0.4,
+)
+# One that cannot be reached is taken out, or back, within about a second.
+NO_UPSTREAM = Ending(
+    503,
+    RefusalKind.no_upstream,
+    'no upstream can be reached; come back after the stated seconds',
+    retry_after=1.0,
+)
+TOO_LATE = Ending(
+    504,
+    RefusalKind.deadline_passed,
+    'the time of the request is up; it may have run',
+)
+OUTCOME_UNKNOWN = Ending(
+    502,
+    RefusalKind.outcome_unknown,
+    'the upstream gave no whole answer; the request may have run',
+)
+INTERNAL_FAULT = Ending(
+    500,
+    RefusalKind.internal_fault,
+    'the entry host failed; see its log under this request id',
+)
--- a/src/wardstair/process/story.py
+++ b/src/wardstair/process/story.py
@@ -57,7 +57,7 @@
     ('request-refused', 'overloaded'): Cause.refused_full,
     ('request-refused', 'no-upstream'): Cause.refused_gone,
     ('request-refused', 'outcome-unknown'): Cause.unknown,
-    ('request-refused', 'time-is-up'): Cause.timed_out,
+    ('request-refused', 'deadline-passed'): Cause.timed_out,
     ('request-unrouted', 'starting'): Cause.refused_start,
     ('request-unrouted', ''): Cause.no_route,
     ('caller-left', ''): Cause.left,
