--- a/tests/lib/municipal.py
+++ b/tests/lib/municipal.py
@@ -41,6 +41,7 @@
         self.calls: list[str] = []
         self.status: int | None = None
         self.silenced = 0
+        self.is_stopped = False
         self.changed = asyncio.Event()
         self.port = 0
         self._server: HTTPServer | None = None
@@ -56,6 +57,7 @@
     async def stop(self) -> None:
         assert self._server is not None
         self._server.stop()
+        self.is_stopped = True
         self._wake()
         await self._server.close_all_connections()
 
@@ -149,9 +151,12 @@
             left = end - asyncio.get_running_loop().time()
             if left <= 0:
                 break
+            if store.is_stopped:
+                break
             changed = store.changed
             try:
-                await asyncio.wait_for(changed.wait(), left)
+                async with asyncio.timeout(left):
+                    await changed.wait()
             except TimeoutError:
                 break
         if number <= store.silenced:
