Bound waits by asyncio.timeout in the gateway as well

Cause: wait_for of Python 3.11 may swallow a cancellation; three places of the gateway still used it.

Change: asyncio.timeout there.

--- a/src/wardstair/cli/gateway.py
+++ b/src/wardstair/cli/gateway.py
@@ -58,7 +58,8 @@
     seen = _stamp(path)
     while True:
         try:
-            await asyncio.wait_for(hung_up.wait(), LOOK_SECONDS)
+            async with asyncio.timeout(LOOK_SECONDS):
+                await hung_up.wait()
         except TimeoutError:
             if _stamp(path) == seen:
                 continue
--- a/src/wardstair/gateway/callers.py
+++ b/src/wardstair/gateway/callers.py
@@ -90,7 +90,8 @@
             seconds: Longest time to wait.
         """
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._is_idle.wait(), max(seconds, 0))
+            async with asyncio.timeout(max(seconds, 0)):
+                await self._is_idle.wait()
 
     def close_resting(self) -> None:
         """Close the connections on which no request is open."""
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -207,7 +207,8 @@
         await self.callers.wait_idle(end - self._clock())
         log_event('host-stopped', cut=self.callers.open_count)
         try:
-            await asyncio.wait_for(self.close(), CLOSE_SECONDS)
+            async with asyncio.timeout(CLOSE_SECONDS):
+                await self.close()
         except TimeoutError:
             # A caller that does not read keeps its connection from closing;
             # the end of the process closes it.
