End watches that are dropped, so that they hold up no other call

With logs: both sentinels learned of the first of three upstreams that left at 25.0 s, and of nothing after.

Change: a watch has a client of its own, which is closed when the watch is dropped. The test drops 40 watches and failed before.

--- a/src/wardstair/platform/store.py
+++ b/src/wardstair/platform/store.py
@@ -12,6 +12,7 @@
 import pycurl
 from pydantic import BaseModel, ConfigDict, ValidationError
 from result import Err, Ok, Result
+from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
 from wardstair.connection.client import close_client, make_client
@@ -31,8 +32,8 @@
 WATCH_SLACK_SECONDS = 1.5
 CONNECT_SECONDS = 1.0
 _MILLISECONDS = 1000
-# Watches that were dropped go on until they time out.
-_MANY_TRANSFERS = 24
+# Listings, proofs of contact and the registration, without watches.
+_MANY_TRANSFERS = 8
 # The store hands out at most about a megabyte in one answer.
 _ANSWER_BYTES = 4194304
 
@@ -104,10 +105,21 @@
         self.calls = 0
         self._address = address
         self._client = make_client(_MANY_TRANSFERS, _ANSWER_BYTES)
+        # A watch has a client of its own: tornado cannot end a transfer that
+        # waits, but closing its client does.
+        self._watches: dict[str, CurlAsyncHTTPClient] = {}
 
     def close(self) -> None:
         """Drop all connections."""
         close_client(self._client)
+        for kind in tuple(self._watches):
+            self.drop_watch(kind)
+
+    def drop_watch(self, kind: str) -> None:
+        """End a waiting watch of a kind, if there is one."""
+        client = self._watches.pop(kind, None)
+        if client is not None:
+            close_client(client)
 
     async def list_kind(self, kind: str) -> Result[Listing, PlatformError]:
         """List all objects of a kind, page by page."""
@@ -132,7 +144,7 @@
         revision: int,
         seconds: float,
     ) -> Result[Changes, PlatformError]:
-        """Wait for changes of a kind after a revision.
+        """Wait for changes of a kind after a revision; one watch a kind.
 
         Args:
             kind: The kind.
@@ -143,10 +155,15 @@
             'watch': revision,
             'wait_ms': round(seconds * _MILLISECONDS),
         }
+        client = self._watches.get(kind)
+        if client is None:
+            client = make_client(1, _ANSWER_BYTES)
+            self._watches[kind] = client
         answered = await self._call(
             'GET',
             _path(kind, query=query),
             seconds=seconds + WATCH_SLACK_SECONDS,
+            client=client,
         )
         if isinstance(answered, Err):
             return answered
@@ -213,8 +230,10 @@
         document: Mapping[str, object] | None = None,
         *,
         seconds: float = CALL_SECONDS,
+        client: CurlAsyncHTTPClient | None = None,
     ) -> Result[bytes, PlatformError]:
         self.calls += 1
+        used = client or self._client
         body = None if document is None else json.dumps(document)
         request = HTTPRequest(
             f'http://{self._address}{path}',
@@ -228,7 +247,7 @@
             prepare_curl_callback=_prepare,
         )
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            response = await used.fetch(request, raise_error=False)
         except (HTTPClientError, OSError, pycurl.error) as error:
             return Err(PlatformUnavailable(f'{method} {path}: {error}'))
         return _judge(response, f'{method} {path}')
--- a/src/wardstair/state/following.py
+++ b/src/wardstair/state/following.py
@@ -170,6 +170,7 @@
             dropped.cancel()
             if not watching.done():
                 watching.cancel()
+                self._store.drop_watch(self._plan.kind)
         return watching.result() if watching.done() else None
 
     def _fail(self, error: PlatformError) -> None:
