Bound what a host remembers of sends and of hosts long gone

Change: sends older than 60 s go at each note; hosts silent for two hours are no members any more (a region may be cut off for an hour and goes on spending its part). Tests for both.

--- a/src/wardstair/decisions/resends.py
+++ b/src/wardstair/decisions/resends.py
@@ -13,6 +13,9 @@
 # forget what they have spent.
 RATIO_USED = 0.8
 EXTRA_USED = 0.6
+# Sends that are older than this many seconds count in no window. The users'
+# windows are of 10 s.
+LONGEST_WINDOW = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,8 +55,14 @@
     _firsts: deque[float] = field(default_factory=deque)
     _resends: deque[float] = field(default_factory=deque)
 
+    @property
+    def size(self) -> int:
+        """Sends that are remembered."""
+        return len(self._firsts) + len(self._resends)
+
     def note_first(self, now: float) -> None:
         """Count a request's first send."""
+        self._forget(now - LONGEST_WINDOW)
         self._firsts.append(now)
 
     def take(self, limit: ResendLimit, now: float) -> bool:
@@ -70,10 +79,6 @@
         self._resends.append(now)
         return True
 
-    def trim(self, before: float) -> None:
-        """Forget sends before a time, to bound memory."""
-        self._forget(before)
-
     def _forget(self, before: float) -> None:
         for times in (self._firsts, self._resends):
             while times and times[0] < before:
--- a/src/wardstair/fleet/members.py
+++ b/src/wardstair/fleet/members.py
@@ -10,6 +10,10 @@
 SILENT_SECONDS = 3.2
 # A host that is silent for this long is taken out of the store.
 FORGOTTEN_SECONDS = 30.0
+# Until then a silent host counts among those that share the fleet's bounds: it
+# may be cut off and go on. Regions lose each other for an hour now and then,
+# but a host that is replaced must not take its part along for good.
+GONE_SECONDS = 7200.0
 # A gap in this process's own timer above which its silence, not the others',
 # explains what it has not heard.
 OWN_PAUSE_SECONDS = 1.5
@@ -114,7 +118,7 @@
         return names
 
     def check(self) -> None:
-        """Note hosts that have fallen silent."""
+        """Note hosts that have fallen silent; drop those long gone."""
         for member in self.table.values():
             if member.was_live and not self.is_live(member):
                 member.was_live = False
@@ -125,6 +129,12 @@
                     zone=member.peer.zone,
                     silent=round(self.clock() - member.heard_at, 1),
                 )
+        end = self.clock() - GONE_SECONDS
+        self.table = {
+            name: member
+            for name, member in self.table.items()
+            if member.heard_at > end
+        }
 
     def forgive_pause(self, gap: float) -> None:
         """Move all times on after a pause of this process."""
--- a/tests/unit/test_fleet_shares.py
+++ b/tests/unit/test_fleet_shares.py
@@ -8,9 +8,16 @@
 from hypothesis import strategies as st
 
 from wardstair.decisions.cold import HostView, Pace, sender_rate
-from wardstair.decisions.resends import ResendBudget, ResendLimit, host_limit
+from wardstair.decisions.resends import (
+    LONGEST_WINDOW,
+    ResendBudget,
+    ResendLimit,
+    host_limit,
+)
 from wardstair.decisions.sentinels import Watcher, choose_sentinels
 from wardstair.decisions.split import SplitTally
+from wardstair.fleet.beats import Beat, BeatKind, PeerName, Versions
+from wardstair.fleet.members import GONE_SECONDS, Members
 
 FLEET = ResendLimit(0.2, 64, 10)
 
@@ -134,3 +141,26 @@
     assert len(chosen) == 2
     left = [host for host in hosts if host.name != chosen[0]]
     assert chosen[1] in choose_sentinels(left, regions)
+
+
+def test_a_budget_that_nobody_draws_on_stays_small() -> None:
+    budget = ResendBudget()
+    for number in range(20000):
+        budget.note_first(number / 100)
+    assert budget.size <= LONGEST_WINDOW * 100 + 1
+
+
+def test_a_host_that_is_silent_for_very_long_is_no_member_any_more() -> None:
+    now = [0.0]
+    own, other = PeerName('a', 'z', '1', '1:1'), PeerName('b', 'z', '2', '2:1')
+    members = Members(own, lambda: now[0])
+    members.hear(Beat(BeatKind.beat, other, 7, 1, False, True, Versions()))
+    assert members.live_names() == {'a', 'b'}
+    now[0] = GONE_SECONDS - 1
+    members.check()
+    assert members.live_names() == {'a'}
+    # It may be cut off and go on spending its part of what the fleet shares.
+    assert 'b' in members.table
+    now[0] = GONE_SECONDS + 1
+    members.check()
+    assert 'b' not in members.table
