Let hosts that know the same agree on the revision

Cause: hosts list at different revisions and kept theirs, so whoever listed earlier looked behind for good and fetched the same set of evacuations at every heartbeat; a watch of upstreams that ended without an event raised the revision and made all others fetch the whole list. Found by reading the diff.

Change: what another host tells is taken over as the revision; an answer without events changes nothing. The test has three hosts settle; it failed before.

--- a/src/wardstair/state/belief.py
+++ b/src/wardstair/state/belief.py
@@ -18,6 +18,9 @@
 from wardstair.state.catalog import Catalog
 from wardstair.version.steering import Steering
 
+# Begin of the source of what another host has told.
+OTHER_HOST = 'host:'
+
 
 @dataclass(slots=True)
 class Belief:
@@ -109,8 +112,11 @@
         now_evacuated = frozenset(zones)
         ended = self.evacuated - now_evacuated
         if now_evacuated == self.evacuated and self.evacuations_revision:
-            # The revision stays that of the change, so that hosts which read
-            # the same set at different times tell the same.
+            # The revision of the change stays, so that each reading does not
+            # make this host look ahead of the others. What another host tells
+            # is taken over: hosts that listed at different times agree then.
+            if source.startswith(OTHER_HOST):
+                self.evacuations_revision = revision
             return False
         self.evacuations_revision = revision
         self.evacuated = now_evacuated
--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -27,7 +27,7 @@
     StoredObject,
 )
 from wardstair.process.log import log_event, log_warning
-from wardstair.state.belief import Belief
+from wardstair.state.belief import OTHER_HOST, Belief
 from wardstair.state.contact import StoreContact
 
 STATE_PATH = '/v1/state'
@@ -156,7 +156,7 @@
         return Ok(state)
 
     def _take_in(self, state: SharedState, host: str) -> None:
-        source = f'host:{host}'
+        source = f'{OTHER_HOST}{host}'
         belief = self._belief
         if state.configuration is not None:
             stored = StoredObject(
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -188,7 +188,8 @@
 
     def _change_upstreams(self, changes: Changes) -> None:
         catalog = self._belief.catalog
-        if changes.revision <= catalog.revision:
+        if not changes.changes or changes.revision <= catalog.revision:
+            # Nothing new: a higher revision alone would make the others fetch.
             return
         # One object may change several times in one answer: the last counts.
         last = {
@@ -202,8 +203,7 @@
             changes.revision,
             store_was_away=self._contact.was_away_lately,
         )
-        if last:
-            self.on_news()
+        self.on_news()
 
 
 def _ignore() -> None:
--- a/tests/functional/test_gateway_fleet.py
+++ b/tests/functional/test_gateway_fleet.py
@@ -109,6 +109,26 @@
     run(test)
 
 
+def agree(hosts: list[GatewayHost]) -> bool:
+    """Return whether no host has a reason to ask another."""
+    versions = [host.belief.versions for host in hosts]
+    newest = max(one.upstreams for one in versions)
+    followers = [host for host in hosts if not host.is_sentinel]
+    return len({one.evacuations for one in versions}) == 1 and all(
+        host.belief.versions.upstreams == newest for host in followers
+    )
+
+
+def test_hosts_that_know_the_same_ask_each_other_for_nothing() -> None:
+    async def test() -> None:
+        async with fleet(3) as (_store, hosts):
+            await until(lambda: hear_each_other(hosts))
+            # Each listed at another revision; they settle on one.
+            await until(lambda: agree(hosts))
+
+    run(test)
+
+
 def test_a_host_that_leaves_or_dies_is_not_named() -> None:
     async def test() -> None:
         async with fleet(3) as (_store, hosts):
