--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -127,6 +127,16 @@
         "a dead host's object was taken out of the store",
         'host outcome',
     ),
+    _kind(
+        'host-not-removed',
+        "a dead host's object could not be taken out; it is tried again",
+        'host reason',
+    ),
+    _kind(
+        'host-unreadable',
+        "a host's object in the store cannot be decoded",
+        'host',
+    ),
     _kind('hosts-found', 'hosts were read from the store', 'count'),
     _kind(
         'host-started',
--- a/src/wardstair/state/registration.py
+++ b/src/wardstair/state/registration.py
@@ -104,6 +104,7 @@
     def _note(self, stored: StoredObject, found: list[PeerName]) -> None:
         host = decode_host(stored)
         if host is None:
+            log_event('host-unreadable', host=stored.metadata.name)
             return
         self._revisions[host.name] = stored.metadata.revision
         found.append(PeerName(host.name, host.zone, host.address, host.front))
@@ -126,5 +127,8 @@
                     # In conflict the host has registered anew: it lives.
                     self._revisions.pop(name, None)
                     log_event('host-removed', host=name, outcome=str(deleted))
-                case Err():
+                case Err(error):
+                    # Tried again at the next cleaning.
+                    reason = getattr(error, 'message', type(error).__name__)
+                    log_event('host-not-removed', host=name, reason=reason)
                     return
