--- a/src/wardstair/gateway/callers.py
+++ b/src/wardstair/gateway/callers.py
@@ -89,6 +89,7 @@
         Args:
             seconds: Longest time to wait.
         """
+        # `host-stopped cut=` tells how many were open when time was up.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(seconds, 0)):
                 await self._is_idle.wait()
--- a/src/wardstair/platform/headers.py
+++ b/src/wardstair/platform/headers.py
@@ -7,18 +7,14 @@
 import math
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from enum import StrEnum
 
 REQUEST_ID = 'Wardstair-Attempt-Id'
 # Milliseconds that the sender will still wait, not a point in time.
 TIME_LEFT = 'Wardstair-Deadline-Ms'
 # The value of one cookie among others, not a header of its own.
 KEY_COOKIE = 'Wardstair-Affinity-Key'
-# Proves that an upstream made this answer; only upstreams can make one.
-PROOF = 'Wardstair-Server-Seal'
 EXPECTED_RUN = 'Wardstair-Expect-Instance'
-NOT_RUN = 'Wardstair-Not-Executed'
-# "running,waiting,slots" of the upstream when it answered.
-LOAD = 'Wardstair-Server-Load'
 _MILLISECONDS = 1000
 # What concerns one connection only (RFC 9110, 7.6.1), and what is set anew.
 _HOP_BY_HOP = frozenset(
@@ -41,6 +37,18 @@
 Pairs = Sequence[tuple[str, str]]
 
 
+class _Read(StrEnum):
+    """Names that are read, in the lower case in which they are compared."""
+
+    request_id = REQUEST_ID.lower()
+    time_left = TIME_LEFT.lower()
+    # Proves that an upstream made this answer; only upstreams can make one.
+    proof = 'wardstair-server-seal'
+    not_run = 'wardstair-not-executed'
+    # "running,waiting,slots" of the upstream when it answered.
+    load = 'wardstair-server-load'
+
+
 @dataclass(frozen=True, slots=True)
 class CallerFields:
     """What a caller's head says beside method and target.
@@ -105,9 +113,9 @@
         lowered = name.lower()
         if lowered == 'connection':
             dropped = dropped | _named_in(text)
-        if lowered == 'wardstair-attempt-id':
+        if lowered == _Read.request_id:
             request_id = text
-        elif lowered == 'wardstair-deadline-ms':
+        elif lowered == _Read.time_left:
             seconds_left = _milliseconds(text)
         elif lowered == 'cookie':
             key = _cookie(text) or key
@@ -144,13 +152,13 @@
     dropped = _HOP_BY_HOP
     for name, text in pairs:
         match name.lower():
-            case 'wardstair-attempt-id':
+            case _Read.request_id:
                 request_id = text
-            case 'wardstair-server-seal':
+            case _Read.proof:
                 is_proven = bool(text)
-            case 'wardstair-not-executed':
+            case _Read.not_run:
                 is_not_run = True
-            case 'wardstair-server-load':
+            case _Read.load:
                 load = _load(text)
             case 'keep-alive':
                 keep_seconds = _keep_seconds(text)
