--- a/src/wardstair/decisions/cold.py
+++ b/src/wardstair/decisions/cold.py
@@ -24,30 +24,49 @@
 
     Attributes:
         own: Its own name.
-        live: Hosts it hears, itself included.
-        known: Number of hosts it knows of, those not heard included.
+        zone: Its availability zone.
+        live: Hosts of its zone that it hears, itself included.
+        zone_size: Hosts known in its zone, those not heard included.
+        fleet_size: Hosts known in all zones.
+        zones: Zones that have entry hosts.
         is_settled: Whether it had time to hear the others after its start.
     """
 
     own: str
+    zone: str
     live: Collection[str]
-    known: int
+    zone_size: int
+    fleet_size: int
+    zones: frozenset[str] = frozenset()
     is_settled: bool = True
 
 
-def sender_rate(upstream: str, rate: float, view: HostView) -> float:
+def sender_rate(
+    upstream: str,
+    zone: str,
+    rate: float,
+    view: HostView,
+) -> float:
     """Return the requests a second that this host may send.
 
+    Only hosts of the upstream's own zone send to it: they all hear each other,
+    and are cut off from it last. One whose zone has no entry host gets an
+    equal part from every host.
+
     Args:
         upstream: Name of the cold upstream's run.
+        zone: Its availability zone.
         rate: Requests a second that it bears from the fleet.
         view: Whom this host knows and hears.
     """
     if not view.is_settled:
         return 0.0
-    if len(view.live) < view.known * WHOLE_VIEW:
+    if zone != view.zone:
+        is_served = zone in view.zones
+        return 0.0 if is_served else rate * RATE_USED / view.fleet_size
+    if len(view.live) < view.zone_size * WHOLE_VIEW:
         # Cut off from most: others may have chosen senders without us.
-        return rate * RATE_USED / view.known
+        return rate * RATE_USED / view.zone_size
     senders = rendezvous(view.live, f'cold {upstream}', SENDERS)
     if view.own not in senders:
         return 0.0
--- a/src/wardstair/fleet/beats.py
+++ b/src/wardstair/fleet/beats.py
@@ -2,7 +2,7 @@
 
 Datagrams fit better than a link a pair: a heartbeat that is lost is replaced
 by the next, and a peer that is cut off holds nothing up. State itself never
-travels in them, only its versions.
+travels in them, only its versions. Who sends to whom: see `radio`.
 """
 
 from dataclasses import dataclass
@@ -12,7 +12,7 @@
 
 # Two versions of the program in one fleet drop each other's datagrams
 # instead of misreading them.
-_FORMAT = 1
+_FORMAT = 2
 _UNREADABLE = (cbor2.CBORDecodeError, ValueError, TypeError, LookupError)
 # Hosts named in one answer to a newcomer, so that a datagram holds them.
 MOST_NAMED = 16
@@ -24,6 +24,9 @@
     beat = 0
     # From a host that has just started; answered by a beat that names others.
     hello = 1
+    # To a host of another zone that took this one for a relay of its zone:
+    # names the hosts that are.
+    redirect = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +72,9 @@
         number: Grows with each heartbeat of a run.
         is_leaving: Whether the sender is about to stop.
         hears_store: Whether the sender is in contact with the store.
+        is_relay: Whether the sender speaks for its zone to other zones.
+        zone_size: Hosts that the sender knows of in its zone, itself included.
+        fleet_size: Hosts that the sender knows of in all zones.
         versions: How new its state is.
         named: Other hosts that the sender hears.
     """
@@ -79,6 +85,9 @@
     number: int
     is_leaving: bool
     hears_store: bool
+    is_relay: bool
+    zone_size: int
+    fleet_size: int
     versions: Versions
     named: tuple[PeerName, ...] = ()
 
@@ -94,6 +103,9 @@
             beat.number,
             beat.is_leaving,
             beat.hears_store,
+            beat.is_relay,
+            beat.zone_size,
+            beat.fleet_size,
             [
                 beat.versions.configuration,
                 beat.versions.evacuations,
@@ -117,8 +129,11 @@
             int(row[4]),
             bool(row[5]),
             bool(row[6]),
-            Versions(*row[7]),
-            tuple(PeerName(*peer) for peer in row[8]),
+            bool(row[7]),
+            int(row[8]),
+            int(row[9]),
+            Versions(*row[10]),
+            tuple(PeerName(*peer) for peer in row[11]),
         )
     except _UNREADABLE:
         return None
--- a/src/wardstair/fleet/members.py
+++ b/src/wardstair/fleet/members.py
@@ -1,13 +1,23 @@
-"""The entry hosts that this one knows, and which of them it hears."""
+"""The entry hosts that this one knows, and which of them it hears.
+
+It hears all hosts of its own availability zone and the relays of the others.
+"""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from wardstair.decisions.relays import RelayCandidate, choose_relays
 from wardstair.fleet.beats import Beat, PeerName, Versions
 from wardstair.process.log import log_event
 
 # Three heartbeats and a little: one or two may be lost on the way.
 SILENT_SECONDS = 3.2
+# A relay or a sentinel that is silent for this long is replaced: one heartbeat
+# may be lost. The tightest bounds (2.5 s on leaving upstreams and on
+# configurations) have to hold while it is noticed. A needless replacement costs
+# a call on the store; leaving a live host out of look-ups would cost more, so
+# these wait longer.
+REPLACED_SECONDS = 1.6
 # A host that is silent for this long is taken out of the store.
 FORGOTTEN_SECONDS = 30.0
 # Until then a silent host counts among those that share the fleet's bounds: it
@@ -31,6 +41,9 @@
         number: Number of its last heartbeat.
         is_leaving: Whether it said that it is about to stop.
         hears_store: Whether it said that it is in contact with the store.
+        is_relay: Whether it said that it is a relay of its zone.
+        zone_size: Hosts that it knows of in its zone.
+        fleet_size: Hosts that it knows of in all zones.
         versions: How new it said its state is.
         was_live: Whether it counted as live when last looked at.
     """
@@ -41,9 +54,24 @@
     number: int = 0
     is_leaving: bool = False
     hears_store: bool = False
+    is_relay: bool = False
+    zone_size: int = 0
+    fleet_size: int = 0
     versions: Versions = field(default_factory=Versions)
     was_live: bool = False
 
+    def take_in(self, beat: Beat, now: float) -> None:
+        """Note what a heartbeat says."""
+        self.peer = beat.sender
+        self.heard_at = now
+        self.run = beat.run
+        self.number = beat.number
+        self.hears_store = beat.hears_store
+        self.is_relay = beat.is_relay
+        self.zone_size = beat.zone_size
+        self.fleet_size = beat.fleet_size
+        self.versions = beat.versions
+
 
 @dataclass(slots=True)
 class Members:
@@ -52,15 +80,76 @@
     Attributes:
         own: This host.
         clock: Monotonic time in seconds.
+        hears_store: Whether this host is in contact with the store.
+        is_leaving: Whether this host is about to stop.
         table: Members by name.
+        hinted: Relays of other zones, as a host of theirs named them.
         generation: Grows when the set of live hosts changes.
     """
 
     own: PeerName
     clock: Callable[[], float]
+    hears_store: Callable[[], bool] = field(default=lambda: False)
+    is_leaving: bool = False
     table: dict[str, Member] = field(default_factory=dict)
+    hinted: dict[str, tuple[str, ...]] = field(default_factory=dict)
     generation: int = 0
 
+    @property
+    def relays(self) -> tuple[str, ...]:
+        """The relays of this host's zone."""
+        candidates = [
+            RelayCandidate(one.peer.name, one.hears_store)
+            for one in self.in_zone(self.own.zone)
+            if self.is_heard(one, REPLACED_SECONDS) and not one.is_leaving
+        ]
+        if not self.is_leaving or not candidates:
+            own = RelayCandidate(self.own.name, self.hears_store())
+            candidates.append(own)
+        return choose_relays(candidates, self.own.zone)
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether this host is a relay of its zone."""
+        return self.own.name in self.relays
+
+    @property
+    def zone_size(self) -> int:
+        """Hosts known in this host's zone, those not heard included."""
+        return len(self.in_zone(self.own.zone)) + 1
+
+    @property
+    def counted_size(self) -> int:
+        """Hosts in all zones, as this host and the relays it hears count."""
+        sizes: dict[str, int] = {}
+        for one in self.table.values():
+            zone = one.peer.zone
+            sizes[zone] = sizes.get(zone, 0) + 1
+        sizes[self.own.zone] = self.zone_size
+        for one in self.live():
+            zone = one.peer.zone
+            sizes[zone] = max(sizes[zone], one.zone_size)
+        return sum(sizes.values())
+
+    @property
+    def fleet_size(self) -> int:
+        """Hosts in all zones, as this host or a relay of its zone counts."""
+        told = [
+            one.fleet_size
+            for one in self.in_zone(self.own.zone)
+            if one.is_relay and self.is_live(one)
+        ]
+        return max(self.counted_size, *told, 1)
+
+    def zones(self) -> set[str]:
+        """Return the zones of all known hosts, this one's included."""
+        known = {one.peer.zone for one in self.table.values()}
+        return known | {self.own.zone}
+
+    def in_zone(self, zone: str) -> list[Member]:
+        """Return the known hosts of a zone but this one."""
+        return [one for one in self.table.values() if one.peer.zone == zone]
+
     def learn(self, peers: Iterable[PeerName]) -> None:
         """Take in names of hosts that somebody else knows."""
         now = self.clock()
@@ -85,12 +174,13 @@
             self.table[beat.sender.name] = member
         if member.run == beat.run and member.number >= beat.number:
             return False
-        member.peer = beat.sender
-        member.heard_at = now
-        member.run = beat.run
-        member.number = beat.number
-        member.hears_store = beat.hears_store
-        member.versions = beat.versions
+        member.take_in(beat, now)
+        if self._has_stepped_down(beat):
+            # It lives, but will not be heard from now on.
+            member.run = 0
+            member.was_live = False
+            self.generation += 1
+            return True
         if member.is_leaving is not beat.is_leaving or not member.was_live:
             member.is_leaving = beat.is_leaving
             member.was_live = True
@@ -102,21 +192,34 @@
             )
         return True
 
+    def is_heard(self, member: Member, seconds: float) -> bool:
+        """Return whether a host was heard within the last seconds."""
+        return bool(member.run) and self.clock() - member.heard_at < seconds
+
     def is_live(self, member: Member) -> bool:
         """Return whether a host was heard lately."""
-        silence = self.clock() - member.heard_at
-        return bool(member.run) and silence < SILENT_SECONDS
+        return self.is_heard(member, SILENT_SECONDS)
 
     def live(self) -> list[Member]:
         """Return the members heard lately, those leaving included."""
         return [one for one in self.table.values() if self.is_live(one)]
 
     def live_names(self) -> set[str]:
-        """Return names of hosts that serve, this one included."""
+        """Return names of heard hosts that serve, this one included."""
         names = {one.peer.name for one in self.live() if not one.is_leaving}
         names.add(self.own.name)
         return names
 
+    def live_in_zone(self) -> set[str]:
+        """Return names of this zone's hosts that serve, this one included."""
+        names = {
+            one.peer.name
+            for one in self.in_zone(self.own.zone)
+            if self.is_live(one) and not one.is_leaving
+        }
+        names.add(self.own.name)
+        return names
+
     def check(self) -> None:
         """Note hosts that have fallen silent; drop those long gone."""
         for member in self.table.values():
@@ -142,10 +245,16 @@
             member.heard_at += gap
 
     def forgotten(self) -> list[str]:
-        """Return hosts that are silent for so long that they are gone."""
+        """Return hosts of this zone that are silent for so long as to be gone.
+
+        Hosts of other zones are not heard anyway; their own zone cleans up.
+        """
         now = self.clock()
         return [
-            name
-            for name, member in self.table.items()
-            if now - member.heard_at > FORGOTTEN_SECONDS
+            one.peer.name
+            for one in self.in_zone(self.own.zone)
+            if now - one.heard_at > FORGOTTEN_SECONDS
         ]
+
+    def _has_stepped_down(self, beat: Beat) -> bool:
+        return beat.sender.zone != self.own.zone and not beat.is_relay
--- a/src/wardstair/fleet/radio.py
+++ b/src/wardstair/fleet/radio.py
@@ -1,10 +1,16 @@
-"""The task that sends and hears heartbeats; it owns its socket."""
+"""The task that sends and hears heartbeats; it owns its socket.
+
+Each host sends its heartbeats to all hosts of its zone. A relay also sends
+them to the relays of the other zones: those that it hears, or else some hosts
+of the zone drawn at random, which name their relays in return.
+"""
 
 import asyncio
 from collections.abc import Callable
 from random import Random
 from typing import cast
 
+from wardstair.decisions.membership import RELAYS_A_ZONE
 from wardstair.fleet.beats import (
     MOST_NAMED,
     Beat,
@@ -14,10 +20,12 @@
     decode_beat,
     encode_beat,
 )
-from wardstair.fleet.members import OWN_PAUSE_SECONDS, Members
+from wardstair.fleet.members import OWN_PAUSE_SECONDS, Member, Members
 from wardstair.process.log import log_warning
 
 BEAT_SECONDS = 1.0
+# Hosts of each other zone that a relay sends to.
+FAR_TARGETS = RELAYS_A_ZONE
 # A newcomer asks again this often until somebody answers.
 HELLO_SECONDS = 0.3
 # Spread of the heartbeats, so that hosts started together do not beat so.
@@ -32,7 +40,6 @@
         members: Members,
         port: int,
         versions: Callable[[], Versions],
-        hears_store: Callable[[], bool],
         random: Random,
     ) -> None:
         """Prepare without a socket.
@@ -41,16 +48,16 @@
             members: Where heartbeats are noted.
             port: Port of all hosts for heartbeats.
             versions: How new this host's state is.
-            hears_store: Whether this host is in contact with the store.
             random: Source of jitter and of the run's name.
         """
         self.on_beat: Callable[[Beat], None] = _ignore
-        self.is_leaving = False
+        self.sent = 0
         self._members = members
         self._port = port
         self._versions = versions
-        self._hears_store = hears_store
         self._random = random
+        # Where heartbeats to other zones last went.
+        self._far: set[str] = set()
         self._run = random.getrandbits(48) + 1
         self._number = 0
         self._transport: asyncio.DatagramTransport | None = None
@@ -80,11 +87,19 @@
         if beat is None:
             log_warning('beat-unreadable', source=addr[0], size=len(data))
             return
-        self._members.learn(beat.named)
-        if self._members.hear(beat):
+        members = self._members
+        members.learn(beat.named)
+        if members.hear(beat):
             self.on_beat(beat)
-        if beat.kind is BeatKind.hello:
-            self._send(beat.sender.address, self._beat(names_others=True))
+        match beat.kind:
+            case BeatKind.hello:
+                named = self._names_for(beat.sender.zone)
+                self._send(beat.sender.address, self._beat(named=named))
+            case BeatKind.redirect:
+                names = tuple(peer.name for peer in beat.named)
+                members.hinted[beat.sender.zone] = names
+            case BeatKind.beat if self._is_misdirected(beat):
+                self._redirect(beat)
 
     def error_received(self, exc: Exception) -> None:
         """Note that a datagram could not be delivered; the next may be."""
@@ -109,43 +124,100 @@
             self._members.check()
 
     def send_beats(self) -> None:
-        """Send a heartbeat to every known host now."""
+        """Send a heartbeat now to everybody who should have it."""
         datagram = encode_beat(self._beat())
-        for address in self._known_addresses():
+        addresses = self._near_addresses()
+        if self._members.is_relay:
+            self._far = self._far_addresses()
+            addresses |= self._far
+        elif self._far:
+            # A last one, which says that this host is no relay any more.
+            addresses |= self._far
+            self._far = set()
+        for address in addresses:
             self._send_bytes(address, datagram)
 
     async def _greet(self, seeds: tuple[str, ...]) -> None:
         for _ in range(3):
-            greeted = self._known_addresses().union(seeds)
+            greeted = self._near_addresses().union(seeds)
             for address in greeted - {self._members.own.address}:
                 self._send(address, self._beat(BeatKind.hello))
             await asyncio.sleep(HELLO_SECONDS)
             if self._members.live():
                 return
 
-    def _known_addresses(self) -> set[str]:
-        return {one.peer.address for one in self._members.table.values()}
+    def _near_addresses(self) -> set[str]:
+        zone = self._members.own.zone
+        return {one.peer.address for one in self._members.in_zone(zone)}
+
+    def _far_addresses(self) -> set[str]:
+        zones = self._members.zones() - {self._members.own.zone}
+        return {
+            target.peer.address
+            for zone in zones
+            for target in self._far_targets(zone)
+        }
+
+    def _far_targets(self, zone: str) -> list[Member]:
+        """Return the relays heard of a zone; others to find them if few."""
+        members = self._members
+        known = members.in_zone(zone)
+        heard = [one for one in known if members.is_live(one)]
+        heard.sort(key=lambda one: one.heard_at, reverse=True)
+        targets = heard[:FAR_TARGETS]
+        hinted = [
+            members.table[name]
+            for name in members.hinted.pop(zone, ())
+            if name in members.table
+        ]
+        others = [one for one in hinted if one not in targets]
+        if not others:
+            others = [one for one in known if one not in targets]
+            self._random.shuffle(others)
+        return targets + others[: FAR_TARGETS - len(targets)]
+
+    def _is_misdirected(self, beat: Beat) -> bool:
+        members = self._members
+        is_far = beat.sender.zone != members.own.zone
+        return is_far and beat.is_relay and not members.is_relay
+
+    def _redirect(self, beat: Beat) -> None:
+        members = self._members
+        named = tuple(
+            members.table[name].peer
+            for name in members.relays
+            if name in members.table
+        )
+        answer = self._beat(BeatKind.redirect, named=named)
+        self._send(beat.sender.address, answer)
+
+    def _names_for(self, zone: str) -> tuple[PeerName, ...]:
+        """Return hosts that a newcomer should know: its zone's, then ours."""
+        members = self._members
+        wanted = [one.peer for one in members.in_zone(zone)]
+        self._random.shuffle(wanted)
+        near = [one.peer for one in members.live() if one.peer not in wanted]
+        self._random.shuffle(near)
+        return tuple([*wanted, *near][:MOST_NAMED])
 
     def _beat(
         self,
         kind: BeatKind = BeatKind.beat,
         *,
-        names_others: bool = False,
+        named: tuple[PeerName, ...] = (),
     ) -> Beat:
         self._number += 1
-        named: tuple[PeerName, ...] = ()
-        if names_others:
-            live = self._members.live()
-            count = min(MOST_NAMED, len(live))
-            drawn = self._random.sample(live, count)
-            named = tuple(one.peer for one in drawn)
+        members = self._members
         return Beat(
             kind=kind,
-            sender=self._members.own,
+            sender=members.own,
             run=self._run,
             number=self._number,
-            is_leaving=self.is_leaving,
-            hears_store=self._hears_store(),
+            is_leaving=members.is_leaving,
+            hears_store=members.hears_store(),
+            is_relay=members.is_relay,
+            zone_size=members.zone_size,
+            fleet_size=members.counted_size,
             versions=self._versions(),
             named=named,
         )
@@ -155,6 +227,7 @@
 
     def _send_bytes(self, address: str, datagram: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
+            self.sent += 1
             self._transport.sendto(datagram, (address, self._port))
 
 
--- a/src/wardstair/fleet/sharing.py
+++ b/src/wardstair/fleet/sharing.py
@@ -1,14 +1,29 @@
-"""What one entry host hands another that is behind: whole parts of state."""
+"""What one entry host hands another that is behind.
 
-from dataclasses import dataclass
+The configuration travels whole and deflated (its routes look alike), the
+evacuations whole, the upstreams as changes since what the other knows.
+"""
+
+import zlib
+from dataclasses import dataclass, field
+from typing import Any
 
 import cbor2
 
 from wardstair.fleet.beats import Versions
+from wardstair.state.catalog import CatalogChanges
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
 
-_FORMAT = 1
-UNREADABLE = (cbor2.CBORDecodeError, ValueError, TypeError, LookupError)
+_FORMAT = 2
+UNREADABLE = (
+    cbor2.CBORDecodeError,
+    zlib.error,
+    ValueError,
+    TypeError,
+    LookupError,
+)
+# Level of deflation: the fastest one; routes look alike enough for it.
+_DEFLATION = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,45 +52,45 @@
     zones: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class SharedUpstreams:
-    """All upstreams.
-
-    Attributes:
-        revision: Store revision of the list.
-        entries: The upstreams, with the cold time that is left.
-    """
-
-    revision: int
-    entries: tuple[UpstreamEntry, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class SharedState:
     """The parts in which the sender is ahead; None for the others."""
 
     configuration: SharedConfiguration | None = None
     evacuations: SharedEvacuations | None = None
-    upstreams: SharedUpstreams | None = None
-
-
-def encode_state(state: SharedState) -> bytes:
-    """Encode parts of state."""
-    configuration = state.configuration
-    evacuations = state.evacuations
-    upstreams = state.upstreams
-    return cbor2.dumps(
-        [
-            _FORMAT,
-            configuration and [configuration.revision, configuration.document],
-            evacuations and [evacuations.revision, list(evacuations.zones)],
-            upstreams
-            and [
-                upstreams.revision,
-                [_entry_row(entry) for entry in upstreams.entries],
-            ],
-        ]
-    )
+    upstreams: CatalogChanges | None = None
+
+
+@dataclass(slots=True)
+class StateEncoder:
+    """Encodes parts of state; keeps the configuration it encoded last.
+
+    All hosts of a zone ask for a new version within a moment.
+    """
+
+    _revision: int = -1
+    _deflated: bytes = field(default=b'')
+
+    def encode(self, state: SharedState) -> bytes:
+        """Encode parts of state."""
+        configuration = state.configuration
+        evacuations = state.evacuations
+        return cbor2.dumps(
+            [
+                _FORMAT,
+                configuration
+                and [configuration.revision, self._deflate(configuration)],
+                evacuations and [evacuations.revision, list(evacuations.zones)],
+                state.upstreams and _changes_row(state.upstreams),
+            ]
+        )
+
+    def _deflate(self, configuration: SharedConfiguration) -> bytes:
+        if configuration.revision != self._revision:
+            document = cbor2.dumps(configuration.document)
+            self._deflated = zlib.compress(document, _DEFLATION)
+            self._revision = configuration.revision
+        return self._deflated
 
 
 def decode_state(encoded: bytes) -> SharedState | None:
@@ -85,13 +100,9 @@
         if row[0] != _FORMAT:
             return None
         return SharedState(
-            row[1] and SharedConfiguration(*row[1]),
+            row[1] and _configuration(*row[1]),
             row[2] and SharedEvacuations(row[2][0], tuple(row[2][1])),
-            row[3]
-            and SharedUpstreams(
-                row[3][0],
-                tuple(_entry(entry) for entry in row[3][1]),
-            ),
+            row[3] and _changes(row[3]),
         )
     except UNREADABLE:
         return None
@@ -118,6 +129,33 @@
     return Versions(configuration, evacuations, upstreams)
 
 
+def _configuration(revision: int, deflated: bytes) -> SharedConfiguration:
+    document = cbor2.loads(zlib.decompress(deflated))
+    return SharedConfiguration(revision, document)
+
+
+def _changes_row(changes: CatalogChanges) -> list[object]:
+    return [
+        changes.since,
+        changes.revision,
+        [_entry_row(entry) for entry in changes.entries],
+        list(changes.removed),
+        {name: round(left, 3) for name, left in changes.missing.items()},
+    ]
+
+
+def _changes(row: list[Any]) -> CatalogChanges:
+    since, revision, entries, *rest = row
+    removed, missing = rest
+    return CatalogChanges(
+        int(since),
+        int(revision),
+        tuple(_entry(entry) for entry in entries),
+        tuple(removed),
+        {name: float(left) for name, left in missing.items()},
+    )
+
+
 def _entry_row(entry: UpstreamEntry) -> list[object]:
     return [
         entry.name,
@@ -128,13 +166,14 @@
         entry.slots,
         entry.phase.value,
         round(entry.cold_seconds, 3),
+        entry.revision,
     ]
 
 
 def _entry(row: list[str]) -> UpstreamEntry:
     name, service, *rest = row
     host, port, zone, *rest = rest
-    slots, phase, cold = rest
+    slots, phase, cold, revision = rest
     return UpstreamEntry(
         name=name,
         service=service,
@@ -144,4 +183,5 @@
         slots=int(slots),
         phase=UpstreamPhase(phase),
         cold_seconds=float(cold),
+        revision=int(revision),
     )
--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -138,7 +138,8 @@
             distances: Round trips to zones.
         """
         own = settings.current.name
-        self.view = HostView(own, (own,), 1)
+        zone = settings.current.zone
+        self.view = HostView(own, zone, (own,), 1, 1)
         self._settings = settings
         self._belief = belief
         self._distances = distances
@@ -335,7 +336,12 @@
         service = steering.services.get(upstream.entry.service)
         if service is None:
             return 0.0
-        return sender_rate(upstream.name, service.cold_rate, self.view)
+        return sender_rate(
+            upstream.name,
+            upstream.entry.zone,
+            service.cold_rate,
+            self.view,
+        )
 
     def _pace_of(self, upstream: Upstream) -> Pace:
         return self._paces.setdefault(upstream.name, Pace())
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -278,7 +278,7 @@
             bounds.retry_extra,
             bounds.retry_window,
         )
-        own = host_limit(fleet, self._chooser.view.known)
+        own = host_limit(fleet, self._chooser.view.fleet_size)
         taken = self._budget(course).take(own, time.monotonic())
         if not taken:
             self._reporter.withheld(course.trail, 'budget-spent')
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Awaitable, Callable
 from dataclasses import fields
 from random import Random
 
@@ -13,7 +14,7 @@
 from wardstair.decisions.cold import HostView
 from wardstair.decisions.sentinels import Watcher, choose_sentinels
 from wardstair.fleet.beats import PeerName
-from wardstair.fleet.members import Members
+from wardstair.fleet.members import REPLACED_SECONDS, Members
 from wardstair.fleet.radio import Radio
 from wardstair.gateway.callers import CallerListener
 from wardstair.gateway.choosing import Chooser
@@ -42,7 +43,9 @@
 from wardstair.state.catalog import Catalog
 from wardstair.state.contact import StoreContact
 from wardstair.state.exchange import StateExchange
+from wardstair.state.following import Follower
 from wardstair.state.registration import Registration
+from wardstair.state.roles import Roles
 from wardstair.state.sync import StoreSync
 
 # How often what is past is swept out: connections, missing upstreams.
@@ -50,6 +53,10 @@
 # Time after the start to hear the other hosts before cold upstreams get
 # requests from here.
 SETTLE_SECONDS = 2.5
+# When the whole fleet starts for the first time, no caller waits yet: only the
+# hosts that are relays then need to read the store. A host that starts into
+# traffic does not wait.
+FIRST_LISTING_SECONDS = 1.2
 # Part of an upstream's connections that the fleet uses.
 CONNECTION_SHARE = 0.8
 LEAST_CONNECTIONS = 4
@@ -92,27 +99,26 @@
         self.belief.on_steering = self._on_steering
         self.store = Store(settings.store)
         self.contact = StoreContact(clock, random)
-        self.members = Members(own, clock)
+        self.members = Members(own, clock, lambda: self.contact.is_held)
         self.radio = Radio(
             self.members,
             settings.fleet_ports[0],
             lambda: self.belief.versions,
-            lambda: self.contact.is_held,
             random,
         )
-        self.sync = StoreSync(
-            self.store,
-            self.contact,
-            self.belief,
+        roles = Roles(
+            lambda: self.members.is_relay,
             lambda: self.is_sentinel,
         )
+        self.sync = StoreSync(self.store, self.contact, self.belief, roles)
         self.exchange = StateExchange(
             self.belief,
             self.contact,
             settings.fleet_ports[0],
-            lambda: self.is_sentinel,
+            roles,
         )
         self.radio.on_beat = self.exchange.on_beat
+        self.exchange.on_news = self._tell_zone
         self.sync.on_news = self.radio.send_beats
         self.registration = Registration(
             self.store,
@@ -147,16 +153,23 @@
     @property
     def is_sentinel(self) -> bool:
         """Whether this host watches the store closely for the others."""
+        members = self.members
+        if not members.is_relay:
+            return False
         own = Watcher(self.settings.name, self.settings.zone)
+        relays = {own.name, *members.relays}
         hosts = [
             Watcher(one.peer.name, one.peer.zone)
-            for one in self.members.live()
-            if one.hears_store and not one.is_leaving
+            for one in members.table.values()
+            if one.hears_store
+            and not one.is_leaving
+            and members.is_heard(one, REPLACED_SECONDS)
+            and (one.peer.zone != own.zone or one.peer.name in relays)
         ]
         if self.contact.is_held and not self._is_stopping:
             hosts.append(own)
         chosen = choose_sentinels(hosts, self.settings.zones)
-        # Without any, everyone has to look for itself.
+        # Without any, every relay has to look for itself.
         return not chosen or own.name in chosen
 
     async def start(self) -> None:
@@ -173,9 +186,9 @@
         )
         seeds = tuple(seed.rpartition(':')[0] for seed in settings.seeds)
         spawn = self._supervisor.spawn
-        spawn('configuration', self.sync.configuration.run)
-        spawn('evacuations', self.sync.evacuations.run)
-        spawn('upstreams', self.sync.upstreams.run)
+        spawn('configuration', self._follow(self.sync.configuration))
+        spawn('evacuations', self._follow(self.sync.evacuations))
+        spawn('upstreams', self._follow(self.sync.upstreams))
         spawn('contact', self.sync.prove_contact)
         spawn('registration', self.registration.run)
         spawn('heartbeats', lambda: self.radio.run(seeds))
@@ -196,7 +209,7 @@
         began = self._clock()
         self.callers.is_stopping = True
         self.directory.is_leaving = True
-        self.radio.is_leaving = True
+        self.members.is_leaving = True
         self.radio.send_beats()
         log_event('host-stopping', open=self.callers.open_count)
         await asyncio.sleep(LINGER_SECONDS)
@@ -269,7 +282,7 @@
         service = steering.services.get(upstream.entry.service)
         if service is None:
             return LEAST_CONNECTIONS
-        hosts = self.chooser.view.known
+        hosts = self.chooser.view.fleet_size
         share = service.most_connections * CONNECTION_SHARE / hosts
         return max(LEAST_CONNECTIONS, int(share))
 
@@ -280,12 +293,32 @@
             catalog.expire_missing()
             self.pool.sweep(self._is_wanted)
             self.chooser.forget(set(catalog.upstreams))
-            self.chooser.view = HostView(
-                own=self.settings.name,
-                live=sorted(self.members.live_names()),
-                known=len(self.members.table) + 1,
-                is_settled=self._clock() - self._started_at > SETTLE_SECONDS,
-            )
+            self.chooser.view = self._view()
+
+    def _follow(self, follower: Follower) -> Callable[[], Awaitable[None]]:
+        async def follow() -> None:
+            if self.settings.is_first_start:
+                await asyncio.sleep(FIRST_LISTING_SECONDS)
+            await follower.run()
+
+        return follow
+
+    def _tell_zone(self) -> None:
+        """Tell the zone at once that this relay has learned something."""
+        if self.members.is_relay:
+            self.radio.send_beats()
+
+    def _view(self) -> HostView:
+        members = self.members
+        return HostView(
+            own=self.settings.name,
+            zone=self.settings.zone,
+            live=sorted(members.live_in_zone()),
+            zone_size=members.zone_size,
+            fleet_size=members.fleet_size,
+            zones=frozenset(members.zones()),
+            is_settled=self._clock() - self._started_at > SETTLE_SECONDS,
+        )
 
     def _is_wanted(self, name: str) -> bool:
         upstream = self.belief.catalog.upstreams.get(name)
--- a/src/wardstair/gateway/settings.py
+++ b/src/wardstair/gateway/settings.py
@@ -68,6 +68,7 @@
         store: Address (`ip:port`) of the platform's store.
         memory_bytes: Memory limit of the process.
         descriptors: Limit of open sockets and files.
+        is_first_start: Whether the whole fleet starts for the first time.
         bounds: What the fleet is held to.
     """
 
@@ -85,6 +86,7 @@
     store: str
     memory_bytes: int
     descriptors: int
+    is_first_start: bool = False
     bounds: Bounds = field(default_factory=Bounds)
 
     @property
--- a/src/wardstair/platform/objects.py
+++ b/src/wardstair/platform/objects.py
@@ -188,6 +188,7 @@
         slots=max(1, spec.info.slots),
         phase=UpstreamPhase(spec.status.state),
         cold_seconds=spec.status.cold_left_ms / _MILLISECONDS,
+        revision=stored.metadata.revision,
     )
 
 
--- a/src/wardstair/platform/settings.py
+++ b/src/wardstair/platform/settings.py
@@ -43,6 +43,7 @@
     fleet_ports: tuple[int, int]
     seeds: tuple[str, ...] = ()
     store: str
+    first_start: bool = False
     limits: _Limits = Field(default_factory=_Limits)
     bounds: tuple[str, ...] = ()
 
@@ -78,6 +79,7 @@
         store=parsed.store,
         memory_bytes=parsed.limits.memory_megabytes * _MEGABYTE,
         descriptors=parsed.limits.descriptors,
+        is_first_start=parsed.first_start,
         bounds=decode_bounds(parsed.bounds),
     )
 
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -112,8 +112,8 @@
     ),
     _kind(
         'upstreams-adopted',
-        'the list of upstreams came from another host',
-        'revision count source',
+        'changes of upstreams came from another host; `since=0`: all of them',
+        'since revision count removed source',
     ),
     _kind('host-joined', 'another entry host is heard', 'host zone'),
     _kind('host-leaving', 'another entry host is stopping', 'host zone'),
--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -5,8 +5,9 @@
 """
 
 import math
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
 
 from wardstair.decisions.warmth import WarmKeys
 from wardstair.process.log import log_event
@@ -32,6 +33,9 @@
 LEAST_EXPECTED_SECONDS = 0.05
 _FIRST_DISTRUST_SECONDS = 0.5
 _LONGEST_DISTRUST_SECONDS = 4.0
+# Removed upstreams that are remembered for hosts that ask what has changed; one
+# that asks from further back gets the whole list.
+MOST_REMOVED = 512
 
 
 @dataclass(slots=True)
@@ -192,6 +196,26 @@
         return seconds
 
 
+@dataclass(frozen=True, slots=True)
+class CatalogChanges:
+    """What has changed since a revision, for a host that is behind.
+
+    Attributes:
+        since: Revision from which on it tells; 0 for the whole list.
+        revision: Revision up to which it tells.
+        entries: Entries that are new or have changed.
+        removed: Names of those that are gone.
+        missing: Seconds that are left for entries which vanished while the
+            store was away to come back, by name.
+    """
+
+    since: int
+    revision: int
+    entries: tuple[UpstreamEntry, ...]
+    removed: tuple[str, ...] = ()
+    missing: Mapping[str, float] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class Catalog:
     """All upstreams by name, with the store's revision.
@@ -209,19 +233,63 @@
     generation: int = 0
     _missing: dict[str, float] = field(default_factory=dict)
     _by_service: dict[str, list[Upstream]] = field(default_factory=dict)
+    # Names with the revision up to which they had been removed, oldest first,
+    # and the revision from which on that is complete.
+    _removed: deque[tuple[int, str]] = field(default_factory=deque)
+    _removed_from: int = 0
 
     def of_service(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that take work."""
         return self._by_service.get(service, [])
 
-    def entries(self) -> list[UpstreamEntry]:
-        """Return the entries in force, with the cold time that is left."""
+    def changes_since(self, revision: int) -> CatalogChanges:
+        """Return what a host lacks that knows everything up to a revision."""
         now = self.clock()
-        return [
+        since = revision if revision >= self._removed_from else 0
+        changed = [
             _with_cold(upstream.entry, max(0.0, upstream.cold_until - now))
             for upstream in self.upstreams.values()
-            if upstream.gone_at is None
+            if upstream.gone_at is None and upstream.entry.revision >= since
         ]
+        present = {entry.name for entry in changed}
+        # One that has come back since is told by its entry.
+        removed = {name for at, name in self._removed if at >= since} - present
+        return CatalogChanges(
+            since,
+            self.revision,
+            tuple(changed),
+            tuple(sorted(removed)) if since else (),
+            {name: end - now for name, end in self._missing.items()},
+        )
+
+    def take_over(self, changes: CatalogChanges) -> bool:
+        """Take in what another host has told.
+
+        Returns:
+            Whether it fits: changes that begin after what this host knows
+            would leave a gap.
+        """
+        if changes.since > self.revision:
+            return False
+        if changes.since:
+            self.apply(
+                changes.entries,
+                changes.removed,
+                changes.revision,
+                store_was_away=False,
+            )
+        else:
+            self.replace_all(
+                changes.entries,
+                changes.revision,
+                store_was_away=False,
+            )
+        now = self.clock()
+        for name, seconds in changes.missing.items():
+            upstream = self.upstreams.get(name)
+            if upstream is not None and upstream.gone_at is None:
+                self._missing.setdefault(name, now + seconds)
+        return True
 
     def replace_all(
         self,
@@ -241,9 +309,12 @@
         listed = {entry.name: entry for entry in entries}
         for entry in listed.values():
             self._put(entry)
+        if not self.revision:
+            # What was removed before is not known.
+            self._removed_from = revision
+        self.revision = revision
         for name in self.upstreams.keys() - listed.keys():
             self.remove(name, store_was_away=store_was_away)
-        self.revision = revision
         self._index()
 
     def apply(
@@ -255,11 +326,11 @@
         store_was_away: bool,
     ) -> None:
         """Take in changes since the last revision."""
+        self.revision = revision
         for entry in changed:
             self._put(entry)
         for name in deleted:
             self.remove(name, store_was_away=store_was_away)
-        self.revision = revision
         self._index()
 
     def remove(self, name: str, *, store_was_away: bool) -> None:
@@ -337,6 +408,10 @@
     def _forget(self, upstream: Upstream, now: float) -> None:
         self._missing.pop(upstream.name, None)
         upstream.gone_at = now
+        self._removed.append((self.revision, upstream.name))
+        if len(self._removed) > MOST_REMOVED:
+            at, _ = self._removed.popleft()
+            self._removed_from = at + 1
         log_event(
             'upstream-gone',
             upstream=upstream.name,
@@ -354,13 +429,4 @@
 
 
 def _with_cold(entry: UpstreamEntry, seconds: float) -> UpstreamEntry:
-    return UpstreamEntry(
-        name=entry.name,
-        service=entry.service,
-        host=entry.host,
-        port=entry.port,
-        zone=entry.zone,
-        slots=entry.slots,
-        phase=entry.phase,
-        cold_seconds=seconds,
-    )
+    return replace(entry, cold_seconds=seconds)
--- a/src/wardstair/state/entries.py
+++ b/src/wardstair/state/entries.py
@@ -25,6 +25,7 @@
         phase: Whether it takes new work.
         cold_seconds: Seconds for which it stays cold, counted from the
             moment the entry was read.
+        revision: Store revision at which the entry last changed.
     """
 
     name: str
@@ -35,6 +36,7 @@
     slots: int
     phase: UpstreamPhase
     cold_seconds: float
+    revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -16,9 +16,8 @@
     SharedConfiguration,
     SharedEvacuations,
     SharedState,
-    SharedUpstreams,
+    StateEncoder,
     decode_state,
-    encode_state,
     encode_versions,
 )
 from wardstair.platform.objects import (
@@ -28,7 +27,9 @@
 )
 from wardstair.process.log import log_event, log_warning
 from wardstair.state.belief import OTHER_HOST, Belief
+from wardstair.state.catalog import CatalogChanges
 from wardstair.state.contact import StoreContact
+from wardstair.state.roles import Roles, ignore
 
 STATE_PATH = '/v1/state'
 # How long this host's own watch may take to bring what another has already.
@@ -48,7 +49,7 @@
         belief: Belief,
         contact: StoreContact,
         port: int,
-        follows_upstreams: Callable[[], bool],
+        roles: Roles,
     ) -> None:
         """Prepare without a connection.
 
@@ -56,14 +57,16 @@
             belief: What this host holds to be true.
             contact: Contact with the store.
             port: Port of all hosts for state.
-            follows_upstreams: Whether this host itself follows the
-                upstreams in the store.
+            roles: What this host does for others.
         """
         self.fetches = 0
+        self.on_news: Callable[[], None] = ignore
         self._belief = belief
         self._contact = contact
         self._port = port
-        self._follows_upstreams = follows_upstreams
+        self._roles = roles
+        self._encoder = StateEncoder()
+        self._ahead: Beat | None = None
         self._fetching: asyncio.Task[None] | None = None
         self._client = make_client(_MANY_FETCHES, _STATE_BYTES)
 
@@ -97,19 +100,19 @@
             )
         upstreams = None
         if own.upstreams > theirs.upstreams:
-            upstreams = SharedUpstreams(
-                own.upstreams,
-                tuple(belief.catalog.entries()),
-            )
-        return encode_state(SharedState(configuration, evacuations, upstreams))
+            upstreams = belief.catalog.changes_since(theirs.upstreams)
+        state = SharedState(configuration, evacuations, upstreams)
+        return self._encoder.encode(state)
 
     def on_beat(self, beat: Beat) -> None:
         """Fetch from a host that is ahead, unless a fetch is under way."""
         if not self._is_behind(beat.versions):
             return
+        # Looked at again when the fetch ends: what it brings may be older.
+        self._ahead = beat
         if self._fetching is not None and not self._fetching.done():
             return
-        self._fetching = asyncio.ensure_future(self._catch_up(beat))
+        self._fetching = asyncio.ensure_future(self._catch_up())
 
     def _is_behind(self, theirs: Versions) -> bool:
         own = self._belief.versions
@@ -121,13 +124,18 @@
 
     @property
     def _follows_itself(self) -> bool:
-        return self._contact.is_held and self._follows_upstreams()
-
-    async def _catch_up(self, beat: Beat) -> None:
-        if self._contact.is_held:
-            await asyncio.sleep(GRACE_SECONDS)
-            if not self._is_behind(beat.versions):
-                return
+        return self._contact.is_held and self._roles.is_sentinel()
+
+    async def _catch_up(self) -> None:
+        while self._ahead is not None:
+            beat = self._ahead
+            self._ahead = None
+            if self._contact.is_held and self._roles.is_relay():
+                await asyncio.sleep(GRACE_SECONDS)
+            if self._is_behind(beat.versions):
+                await self._fetch_from(beat)
+
+    async def _fetch_from(self, beat: Beat) -> None:
         fetched = await self._fetch(beat.sender.address)
         if isinstance(fetched, Err):
             log_warning(
@@ -173,20 +181,26 @@
                 state.evacuations.revision,
                 source,
             )
-        upstreams = state.upstreams
-        if upstreams is None or self._follows_itself:
+        self._take_in_upstreams(state.upstreams, source)
+        self.on_news()
+
+    def _take_in_upstreams(
+        self,
+        changes: CatalogChanges | None,
+        source: str,
+    ) -> None:
+        if changes is None or self._follows_itself:
             return
-        if upstreams.revision <= belief.catalog.revision:
+        catalog = self._belief.catalog
+        if changes.revision <= catalog.revision:
+            return
+        if not catalog.take_over(changes):
             return
-        # The other host has waited for entries that lapsed with the store.
-        belief.catalog.replace_all(
-            upstreams.entries,
-            upstreams.revision,
-            store_was_away=False,
-        )
         log_event(
             'upstreams-adopted',
-            revision=upstreams.revision,
-            count=len(upstreams.entries),
+            since=changes.since,
+            revision=changes.revision,
+            count=len(changes.entries),
+            removed=len(changes.removed),
             source=source,
         )
--- a/src/wardstair/state/following.py
+++ b/src/wardstair/state/following.py
@@ -10,6 +10,7 @@
 from wardstair.platform.store import Changes, Listing, Store
 from wardstair.process.log import log_event
 from wardstair.state.contact import StoreContact
+from wardstair.state.roles import always
 
 # A waiting watch is one call; the store allows 30 s.
 WATCH_SECONDS = 25.0
@@ -22,11 +23,6 @@
 YOUNG_SECONDS = 0.3
 
 
-def always() -> bool:
-    """Return True; the default of a plan's condition."""
-    return True
-
-
 def watch_long() -> float:
     """Return the longest wait of a watch, in seconds."""
     return WATCH_SECONDS
@@ -42,12 +38,15 @@
             changes close together cost one call.
         is_wanted: Whether this host itself should follow the kind now.
         wait: Longest wait of the next watch, in seconds.
+        resumes: Whether it goes on from a known revision when it is wanted
+            again; otherwise it lists the kind anew.
     """
 
     kind: str
     pause: float = 0.0
     is_wanted: Callable[[], bool] = always
     wait: Callable[[], float] = watch_long
+    resumes: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,12 +114,23 @@
         """Follow until cancelled."""
         while True:
             await self._contact.wait_turn()
-            if self._needs_listing:
-                await self._list()
-            elif self._plan.is_wanted():
-                await self._watch()
+            if self._plan.is_wanted():
+                await self._look()
             else:
-                await asyncio.sleep(UNWANTED_SECONDS)
+                self._contact.pass_turn()
+                await self._rest()
+
+    async def _look(self) -> None:
+        if self._needs_listing:
+            await self._list()
+        else:
+            await self._watch()
+
+    async def _rest(self) -> None:
+        """Wait while others follow the kind for this host."""
+        if not self._plan.resumes:
+            self._needs_listing = True
+        await asyncio.sleep(UNWANTED_SECONDS)
 
     async def _list(self) -> None:
         listed = await self._store.list_kind(self._plan.kind)
--- a/src/wardstair/state/registration.py
+++ b/src/wardstair/state/registration.py
@@ -113,7 +113,7 @@
         """Remove hosts that are gone; one live host does it for each."""
         if not self._contact.is_held:
             return
-        live = self._members.live_names()
+        live = self._members.live_in_zone()
         for name in self._members.forgotten():
             chosen = rendezvous(live, f'clean {name}', 1)
             if chosen != [self._own.name]:
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -23,14 +23,17 @@
     Follower,
     FollowPlan,
     FollowSinks,
-    always,
 )
+from wardstair.state.roles import Roles, ignore
 
 # Upstreams change one by one at a release or a start. A leaving one has to be
 # known within the drain bound (2.5 s), so half a second costs little of it.
 UPSTREAM_PAUSE_SECONDS = 0.5
 # How often contact is proved by a cheap read.
 PROOF_SECONDS = 2.0
+# The same for a host that is no relay: only whether it could become one depends
+# on it.
+RARE_PROOF_SECONDS = 8.0
 # How long a sentinel's watch of the evacuations waits. Its answer carries the
 # store's revision, which tells of changes that another watch has missed: a
 # watch may be cut without a word. The tightest bound, on leaving upstreams and
@@ -48,7 +51,7 @@
         store: Store,
         contact: StoreContact,
         belief: Belief,
-        is_sentinel: Callable[[], bool] = always,
+        roles: Roles,
     ) -> None:
         """Prepare without a call.
 
@@ -56,19 +59,19 @@
             store: The store.
             contact: Contact with it.
             belief: Where news goes.
-            is_sentinel: Whether this host watches closely for the others.
+            roles: What this host does for others.
         """
         self._store = store
         self._contact = contact
         self._belief = belief
-        self.on_news: Callable[[], None] = _ignore
+        self.on_news: Callable[[], None] = ignore
         self._evacuated: set[str] = set()
-        self._is_sentinel = is_sentinel
+        self._roles = roles
         self._checking: asyncio.Task[None] | None = None
         self.configuration = Follower(
             store,
             contact,
-            FollowPlan(CONFIGURATION_KIND),
+            FollowPlan(CONFIGURATION_KIND, is_wanted=roles.is_relay),
             FollowSinks(
                 self._list_configuration,
                 self._change_configuration,
@@ -78,7 +81,11 @@
         self.evacuations = Follower(
             store,
             contact,
-            FollowPlan(EVACUATION_KIND, wait=self._evacuation_wait),
+            FollowPlan(
+                EVACUATION_KIND,
+                is_wanted=roles.is_relay,
+                wait=self._evacuation_wait,
+            ),
             FollowSinks(
                 self._list_evacuations,
                 self._change_evacuations,
@@ -92,6 +99,7 @@
                 UPSTREAM_KIND,
                 UPSTREAM_PAUSE_SECONDS,
                 is_wanted=self._wants_upstreams,
+                resumes=True,
             ),
             FollowSinks(
                 self._list_upstreams,
@@ -107,8 +115,11 @@
         that is cut off. The same read tells of a version that a watch missed.
         """
         while True:
-            await asyncio.sleep(PROOF_SECONDS)
-            if self._contact.is_lost:
+            is_relay = self._roles.is_relay()
+            seconds = PROOF_SECONDS if is_relay else RARE_PROOF_SECONDS
+            await asyncio.sleep(seconds)
+            if self._contact.is_lost and is_relay:
+                # Its watches ask whether the store is back.
                 continue
             read = await self._store.read_stale(
                 CONFIGURATION_KIND,
@@ -122,19 +133,20 @@
             self._offer(read.ok_value, 'stale-read')
 
     def _evacuation_wait(self) -> float:
-        return SENTINEL_SECONDS if self._is_sentinel() else WATCH_SECONDS
+        return SENTINEL_SECONDS if self._roles.is_sentinel() else WATCH_SECONDS
 
     def _wants_upstreams(self) -> bool:
-        if not self._is_sentinel():
+        if not self._roles.is_sentinel():
             return False
-        # Others may have told more than this host's own watch did before.
-        self.upstreams.skip_to(self._belief.catalog.revision)
+        if self._belief.catalog.revision:
+            # Others may have told more than this host's own watch before.
+            self.upstreams.skip_to(self._belief.catalog.revision)
         return True
 
     def _note_revision(self, revision: int) -> None:
         """Renew watches that have not brought what the revision tells of."""
         behind = self._behind(revision)
-        if not behind or not self._is_sentinel():
+        if not behind or not self._roles.is_sentinel():
             return
         if self._checking is None or self._checking.done():
             self._checking = asyncio.ensure_future(self._check(revision))
@@ -206,10 +218,6 @@
         self.on_news()
 
 
-def _ignore() -> None:
-    """Do nothing; the default of the callback."""
-
-
 def _decode_all(
     objects: tuple[StoredObject, ...] | list[StoredObject],
 ) -> list[UpstreamEntry]:
--- /dev/null
+++ b/tests/lib/beats.py
@@ -0,0 +1,38 @@
+"""Heartbeats for tests."""
+
+from wardstair.fleet.beats import Beat, BeatKind, PeerName, Versions
+
+
+def peer_of(name: str, zone: str = 'z') -> PeerName:
+    """Return a host with an address of its own name."""
+    return PeerName(name, zone, name, f'{name}:1')
+
+
+def beat_of(
+    sender: PeerName,
+    number: int = 1,
+    *,
+    kind: BeatKind = BeatKind.beat,
+    run: int = 7,
+    is_leaving: bool = False,
+    hears_store: bool = True,
+    is_relay: bool = True,
+    zone_size: int = 1,
+    fleet_size: int = 1,
+    versions: Versions | None = None,
+    named: tuple[PeerName, ...] = (),
+) -> Beat:
+    """Return a heartbeat."""
+    return Beat(
+        kind,
+        sender,
+        run,
+        number,
+        is_leaving,
+        hears_store,
+        is_relay,
+        zone_size,
+        fleet_size,
+        versions or Versions(),
+        named,
+    )
--- a/tests/unit/test_catalog.py
+++ b/tests/unit/test_catalog.py
@@ -93,7 +93,11 @@
     assert one.is_cold(clock.now + 2.9)
     assert not one.is_cold(clock.now + 3.0)
     clock.now += 1
-    (told,) = (entry for entry in catalog.entries() if entry.name == 'i-1')
+    (told,) = (
+        entry
+        for entry in catalog.changes_since(0).entries
+        if entry.name == 'i-1'
+    )
     assert told.cold_seconds == pytest.approx(2.0)
 
 
--- /dev/null
+++ b/tests/unit/test_catalog_changes.py
@@ -0,0 +1,152 @@
+"""Changes of upstreams handed on, against handing on the whole list."""
+
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wardstair.fleet.sharing import (
+    SharedConfiguration,
+    SharedState,
+    StateEncoder,
+    decode_state,
+)
+from wardstair.state.catalog import MOST_REMOVED, RETURN_SECONDS, Catalog
+from wardstair.state.entries import UpstreamEntry, UpstreamPhase
+
+ENTRY = UpstreamEntry(
+    name='i-1',
+    service='views',
+    host='10.0.0.1',
+    port=80,
+    zone='a1',
+    slots=4,
+    phase=UpstreamPhase.ready,
+    cold_seconds=0.0,
+)
+
+
+class Clock:
+    """Time that a test moves."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def facts(catalog: Catalog) -> dict[str, UpstreamPhase]:
+    """Return what a catalog holds to be there."""
+    return {
+        name: upstream.entry.phase
+        for name, upstream in catalog.upstreams.items()
+        if upstream.gone_at is None
+    }
+
+
+def hand_on(source: Catalog, target: Catalog) -> int:
+    """Hand changes on as they travel; return how many entries did."""
+    changes = source.changes_since(target.revision)
+    encoded = StateEncoder().encode(SharedState(upstreams=changes))
+    decoded = decode_state(encoded)
+    assert decoded is not None
+    assert decoded.upstreams is not None
+    target.take_over(decoded.upstreams)
+    return len(changes.entries)
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.integers(0, 5),
+        st.sampled_from(['put', 'drain', 'remove', 'lapse', 'tell', 'wait']),
+    ),
+    max_size=40,
+)
+
+
+@given(STEPS)
+def test_changes_lead_to_what_the_whole_list_says(
+    steps: list[tuple[int, str]],
+) -> None:
+    clock = Clock()
+    source, target = Catalog(clock), Catalog(clock)
+    source.replace_all([], 1, store_was_away=False)
+    for revision, (number, step) in enumerate(steps, start=2):
+        entry = replace(ENTRY, name=f'i-{number}', revision=revision)
+        put = []
+        deleted = []
+        match step:
+            case 'tell':
+                hand_on(source, target)
+                assert facts(target) == facts(source)
+                continue
+            case 'wait':
+                clock.now += RETURN_SECONDS / 2
+                source.expire_missing()
+                target.expire_missing()
+                continue
+            case 'put':
+                put = [entry]
+            case 'drain':
+                put = [replace(entry, phase=UpstreamPhase.draining)]
+            case _:
+                deleted = [entry.name]
+        lapses = step == 'lapse'
+        source.apply(put, deleted, revision, store_was_away=lapses)
+    hand_on(source, target)
+    assert facts(target) == facts(source)
+    clock.now += RETURN_SECONDS
+    source.expire_missing()
+    target.expire_missing()
+    assert facts(target) == facts(source)
+
+
+def test_only_what_has_changed_travels() -> None:
+    source, target = Catalog(Clock()), Catalog(Clock())
+    entries = [
+        replace(ENTRY, name=f'i-{n}', revision=n + 1) for n in range(300)
+    ]
+    source.replace_all(entries, 300, store_was_away=False)
+    assert hand_on(source, target) == 300
+    changed = replace(entries[5], revision=301, phase=UpstreamPhase.draining)
+    source.apply([changed], ['i-7'], 301, store_was_away=False)
+    assert hand_on(source, target) <= 2
+    assert facts(target) == facts(source)
+
+
+def test_a_host_that_is_far_behind_gets_the_whole_list() -> None:
+    source, target = Catalog(Clock()), Catalog(Clock())
+    old = replace(ENTRY, name='old', revision=1)
+    source.replace_all([old], 1, store_was_away=False)
+    hand_on(source, target)
+    for number in range(MOST_REMOVED + 2):
+        name = f'i-{number}'
+        revision = 2 + number * 2
+        entry = replace(ENTRY, name=name, revision=revision)
+        source.apply([entry], [], revision, store_was_away=False)
+        source.apply([], [name], revision + 1, store_was_away=False)
+    source.apply([], ['old'], 5000, store_was_away=False)
+    assert source.changes_since(target.revision).since == 0
+    hand_on(source, target)
+    assert facts(target) == facts(source) == {}
+
+
+def test_changes_that_leave_a_gap_are_not_taken() -> None:
+    source, target = Catalog(Clock()), Catalog(Clock())
+    source.replace_all([], 5, store_was_away=False)
+    source.apply([replace(ENTRY, revision=9)], [], 9, store_was_away=False)
+    assert not target.take_over(source.changes_since(7))
+    assert target.revision == 0
+
+
+def test_a_configuration_travels_deflated() -> None:
+    routes = {
+        f'r-{n}': {'host': f'h{n}.example', 'path_prefix': f'/p{n}/'}
+        for n in range(1400)
+    }
+    encoder = StateEncoder()
+    state = SharedState(configuration=SharedConfiguration(7, routes))
+    encoded = encoder.encode(state)
+    assert len(encoded) < 30000
+    assert decode_state(encoded) == state
--- a/tests/unit/test_fleet_shares.py
+++ b/tests/unit/test_fleet_shares.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from lib.beats import beat_of
 
 from wardstair.decisions.cold import HostView, Pace, sender_rate
 from wardstair.decisions.resends import (
@@ -16,7 +17,7 @@
 )
 from wardstair.decisions.sentinels import Watcher, choose_sentinels
 from wardstair.decisions.split import SplitTally
-from wardstair.fleet.beats import Beat, BeatKind, PeerName, Versions
+from wardstair.fleet.beats import PeerName
 from wardstair.fleet.members import GONE_SECONDS, Members
 
 FLEET = ResendLimit(0.2, 64, 10)
@@ -75,8 +76,9 @@
     for number, (live, known) in enumerate(views):
         start = number - number % live
         heard = (names * 2)[start : start + live]
-        view = HostView(names[number], {*heard, names[number]}, known)
-        own_rate = sender_rate('i-1', rate, view)
+        own = names[number]
+        view = HostView(own, 'z', {*heard, own}, known, known)
+        own_rate = sender_rate('i-1', 'z', rate, view)
         pace = Pace()
         sent.extend(
             step / 100 for step in range(600) if pace.take(own_rate, step / 100)
@@ -89,8 +91,31 @@
 def test_a_host_that_has_just_started_sends_nothing_to_a_cold_upstream() -> (
     None
 ):
-    view = HostView('a', {'a'}, 1, is_settled=False)
-    assert sender_rate('i-1', 11, view) == 0
+    view = HostView('a', 'z', {'a'}, 1, 1, is_settled=False)
+    assert sender_rate('i-1', 'z', 11, view) == 0
+
+
+@pytest.mark.parametrize(
+    ('zones', 'senders'),
+    [
+        # Its own zone has hosts: only these send, however many others there
+        # are; without, all hosts take an equal part.
+        (frozenset(('z', 'y')), 2),
+        (frozenset(('y',)), 10),
+    ],
+)
+def test_a_cold_upstream_is_sent_to_from_its_own_zone(
+    zones: frozenset[str],
+    senders: int,
+) -> None:
+    rate = 11.0
+    near = [f'near-{number}' for number in range(5 if 'z' in zones else 0)]
+    far = [f'far-{number}' for number in range(10)]
+    views = [HostView(name, 'z', near, 5, 15, zones) for name in near]
+    views += [HostView(name, 'y', far, 10, 10, zones) for name in far]
+    rates = [sender_rate('i-1', 'z', rate, view) for view in views]
+    assert sum(1 for own in rates if own > 0) == senders
+    assert sum(rates) <= rate
 
 
 @given(
@@ -154,7 +179,7 @@
     now = [0.0]
     own, other = PeerName('a', 'z', '1', '1:1'), PeerName('b', 'z', '2', '2:1')
     members = Members(own, lambda: now[0])
-    members.hear(Beat(BeatKind.beat, other, 7, 1, False, True, Versions()))
+    members.hear(beat_of(other))
     assert members.live_names() == {'a', 'b'}
     now[0] = GONE_SECONDS - 1
     members.check()
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -40,6 +40,9 @@
     for name, content in LISTS.items():
         pattern = r'\{\{#' + name + r'\}\}.*?\{\{/' + name + r'\}\}'
         text = re.sub(pattern, content, text, flags=re.DOTALL)
+    section = r'\{\{\^bootstrap\}\}.*?\{\{/bootstrap\}\}'
+    text = re.sub(section, '', text)
+    text = text.replace('{{#bootstrap}}', '').replace('{{/bootstrap}}', '')
     for name, value in VALUES.items():
         text = text.replace('{{' + name + '}}', value)
     assert '{{' not in text
@@ -51,6 +54,7 @@
     file.write_text(filled())
     settings = load_settings(file)
     assert settings.region == 'a'
+    assert settings.is_first_start
     assert settings.is_in_region('a1')
     assert not settings.is_in_region('b1')
     assert str(settings.callers) == '10.0.0.1:1'
--- /dev/null
+++ b/tests/unit/test_relays.py
@@ -0,0 +1,226 @@
+"""Who speaks for a zone, and whom the hosts of a fleet send heartbeats to."""
+
+import asyncio
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from lib.beats import beat_of, peer_of
+
+from wardstair.decisions.relays import RelayCandidate, choose_relays
+from wardstair.fleet.beats import (
+    Beat,
+    BeatKind,
+    Versions,
+    decode_beat,
+    encode_beat,
+)
+from wardstair.fleet.members import (
+    REPLACED_SECONDS,
+    SILENT_SECONDS,
+    Members,
+)
+from wardstair.fleet.radio import FAR_TARGETS, Radio
+
+
+@given(
+    st.dictionaries(st.text('abc', min_size=1), st.booleans(), min_size=1),
+    st.randoms(use_true_random=False),
+)
+def test_relays_are_the_same_for_all_and_hear_the_store_if_any_does(
+    hosts: dict[str, bool],
+    random: Random,
+) -> None:
+    candidates = [RelayCandidate(name, hears) for name, hears in hosts.items()]
+    chosen = choose_relays(candidates, 'z')
+    random.shuffle(candidates)
+    assert choose_relays(candidates, 'z') == chosen
+    assert len(chosen) == min(2, len(hosts))
+    deaf = [name for name in chosen if not hosts[name]]
+    hearing = [name for name, hears in hosts.items() if hears]
+    assert not deaf or set(hearing) <= set(chosen)
+
+
+def members_of(name: str, zone: str = 'z') -> tuple[Members, list[float]]:
+    now = [100.0]
+    return Members(peer_of(name, zone), lambda: now[0], lambda: True), now
+
+
+def test_a_silent_relay_is_replaced_before_it_counts_as_dead() -> None:
+    members, now = members_of('a')
+    others = [peer_of(name) for name in 'bcdef']
+    for peer in others:
+        members.hear(beat_of(peer))
+    first = next(name for name in members.relays if name != 'a')
+    now[0] += REPLACED_SECONDS - 0.1
+    for peer in others:
+        if peer.name != first:
+            members.hear(beat_of(peer, 2))
+    assert first in members.relays
+    now[0] += 0.2
+    assert first not in members.relays
+    assert first in members.live_names()
+    now[0] += SILENT_SECONDS
+    assert first not in members.live_names()
+
+
+def test_a_leaving_host_is_no_relay() -> None:
+    members, _now = members_of('a')
+    members.hear(beat_of(peer_of('b')))
+    members.hear(beat_of(peer_of('c'), is_leaving=True))
+    assert set(members.relays) == {'a', 'b'}
+    members.is_leaving = True
+    assert set(members.relays) == {'b'}
+
+
+def test_a_host_of_another_zone_that_is_no_relay_is_not_named() -> None:
+    members, _now = members_of('a')
+    far = peer_of('far', 'y')
+    members.hear(beat_of(far))
+    assert 'far' in members.live_names()
+    members.hear(beat_of(far, 2, is_relay=False))
+    # It lives, but is not heard from now on: this host cannot tell.
+    assert 'far' not in members.live_names()
+    assert 'far' in members.table
+
+
+def test_the_fleet_is_counted_from_what_zones_say() -> None:
+    members, _now = members_of('a')
+    members.hear(beat_of(peer_of('b'), fleet_size=9))
+    members.hear(beat_of(peer_of('far', 'y'), zone_size=5))
+    assert members.counted_size == 7
+    assert members.fleet_size == 9
+
+
+@pytest.mark.parametrize(
+    ('zones', 'hosts'),
+    [(1, 4), (3, 2), (6, 12), (9, 9)],
+)
+def test_hosts_hear_their_zone_and_relays_of_all_others(
+    zones: int,
+    hosts: int,
+) -> None:
+    async def test() -> None:
+        wire = Wire(zones, hosts)
+        for _ in range(8):
+            wire.beat()
+        before = wire.sent
+        wire.beat()
+        for members, _radio in wire.hosts:
+            near = [one.peer.zone == members.own.zone for one in members.live()]
+            assert sum(near) == hosts - 1
+            heard = Counter(one.peer.zone for one in members.live())
+            if members.is_relay:
+                assert len(heard) == zones or hosts == 1
+                assert all(
+                    heard[zone] <= FAR_TARGETS
+                    for zone in heard
+                    if zone != members.own.zone
+                )
+            else:
+                assert len(heard) == 1
+            assert members.fleet_size == zones * hosts
+        relays = min(2, hosts) * zones
+        most = zones * hosts * (hosts - 1) + relays * 2 * (zones - 1)
+        assert wire.sent - before <= most
+
+    asyncio.run(test())
+
+
+def test_a_zone_finds_the_new_relays_of_another() -> None:
+    async def test() -> None:
+        wire = Wire(3, 6)
+        for _ in range(6):
+            wire.beat()
+        # Both relays of a zone end at once.
+        ended = set(wire.hosts[0][0].relays)
+        wire.end(ended)
+        wire.now += SILENT_SECONDS
+        for _ in range(6):
+            wire.beat()
+        for members, _radio in wire.hosts:
+            if members.is_relay:
+                zones = {one.peer.zone for one in members.live()}
+                assert len(zones | {members.own.zone}) == 3
+
+    asyncio.run(test())
+
+
+def test_a_datagram_is_decoded_as_it_was_encoded() -> None:
+    beat = beat_of(
+        peer_of('a'),
+        kind=BeatKind.redirect,
+        zone_size=3,
+        fleet_size=40,
+        versions=Versions(3, 4, 5),
+        named=(peer_of('b'), peer_of('c')),
+    )
+    assert decode_beat(encode_beat(beat)) == beat
+
+
+class Wire:
+    """A fleet whose datagrams arrive at once; time moves by the beat."""
+
+    def __init__(self, zones: int, hosts: int) -> None:
+        self.now = 100.0
+        self.sent = 0
+        self.hosts: list[tuple[Members, Radio]] = []
+        self._by_address: dict[str, Radio] = {}
+        names = [f'{z}-{h}' for z in range(zones) for h in range(hosts)]
+        peers = [peer_of(name, name.partition('-')[0]) for name in names]
+        for number, peer in enumerate(peers):
+            members = Members(peer, lambda: self.now, lambda: True)
+            members.learn(peers)
+            radio = _WiredRadio(self, members, number)
+            self.hosts.append((members, radio))
+            self._by_address[peer.address] = radio
+
+    def beat(self) -> None:
+        self.now += 1
+        for _members, radio in self.hosts:
+            radio.send_beats()
+
+    def end(self, names: set[str]) -> None:
+        self.hosts = [
+            (members, radio)
+            for members, radio in self.hosts
+            if members.own.name not in names
+        ]
+        for name in names:
+            del self._by_address[name]
+
+    def carry(self, address: str, datagram: bytes) -> None:
+        self.sent += 1
+        radio = self._by_address.get(address)
+        if radio is not None:
+            radio.datagram_received(datagram, (address, 1))
+
+
+class _WiredRadio(Radio):
+    def __init__(self, wire: Wire, members: Members, seed: int) -> None:
+        super().__init__(members, 1, Versions, Random(seed))
+        self._wire = wire
+
+    def _send_bytes(self, address: str, datagram: bytes) -> None:
+        self._wire.carry(address, datagram)
+
+
+def test_an_answer_to_a_newcomer_names_hosts_of_its_zone_first() -> None:
+    answers: list[Beat] = []
+
+    class Answering(Radio):
+        def _send_bytes(self, address: str, datagram: bytes) -> None:
+            beat = decode_beat(datagram)
+            assert beat is not None
+            answers.append(beat)
+
+    members, _now = members_of('a')
+    wanted = [peer_of(f'far-{number}', 'y') for number in range(3)]
+    members.learn([*wanted, *[peer_of(f'b{number}') for number in range(40)]])
+    radio = Answering(members, 1, Versions, Random(1))
+    hello = beat_of(peer_of('new', 'y'), kind=BeatKind.hello)
+    radio.datagram_received(encode_beat(hello), ('new', 1))
+    (answer,) = answers
+    assert {*wanted} <= {*answer.named}
