Try failures elsewhere where that does no harm; leave out upstreams that fail

A 500 was handed on although the request was repeatable, counted as a success of the upstream, and one that kept a request until its time was up got the next one at once. Ruled out: probes. Health answers of such upstreams are good. Change: a failed answer to a repeatable request is kept, and the request is sent to another upstream within the budget; the share of failures among the last answers leaves an upstream out for growing times, as slowness does; silence beyond three times the expected time counts as a failure when the request ends. An upstream's view moves out of state/catalog.py into state/upstream.py. Tests fail before: test_a_failure_is_tried_elsewhere_if_that_does_no_harm, test_an_upstream_that_kept_a_request_to_the_end_is_avoided.

--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -10,7 +10,7 @@
 from wardstair.gateway.distances import Distances
 from wardstair.gateway.settings import LiveSettings
 from wardstair.state.belief import Belief
-from wardstair.state.catalog import Upstream
+from wardstair.state.upstream import Upstream
 from wardstair.version.steering import SteeredRoute
 
 # Bodies from here on make the way to an upstream count for more than the
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -47,6 +47,10 @@
 FULL_QUEUE_SHARE = 2.2
 PRIORITY_STEP = 0.2
 LEAST_QUEUE_SHARE = 1.0
+# Statuses from here on say that the upstream failed; but for 504, by which it
+# says that it was given too little time.
+_FAILURES_FROM = 500
+_TOO_LITTLE_TIME = 504
 
 
 class ResendReason(StrEnum):
@@ -55,6 +59,8 @@
     unreachable = 'unreachable'
     turned_away = 'turned-away'
     lost = 'lost'
+    # The upstream answered that it failed.
+    failed = 'failed'
     silent = 'silent'
 
 
@@ -71,6 +77,8 @@
     sends: int = 0
     may_have_run: bool = False
     is_ended: bool = False
+    # A failure that an upstream answered; the answer if nobody does better.
+    failure: tuple[Placement, Delivered] | None = None
     running: dict['asyncio.Task[SendOutcome]', Placement] = field(
         default_factory=dict,
     )
@@ -149,8 +157,7 @@
             if done:
                 reply = self._settle(course, done)
             elif time.monotonic() >= course.until:
-                # What is running may have run: the answer promises nothing.
-                reply = self._end(course, refusals.TOO_LATE)
+                reply = self._time_out(course)
             else:
                 self._hedge(course)
         return reply
@@ -192,6 +199,10 @@
         for task in done:
             placement = course.running.pop(task)
             match self._learn(course, placement, task.result()):
+                case Delivered() as failed if self._may_improve(course, failed):
+                    course.failure = (placement, failed)
+                    course.may_have_run = True
+                    reason = ResendReason.failed
                 case Delivered() as delivered:
                     return self._deliver(course, placement, delivered)
                 case NotSent():
@@ -206,6 +217,30 @@
             return None
         return self._send_again(course, reason)
 
+    def _may_improve(self, course: _Course, delivered: Delivered) -> bool:
+        """Return whether another upstream may do better than this answer."""
+        return _is_failure(delivered) and course.route.is_repeatable
+
+    def _time_out(self, course: _Course) -> Reply:
+        """End a request whose time is up while upstreams are at it."""
+        now = time.monotonic()
+        for placement in course.running.values():
+            self._note_silence(course, placement, now)
+        if course.failure is not None:
+            return self._deliver(course, *course.failure)
+        # What is running may have run: the answer promises nothing.
+        return self._end(course, refusals.TOO_LATE)
+
+    def _note_silence(
+        self,
+        course: _Course,
+        placement: Placement,
+        now: float,
+    ) -> None:
+        """Note against an upstream that it was far slower than expected."""
+        if placement.upstream.is_overdue(now):
+            self._distrust(course, placement, 'silent', now)
+
     def _send_again(
         self,
         course: _Course,
@@ -301,7 +336,10 @@
                 if fields.load is not None:
                     told = fields.load.running + fields.load.waiting
                     upstream.note_load(told, now)
-                self._learn_time(course, placement, seconds)
+                if _is_failure(outcome):
+                    upstream.note_error(now)
+                else:
+                    self._learn_time(course, placement, seconds)
             case TurnedAway(is_other=True):
                 self._belief.catalog.mark_gone(upstream.name)
             case TurnedAway():
@@ -358,6 +396,9 @@
         delivered: Delivered,
     ) -> Reply:
         course.is_ended = True
+        now = time.monotonic()
+        for slower in course.running.values():
+            self._note_silence(course, slower, now)
         bodies = len(course.inbound.body) + len(delivered.answer.body)
         self._chooser.work_of(course.route).note_size(bodies)
         self._reporter.answered(course.trail, placement, delivered)
@@ -370,6 +411,8 @@
         )
 
     def _give_up(self, course: _Course) -> Reply:
+        if course.failure is not None:
+            return self._deliver(course, *course.failure)
         if course.may_have_run:
             return self._end(course, refusals.OUTCOME_UNKNOWN)
         if course.trail.unreachable:
@@ -388,3 +431,8 @@
         version = self._belief.versions.configuration
         self._reporter.unrouted(inbound, ending.kind, version)
         return ending.reply(inbound.request_id)
+
+
+def _is_failure(delivered: Delivered) -> bool:
+    status = delivered.answer.status
+    return status >= _FAILURES_FROM and status != _TOO_LITTLE_TIME
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -20,7 +20,7 @@
     decode_upstream,
     encode_upstream,
 )
-from wardstair.state.catalog import Upstream
+from wardstair.state.upstream import Upstream
 
 _MISDIRECTED = 421
 _SUCCESS = range(200, 300)
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -102,8 +102,8 @@
     ),
     _kind(
         'upstream-ejected',
-        'an upstream is far slower than usual; it is left out for a while',
-        'upstream service slowness seconds',
+        'an upstream is far slower than usual or fails often; it is left out',
+        'upstream service reason slowness errors seconds',
     ),
     _kind(
         'upstream-unreadable',
--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -1,201 +1,25 @@
-"""The upstreams that this host knows, and what it has seen of each.
+"""The upstreams that this host knows.
 
 One table a process. Entries come from the platform's store or from other
-entry hosts; load, latency and failures come from this host's own requests.
+entry hosts.
 """
 
-import math
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
-from wardstair.decisions.warmth import WarmKeys
 from wardstair.process.log import log_event
-from wardstair.state.entries import UpstreamEntry, UpstreamPhase
+from wardstair.state.entries import UpstreamEntry
+from wardstair.state.upstream import Upstream
 
 # Entries that vanish while the store is away are back this long after its
 # return if the upstream lives; the operators state about two seconds.
 RETURN_SECONDS = 2.0
-# A load report tells little about the present after this long.
-REPORT_SECONDS = 1.5
-LATENCY_SHARE = 0.15
-# After this long without an answer, half of what made it look slow is gone.
-SLOWNESS_HALF_SECONDS = 2.0
-LEAST_SLOWNESS = 0.8
-# Longest work is some three times the mean.
-OVERDUE_RATIO = 3.0
-# Averaged time beside the usual from which an upstream is left out.
-EJECT_SLOWNESS = 2.5
-EJECT_SECONDS = 2.0
-MOST_EJECT_FACTOR = 4
-# One that was not slow for this long starts anew.
-FORGIVEN_SECONDS = 6.0
-LEAST_EXPECTED_SECONDS = 0.05
-_FIRST_DISTRUST_SECONDS = 0.5
-_LONGEST_DISTRUST_SECONDS = 4.0
 # Removed upstreams that are remembered for hosts that ask what has changed; one
 # that asks from further back gets the whole list.
 MOST_REMOVED = 512
 
 
-@dataclass(slots=True)
-class Upstream:
-    """One run of an upstream as this host sees it.
-
-    Attributes:
-        entry: What it registered.
-        cold_until: Monotonic time until which it is cold.
-        gone_at: When its entry was deleted, or None.
-        told: Load it told last: running and waiting.
-        told_own: This host's requests at it when it told that.
-        told_at: When it told that.
-        slowness: Its time beside what was expected, averaged.
-        distrusted_until: Monotonic time until which it is avoided.
-        failures: Failures in a row.
-        slowness_at: When that was last measured.
-        ejected_until: Monotonic time until which it is left out as slow.
-        ejections: How often that happened in a row.
-        running: Start and expected seconds of this host's requests at it, in
-            the order they were sent.
-        warm: Keys that it has answered lately.
-        has_ended: Whether another upstream answered at its address; its
-            entry may stay for a while and does not bring it back.
-    """
-
-    entry: UpstreamEntry
-    cold_until: float = 0.0
-    gone_at: float | None = None
-    told: int = 0
-    told_own: int = 0
-    told_at: float = float('-inf')
-    slowness: float = 1.0
-    distrusted_until: float = 0.0
-    failures: int = 0
-    slowness_at: float = 0.0
-    ejected_until: float = 0.0
-    ejections: int = 0
-    running: dict[int, tuple[float, float]] = field(default_factory=dict)
-    warm: WarmKeys = field(default_factory=WarmKeys)
-    has_ended: bool = False
-
-    @property
-    def name(self) -> str:
-        """Names this run of the upstream."""
-        return self.entry.name
-
-    @property
-    def own(self) -> int:
-        """Requests of this host at it now."""
-        return len(self.running)
-
-    @property
-    def takes_work(self) -> bool:
-        """Whether it is registered and not leaving."""
-        is_ready = self.entry.phase is UpstreamPhase.ready
-        return is_ready and self.gone_at is None
-
-    def is_cold(self, now: float) -> bool:
-        """Return whether it bears only a bounded rate now."""
-        return now < self.cold_until
-
-    def is_avoided(self, now: float) -> bool:
-        """Return whether it failed lately or is far slower than others."""
-        if now < self.distrusted_until or now < self.ejected_until:
-            return True
-        return self._waiting_ratio(now) > 0
-
-    def state_now(self, now: float) -> str:
-        """Return its state in one word, for people and metrics."""
-        if self.gone_at is not None:
-            return 'gone'
-        if self.entry.phase is UpstreamPhase.draining:
-            return 'draining'
-        if self.is_cold(now):
-            return 'cold'
-        return 'avoided' if self.is_avoided(now) else 'ready'
-
-    def load(self, now: float) -> float:
-        """Return the requests that are probably at it now, of all hosts."""
-        age = now - self.told_at
-        if age >= REPORT_SECONDS:
-            return float(self.own)
-        freshness = 1 - age / REPORT_SECONDS
-        others = max(0, self.told - self.told_own) * freshness
-        return others + self.own
-
-    def note_load(self, running_and_waiting: int, now: float) -> None:
-        """Take in a load report; this host's answered request is over."""
-        self.told = running_and_waiting
-        self.told_own = self.own
-        self.told_at = now
-
-    def slowness_now(self, now: float) -> float:
-        """Return its time beside the usual; old figures count for less.
-
-        An upstream that looks slow gets little, so its figure would stay for
-        good if it did not fade: after a while it is tried again.
-        """
-        age = max(0.0, now - self.slowness_at)
-        kept = math.exp2(-age / SLOWNESS_HALF_SECONDS)
-        faded = 1 + (self.slowness - 1) * kept
-        waiting = self._waiting_ratio(now)
-        return max(faded, waiting, LEAST_SLOWNESS)
-
-    def note_answer(self) -> None:
-        """Take in an answer whose time tells nothing."""
-        self.failures = 0
-        self.distrusted_until = 0.0
-
-    def note_success(self, ratio: float, now: float) -> None:
-        """Take in an answer.
-
-        Args:
-            ratio: Its time beside the time that was expected.
-            now: Monotonic time in seconds.
-        """
-        self.note_answer()
-        self.slowness += LATENCY_SHARE * (ratio - self.slowness)
-        self.slowness_at = now
-        if self.slowness >= EJECT_SLOWNESS and now >= self.ejected_until:
-            self._eject(now)
-
-    def _waiting_ratio(self, now: float) -> float:
-        """Return how overdue its oldest request is, beside what is usual."""
-        if not self.running:
-            return 0.0
-        started, expected = next(iter(self.running.values()))
-        overdue = (now - started) / max(expected, LEAST_EXPECTED_SECONDS)
-        # A single long request is nothing; work differs from one to another.
-        return overdue if overdue > OVERDUE_RATIO else 0.0
-
-    def _eject(self, now: float) -> None:
-        """Leave it out for a while; longer each time it comes back slow."""
-        if now - self.ejected_until > FORGIVEN_SECONDS:
-            self.ejections = 0
-        self.ejections += 1
-        seconds = EJECT_SECONDS * min(self.ejections, MOST_EJECT_FACTOR)
-        log_event(
-            'upstream-ejected',
-            upstream=self.name,
-            service=self.entry.service,
-            slowness=round(self.slowness, 2),
-            seconds=seconds,
-        )
-        self.ejected_until = now + seconds
-        # When it is back it is judged by what it does then.
-        self.slowness = 1.0
-
-    def note_failure(self, now: float) -> float:
-        """Take in a failure; return for how long it is avoided, seconds."""
-        self.failures += 1
-        seconds = min(
-            _FIRST_DISTRUST_SECONDS * 2.0 ** (self.failures - 1),
-            _LONGEST_DISTRUST_SECONDS,
-        )
-        self.distrusted_until = now + seconds
-        return seconds
-
-
 @dataclass(frozen=True, slots=True)
 class CatalogChanges:
     """What has changed since a revision, for a host that is behind.
--- a/tests/functional/test_gateway_requests.py
+++ b/tests/functional/test_gateway_requests.py
@@ -1,6 +1,7 @@
 """Requests through a gateway, while upstreams answer well, badly and late."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -64,6 +65,10 @@
 
 ID = b'Wardstair-Attempt-Id: {id}\r\n'
 CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+FAILURE = (
+    b'HTTP/1.1 500 Internal Server Error\r\nWardstair-Attempt-Id: {id}\r\n'
+    b'Wardstair-Server-Seal: s.1\r\nContent-Length: 3\r\n\r\nbad'
+)
 EMPTY = b'Content-Length: 0\r\n\r\n'
 SHORT = b'Content-Length: 9\r\n\r\nok'
 WHOLE = b'Content-Length: 2\r\n\r\nok'
@@ -238,6 +243,57 @@
     run(test, *(UpstreamStandin(name, first_fails) for name in names))
 
 
+@pytest.mark.parametrize(
+    ('target', 'upstreams', 'status', 'sends'),
+    [
+        # Repeatable: another may do better; if none does, the failure itself
+        # is the answer.
+        ('/read/x', 2, 200, 2),
+        ('/read/x', 1, 500, 1),
+        ('/order/x', 2, 500, 1),
+    ],
+)
+def test_a_failure_is_tried_elsewhere_if_that_does_no_harm(
+    target: str,
+    upstreams: int,
+    status: int,
+    sends: int,
+) -> None:
+    asked = []
+
+    async def first_fails(
+        upstream: UpstreamStandin,
+        seen: Seen,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        asked.append(upstream.name)
+        script = writes(FAILURE) if len(asked) == 1 else answer_ok
+        await script(upstream, seen, writer)
+
+    async def test(rig: Rig) -> None:
+        answer = await rig.ask(target, 'POST', b'x')
+        assert answer.status == status
+        assert answer.headers['wardstair-server-seal'] == 's.1'
+        assert len(asked) == sends
+
+    names = [f'i-{number}' for number in range(upstreams)]
+    run(test, *(UpstreamStandin(name, first_fails) for name in names))
+
+
+def test_an_upstream_that_kept_a_request_to_the_end_is_avoided() -> None:
+    one = UpstreamStandin('i-1', answer_never)
+
+    async def test(rig: Rig) -> None:
+        routes = {'order': route_spec('/order/', 'unsafe', timeout_ms=900)}
+        rig.store.put('config', 'main', configuration_spec(2, **routes))
+        await rig.until(lambda: rig.gateway.belief.versions.configuration == 2)
+        assert (await rig.ask('/order/x', 'POST', b'x')).status == 504
+        upstream = rig.gateway.belief.catalog.upstreams['i-1']
+        assert upstream.is_avoided(time.monotonic())
+
+    run(test, one)
+
+
 def test_an_upstream_that_took_over_an_address_is_not_asked_again() -> None:
     other = UpstreamStandin(
         'i-1',
--- a/tests/unit/test_catalog.py
+++ b/tests/unit/test_catalog.py
@@ -9,15 +9,10 @@
 from hypothesis import strategies as st
 
 from wardstair.state.belief import Belief
-from wardstair.state.catalog import (
-    EJECT_SECONDS,
-    EJECT_SLOWNESS,
-    RETURN_SECONDS,
-    Catalog,
-    Upstream,
-)
+from wardstair.state.catalog import RETURN_SECONDS, Catalog
 from wardstair.state.contact import StoreContact
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
+from wardstair.state.upstream import EJECT_SECONDS, EJECT_SLOWNESS, Upstream
 
 ENTRY = UpstreamEntry(
     name='i-1',
@@ -179,3 +174,28 @@
         assert not contact.was_away_lately
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ('outcomes', 'is_left_out'),
+    [
+        # Failures among successes: one upstream in two answers is no use, a
+        # failure now and then is nothing.
+        ('xx', True),
+        ('x.x.', True),
+        ('x.....x.....x', False),
+        ('.....x', False),
+    ],
+)
+def test_an_upstream_that_fails_often_is_left_out(
+    outcomes: str,
+    is_left_out: bool,
+) -> None:
+    upstream = Upstream(ENTRY)
+    for number, outcome in enumerate(outcomes):
+        now = 100.0 + number / 10
+        if outcome == 'x':
+            upstream.note_error(now)
+        else:
+            upstream.note_success(1.0, now)
+    assert upstream.is_avoided(now + 1) is is_left_out
