Add a fault soak of real gateway processes

Cause: the promises were proved by directed tests and by the bench; nothing of our own ran the real programs under overlapping faults from outside. Change: tests/soak plays faults drawn from a seed against gateway processes (signals, a loopback proxy before the store and each upstream, the stand-in store and upstreams that fail) and checks what callers and upstreams saw.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install quickstart test lint types behave slopes bench clean
+.PHONY: install quickstart test lint types behave slopes bench soak clean
 
 $(STAMP): pyproject.toml constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -36,3 +36,7 @@
 
 clean:
 	rm -rf build .mypy_cache .pytest_cache .ruff_cache
+
+# Fresh seeds unless SEEDS names some; see docs/guide/soak.md.
+soak: install
+	cd tests && ../$(BIN)/python -m soak --seeds "$(SEEDS)" --count $(or $(COUNT),5)
--- /dev/null
+++ b/tests/functional/test_soak.py
@@ -0,0 +1,87 @@
+"""A short seeded soak of real processes, and breaks that it has to find."""
+
+import asyncio
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from soak.broken import KIND_VARIABLE
+from soak.ledger import Kind, Ledger, Run, Span
+from soak.play import Plan, Verdict, play
+from soak.seeds import FAILED_SEEDS
+
+BROKEN = 'soak.broken'
+SEED = 20261202
+SHORT = Plan(SEED, seconds=6, hosts=4, upstreams=5, callers=6, gap=0.6)
+SEEDS = (SEED, *(one.seed for one in FAILED_SEEDS))
+
+
+def run(plan: Plan, folder: Path) -> Verdict:
+    return asyncio.run(play(plan, folder))
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_promises_hold_under_drawn_faults(seed: int, tmp_path: Path) -> None:
+    verdict = run(replace(SHORT, seed=seed), tmp_path)
+    assert verdict.broken == []
+    assert verdict.statuses[200]
+    assert verdict.faults
+
+
+@pytest.mark.parametrize(
+    ('kind', 'words'),
+    [('lie', 'told that it has not run'), ('revert', 'went back')],
+)
+def test_a_break_that_was_put_in_is_found(
+    kind: str,
+    words: str,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setenv(KIND_VARIABLE, kind)
+    plan = replace(SHORT, module=BROKEN)
+    verdict = run(plan, tmp_path)
+    assert any(words in line for line in verdict.broken)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'status', 'runs', 'body', 'words'),
+    [
+        (Kind.once, 200, 1, 'r up', None),
+        (Kind.safe, 200, 2, 'r up', None),
+        (Kind.safe, 503, 1, '', None),
+        (Kind.once, 502, 1, '', None),
+        (Kind.once, 503, 0, '', None),
+        (Kind.once, 200, 2, 'r up', 'ran 2 times'),
+        (Kind.once, 503, 1, '', 'told that it has not run'),
+        (Kind.safe, 200, 1, 'other up', 'not its own'),
+        (Kind.safe, 200, 0, 'r up', 'not its own'),
+        (Kind.safe, 0, 1, '', 'cut by a planned stop'),
+    ],
+)
+def test_the_ledger_finds_broken_promises(
+    kind: Kind,
+    status: int,
+    runs: int,
+    body: str,
+    words: str | None,
+) -> None:
+    ledger = Ledger(stopped={'host/1'})
+    made = ledger.begin('r', kind, 'host/1')
+    made.status = status
+    made.body = body
+    made.ended_at = made.sent_at + 1
+    made.runs = [Run('up', made.sent_at) for _ in range(runs)]
+    found = ledger.check()
+    assert len(found) == (words is not None)
+    assert words is None or words in found[0]
+
+
+def test_a_request_cut_beside_another_fault_is_no_fault_of_the_stop() -> None:
+    ledger = Ledger(stopped={'host/1'})
+    made = ledger.begin('r', Kind.safe, 'host/1')
+    made.status = 0
+    made.ended_at = made.sent_at + 1
+    made.runs = [Run('up', made.sent_at)]
+    ledger.spans.append(Span('kill', made.sent_at - 1, made.sent_at + 0.5))
+    assert ledger.check() == []
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised faults against real gateway processes; see `play`."""
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,88 @@
+"""Callers of a play: they keep their connections until the process is gone."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Callable
+from itertools import count
+from random import Random
+
+from lib.municipal import Caller
+
+from soak.ledger import Kind, Ledger, Try
+from soak.processes import GatewayProcess
+
+TARGETS = {Kind.safe: '/read/x', Kind.once: '/order/x'}
+# A caller gives up on an answer after this long.
+PATIENCE_SECONDS = 4.0
+CONNECT_SECONDS = 1.0
+PAUSE_SECONDS = 0.02
+UPLOAD_BYTES = 40000
+
+
+class CallerTask:
+    """One caller; sends one request after another."""
+
+    def __init__(
+        self,
+        name: str,
+        gateways: list[GatewayProcess],
+        ledger: Ledger,
+        random: Random,
+    ) -> None:
+        """Prepare without a connection."""
+        self._name = name
+        self._gateways = gateways
+        self._ledger = ledger
+        self._random = random
+        self._numbers = count()
+        self._caller: Caller | None = None
+        self._gateway = gateways[0]
+        self._life = ''
+
+    async def run(self, is_over: Callable[[], bool]) -> None:
+        """Send requests until it is over; the last one is answered."""
+        while not is_over():
+            kind = self._random.choice((Kind.safe, Kind.safe, Kind.once))
+            await self.ask(kind)
+            await asyncio.sleep(self._random.random() * PAUSE_SECONDS)
+        self._drop()
+
+    async def ask(self, kind: Kind) -> Try | None:
+        """Send one request; None if no connection came up."""
+        if self._caller is None and not await self._connect():
+            await asyncio.sleep(PAUSE_SECONDS)
+            return None
+        caller = self._caller
+        assert caller is not None
+        name = f'{self._name}-{next(self._numbers)}'
+        made = self._ledger.begin(name, kind, self._life)
+        body = b'x' * self._random.choice((1, 200, UPLOAD_BYTES))
+        try:
+            async with asyncio.timeout(PATIENCE_SECONDS):
+                await caller.send(TARGETS[kind], 'POST', body, name)
+                answer = await caller.answer()
+        except (TimeoutError, ConnectionError):
+            # It leaves; what becomes of the request is not its business.
+            self._drop()
+            return made
+        made.ended_at = time.monotonic()
+        made.status = answer.status
+        made.body = answer.body.decode()
+        is_last = answer.headers.get('connection') == 'close'
+        if is_last or not answer.status:
+            self._drop()
+        return made
+
+    async def _connect(self) -> bool:
+        self._gateway = self._random.choice(self._gateways)
+        self._life = self._gateway.name
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(CONNECT_SECONDS):
+                self._caller = await Caller.connect_to(self._gateway.callers)
+        return self._caller is not None
+
+    def _drop(self) -> None:
+        if self._caller is not None:
+            self._caller.close()
+            self._caller = None
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,279 @@
+"""Faults of a play: drawn from a seed, in series and overlapping."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+
+from lib.municipal import StoreStandin
+
+from soak.ledger import Ledger
+from soak.processes import GatewayProcess
+from soak.proxy import Mode, Proxy
+from soak.upstreams import Habits, SoakUpstream
+from soak.versions import marked_configuration
+
+# Longest fault; the shortest is a tenth of it.
+LONGEST_SECONDS = 4.0
+# An upstream that has said it is leaving serves on for this long.
+LEAVING_SECONDS = 4.0
+DELAY_SECONDS = 0.3
+# Time of a process to say that it is ready to be signalled again.
+RESTART_SECONDS = 0.3
+
+
+@dataclass
+class Scene:
+    """What faults act on."""
+
+    store: StoreStandin
+    store_proxies: list[Proxy]
+    gateways: list[GatewayProcess]
+    upstreams: list[SoakUpstream]
+    zones: tuple[str, ...]
+    ledger: Ledger
+    random: Random
+    version: int = 1
+
+    def draw_seconds(self) -> float:
+        """Draw how long a fault lasts."""
+        return self.random.uniform(0.1, 1.0) * LONGEST_SECONDS
+
+    def put_configuration(self) -> None:
+        """Write the next version, as the operator does."""
+        self.store.put(
+            'config',
+            'main',
+            marked_configuration(self.version + 1),
+        )
+        self.version += 1
+
+    def register(self, upstream: SoakUpstream, **status: object) -> None:
+        """Write an upstream's entry, as the upstream does."""
+        self.store.put('servers', upstream.name, upstream.spec(**status))
+
+    def deregister(self, name: str) -> None:
+        """Take an entry out if it is there."""
+        if name in self.store.kind('servers').objects:
+            self.store.delete('servers', name)
+
+
+Fault = Callable[[Scene], Awaitable[None]]
+
+
+async def pause_gateway(scene: Scene) -> None:
+    """Stop a process for a while without its knowing."""
+    gateway = scene.random.choice(scene.gateways)
+    gateway.send(signal.SIGSTOP)
+    await asyncio.sleep(scene.draw_seconds())
+    gateway.send(signal.SIGCONT)
+
+
+async def kill_gateway(scene: Scene) -> None:
+    """Kill a process and start it again."""
+    await _restart(scene, scene.random.choice(scene.gateways))
+
+
+async def kill_many(scene: Scene) -> None:
+    """Kill half of the processes at one moment."""
+    half = scene.random.sample(scene.gateways, len(scene.gateways) // 2)
+    await asyncio.gather(*(_restart(scene, one) for one in half))
+
+
+async def _restart(scene: Scene, gateway: GatewayProcess) -> None:
+    if not gateway.is_running:
+        return
+    await gateway.end()
+    await asyncio.sleep(scene.draw_seconds() / 2)
+    if not gateway.is_running:
+        await gateway.start()
+
+
+async def hang_up(scene: Scene) -> None:
+    """Have a process read its settings again."""
+    scene.random.choice(scene.gateways).send(signal.SIGHUP)
+    await asyncio.sleep(RESTART_SECONDS)
+
+
+async def cut_store(scene: Scene) -> None:
+    """Harm the way of one gateway to the store."""
+    await _harm(scene, scene.random.choice(scene.store_proxies))
+
+
+async def cut_store_for_many(scene: Scene) -> None:
+    """Harm the way of half of the gateways to the store."""
+    half = scene.random.sample(
+        scene.store_proxies,
+        len(scene.store_proxies) // 2,
+    )
+    await asyncio.gather(*(_harm(scene, one) for one in half))
+
+
+async def cut_upstream(scene: Scene) -> None:
+    """Harm the way of all gateways to an upstream."""
+    await _harm(scene, scene.random.choice(scene.upstreams).proxy)
+
+
+async def _harm(scene: Scene, proxy: Proxy) -> None:
+    mode = scene.random.choice([one for one in Mode if one is not Mode.carry])
+    proxy.set_mode(mode, DELAY_SECONDS)
+    await asyncio.sleep(scene.draw_seconds())
+    proxy.set_mode(Mode.carry)
+    # What was swallowed is gone for good: its connections end.
+    proxy.reset_all()
+
+
+async def store_down(scene: Scene) -> None:
+    """Let the store refuse everything."""
+    scene.store.status = 503
+    await asyncio.sleep(scene.draw_seconds())
+    scene.store.status = None
+
+
+async def store_forgets(scene: Scene) -> None:
+    """Let watches hang and the store drop its history."""
+    scene.store.silence_watches()
+    await asyncio.sleep(scene.draw_seconds() / 2)
+    for kind in tuple(scene.store.kinds):
+        scene.store.compact(kind)
+
+
+async def crash_upstream(scene: Scene) -> None:
+    """Crash an upstream; another run takes over its address."""
+    upstream = scene.random.choice(scene.upstreams)
+    name = upstream.name
+    upstream.crash()
+    # Its entry stays for a while.
+    await asyncio.sleep(scene.draw_seconds())
+    scene.deregister(name)
+    scene.register(upstream)
+
+
+async def drain_upstream(scene: Scene) -> None:
+    """Let an upstream leave as planned, and the next run begin."""
+    upstream = scene.random.choice(scene.upstreams)
+    name = upstream.name
+    scene.register(upstream, state='draining')
+    await asyncio.sleep(LEAVING_SECONDS)
+    if upstream.name != name:
+        return
+    upstream.crash()
+    scene.deregister(name)
+    scene.register(upstream)
+
+
+async def ail_upstream(scene: Scene) -> None:
+    """Let an upstream be slow, lose answers or send surplus ones."""
+    upstream = scene.random.choice(scene.upstreams)
+    upstream.habits = scene.random.choice(
+        [
+            Habits(slowness=8),
+            Habits(lost_share=0.3),
+            Habits(surplus_share=0.3),
+            Habits(is_mute=True),
+        ]
+    )
+    await asyncio.sleep(scene.draw_seconds())
+    upstream.habits = Habits()
+
+
+async def configure(scene: Scene) -> None:
+    """Write a few versions in quick succession."""
+    for _ in range(scene.random.randint(1, 4)):
+        scene.put_configuration()
+        await asyncio.sleep(scene.random.random() / 2)
+
+
+async def evacuate(scene: Scene) -> None:
+    """Have a zone emptied for a while."""
+    zone = scene.random.choice(scene.zones)
+    if zone in scene.store.kind('evacuations').objects:
+        return
+    scene.store.put('evacuations', zone, {})
+    await asyncio.sleep(scene.draw_seconds())
+    scene.store.delete('evacuations', zone)
+
+
+async def stop_gateway(scene: Scene) -> None:
+    """Stop a process as planned and start it again."""
+    gateway = scene.random.choice(scene.gateways)
+    if not gateway.is_running:
+        return
+    scene.ledger.stopped.add(gateway.name)
+    gateway.send(signal.SIGTERM)
+    await gateway.wait()
+    if not gateway.is_running:
+        await gateway.start()
+
+
+# Planned work: by itself it may cut no request.
+PLANNED: tuple[Fault, ...] = (
+    stop_gateway,
+    hang_up,
+    configure,
+    drain_upstream,
+)
+UNPLANNED: tuple[Fault, ...] = (
+    pause_gateway,
+    kill_gateway,
+    kill_many,
+    cut_store,
+    cut_store_for_many,
+    cut_upstream,
+    store_down,
+    store_forgets,
+    crash_upstream,
+    ail_upstream,
+    evacuate,
+)
+
+
+class Schedule:
+    """Applies drawn faults until time is up, some at once."""
+
+    def __init__(self, scene: Scene, gap: float) -> None:
+        """Prepare.
+
+        Args:
+            scene: What the faults act on.
+            gap: Mean seconds from one fault's begin to the next.
+        """
+        self.applied: list[str] = []
+        self._scene = scene
+        self._gap = gap
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, seconds: float) -> None:
+        """Begin faults for some seconds, then wait until all have ended."""
+        random = self._scene.random
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while loop.time() < end:
+            group = random.choice((PLANNED, UNPLANNED))
+            self._begin(random.choice(group))
+            await asyncio.sleep(random.expovariate(1 / self._gap))
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def _begin(self, fault: Fault) -> None:
+        self.applied.append(fault.__name__)
+        task = asyncio.ensure_future(self._apply(fault))
+        self._tasks.add(task)
+        task.add_done_callback(self._on_done)
+
+    async def _apply(self, fault: Fault) -> None:
+        if fault in PLANNED:
+            await fault(self._scene)
+            return
+        span = self._scene.ledger.fault(fault.__name__)
+        try:
+            await fault(self._scene)
+        finally:
+            span.end = asyncio.get_running_loop().time()
+
+    def _on_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            error = repr(task.exception())
+            self._scene.ledger.broken.append(f'the soak itself failed: {error}')
--- /dev/null
+++ b/tests/soak/ledger.py
@@ -0,0 +1,136 @@
+"""What callers and upstreams saw, and whether the promises were kept."""
+
+import time
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+# Statuses by which a caller is told that its request has not run.
+PROMISES = frozenset((408, 421, 429, 503))
+
+
+class Kind(StrEnum):
+    """What a request may bear."""
+
+    safe = 'safe'
+    once = 'once'
+    # A request that only tells which version is in force.
+    probe = 'probe'
+
+
+@dataclass
+class Run:
+    """A run of a request at an upstream."""
+
+    upstream: str
+    at: float
+    is_faulted: bool = False
+
+
+@dataclass
+class Try:
+    """One request of a caller.
+
+    Attributes:
+        request_id: Its id.
+        kind: What it may bear.
+        gateway: Name of the gateway's life that it was sent to.
+        sent_at: When it had been sent whole.
+        ended_at: When its answer had come, or its connection ended.
+        status: Status of its answer; 0 if there was none.
+        body: Body of its answer.
+        runs: Its runs.
+    """
+
+    request_id: str
+    kind: Kind
+    gateway: str
+    sent_at: float = 0.0
+    ended_at: float = 0.0
+    status: int = -1
+    body: str = ''
+    runs: list[Run] = field(default_factory=list)
+
+
+@dataclass
+class Span:
+    """A time in which something was at fault."""
+
+    name: str
+    begin: float
+    end: float = float('inf')
+
+
+@dataclass
+class Ledger:
+    """All tries of a play, and what was at fault meanwhile.
+
+    Attributes:
+        tries: By id.
+        unknown: Ids that upstreams ran and no caller sent.
+        broken: Promises found broken while the play runs.
+        spans: Times of faults.
+        stopped: Lives of gateways that were asked to stop and nothing else.
+    """
+
+    tries: dict[str, Try] = field(default_factory=dict)
+    unknown: list[str] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+    spans: list[Span] = field(default_factory=list)
+    stopped: set[str] = field(default_factory=set)
+
+    def begin(self, request_id: str, kind: Kind, gateway: str) -> Try:
+        """Note a request that is about to be sent."""
+        made = Try(request_id, kind, gateway, sent_at=time.monotonic())
+        self.tries[request_id] = made
+        return made
+
+    def note_run(self, request_id: str, upstream: str) -> Run | None:
+        """Note that an upstream has begun to work on a request."""
+        known = self.tries.get(request_id)
+        if known is None:
+            self.unknown.append(request_id)
+            return None
+        run = Run(upstream, time.monotonic())
+        known.runs.append(run)
+        return run
+
+    def fault(self, name: str) -> Span:
+        """Note that a fault begins."""
+        span = Span(name, time.monotonic())
+        self.spans.append(span)
+        return span
+
+    def check(self) -> list[str]:
+        """Return the promises that were broken, in words."""
+        found = list(self.broken)
+        found.extend(f'ran unasked: {name}' for name in self.unknown)
+        for one in self.tries.values():
+            found.extend(_check_try(one))
+            if self._is_cut_by_stop(one):
+                found.append(f'cut by a planned stop: {one}')
+        return found
+
+    def _is_cut_by_stop(self, one: Try) -> bool:
+        if one.status != 0 or not one.runs or one.gateway not in self.stopped:
+            return False
+        if any(run.is_faulted for run in one.runs):
+            return False
+        return not any(
+            span.begin < one.ended_at and span.end > one.sent_at
+            for span in self.spans
+        )
+
+
+def _check_try(one: Try) -> list[str]:
+    found = []
+    if one.kind is Kind.once and len(one.runs) > 1:
+        found.append(f'ran {len(one.runs)} times: {one}')
+    # A safe request may have run at an upstream before another turned it away.
+    if one.status in PROMISES and one.kind is Kind.once and one.runs:
+        found.append(f'told that it has not run, but it has: {one}')
+    if one.status == 200:
+        request_id, _, upstream = one.body.partition(' ')
+        ran_at = {run.upstream for run in one.runs}
+        if request_id != one.request_id or upstream not in ran_at:
+            found.append(f'got an answer that is not its own: {one}')
+    return found
--- /dev/null
+++ b/tests/soak/play.py
@@ -0,0 +1,211 @@
+"""One play: a fleet of real processes, callers, faults, and the verdict.
+
+While it runs, faults are injected from outside; when they have ended, the
+fleet has to serve again, with the newest version in force on every host. Then
+everything that callers and upstreams saw is checked against the promises.
+"""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+from lib.municipal import StoreStandin
+
+from soak.callers import CallerTask
+from soak.faults import Scene, Schedule
+from soak.ledger import Kind, Ledger
+from soak.processes import GatewayProcess, choose_places
+from soak.proxy import Proxy
+from soak.upstreams import SoakUpstream
+from soak.versions import VersionProbe, marked_configuration
+
+GATEWAY = 'wardstair.cli.gateway'
+ZONES = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
+# Everything has to be well again this long after the last fault. The bounds
+# of the promises are a tenth of it; this only ends a play that has failed.
+RECOVERY_SECONDS = 60.0
+START_SECONDS = 60.0
+LOOK_SECONDS = 0.1
+
+
+@dataclass
+class Plan:
+    """What is played.
+
+    Attributes:
+        seed: Draws the faults.
+        seconds: How long faults begin.
+        hosts: How many gateways.
+        upstreams: How many upstreams.
+        callers: How many callers.
+        gap: Mean seconds between the begins of faults.
+        module: Program that is run as a gateway.
+    """
+
+    seed: int
+    seconds: float = 20.0
+    hosts: int = 5
+    upstreams: int = 6
+    callers: int = 8
+    gap: float = 1.0
+    module: str = GATEWAY
+
+
+@dataclass
+class Verdict:
+    """What a play has shown.
+
+    Attributes:
+        broken: Broken promises in words; none if all were kept.
+        statuses: How tries ended: by status, 0 and -1 for none.
+        faults: Faults in the order in which they began.
+    """
+
+    broken: list[str] = field(default_factory=list)
+    statuses: Counter[int] = field(default_factory=Counter)
+    faults: list[str] = field(default_factory=list)
+
+
+class Play:
+    """A fleet with all that is around it; an asynchronous context."""
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        """Prepare without a process.
+
+        Args:
+            plan: What is played.
+            folder: Where settings and logs go.
+        """
+        self.ledger = Ledger()
+        self.store = StoreStandin()
+        self._plan = plan
+        self._folder = folder
+        self._random = Random(plan.seed)
+        self._is_over = False
+        self._store_proxies: list[Proxy] = []
+        self._gateways: list[GatewayProcess] = []
+        zones = sorted(ZONES)
+        self._upstreams = [
+            SoakUpstream(
+                number,
+                zones[number % len(zones)],
+                self.ledger,
+                Random(plan.seed * 1000 + number),
+            )
+            for number in range(plan.upstreams)
+        ]
+
+    async def __aenter__(self) -> 'Play':
+        """Start everything and wait until it serves."""
+        self.store.start()
+        self.store.put('config', 'main', marked_configuration(1))
+        for upstream in self._upstreams:
+            await upstream.start()
+            self.store.put('servers', upstream.name, upstream.spec())
+        for _ in range(self._plan.hosts):
+            proxy = Proxy(self.store.port)
+            await proxy.start()
+            self._store_proxies.append(proxy)
+        ports = [proxy.port for proxy in self._store_proxies]
+        places = choose_places(ZONES, self._plan.hosts, ports, self._folder)
+        self._gateways = [
+            GatewayProcess(place, self._plan.module) for place in places
+        ]
+        await asyncio.gather(*(one.start() for one in self._gateways))
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """End what this play has started, and nothing else."""
+        for gateway in self._gateways:
+            await gateway.end()
+        for upstream in self._upstreams:
+            await upstream.stop()
+        for proxy in self._store_proxies:
+            await proxy.stop()
+        await self.store.stop()
+
+    async def run(self) -> Verdict:
+        """Play and judge."""
+        scene = Scene(
+            self.store,
+            self._store_proxies,
+            self._gateways,
+            self._upstreams,
+            tuple(sorted(ZONES)),
+            self.ledger,
+            self._random,
+        )
+        probes = [
+            VersionProbe(gateway, self.ledger, lambda: scene.version)
+            for gateway in self._gateways
+        ]
+        await self._wait_well(probes, 'start', START_SECONDS)
+        running = [
+            *(probe.run(self._has_ended) for probe in probes),
+            *(caller.run(self._has_ended) for caller in self._callers()),
+        ]
+        asked = asyncio.gather(*running)
+        schedule = Schedule(scene, self._plan.gap)
+        await schedule.run(self._plan.seconds)
+        scene.put_configuration()
+        await self._wait_well(probes, 'recovery', RECOVERY_SECONDS)
+        self._is_over = True
+        await asked
+        tries = self.ledger.tries.values()
+        return Verdict(
+            self.ledger.check(),
+            Counter(one.status for one in tries if one.kind is not Kind.probe),
+            schedule.applied,
+        )
+
+    def _has_ended(self) -> bool:
+        return self._is_over
+
+    def _callers(self) -> list[CallerTask]:
+        return [
+            CallerTask(
+                f'caller-{number}',
+                self._gateways,
+                self.ledger,
+                Random(self._plan.seed * 7919 + number),
+            )
+            for number in range(self._plan.callers)
+        ]
+
+    async def _wait_well(
+        self,
+        probes: list[VersionProbe],
+        moment: str,
+        seconds: float,
+    ) -> None:
+        """Wait until every gateway serves by the newest version."""
+        waiting = [
+            asyncio.ensure_future(self._wait_one(probe)) for probe in probes
+        ]
+        _, late = await asyncio.wait(waiting, timeout=seconds)
+        for task in late:
+            task.cancel()
+        if late:
+            self.ledger.broken.append(
+                f'{len(late)} hosts did not serve by the newest version '
+                f'{seconds} s after {moment}',
+            )
+
+    async def _wait_one(self, probe: VersionProbe) -> None:
+        newest = probe.newest()
+        while probe.in_force < newest:
+            await probe.ask()
+            await asyncio.sleep(LOOK_SECONDS)
+
+
+async def play(plan: Plan, folder: Path) -> Verdict:
+    """Play once.
+
+    Args:
+        plan: What is played.
+        folder: Where settings and logs go.
+    """
+    async with Play(plan, folder) as started:
+        return await started.run()
--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,151 @@
+"""Gateway processes of a play: started, signalled and ended by their ids."""
+
+import asyncio
+import os
+import signal
+import sys
+from asyncio.subprocess import DEVNULL, Process
+from dataclasses import dataclass
+from pathlib import Path
+
+from lib.municipal import ADDRESS, free_ports, own_address
+
+from wardstair.gateway.settings import Listener
+
+TESTS = Path(__file__).parents[1]
+NAMES = ('callers', 'ready', 'control', 'lookups', 'metrics')
+GRACE_SECONDS = 5
+
+
+@dataclass
+class Place:
+    """Where a gateway runs; its process may be another each time."""
+
+    name: str
+    zone: str
+    address: str
+    ports: list[int]
+    store_port: int
+    settings: Path
+    log: Path
+
+
+class GatewayProcess:
+    """One gateway, over all lives of its process."""
+
+    def __init__(self, place: Place, module: str) -> None:
+        """Prepare without a process.
+
+        Args:
+            place: Where it runs.
+            module: Module that is run as the program.
+        """
+        self.place = place
+        self.life = 0
+        self._module = module
+        self._process: Process | None = None
+
+    @property
+    def name(self) -> str:
+        """Names its present life."""
+        return f'{self.place.name}/{self.life}'
+
+    @property
+    def callers(self) -> Listener:
+        """Where callers connect."""
+        return Listener(self.place.address, self.place.ports[0])
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process is there."""
+        process = self._process
+        return process is not None and process.returncode is None
+
+    async def start(self) -> None:
+        """Start the program as the platform does."""
+        self.life += 1
+        source = TESTS.parent / 'src'
+        environment = {
+            **os.environ,
+            'WARDSTAIR_CONFIG': str(self.place.settings),
+            'PYTHONPATH': f'{source}:{TESTS}',
+        }
+        with self.place.log.open('ab') as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                self._module,
+                stdin=DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process that this object started."""
+        if self.is_running:
+            assert self._process is not None
+            self._process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Wait for the end of the process; return its exit status."""
+        assert self._process is not None
+        return await self._process.wait()
+
+    async def end(self) -> None:
+        """End the process, whatever state it is in."""
+        if self.is_running:
+            self.send(signal.SIGCONT)
+            self.send(signal.SIGKILL)
+            await self.wait()
+
+
+def settings_text(place: Place, zones: dict[str, str], seeds: str) -> str:
+    """Return the settings file of a gateway."""
+    listen = '\n'.join(
+        f'{name} = "{place.address}:{port}"'
+        for name, port in zip(NAMES, place.ports, strict=False)
+    )
+    regions = '\n'.join(f'"{zone}" = "{zones[zone]}"' for zone in zones)
+    port = place.ports[-1]
+    return (
+        f'name = "{place.name}"\naddress = "{place.address}"\n'
+        f'zone = "{place.zone}"\nfleet_ports = [{port}, {port}]\n'
+        f'seeds = [{seeds}]\nstore = "{ADDRESS}:{place.store_port}"\n'
+        f'bounds = ["grace_s={GRACE_SECONDS}"]\n'
+        f'[listen]\n{listen}\n[zones]\n{regions}\n'
+    )
+
+
+def choose_places(
+    zones: dict[str, str],
+    hosts: int,
+    stores: list[int],
+    folder: Path,
+) -> list[Place]:
+    """Choose addresses and ports, and write the settings files.
+
+    Args:
+        zones: Region of each zone.
+        hosts: How many gateways.
+        stores: Port by which each of them reaches the store.
+        folder: Where settings and logs go.
+    """
+    ports = free_ports(len(NAMES) + 1)
+    names = sorted(zones)
+    places = [
+        Place(
+            name=f'host-{number}',
+            zone=names[number % len(names)],
+            address=own_address(),
+            ports=ports,
+            store_port=stores[number],
+            settings=folder / f'host-{number}.toml',
+            log=folder / f'host-{number}.log',
+        )
+        for number in range(hosts)
+    ]
+    seeds = ', '.join(f'"{one.address}:{ports[2]}"' for one in places[:3])
+    for place in places:
+        place.settings.write_text(settings_text(place, zones, seeds))
+    return places
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,114 @@
+"""A loopback proxy that delays, resets, silences or cuts connections."""
+
+import asyncio
+from enum import StrEnum
+
+from lib.municipal import ADDRESS
+
+# Bytes taken at a time, so that faults take hold in the middle of a body.
+CHUNK = 4096
+
+
+class Mode(StrEnum):
+    """What happens to the bytes."""
+
+    carry = 'carry'
+    delay = 'delay'
+    # Connections are reset, also those that are tried.
+    reset = 'reset'
+    # Nothing arrives any more, and nobody is told.
+    silence = 'silence'
+    # Requests arrive, answers do not.
+    cut_answers = 'cut-answers'
+
+
+class Proxy:
+    """Carries connections to one port."""
+
+    def __init__(self, target: int) -> None:
+        """Prepare for a target port on loopback."""
+        self.mode = Mode.carry
+        self.delay = 0.0
+        self.port = 0
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen on a port of the system's choice."""
+        self._server = await asyncio.start_server(self._accept, ADDRESS, 0)
+        self.port = int(self._server.sockets[0].getsockname()[1])
+
+    def set_mode(self, mode: Mode, delay: float = 0.0) -> None:
+        """Change what happens from now on."""
+        self.mode = mode
+        self.delay = delay
+        if mode is Mode.reset:
+            self.reset_all()
+
+    def reset_all(self) -> None:
+        """Reset all connections."""
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def stop(self) -> None:
+        """Close everything."""
+        if self._server is not None:
+            self._server.close()
+        self.reset_all()
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._writers.add(writer)
+        if self.mode is Mode.reset:
+            writer.transport.abort()
+            return
+        try:
+            far = await asyncio.open_connection(ADDRESS, self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        far_reader, far_writer = far
+        self._writers.add(far_writer)
+        self._spawn(self._carry(reader, far_writer, is_answer=False))
+        self._spawn(self._carry(far_reader, writer, is_answer=True))
+
+    def _spawn(self, carrying: 'asyncio.Future[None] | object') -> None:
+        task: asyncio.Task[None] = asyncio.ensure_future(
+            carrying,  # type: ignore[arg-type]
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _carry(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        is_answer: bool,
+    ) -> None:
+        try:
+            while chunk := await reader.read(CHUNK):
+                if self.mode is Mode.delay:
+                    await asyncio.sleep(self.delay)
+                if self._swallows(is_answer=is_answer):
+                    continue
+                writer.write(chunk)
+                await writer.drain()
+        except ConnectionError:
+            writer.transport.abort()
+        finally:
+            self._writers.discard(writer)
+            if not self._swallows(is_answer=is_answer):
+                writer.close()
+
+    def _swallows(self, *, is_answer: bool) -> bool:
+        if self.mode is Mode.silence:
+            return True
+        return self.mode is Mode.cut_answers and is_answer
--- /dev/null
+++ b/tests/soak/seeds.py
@@ -0,0 +1,23 @@
+"""Seeds that failed once; CI plays each of them again.
+
+A seed draws the same faults each time, but real processes meet them at other
+moments, so the cause has a test of its own beside it.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class FailedSeed:
+    """A seed that failed.
+
+    Attributes:
+        seed: The seed.
+        cause: Why, and where it is tested.
+    """
+
+    seed: int
+    cause: str
+
+
+FAILED_SEEDS: tuple[FailedSeed, ...] = ()
--- /dev/null
+++ b/tests/soak/upstreams.py
@@ -0,0 +1,170 @@
+"""Upstreams of a play: they work, lose answers, fall ill, leave, come back."""
+
+import asyncio
+from dataclasses import dataclass
+from random import Random
+
+from lib.municipal import ADDRESS, Seen, upstream_spec, whole_answer
+
+from soak.ledger import Ledger, Run
+from soak.proxy import Proxy
+
+SLOTS = 4
+QUEUE = 8
+WORK_SECONDS = 0.02
+NOT_RUN = 'Wardstair-Not-Executed: 1\r\n'
+# Share of answers that a well upstream loses, so that each play has some.
+LOST_SHARE = 0.01
+_SEAL = 'Wardstair-Server-Seal: s.1\r\n'
+
+
+@dataclass
+class Habits:
+    """How an upstream behaves now.
+
+    Attributes:
+        slowness: Factor on its work.
+        lost_share: Share of answers that it loses after the run.
+        surplus_share: Share of answers that it sends twice.
+        is_mute: Whether it takes requests and answers none.
+    """
+
+    slowness: float = 1.0
+    lost_share: float = LOST_SHARE
+    surplus_share: float = 0.0
+    is_mute: bool = False
+
+
+class SoakUpstream:
+    """One upstream behind a proxy of its own; it may be reborn."""
+
+    def __init__(
+        self,
+        place: int,
+        zone: str,
+        ledger: Ledger,
+        random: Random,
+    ) -> None:
+        """Prepare without a socket."""
+        self.zone = zone
+        self.life = 0
+        self.service = 'views'
+        self.habits = Habits()
+        self._place = place
+        self._ledger = ledger
+        self._random = random
+        self._running = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.proxy = Proxy(0)
+
+    @property
+    def name(self) -> str:
+        """Names its present life."""
+        return f'i-{self._place}-{self.life}'
+
+    def spec(self, **status: object) -> dict[str, object]:
+        """Return the entry by which it registers itself."""
+        return upstream_spec(
+            self.proxy.port,
+            self.service,
+            self.zone,
+            **status,
+        )
+
+    async def start(self) -> None:
+        """Listen, behind the proxy."""
+        self._server = await asyncio.start_server(self._serve, ADDRESS, 0)
+        port = int(self._server.sockets[0].getsockname()[1])
+        self.proxy = Proxy(port)
+        await self.proxy.start()
+
+    async def stop(self) -> None:
+        """Close everything."""
+        if self._server is not None:
+            self._server.close()
+        self.crash()
+        await self.proxy.stop()
+
+    def crash(self) -> None:
+        """End this life at once; the address goes to the next."""
+        self.life += 1
+        self._running = 0
+        self.habits = Habits()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._writers.add(writer)
+        life = self.life
+        try:
+            while life == self.life:
+                raw = await reader.readuntil(b'\r\n\r\n')
+                seen = Seen(raw.decode('latin-1'), b'')
+                length = int(seen.header('Content-Length') or 0)
+                seen.body = await reader.readexactly(length)
+                await self._answer(seen, reader, writer, life)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def _answer(
+        self,
+        seen: Seen,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        life: int,
+    ) -> None:
+        name = seen.request_id
+        if seen.header('Wardstair-Expect-Instance') != self.name:
+            misdirected = '421 Misdirected Request'
+            writer.write(whole_answer(name, b'', misdirected, ''))
+            return
+        if self._running >= SLOTS + QUEUE:
+            full = '503 Service Unavailable'
+            writer.write(whole_answer(name, b'', full, NOT_RUN))
+            return
+        run = self._ledger.note_run(name, self.name)
+        self._running += 1
+        await asyncio.sleep(self._work())
+        if life != self.life:
+            self._blame(run)
+            return
+        self._running -= 1
+        if self.habits.is_mute:
+            self._blame(run)
+            # Until the gateway gives up and closes the connection.
+            await reader.read(1)
+            return
+        await self._write(name, writer, run)
+
+    async def _write(
+        self,
+        name: str,
+        writer: asyncio.StreamWriter,
+        run: Run | None,
+    ) -> None:
+        habits = self.habits
+        if self._random.random() < habits.lost_share:
+            self._blame(run)
+            writer.transport.abort()
+            return
+        body = f'{name} {self.name}'.encode()
+        writer.write(whole_answer(name, body, extra=_SEAL))
+        if self._random.random() < habits.surplus_share:
+            writer.write(whole_answer(name, body, extra=_SEAL))
+        await writer.drain()
+
+    def _work(self) -> float:
+        mean = WORK_SECONDS * self.habits.slowness
+        return self._random.expovariate(1 / mean)
+
+    def _blame(self, run: Run | None) -> None:
+        if run is not None:
+            run.is_faulted = True
