Bound the bodies a gateway holds; name the placement policy in the settings

Cause: bodies are held whole, bounded only by the configuration's limit a request (64 MB): on hosts of 200 MB some uploads would end the process. The way of choosing an upstream was fixed in code, beside the product's idea of policies that are swapped under traffic. Ruled out: pausing callers whose body finds no room: those that hold room may wait for an upstream, and nobody would come back at a stated time. Change: gateway/bodies.py counts what is held; a request without room is refused at once, has not run, and is told when to come back. Placement policies warm-home (as before), least-in-flight and equal-shares by name, re-read with the settings file. A counter of dropped log lines; a test keeps the output shut while requests go on, until lines are dropped. Tests: test_bodies_beyond_the_memory_are_refused_before_they_are_held failed before.

--- a/src/wardstair/cli/gateway.py
+++ b/src/wardstair/cli/gateway.py
@@ -8,10 +8,12 @@
 from random import SystemRandom
 
 from wardstair.errors import ConfigurationError
+from wardstair.gateway.gauges import add_line_counts
 from wardstair.gateway.host import GatewayHost
 from wardstair.gateway.settings import GatewaySettings
 from wardstair.platform.settings import load_settings
 from wardstair.process.log import log_event, log_to_output, log_warning
+from wardstair.process.sink import LineSink
 
 SETTINGS_VARIABLE = 'WARDSTAIR_CONFIG'
 # The file may change without a signal; looking at it costs one system call.
@@ -29,13 +31,14 @@
     except ConfigurationError as error:
         print(error, file=sys.stderr)
         sys.exit(2)
-    log_to_output(settings.name)
-    asyncio.run(_run(settings, path))
+    sink = log_to_output(settings.name)
+    asyncio.run(_run(settings, path, sink))
 
 
-async def _run(settings: GatewaySettings, path: Path) -> None:
+async def _run(settings: GatewaySettings, path: Path, sink: LineSink) -> None:
     # The curl client belongs to the loop that runs when it is made.
     host = GatewayHost(settings, SystemRandom())
+    add_line_counts(host.metrics, sink)
     stopped = asyncio.Event()
     hung_up = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/src/wardstair/decisions/placement.py
+++ b/src/wardstair/decisions/placement.py
@@ -101,8 +101,19 @@
     return candidate.round_trip + wait + own_work
 
 
+def has_queue_room(candidate: Candidate, queue_share: float) -> bool:
+    """Return whether its queue is short enough for one request more.
+
+    Args:
+        candidate: The upstream.
+        queue_share: Requests above its slots that it may have, as a share of
+            the slots.
+    """
+    return candidate.load < candidate.slots * (1 + queue_share)
+
+
 def _has_room(candidate: Candidate, queue_share: float) -> bool:
     if candidate.rank == 0:
-        return candidate.load < candidate.slots * (1 + queue_share)
+        return has_queue_room(candidate, queue_share)
     share = WARM_SPARE_SHARE if candidate.is_warm else COLD_SPARE_SHARE
     return candidate.load + 1 <= max(candidate.slots * share, 1)
--- a/src/wardstair/gateway/callers.py
+++ b/src/wardstair/gateway/callers.py
@@ -25,6 +25,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from wardstair.gateway import refusals
+from wardstair.gateway.bodies import BodyRoom
 from wardstair.gateway.messages import Inbound, Reply
 from wardstair.platform.headers import decode_caller
 from wardstair.process.log import log_warning
@@ -32,19 +33,30 @@
 # For a caller that does not say how long it waits.
 DEFAULT_WAIT_SECONDS = 30.0
 Serve = Callable[[Inbound], Awaitable[Reply]]
+# Gets the id of a request and the bytes of its body that had come.
+OnRefused = Callable[[str, int], None]
 
 
 class CallerListener(HTTPServerConnectionDelegate):
     """Makes a delegate for each request of each connection."""
 
-    def __init__(self, serve: Serve) -> None:
+    def __init__(
+        self,
+        serve: Serve,
+        bodies: BodyRoom,
+        on_refused: OnRefused,
+    ) -> None:
         """Prepare for connections.
 
         Args:
             serve: Turns a request into its answer; cancelled when the caller
                 leaves.
+            bodies: Room for bodies.
+            on_refused: Told of each request that found no room.
         """
         self.is_stopping = False
+        self.bodies = bodies
+        self.on_refused = on_refused
         self._open_requests: set[CallerExchange] = set()
         self._connections: set[HTTP1ServerConnection] = set()
         self._serve = serve
@@ -126,6 +138,8 @@
         self._chunks: list[bytes] = []
         self._received_at = 0.0
         self._task: asyncio.Task[None] | None = None
+        self._held = 0
+        self._is_refused = False
 
     @property
     def stream(self) -> IOStream | None:
@@ -147,17 +161,25 @@
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        """Take bytes of the body."""
+        """Take bytes of the body, or refuse the request for want of room."""
+        if self._is_refused:
+            return None
+        if not self._listener.bodies.take(len(chunk)):
+            self._refuse()
+            return None
+        self._held += len(chunk)
         self._chunks.append(chunk)
         return None
 
     def finish(self) -> None:
         """Serve the request, which is whole."""
+        if self._is_refused:
+            return
         stream = self.stream
         if stream is None or stream.closed():
             # It crossed the closing of its connection: its caller will not
             # get the answer and may send it again, so it must not run.
-            self._listener.note_ended(self)
+            self._end()
             return
         self._task = asyncio.ensure_future(self._run())
         self._task.add_done_callback(self._on_done)
@@ -165,10 +187,24 @@
     def on_connection_close(self) -> None:
         """End the work for a caller that has gone."""
         if self._task is None:
-            self._listener.note_ended(self)
+            self._end()
         else:
             self._task.cancel()
 
+    def _refuse(self) -> None:
+        """Refuse the request, of which nothing has been sent on."""
+        self._is_refused = True
+        request_id = decode_caller(list(self._headers.get_all())).request_id
+        self._listener.on_refused(request_id, self._held)
+        self._end()
+        self._write(refusals.NO_MEMORY.reply(request_id), is_last=True)
+
+    def _end(self) -> None:
+        self._listener.note_ended(self)
+        self._listener.bodies.give_back(self._held)
+        self._held = 0
+        self._chunks = []
+
     async def _run(self) -> None:
         inbound = self._inbound()
         if inbound is None:
@@ -196,6 +232,8 @@
             return None
         host = self._headers.get('Host', '').lower()
         wait = fields.seconds_left
+        body = b''.join(self._chunks)
+        self._chunks = []
         return Inbound(
             request_id=fields.request_id,
             method=line.method,
@@ -204,17 +242,17 @@
             host=host.partition(':')[0],
             key=fields.key,
             headers=fields.passed_on,
-            body=b''.join(self._chunks),
+            body=body,
             received_at=self._received_at,
             seconds=DEFAULT_WAIT_SECONDS if wait is None else wait,
         )
 
-    def _write(self, reply: Reply) -> None:
+    def _write(self, reply: Reply, *, is_last: bool = False) -> None:
         headers = HTTPHeaders()
         for name, text in reply.headers:
             headers.add(name, text)
         headers['Content-Length'] = str(len(reply.body))
-        if self._listener.is_stopping:
+        if self._listener.is_stopping or is_last:
             headers['Connection'] = 'close'
         line = ResponseStartLine('HTTP/1.1', reply.status, reply.reason)
         try:
@@ -226,7 +264,7 @@
             return
 
     def _on_done(self, task: 'asyncio.Task[None]') -> None:
-        self._listener.note_ended(self)
+        self._end()
         if not task.cancelled():
             # Logged where it arose; read here so that asyncio is quiet.
             task.exception()
--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -4,8 +4,14 @@
 from dataclasses import dataclass
 
 from wardstair.decisions.cold import HostView, Pace, sender_rate
-from wardstair.decisions.placement import Candidate, Choice, choose_place
-from wardstair.decisions.ranking import Nearness, Place, rank
+from wardstair.decisions.placement import Candidate, Choice
+from wardstair.decisions.placement_policies import (
+    PlacementAsk,
+    PlacementPolicy,
+    WarmHome,
+    choose_by,
+)
+from wardstair.decisions.ranking import Nearness, Place, rank, unit_hash
 from wardstair.decisions.split import SplitTally
 from wardstair.gateway.distances import Distances
 from wardstair.gateway.settings import LiveSettings
@@ -31,8 +37,6 @@
 ZONE_SECONDS_A_KILOBYTE = 0.003
 REGION_SECONDS_A_KILOBYTE = 0.006
 _KILOBYTE = 1024
-# Ranks looked at first; the rest only if all of these are full.
-FIRST_RANKS = 6
 # Part of a service's upstreams that slowness alone does not take out.
 LEAST_USABLE_SHARE = 0.6
 # Ranked keys kept; an upstream's change empties the table.
@@ -87,6 +91,7 @@
         route: The request's route.
         service: The service chosen for it.
         key: What it concerns.
+        request_id: Names this try of the caller.
         body_bytes: Size of its body.
         queue_share: Requests above its slots that an upstream may have, as a
             share of the slots.
@@ -96,6 +101,7 @@
     route: SteeredRoute
     service: str
     key: str
+    request_id: str
     body_bytes: int
     queue_share: float
     tried: frozenset[str] = frozenset()
@@ -151,6 +157,10 @@
         self._splits: dict[str, SplitTally] = {}
         self._work: dict[str, RouteWork] = {}
 
+    @property
+    def _policy(self) -> PlacementPolicy:
+        return self._settings.current.placement
+
     def service_of(self, route: SteeredRoute, key: str) -> str:
         """Return the service for a request; a split route's by weight."""
         if len(route.shares) == 1:
@@ -202,7 +212,11 @@
             for position, upstream in enumerate(usable)
             if upstream.name not in ask.tried
         ]
-        return [numbered[:FIRST_RANKS], numbered[FIRST_RANKS:]]
+        match self._policy:
+            case WarmHome(first_ranks=first):
+                return [numbered[:first], numbered[first:]]
+            case _:
+                return [numbered]
 
     def ranked(self, ask: Ask) -> list[Upstream]:
         """Return the upstreams that may serve a key, its home first."""
@@ -273,8 +287,12 @@
             self._candidate(position, upstream, ask, now)
             for position, upstream in group
         ]
-        work = self.work_of(ask.route).seconds
-        choice = choose_place(candidates, work, ask.queue_share)
+        asked = PlacementAsk(
+            self.work_of(ask.route).seconds,
+            ask.queue_share,
+            unit_hash(ask.request_id),
+        )
+        choice = choose_by(self._policy, candidates, asked)
         if choice is None:
             return None
         upstream = by_name[choice.candidate.name]
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -277,6 +277,7 @@
                 route=course.route,
                 service=course.service,
                 key=course.key,
+                request_id=course.inbound.request_id,
                 body_bytes=len(course.inbound.body),
                 queue_share=max(share, LEAST_QUEUE_SHARE),
                 tried=frozenset(course.trail.upstreams),
--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -7,12 +7,34 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from wardstair.process.metrics import Metrics
+from wardstair.process.sink import LineSink
+
 if TYPE_CHECKING:
     from wardstair.gateway.host import GatewayHost
 
 Row = tuple[float, dict[str, str]]
 
 
+def add_line_counts(metrics: Metrics, sink: LineSink) -> None:
+    """Add what is known of log lines that the reader was too slow for.
+
+    Args:
+        metrics: The metrics of the process.
+        sink: Where its log lines go.
+    """
+    metrics.add_count(
+        'wardstair_log_lines_dropped',
+        'Log lines dropped since their reader was too slow',
+        lambda: [(float(sink.dropped), {})],
+    )
+    metrics.add_gauge(
+        'wardstair_log_lines_waiting',
+        'Log lines that wait for their reader',
+        lambda: [(float(sink.waiting), {})],
+    )
+
+
 def add_gauges(host: 'GatewayHost') -> None:
     """Add the gauges of a gateway to its metrics."""
     metrics = host.metrics
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -16,6 +16,7 @@
 from wardstair.fleet.beats import PeerName
 from wardstair.fleet.members import REPLACED_SECONDS, Members
 from wardstair.fleet.radio import Radio
+from wardstair.gateway.bodies import body_room
 from wardstair.gateway.callers import CallerListener
 from wardstair.gateway.choosing import Chooser
 from wardstair.gateway.distances import Distances
@@ -129,15 +130,20 @@
         distances = Distances(self.live_settings)
         self.pool = UpstreamPool(self._most_connections)
         self.chooser = Chooser(self.live_settings, self.belief, distances)
+        reporter = Reporter(self.metrics)
         self.forwarder = Forwarder(
             self.belief,
             self.chooser,
             Sender(self.pool, distances),
             self.live_settings,
-            Reporter(self.metrics),
+            reporter,
         )
         self.directory = Directory(self.live_settings, own, self.members)
-        self.callers = CallerListener(self.forwarder.serve)
+        self.callers = CallerListener(
+            self.forwarder.serve,
+            body_room(settings.memory_bytes),
+            reporter.unheld,
+        )
         add_gauges(self)
         self._supervisor = Supervisor(self.metrics.task_failures.add)
         self._servers: list[HTTPServer] = []
--- a/src/wardstair/gateway/refusals.py
+++ b/src/wardstair/gateway/refusals.py
@@ -77,6 +77,13 @@
     'no upstream has room; come back after the stated seconds',
     retry_after=0.4,
 )
+# Bodies are held for about the time of an answer.
+NO_MEMORY = Ending(
+    503,
+    RefusalKind.no_memory,
+    'this entry host holds as many bodies as it can; come back',
+    retry_after=0.5,
+)
 # One that cannot be reached is taken out, or back, within about a second.
 NO_UPSTREAM = Ending(
     503,
--- a/src/wardstair/gateway/reporting.py
+++ b/src/wardstair/gateway/reporting.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from wardstair.decisions.ranking import unit_hash
+from wardstair.errors import RefusalKind
 from wardstair.gateway.choosing import Placement
 from wardstair.gateway.messages import Inbound
 from wardstair.gateway.sending import Delivered
@@ -209,6 +210,19 @@
             path=inbound.path,
         )
 
+    def unheld(self, request_id: str, held: int) -> None:
+        """Tell of a request whose body found no room on this host.
+
+        Args:
+            request_id: The caller's name of its try.
+            held: Bytes of its body that had come.
+        """
+        self._metrics.refusals.add(RefusalKind.no_memory, '')
+        if not self._other.keeps(request_id, time.monotonic()):
+            self._metrics.lines_thinned.add('request-unheld')
+            return
+        log_event('request-unheld', request=request_id, held=held)
+
     def caller_left(self, trail: Trail) -> None:
         """Tell of a request whose caller left before its answer."""
         self._metrics.refusals.add('caller-left', trail.route.name)
--- a/src/wardstair/gateway/settings.py
+++ b/src/wardstair/gateway/settings.py
@@ -3,6 +3,11 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from wardstair.decisions.placement_policies import (
+    DEFAULT_POLICY,
+    PlacementPolicy,
+)
+
 
 @dataclass(frozen=True, slots=True)
 class Listener:
@@ -69,6 +74,7 @@
         memory_bytes: Memory limit of the process.
         descriptors: Limit of open sockets and files.
         is_first_start: Whether the whole fleet starts for the first time.
+        placement: By what rule upstreams are chosen.
         bounds: What the fleet is held to.
     """
 
@@ -87,6 +93,7 @@
     memory_bytes: int
     descriptors: int
     is_first_start: bool = False
+    placement: PlacementPolicy = DEFAULT_POLICY
     bounds: Bounds = field(default_factory=Bounds)
 
     @property
@@ -104,7 +111,7 @@
     """The settings in force; replaced as a whole when the file changes.
 
     Addresses and ports hold for the life of the process: its sockets are
-    bound to them. Zones and bounds are read at each use.
+    bound to them. Zones, bounds and the placement are read at each use.
 
     Attributes:
         current: The settings in force.
--- a/src/wardstair/platform/settings.py
+++ b/src/wardstair/platform/settings.py
@@ -10,6 +10,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from wardstair.decisions.placement_policies import POLICIES, PlacementPolicy
 from wardstair.errors import ConfigurationError
 from wardstair.gateway.settings import Bounds, GatewaySettings, Listener
 
@@ -44,6 +45,7 @@
     seeds: tuple[str, ...] = ()
     store: str
     first_start: bool = False
+    placement: str = 'warm-home'
     limits: _Limits = Field(default_factory=_Limits)
     bounds: tuple[str, ...] = ()
 
@@ -80,6 +82,7 @@
         memory_bytes=parsed.limits.memory_megabytes * _MEGABYTE,
         descriptors=parsed.limits.descriptors,
         is_first_start=parsed.first_start,
+        placement=_placement(parsed.placement),
         bounds=decode_bounds(parsed.bounds),
     )
 
@@ -109,6 +112,16 @@
     )
 
 
+def _placement(name: str) -> PlacementPolicy:
+    policy = POLICIES.get(name)
+    if policy is None:
+        raise ConfigurationError(
+            f'there is no placement policy {name}',
+            f'name one of {", ".join(POLICIES)}',
+        )
+    return policy
+
+
 def _number(given: Mapping[str, str], name: str, default: float) -> float:
     text = given.get(name)
     if text is None:
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -55,6 +55,11 @@
         'no route covers the request, or no configuration is known yet',
         'request reason version host path',
     ),
+    _kind(
+        'request-unheld',
+        'refused: bodies that are held fill the memory of this host',
+        'request held',
+    ),
     _kind(
         'caller-left',
         'the caller closed its connection before the answer',
--- a/src/wardstair/process/story.py
+++ b/src/wardstair/process/story.py
@@ -40,6 +40,10 @@
         'it has not run: no connection to an upstream came up; the caller '
         'was told when to come back'
     )
+    refused_memory = (
+        'it has not run: the host held as many bodies as its memory allows; '
+        'the caller was told when to come back'
+    )
     refused_start = 'it has not run: the host knew no configuration yet'
     no_route = 'it has not run: no route of the version in force covers it'
     unknown = (
@@ -60,6 +64,7 @@
     ('request-refused', 'deadline-passed'): Cause.timed_out,
     ('request-unrouted', 'starting'): Cause.refused_start,
     ('request-unrouted', ''): Cause.no_route,
+    ('request-unheld', ''): Cause.refused_memory,
     ('caller-left', ''): Cause.left,
     ('request-failed', ''): Cause.fault,
 }
--- a/tests/functional/test_gateway_process.py
+++ b/tests/functional/test_gateway_process.py
@@ -65,6 +65,49 @@
             return line
 
 
+async def scrape(address: str, port: int) -> str:
+    client = SimpleAsyncHTTPClient(force_instance=True)
+    answer = await client.fetch(f'http://{address}:{port}/metrics')
+    client.close()
+    return answer.body.decode()
+
+
+def test_requests_go_on_while_nobody_reads_the_log(tmp_path: Path) -> None:
+    async def main() -> None:
+        store, upstream = StoreStandin(), UpstreamStandin('i-1')
+        store.start()
+        await upstream.start()
+        store.put('config', 'main', configuration_spec(1))
+        store.put('servers', 'i-1', upstream_spec(upstream.port))
+        ports = free_ports(6)
+        address = own_address()
+        path = tmp_path / 'gateway.toml'
+        path.write_text(settings_text(store, address, ports))
+        process = await start(path)
+        await wait_line(process, 'upstream-changed')
+        # From here on the log is not read; each refused request is a line
+        # until pipe and queue are full.
+        caller = await Caller.connect_to(Listener(address, ports[0]))
+        number = 0
+        while 'lines_dropped_total 0' in await scrape(address, ports[4]):
+            for _ in range(500):
+                number += 1
+                answer = await caller.ask('/none/x', request_id=f'r{number}')
+                assert answer.status == 404
+        answer = await caller.ask(request_id='last')
+        assert (answer.status, answer.body) == (200, b'i-1')
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+        await store.stop()
+        await upstream.stop()
+
+    async def bounded() -> None:
+        async with asyncio.timeout(120):
+            await main()
+
+    asyncio.run(bounded())
+
+
 def test_a_process_starts_serves_reloads_and_stops(tmp_path: Path) -> None:
     async def main() -> None:
         store, upstream = StoreStandin(), UpstreamStandin('i-1')
@@ -99,12 +142,6 @@
         await store.stop()
         await upstream.stop()
 
-    async def scrape(address: str, port: int) -> str:
-        client = SimpleAsyncHTTPClient(force_instance=True)
-        answer = await client.fetch(f'http://{address}:{port}/metrics')
-        client.close()
-        return answer.body.decode()
-
     async def bounded() -> None:
         async with asyncio.timeout(40):
             await main()
--- a/tests/functional/test_gateway_requests.py
+++ b/tests/functional/test_gateway_requests.py
@@ -406,3 +406,30 @@
         assert (await rig.ask()).status == 200
 
     run(test, one)
+
+
+def test_bodies_beyond_the_memory_are_refused_before_they_are_held() -> None:
+    one = UpstreamStandin('i-1', answer_never)
+
+    async def test(rig: Rig) -> None:
+        bodies = rig.gateway.callers.bodies
+        bodies.most = 5000
+        holder = await Caller.connect(rig)
+        await holder.send('/send/x', 'POST', b'x' * 4000, 'r0')
+        await one.got_one.wait()
+        caller = await Caller.connect(rig)
+        refused = await caller.ask('/send/x', 'POST', b'x' * 2000, 'r1')
+        assert refused.status == 503
+        assert float(refused.headers['retry-after']) > 0
+        assert refused.headers['connection'] == 'close'
+        assert [seen.request_id for seen in one.seen] == ['r0']
+        caller.close()
+        # What is held is given back when its request has ended.
+        holder.close()
+        await rig.until(lambda: bodies.held == 0)
+        one.script = answer_ok
+        answer = await rig.ask('/send/x', 'POST', b'x' * 2000, 'r2')
+        assert answer.status == 200
+        await rig.until(lambda: bodies.held == 0)
+
+    run(test, one)
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -70,6 +70,7 @@
         ('address = "10.0.0.1"', ''),
         ('10.0.0.1:1"', '10.0.0.1"'),
         ('drain_ms=2000', 'drain_ms=soon'),
+        ('"warm-home"', '"warmest"'),
         ('[listen]', '[listen'),
     ],
 )
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -13,6 +13,11 @@
     choose_place,
     expected_seconds,
 )
+from wardstair.decisions.placement_policies import (
+    POLICIES,
+    PlacementAsk,
+    choose_by,
+)
 from wardstair.decisions.ranking import Place, rank
 from wardstair.decisions.warmth import KEPT_SECONDS, MOST_KEYS, WarmKeys
 
@@ -135,3 +140,32 @@
         warm.note(f'key {number}', 1)
     assert not warm.has('old', 1)
     assert warm.has('key 0', 1)
+
+
+@pytest.mark.parametrize(
+    ('name', 'draw', 'loads', 'chosen'),
+    [
+        ('warm-home', 0.9, (3, 0, 0), 'u0'),
+        ('least-in-flight', 0.9, (3, 1, 2), 'u1'),
+        ('least-in-flight', 0.0, (1, 1, 1), 'u0'),
+        ('equal-shares', 0.0, (3, 0, 0), 'u0'),
+        ('equal-shares', 0.99, (3, 0, 0), 'u2'),
+        ('equal-shares', 0.99, (0, 0, 99), 'u1'),
+        ('warm-home', 0.5, (99, 99, 99), None),
+        ('least-in-flight', 0.5, (99, 99, 99), None),
+        ('equal-shares', 0.5, (99, 99, 99), None),
+    ],
+)
+def test_policies_choose_by_their_rule(
+    name: str,
+    draw: float,
+    loads: tuple[int, ...],
+    chosen: str | None,
+) -> None:
+    given_ones = [
+        Candidate(f'u{rank}', rank, 0.0, load, 4, is_warm=not rank)
+        for rank, load in enumerate(loads)
+    ]
+    ask = PlacementAsk(WORK, 2.0, draw)
+    choice = choose_by(POLICIES[name], given_ones, ask)
+    assert (choice and choice.candidate.name) == chosen
