Learn of slow upstreams also where a host seldom sees a key twice

Cause: an answer on a key that this host had not seen at the upstream lately told nothing. Ruled out: taking each such answer as one on a warm key: a first run takes three times as long and would look slow. Change: a quick answer shows a sound upstream, one that is slow even for a first run shows a slow one, times between show nothing. What outcomes tell moves from gateway/forwarding.py to gateway/learning.py.

--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -16,6 +16,7 @@
 )
 from wardstair.gateway import refusals
 from wardstair.gateway.choosing import Ask, Chooser, Placement
+from wardstair.gateway.learning import Learner, SendCase, is_failure
 from wardstair.gateway.messages import Inbound, Reply
 from wardstair.gateway.reporting import Reporter, Trail
 from wardstair.gateway.sending import (
@@ -27,7 +28,6 @@
     TurnedAway,
 )
 from wardstair.gateway.settings import LiveSettings
-from wardstair.process.log import log_event
 from wardstair.state.belief import Belief
 from wardstair.version.steering import SteeredRoute
 
@@ -47,10 +47,6 @@
 FULL_QUEUE_SHARE = 2.2
 PRIORITY_STEP = 0.2
 LEAST_QUEUE_SHARE = 1.0
-# Statuses from here on say that the upstream failed; but for 504, by which it
-# says that it was given too little time.
-_FAILURES_FROM = 500
-_TOO_LITTLE_TIME = 504
 
 
 class ResendReason(StrEnum):
@@ -83,6 +79,10 @@
         default_factory=dict,
     )
 
+    def case_of(self, placement: Placement) -> SendCase:
+        """Return what the learner has to know of one of its sends."""
+        return SendCase(placement, self.route, self.key, self.trail)
+
 
 class Forwarder:
     """Carries requests; one a process."""
@@ -106,6 +106,7 @@
         """
         self._belief = belief
         self._chooser = chooser
+        self._learner = Learner(belief.catalog, chooser)
         self._sender = sender
         self._settings = settings
         self._reporter = reporter
@@ -198,7 +199,10 @@
         reason = ResendReason.lost
         for task in done:
             placement = course.running.pop(task)
-            match self._learn(course, placement, task.result()):
+            outcome = self._learner.learn(
+                course.case_of(placement), task.result()
+            )
+            match outcome:
                 case Delivered() as failed if self._may_improve(course, failed):
                     course.failure = (placement, failed)
                     course.may_have_run = True
@@ -219,28 +223,18 @@
 
     def _may_improve(self, course: _Course, delivered: Delivered) -> bool:
         """Return whether another upstream may do better than this answer."""
-        return _is_failure(delivered) and course.route.is_repeatable
+        return is_failure(delivered) and course.route.is_repeatable
 
     def _time_out(self, course: _Course) -> Reply:
         """End a request whose time is up while upstreams are at it."""
         now = time.monotonic()
         for placement in course.running.values():
-            self._note_silence(course, placement, now)
+            self._learner.note_silence(course.case_of(placement), now)
         if course.failure is not None:
             return self._deliver(course, *course.failure)
         # What is running may have run: the answer promises nothing.
         return self._end(course, refusals.TOO_LATE)
 
-    def _note_silence(
-        self,
-        course: _Course,
-        placement: Placement,
-        now: float,
-    ) -> None:
-        """Note against an upstream that it was far slower than expected."""
-        if placement.upstream.is_overdue(now):
-            self._distrust(course, placement, 'silent', now)
-
     def _send_again(
         self,
         course: _Course,
@@ -323,73 +317,6 @@
     def _budget(self, course: _Course) -> ResendBudget:
         return self._budgets.setdefault(course.service, ResendBudget())
 
-    def _learn(
-        self,
-        course: _Course,
-        placement: Placement,
-        outcome: SendOutcome,
-    ) -> SendOutcome:
-        """Note what an outcome tells of the upstream; return it."""
-        upstream = placement.upstream
-        now = time.monotonic()
-        match outcome:
-            case Delivered(fields=fields, seconds=seconds):
-                if fields.load is not None:
-                    told = fields.load.running + fields.load.waiting
-                    upstream.note_load(told, now)
-                if _is_failure(outcome):
-                    upstream.note_error(now)
-                else:
-                    self._learn_time(course, placement, seconds)
-            case TurnedAway(is_other=True):
-                self._belief.catalog.mark_gone(upstream.name)
-            case TurnedAway():
-                upstream.note_load(upstream.entry.slots * 3, now)
-            case NotSent(reason=reason):
-                self._distrust(course, placement, reason, now)
-            case Lost(reason=broken):
-                self._distrust(course, placement, broken, now)
-        return outcome
-
-    def _distrust(
-        self,
-        course: _Course,
-        placement: Placement,
-        reason: str,
-        now: float,
-    ) -> None:
-        seconds = placement.upstream.note_failure(now)
-        log_event(
-            'upstream-avoided',
-            request=course.inbound.request_id,
-            upstream=placement.upstream.name,
-            reason=reason,
-            seconds=seconds,
-        )
-
-    def _learn_time(
-        self,
-        course: _Course,
-        placement: Placement,
-        seconds: float,
-    ) -> None:
-        candidate = placement.choice.candidate
-        own = max(seconds - candidate.round_trip, 0.001)
-        now = time.monotonic()
-        upstream = placement.upstream
-        was_warm = upstream.warm.has(course.key, now)
-        course.trail.was_warm = was_warm
-        upstream.warm.note(course.key, now)
-        if not was_warm and course.route.is_sticky:
-            # A first run on a key tells of the key, not of the upstream.
-            upstream.note_answer()
-            return
-        if candidate.load < candidate.slots:
-            self._chooser.work_of(course.route).note(own)
-        expected = max(placement.choice.seconds, 0.01)
-        ratio = candidate.slowness * seconds / expected
-        upstream.note_success(ratio, now)
-
     def _deliver(
         self,
         course: _Course,
@@ -399,7 +326,7 @@
         course.is_ended = True
         now = time.monotonic()
         for slower in course.running.values():
-            self._note_silence(course, slower, now)
+            self._learner.note_silence(course.case_of(slower), now)
         bodies = len(course.inbound.body) + len(delivered.answer.body)
         self._chooser.work_of(course.route).note_size(bodies)
         self._reporter.answered(course.trail, placement, delivered)
@@ -432,8 +359,3 @@
         version = self._belief.versions.configuration
         self._reporter.unrouted(inbound, ending.kind, version)
         return ending.reply(inbound.request_id)
-
-
-def _is_failure(delivered: Delivered) -> bool:
-    status = delivered.answer.status
-    return status >= _FAILURES_FROM and status != _TOO_LITTLE_TIME
--- /dev/null
+++ b/tests/unit/test_answer_times.py
@@ -0,0 +1,30 @@
+"""What the time of an answer tells of its upstream."""
+
+import pytest
+
+from wardstair.decisions.answer_times import slowness_shown
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'is_sure', 'shown'),
+    [
+        # The key was warm for certain: every time counts.
+        (0.2, True, 1.0),
+        (0.8, True, 4.0),
+        # Not known: quick answers show a sound upstream, times of a first run
+        # show nothing, and longer ones a slow upstream.
+        (0.2, False, 1.0),
+        (0.1, False, 0.5),
+        (0.4, False, None),
+        (0.6, False, None),
+        (0.85, False, None),
+        (3.0, False, 5.0),
+    ],
+)
+def test_a_time_tells_of_the_upstream_only_if_not_of_the_key(
+    seconds: float,
+    is_sure: bool,
+    shown: float | None,
+) -> None:
+    found = slowness_shown(seconds, warm=0.2, cold=0.6, is_sure=is_sure)
+    assert found == (None if shown is None else pytest.approx(shown))
