--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -8,6 +8,7 @@
 from soak.broken import KIND_VARIABLE
 from soak.ledger import Kind, Ledger, Run, Span
 from soak.play import Plan, Verdict, play
+from soak.processes import GatewayProcess, choose_places
 from soak.seeds import FAILED_SEEDS
 
 BROKEN = 'soak.broken'
@@ -85,3 +86,16 @@
     made.runs = [Run('up', made.sent_at)]
     ledger.spans.append(Span('kill', made.sent_at - 1, made.sent_at + 0.5))
     assert ledger.check() == []
+
+
+def test_a_gateway_that_two_faults_start_again_runs_once(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        (place,) = choose_places({'a1': 'a'}, 1, [1], tmp_path)
+        gateway = GatewayProcess(place, 'wardstair.cli.gateway')
+        await asyncio.gather(gateway.start(), gateway.start())
+        assert gateway.life == 1
+        await gateway.end()
+
+    asyncio.run(test())
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -86,8 +86,7 @@
         return
     await gateway.end()
     await asyncio.sleep(scene.draw_seconds() / 2)
-    if not gateway.is_running:
-        await gateway.start()
+    await gateway.start()
 
 
 async def hang_up(scene: Scene) -> None:
@@ -203,8 +202,7 @@
     scene.ledger.stopped.add(gateway.name)
     gateway.send(signal.SIGTERM)
     await gateway.wait()
-    if not gateway.is_running:
-        await gateway.start()
+    await gateway.start()
 
 
 # Planned work: by itself it may cut no request.
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -44,6 +44,7 @@
         self.life = 0
         self._module = module
         self._process: Process | None = None
+        self._starting = asyncio.Lock()
 
     @property
     def name(self) -> str:
@@ -62,7 +63,13 @@
         return process is not None and process.returncode is None
 
     async def start(self) -> None:
-        """Start the program as the platform does."""
+        """Start the program as the platform does, unless it runs."""
+        async with self._starting:
+            # Two faults may both want to start it again.
+            if not self.is_running:
+                await self._start()
+
+    async def _start(self) -> None:
         self.life += 1
         source = TESTS.parent / 'src'
         environment = {
