Name the large hosts of a zone in look-ups while they are not busy

Cause: the grown deployments have 12 hosts of 2.15 cores and 200 Mbit/s and 62 of 0.43 and 10; look-ups named all alike. A small host's link carries a 60 KB body in 0.1 s each way, and requests spread over 74 hosts find no open connection (13,108 new ones for 19,008 requests) and a host that knows little of the upstreams. Ruled out: naming a drawn part of the hosts by weight: callers drop connections to hosts that a new answer leaves out. Change: hosts tell their size and whether they are busy (late timers) in heartbeats; a look-up names the hosts of at least half the largest one's size if these are two or more, have two fifths of the zone's processors together and none is busy; otherwise all. Zones of equal hosts are as before.

--- a/src/wardstair/fleet/beats.py
+++ b/src/wardstair/fleet/beats.py
@@ -12,7 +12,7 @@
 
 # Two versions of the program in one fleet drop each other's datagrams
 # instead of misreading them.
-_FORMAT = 2
+_FORMAT = 3
 _UNREADABLE = (cbor2.CBORDecodeError, ValueError, TypeError, LookupError)
 # Hosts named in one answer to a newcomer, so that a datagram holds them.
 MOST_NAMED = 16
@@ -38,12 +38,14 @@
         zone: Its availability zone.
         address: Its IP address.
         front: Its address for callers, `ip:port`.
+        size: Processor cores that it may use.
     """
 
     name: str
     zone: str
     address: str
     front: str
+    size: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +74,7 @@
         number: Grows with each heartbeat of a run.
         is_leaving: Whether the sender is about to stop.
         hears_store: Whether the sender is in contact with the store.
+        is_busy: Whether the sender is short of processor time.
         is_relay: Whether the sender speaks for its zone to other zones.
         zone_size: Hosts that the sender knows of in its zone, itself included.
         fleet_size: Hosts that the sender knows of in all zones.
@@ -85,6 +88,7 @@
     number: int
     is_leaving: bool
     hears_store: bool
+    is_busy: bool
     is_relay: bool
     zone_size: int
     fleet_size: int
@@ -103,6 +107,7 @@
             beat.number,
             beat.is_leaving,
             beat.hears_store,
+            beat.is_busy,
             beat.is_relay,
             beat.zone_size,
             beat.fleet_size,
@@ -130,14 +135,15 @@
             bool(row[5]),
             bool(row[6]),
             bool(row[7]),
-            int(row[8]),
+            bool(row[8]),
             int(row[9]),
-            Versions(*row[10]),
-            tuple(PeerName(*peer) for peer in row[11]),
+            int(row[10]),
+            Versions(*row[11]),
+            tuple(PeerName(*peer) for peer in row[12]),
         )
     except _UNREADABLE:
         return None
 
 
-def _name_row(peer: PeerName) -> list[str]:
-    return [peer.name, peer.zone, peer.address, peer.front]
+def _name_row(peer: PeerName) -> list[object]:
+    return [peer.name, peer.zone, peer.address, peer.front, peer.size]
--- a/src/wardstair/fleet/members.py
+++ b/src/wardstair/fleet/members.py
@@ -41,6 +41,7 @@
         number: Number of its last heartbeat.
         is_leaving: Whether it said that it is about to stop.
         hears_store: Whether it said that it is in contact with the store.
+        is_busy: Whether it said that it is short of processor time.
         is_relay: Whether it said that it is a relay of its zone.
         zone_size: Hosts that it knows of in its zone.
         fleet_size: Hosts that it knows of in all zones.
@@ -54,6 +55,7 @@
     number: int = 0
     is_leaving: bool = False
     hears_store: bool = False
+    is_busy: bool = False
     is_relay: bool = False
     zone_size: int = 0
     fleet_size: int = 0
@@ -67,6 +69,7 @@
         self.run = beat.run
         self.number = beat.number
         self.hears_store = beat.hears_store
+        self.is_busy = beat.is_busy
         self.is_relay = beat.is_relay
         self.zone_size = beat.zone_size
         self.fleet_size = beat.fleet_size
@@ -81,6 +84,7 @@
         own: This host.
         clock: Monotonic time in seconds.
         hears_store: Whether this host is in contact with the store.
+        is_busy: Whether this host is short of processor time.
         is_leaving: Whether this host is about to stop.
         table: Members by name.
         hinted: Relays of other zones, as a host of theirs named them.
@@ -90,6 +94,7 @@
     own: PeerName
     clock: Callable[[], float]
     hears_store: Callable[[], bool] = field(default=lambda: False)
+    is_busy: bool = False
     is_leaving: bool = False
     table: dict[str, Member] = field(default_factory=dict)
     hinted: dict[str, tuple[str, ...]] = field(default_factory=dict)
--- a/src/wardstair/fleet/naming.py
+++ b/src/wardstair/fleet/naming.py
@@ -6,6 +6,13 @@
 # With fewer in the caller's zone, hosts of its region are named too: a caller
 # that fails at one address goes on to another without asking again.
 ENOUGH_HOSTS = 2
+# In a zone whose hosts differ in size, only those that have at least this part
+# of the largest one's size are named, as long as they have this part of the
+# zone's processors together and none of them is busy. Small hosts have slow
+# processors and links, and a request that comes to few hosts finds open
+# connections and a host that knows the upstreams.
+LARGE_SHARE = 0.5
+LEAST_ZONE_SHARE = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,11 +23,15 @@
         front: Its address for callers, `ip:port`.
         zone: Its availability zone.
         is_leaving: Whether it is about to stop.
+        size: Processor cores that it may use.
+        is_busy: Whether it says that it is short of processor time.
     """
 
     front: str
     zone: str
     is_leaving: bool = False
+    size: float = 1.0
+    is_busy: bool = False
 
 
 def name_hosts(
@@ -40,7 +51,19 @@
     staying = [host for host in hosts if not host.is_leaving] or hosts
     near = [host for host in staying if host.zone == zone]
     if len(near) >= ENOUGH_HOSTS:
-        return near
+        return _large_ones(near)
     wanted = region or regions.get(zone, '')
     around = [host for host in staying if regions.get(host.zone) == wanted]
     return around or staying
+
+
+def _large_ones(hosts: list[NamedHost]) -> list[NamedHost]:
+    """Return the large hosts of a zone, or all if these are too few or busy."""
+    largest = max(host.size for host in hosts)
+    large = [host for host in hosts if host.size >= largest * LARGE_SHARE]
+    cores = sum(host.size for host in hosts)
+    has_enough = sum(host.size for host in large) >= cores * LEAST_ZONE_SHARE
+    is_busy = any(host.is_busy for host in large)
+    if len(large) < ENOUGH_HOSTS or is_busy or not has_enough:
+        return hosts
+    return large
--- a/src/wardstair/fleet/radio.py
+++ b/src/wardstair/fleet/radio.py
@@ -215,6 +215,7 @@
             number=self._number,
             is_leaving=members.is_leaving,
             hears_store=members.hears_store(),
+            is_busy=members.is_busy,
             is_relay=members.is_relay,
             zone_size=members.zone_size,
             fleet_size=members.counted_size,
--- a/src/wardstair/gateway/endpoints.py
+++ b/src/wardstair/gateway/endpoints.py
@@ -64,9 +64,21 @@
         return encode_addresses([host.front for host in named], seconds)
 
     def _hosts(self) -> list[NamedHost]:
-        own = NamedHost(self._own.front, self._own.zone, self.is_leaving)
+        own = NamedHost(
+            self._own.front,
+            self._own.zone,
+            self.is_leaving,
+            self._own.size,
+            self._members.is_busy,
+        )
         others = [
-            NamedHost(one.peer.front, one.peer.zone, one.is_leaving)
+            NamedHost(
+                one.peer.front,
+                one.peer.zone,
+                one.is_leaving,
+                one.peer.size,
+                one.is_busy,
+            )
             for one in self._members.live()
         ]
         return [own, *others]
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -11,6 +11,7 @@
 from tornado.web import Application
 
 from wardstair.connection.pool import UpstreamPool
+from wardstair.decisions.busyness import Busyness
 from wardstair.decisions.cold import HostView
 from wardstair.decisions.sentinels import Watcher, choose_sentinels
 from wardstair.fleet.beats import PeerName
@@ -93,8 +94,10 @@
             settings.zone,
             settings.address,
             str(settings.callers),
+            settings.cores,
         )
         self._started_at = clock()
+        self._busyness = Busyness()
         self._random = random
         self.belief = Belief(clock, Catalog(clock))
         self.belief.on_steering = self._on_steering
@@ -294,7 +297,10 @@
 
     async def _sweep(self) -> None:
         while True:
+            due = self._clock() + SWEEP_SECONDS
             await asyncio.sleep(SWEEP_SECONDS)
+            now = self._clock()
+            self.members.is_busy = self._busyness.note(now - due, now)
             catalog = self.belief.catalog
             catalog.expire_missing()
             self.pool.sweep(self._is_wanted)
--- a/src/wardstair/gateway/settings.py
+++ b/src/wardstair/gateway/settings.py
@@ -73,6 +73,7 @@
         store: Address (`ip:port`) of the platform's store.
         memory_bytes: Memory limit of the process.
         descriptors: Limit of open sockets and files.
+        cores: Processor cores that this host may use.
         is_first_start: Whether the whole fleet starts for the first time.
         placement: By what rule upstreams are chosen.
         bounds: What the fleet is held to.
@@ -92,6 +93,7 @@
     store: str
     memory_bytes: int
     descriptors: int
+    cores: float = 1.0
     is_first_start: bool = False
     placement: PlacementPolicy = DEFAULT_POLICY
     bounds: Bounds = field(default_factory=Bounds)
--- a/src/wardstair/platform/settings.py
+++ b/src/wardstair/platform/settings.py
@@ -33,6 +33,10 @@
 class _Limits(_Model):
     memory_megabytes: int = 300
     descriptors: int = 4096
+    # Part of one core that a process may use, and how many times as fast that
+    # core is as an ordinary one; not a number of cores.
+    core_share: float = 1.0
+    core_speed: float = 1.0
 
 
 class _File(_Model):
@@ -81,6 +85,7 @@
         store=parsed.store,
         memory_bytes=parsed.limits.memory_megabytes * _MEGABYTE,
         descriptors=parsed.limits.descriptors,
+        cores=parsed.limits.core_share * parsed.limits.core_speed,
         is_first_start=parsed.first_start,
         placement=_placement(parsed.placement),
         bounds=decode_bounds(parsed.bounds),
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -26,6 +26,8 @@
     'listen.directory': '10.0.0.1:4',
     'limits.memory_mb': '300',
     'limits.max_fds': '4100',
+    'limits.cpu_share': '0.717',
+    'limits.cores': '3',
 }
 LISTS = {
     'seeds': '"10.0.0.2:3","10.0.0.3:3"',
@@ -55,6 +57,7 @@
     settings = load_settings(file)
     assert settings.region == 'a'
     assert settings.is_first_start
+    assert settings.cores == pytest.approx(2.151)
     assert settings.is_in_region('a1')
     assert not settings.is_in_region('b1')
     assert str(settings.callers) == '10.0.0.1:1'
