Keep one type for the name of a host; share set-ups of tests

HostEntry and PeerName held the same four fields; the store's objects now decode into PeerName. Two tests of the process and two of the catalog had the same set-up twice. No change of behaviour; unit and process tests pass.

--- a/src/wardstair/platform/objects.py
+++ b/src/wardstair/platform/objects.py
@@ -6,7 +6,8 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from wardstair.errors import ConfigurationError
-from wardstair.state.entries import HostEntry, UpstreamEntry, UpstreamPhase
+from wardstair.fleet.beats import PeerName
+from wardstair.state.entries import UpstreamEntry, UpstreamPhase
 from wardstair.version.steering import (
     CallerLimits,
     Repeatability,
@@ -192,13 +193,13 @@
     )
 
 
-def decode_host(stored: StoredObject) -> HostEntry | None:
+def decode_host(stored: StoredObject) -> PeerName | None:
     """Decode an entry host's object; None if it is not usable."""
     try:
         spec = _HostSpec.model_validate(stored.spec)
     except ValidationError:
         return None
-    return HostEntry(
+    return PeerName(
         stored.metadata.name,
         spec.zone,
         spec.address,
@@ -206,7 +207,7 @@
     )
 
 
-def encode_host(host: HostEntry) -> dict[str, object]:
+def encode_host(host: PeerName) -> dict[str, object]:
     """Return the object that registers an entry host."""
     return {
         'metadata': {'name': host.name},
--- a/src/wardstair/state/entries.py
+++ b/src/wardstair/state/entries.py
@@ -37,20 +37,3 @@
     phase: UpstreamPhase
     cold_seconds: float
     revision: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class HostEntry:
-    """One entry host as it registered itself.
-
-    Attributes:
-        name: Its name.
-        zone: Its availability zone.
-        address: IP address.
-        front: Address for callers, `ip:port`.
-    """
-
-    name: str
-    zone: str
-    address: str
-    front: str
--- a/src/wardstair/state/registration.py
+++ b/src/wardstair/state/registration.py
@@ -18,7 +18,6 @@
 from wardstair.platform.store import Store
 from wardstair.process.log import log_event
 from wardstair.state.contact import StoreContact
-from wardstair.state.entries import HostEntry
 
 Step = Callable[[], Awaitable[bool]]
 # How often hosts are looked for that are gone for good.
@@ -65,8 +64,7 @@
 
     async def _register(self) -> bool:
         own = self._own
-        entry = HostEntry(own.name, own.zone, own.address, own.front)
-        document = encode_host(entry)
+        document = encode_host(own)
         created = await self._store.create(HOST_KIND, document)
         match created:
             case Ok():
@@ -107,7 +105,7 @@
             log_event('host-unreadable', host=stored.metadata.name)
             return
         self._revisions[host.name] = stored.metadata.revision
-        found.append(PeerName(host.name, host.zone, host.address, host.front))
+        found.append(host)
 
     async def _clean(self) -> None:
         """Remove hosts that are gone; one live host does it for each."""
--- a/tests/functional/test_gateway_process.py
+++ b/tests/functional/test_gateway_process.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 from asyncio.subprocess import PIPE, Process
+from dataclasses import dataclass
 from pathlib import Path
 
 from lib.municipal import (
@@ -65,15 +66,18 @@
             return line
 
 
-async def scrape(address: str, port: int) -> str:
-    client = SimpleAsyncHTTPClient(force_instance=True)
-    answer = await client.fetch(f'http://{address}:{port}/metrics')
-    client.close()
-    return answer.body.decode()
+@dataclass
+class Surroundings:
+    """A store with an upstream in it, and the settings of one gateway."""
 
+    store: StoreStandin
+    upstream: UpstreamStandin
+    address: str
+    ports: list[int]
+    path: Path
 
-def test_requests_go_on_while_nobody_reads_the_log(tmp_path: Path) -> None:
-    async def main() -> None:
+    @classmethod
+    async def start(cls, folder: Path) -> 'Surroundings':
         store, upstream = StoreStandin(), UpstreamStandin('i-1')
         store.start()
         await upstream.start()
@@ -81,8 +85,27 @@
         store.put('servers', 'i-1', upstream_spec(upstream.port))
         ports = free_ports(6)
         address = own_address()
-        path = tmp_path / 'gateway.toml'
+        path = folder / 'gateway.toml'
         path.write_text(settings_text(store, address, ports))
+        return cls(store, upstream, address, ports, path)
+
+    async def stop(self) -> None:
+        await self.store.stop()
+        await self.upstream.stop()
+
+
+async def scrape(address: str, port: int) -> str:
+    client = SimpleAsyncHTTPClient(force_instance=True)
+    answer = await client.fetch(f'http://{address}:{port}/metrics')
+    client.close()
+    return answer.body.decode()
+
+
+def test_requests_go_on_while_nobody_reads_the_log(tmp_path: Path) -> None:
+    async def main() -> None:
+        surroundings = await Surroundings.start(tmp_path)
+        path, ports = surroundings.path, surroundings.ports
+        address = surroundings.address
         process = await start(path)
         await wait_line(process, 'upstream-changed')
         # From here on the log is not read; each refused request is a line
@@ -98,8 +121,7 @@
         assert (answer.status, answer.body) == (200, b'i-1')
         process.send_signal(signal.SIGTERM)
         assert await process.wait() == 0
-        await store.stop()
-        await upstream.stop()
+        await surroundings.stop()
 
     async def bounded() -> None:
         async with asyncio.timeout(120):
@@ -110,15 +132,9 @@
 
 def test_a_process_starts_serves_reloads_and_stops(tmp_path: Path) -> None:
     async def main() -> None:
-        store, upstream = StoreStandin(), UpstreamStandin('i-1')
-        store.start()
-        await upstream.start()
-        store.put('config', 'main', configuration_spec(1))
-        store.put('servers', 'i-1', upstream_spec(upstream.port))
-        ports = free_ports(6)
-        address = own_address()
-        path = tmp_path / 'gateway.toml'
-        path.write_text(settings_text(store, address, ports))
+        surroundings = await Surroundings.start(tmp_path)
+        path, ports = surroundings.path, surroundings.ports
+        address = surroundings.address
         process = await start(path)
         await wait_line(process, 'host-started')
         await wait_line(process, 'upstream-changed')
@@ -139,8 +155,7 @@
         process.send_signal(signal.SIGTERM)
         await wait_line(process, 'host-stopped')
         assert await process.wait() == 0
-        await store.stop()
-        await upstream.stop()
+        await surroundings.stop()
 
     async def bounded() -> None:
         async with asyncio.timeout(40):
--- a/tests/unit/test_catalog.py
+++ b/tests/unit/test_catalog.py
@@ -7,37 +7,18 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from lib.upstreams import ENTRY, Clock
 
 from wardstair.state.belief import Belief
 from wardstair.state.catalog import RETURN_SECONDS, Catalog
 from wardstair.state.contact import StoreContact
-from wardstair.state.entries import UpstreamEntry, UpstreamPhase
+from wardstair.state.entries import UpstreamPhase
 from wardstair.state.upstream import EJECT_SECONDS, EJECT_SLOWNESS, Upstream
 
-ENTRY = UpstreamEntry(
-    name='i-1',
-    service='views',
-    host='10.0.0.1',
-    port=80,
-    zone='a1',
-    slots=4,
-    phase=UpstreamPhase.ready,
-    cold_seconds=0.0,
-)
 OTHER = replace(ENTRY, name='i-2')
 DRAINING = replace(ENTRY, phase=UpstreamPhase.draining)
 
 
-class Clock:
-    """Time that a test moves."""
-
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 def names(catalog: Catalog) -> list[str]:
     return sorted(one.name for one in catalog.of_service('views'))
 
--- a/tests/unit/test_catalog_changes.py
+++ b/tests/unit/test_catalog_changes.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from lib.upstreams import ENTRY, Clock
 
 from wardstair.fleet.sharing import (
     SharedConfiguration,
@@ -12,28 +13,7 @@
     decode_state,
 )
 from wardstair.state.catalog import MOST_REMOVED, RETURN_SECONDS, Catalog
-from wardstair.state.entries import UpstreamEntry, UpstreamPhase
-
-ENTRY = UpstreamEntry(
-    name='i-1',
-    service='views',
-    host='10.0.0.1',
-    port=80,
-    zone='a1',
-    slots=4,
-    phase=UpstreamPhase.ready,
-    cold_seconds=0.0,
-)
-
-
-class Clock:
-    """Time that a test moves."""
-
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
+from wardstair.state.entries import UpstreamPhase
 
 
 def facts(catalog: Catalog) -> dict[str, UpstreamPhase]:
