Wait for a first run on a key before a second upstream is tried

Ruled out: never trying a second (silent upstreams are real: hangs, darkness). Change: where this host has not seen the upstream answer the key, patience and lateness count from the time of a first run.

--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -1,10 +1,14 @@
 """Finds the upstream for a request from what this host knows now."""
 
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from wardstair.decisions.cold import HostView, Pace, sender_rate
-from wardstair.decisions.placement import Candidate, Choice
+from wardstair.decisions.placement import (
+    Candidate,
+    Choice,
+    expected_seconds,
+)
 from wardstair.decisions.placement_policies import (
     PlacementAsk,
     PlacementPolicy,
@@ -120,11 +124,14 @@
         upstream: The upstream.
         choice: Why, with the expected time.
         choices: How many could have been chosen.
+        longest: Expected seconds if the upstream does not remember the key
+            after all; as expected if this host has seen that it does.
     """
 
     upstream: Upstream
     choice: Choice
     choices: int
+    longest: float
 
 
 class Chooser:
@@ -298,7 +305,11 @@
         upstream = by_name[choice.candidate.name]
         if upstream.is_cold(now):
             self._pace_of(upstream).take(self._cold_rate(upstream), now)
-        return Placement(upstream, choice, len(candidates))
+        longest = choice.seconds
+        if ask.route.is_sticky and not upstream.warm.has(ask.key, now):
+            cold = replace(choice.candidate, is_warm=False)
+            longest = expected_seconds(cold, asked.work)
+        return Placement(upstream, choice, len(candidates), longest)
 
     def _candidate(
         self,
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from wardstair.decisions.answer_times import hedge_after
 from wardstair.decisions.resends import (
     ResendBudget,
     ResendLimit,
@@ -38,10 +39,6 @@
 # Connections that may fail before the request is given up; nothing has been
 # sent by then, so this costs only time.
 MOST_UNREACHABLE = 4
-# A repeatable request is sent to a second upstream when the first is silent
-# for this many times the expected time.
-HEDGE_RATIO = 2.5
-LEAST_HEDGE_SECONDS = 0.25
 # Requests that an upstream may have above its slots, as a share of them: the
 # most important kind, and how much less each next one.
 FULL_QUEUE_SHARE = 2.2
@@ -170,8 +167,8 @@
         if not self._may_hedge(course):
             return left
         placement = next(iter(course.running.values()))
-        expected = placement.choice.seconds * HEDGE_RATIO
-        return min(left, max(expected, LEAST_HEDGE_SECONDS))
+        expected = placement.choice.seconds
+        return min(left, hedge_after(expected, placement.longest))
 
     def _may_hedge(self, course: _Course) -> bool:
         return (
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -24,10 +24,12 @@
     decode_upstream,
     encode_upstream,
 )
-from wardstair.state.upstream import Upstream
+from wardstair.state.upstream import RunningSend, Upstream
 
 _MISDIRECTED = 421
 _SUCCESS = range(200, 300)
+# Shorter estimates than this are taken as this when lateness is judged.
+_LEAST_EXPECTED_SECONDS = 0.05
 # How an exchange ends on a connection that its upstream has forgotten.
 _FORGOTTEN = frozenset((BreakReason.reset, BreakReason.closed))
 # Statuses by which a caller takes a request for not run.
@@ -124,7 +126,11 @@
         upstream = placement.upstream
         number = next(self._numbers)
         started = time.monotonic()
-        upstream.running[number] = (started, placement.choice.seconds)
+        upstream.running[number] = RunningSend(
+            started,
+            max(placement.choice.seconds, _LEAST_EXPECTED_SECONDS),
+            placement.longest,
+        )
         try:
             connection = await self._connection(
                 upstream,
--- a/src/wardstair/state/upstream.py
+++ b/src/wardstair/state/upstream.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from wardstair.decisions.answer_times import overdue_after
 from wardstair.decisions.warmth import WarmKeys
 from wardstair.process.log import log_event
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
@@ -17,15 +18,12 @@
 # After this long without an answer, half of what made it look slow is gone.
 SLOWNESS_HALF_SECONDS = 2.0
 LEAST_SLOWNESS = 0.8
-# Longest work is some three times the mean.
-OVERDUE_RATIO = 3.0
 # Averaged time beside the usual from which an upstream is left out.
 EJECT_SLOWNESS = 2.5
 EJECT_SECONDS = 2.0
 MOST_EJECT_FACTOR = 4
 # One that was not slow for this long starts anew.
 FORGIVEN_SECONDS = 6.0
-LEAST_EXPECTED_SECONDS = 0.05
 # How fast the share of failed requests follows the last ones, and the share
 # from which an upstream is left out: two failures among the last few. Sound
 # upstreams were seen to fail one request in 250.
@@ -44,6 +42,21 @@
     failing = 'failing'
 
 
+@dataclass(frozen=True, slots=True)
+class RunningSend:
+    """A request of this host that an upstream has not answered yet.
+
+    Attributes:
+        started_at: Monotonic time when it was sent.
+        expected: Expected seconds of its answer.
+        longest: The same if the upstream does not remember its key after all.
+    """
+
+    started_at: float
+    expected: float
+    longest: float
+
+
 @dataclass(slots=True)
 class Upstream:
     """One run of an upstream as this host sees it.
@@ -62,8 +75,7 @@
         slowness_at: When that was last measured.
         ejected_until: Monotonic time until which it is left out as slow.
         ejections: How often that happened in a row.
-        running: Start and expected seconds of this host's requests at it, in
-            the order they were sent.
+        running: This host's requests at it, in the order they were sent.
         warm: Keys that it has answered lately.
         has_ended: Whether another upstream answered at its address; its
             entry may stay for a while and does not bring it back.
@@ -82,7 +94,7 @@
     slowness_at: float = 0.0
     ejected_until: float = 0.0
     ejections: int = 0
-    running: dict[int, tuple[float, float]] = field(default_factory=dict)
+    running: dict[int, RunningSend] = field(default_factory=dict)
     warm: WarmKeys = field(default_factory=WarmKeys)
     has_ended: bool = False
 
@@ -183,10 +195,12 @@
         """Return how overdue its oldest request is, beside what is usual."""
         if not self.running:
             return 0.0
-        started, expected = next(iter(self.running.values()))
-        overdue = (now - started) / max(expected, LEAST_EXPECTED_SECONDS)
+        oldest = next(iter(self.running.values()))
+        waited = now - oldest.started_at
         # A single long request is nothing; work differs from one to another.
-        return overdue if overdue > OVERDUE_RATIO else 0.0
+        if waited <= overdue_after(oldest.expected, oldest.longest):
+            return 0.0
+        return waited / oldest.expected
 
     def _eject(self, now: float, reason: EjectReason) -> None:
         """Leave it out for a while; longer each time it does not recover."""
--- a/tests/unit/test_answer_times.py
+++ b/tests/unit/test_answer_times.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from wardstair.decisions.answer_times import slowness_shown
+from wardstair.decisions.answer_times import hedge_after, slowness_shown
 
 
 @pytest.mark.parametrize(
@@ -28,3 +28,21 @@
 ) -> None:
     found = slowness_shown(seconds, warm=0.2, cold=0.6, is_sure=is_sure)
     assert found == (None if shown is None else pytest.approx(shown))
+
+
+@pytest.mark.parametrize(
+    ('expected', 'longest', 'seconds'),
+    [
+        # Certain of the key: a few times the expected time.
+        (0.2, 0.2, 0.5),
+        # Not certain: a first run on the key may end first.
+        (0.2, 0.6, 0.84),
+        (0.01, 0.03, 0.25),
+    ],
+)
+def test_a_second_upstream_is_tried_after_a_first_run_would_have_ended(
+    expected: float,
+    longest: float,
+    seconds: float,
+) -> None:
+    assert hedge_after(expected, longest) == pytest.approx(seconds)
