--- a/tests/functional/test_gateway_requests.py
+++ b/tests/functional/test_gateway_requests.py
@@ -498,3 +498,33 @@
         )
 
     run(test, *(UpstreamStandin(f'i-{n}', forgets) for n in range(3)))
+
+
+def test_what_does_not_fit_in_a_part_is_refused_and_not_moved() -> None:
+    full = UpstreamStandin('i-full', answer_full)
+    other = UpstreamStandin('i-other')
+
+    async def test(rig: Rig) -> None:
+        entry = upstream_spec(full.port, service='orders')
+        rig.store.put('servers', 'i-full', entry)
+        parts = [
+            {'service': 'views', 'weight': 50},
+            {'service': 'orders', 'weight': 50},
+        ]
+        split = route_spec('/read/', 'safe', service=None, backends=parts)
+        document = configuration_spec(2, read=split)
+        rig.store.put('config', 'main', document)
+        belief = rig.gateway.belief
+        await rig.until(lambda: belief.versions.configuration == 2)
+        await rig.until(lambda: len(belief.catalog.of_service('orders')) == 1)
+        statuses = []
+        for number in range(200):
+            key = f'Wardstair-Affinity-Key={number}'
+            name = f'r{number}'
+            answer = await rig.ask('/read/x', request_id=name, Cookie=key)
+            statuses.append(answer.status)
+        assert abs(statuses.count(200) - 100) <= 10
+        assert statuses.count(503) == 200 - statuses.count(200)
+        assert len(other.seen) == statuses.count(200)
+
+    run(test, full, other)
