Test that news reaches hosts that watch nothing, also without their relays

Eight hosts in two zones: a new upstream, version and evacuation reach all; then both relays of a zone end without a word, and the rest of the zone still learns that an upstream has gone and another has come.

--- a/tests/functional/test_gateway_fleet.py
+++ b/tests/functional/test_gateway_fleet.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from functools import partial
 from random import Random
 
@@ -31,8 +32,9 @@
 async def fleet(
     size: int = 2,
     store: StoreStandin | None = None,
+    zones: tuple[str, ...] = ('north-a',),
 ) -> AsyncIterator[tuple[StoreStandin, list[GatewayHost]]]:
-    """Run gateways on addresses of their own."""
+    """Run gateways on addresses of their own, in turn in the zones."""
     store = store or StoreStandin()
     store.start()
     store.put('config', 'main', configuration_spec(1))
@@ -44,6 +46,7 @@
             name=f'host-{number}',
             fleet_port=port,
         )
+        settings = replace(settings, zone=zones[number % len(zones)])
         host = GatewayHost(settings, Random(number))
         await host.start()
         hosts.append(host)
@@ -181,6 +184,54 @@
     run(test)
 
 
+def knows_upstream(host: GatewayHost, name: str) -> bool:
+    upstream = host.belief.catalog.upstreams.get(name)
+    return upstream is not None and upstream.takes_work
+
+
+def are_relays_settled(hosts: list[GatewayHost]) -> bool:
+    """Return whether each zone has two relays that hear the others'."""
+    relays = [host for host in hosts if host.members.is_relay]
+    zones = {host.settings.zone for host in hosts}
+    heard = [
+        {one.peer.zone for one in host.members.live()} | {host.settings.zone}
+        for host in relays
+    ]
+    return len(relays) == 2 * len(zones) and all(one == zones for one in heard)
+
+
+def test_news_reaches_hosts_that_watch_nothing_also_without_their_relays() -> (
+    None
+):
+    async def test() -> None:
+        zones = ('north-a', 'south-a')
+        async with fleet(8, zones=zones) as (store, hosts):
+            await until(lambda: are_relays_settled(hosts))
+            store.put('servers', 'i-1', upstream_spec(1))
+            store.put('config', 'main', configuration_spec(9))
+            store.put('evacuations', 'south-a', {})
+            for host in hosts:
+                await until(partial(knows, host.belief))
+                await until(partial(knows_upstream, host, 'i-1'))
+            # Both relays of a zone end without a word.
+            ended = [
+                host
+                for host in hosts
+                if host.members.is_relay and host.settings.zone == 'north-a'
+            ]
+            for host in ended:
+                await host.close()
+            rest = [host for host in hosts if host not in ended]
+            store.delete('servers', 'i-1')
+            store.put('servers', 'i-2', upstream_spec(2))
+            for host in rest:
+                await until(partial(knows_upstream, host, 'i-2'))
+                assert not knows_upstream(host, 'i-1')
+            await until(lambda: are_relays_settled(rest))
+
+    run(test)
+
+
 def test_a_host_in_contact_with_nobody_answers_that_it_is_starting() -> None:
     async def test() -> None:
         store = StoreStandin()
