Draw the ports of a test gateway apart from the fleet's port

The fleet's port is drawn first and let go; the system may hand the same one out among the host's own ports, on the same address. The address is used by nothing else (its own a process and host), and the bind that failed is the fleet's. Change: draw again while the fleet's port is among the own ones. The test of that fails before.

--- a/tests/lib/municipal.py
+++ b/tests/lib/municipal.py
@@ -428,6 +428,10 @@
     """Return settings of a gateway on loopback."""
     address = own_address()
     *ports, own_port = free_ports(6)
+    while fleet_port in ports:
+        # The fleet's port was let go, and the system has handed it out again:
+        # this host would listen on it twice.
+        *ports, own_port = free_ports(6)
     fleet = fleet_port or own_port
     return GatewaySettings(
         name=name,
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -6,6 +6,7 @@
 from random import Random
 
 import pytest
+from lib import municipal
 from lib.municipal import gateway_settings
 
 from wardstair.errors import ConfigurationError
@@ -101,3 +102,14 @@
     assert host.adopt_settings(after) == ['zones']
     assert host.live_settings.current.is_in_region('new-a')
     assert host.adopt_settings(after) == []
+
+
+def test_no_listener_of_a_test_gateway_has_the_fleets_port(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    drawn = iter([[1, 2, 3, 4, 5, 6], [7, 8, 9, 10, 11, 12]])
+    monkeypatch.setattr(municipal, 'free_ports', lambda _amount: next(drawn))
+    settings = gateway_settings(1, fleet_port=3)
+    listeners = (settings.callers, settings.ready, settings.lookups)
+    assert 3 not in {one.port for one in (*listeners, settings.metrics)}
+    assert settings.fleet_ports[0] == 3
