--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -109,7 +109,7 @@
 ) -> None:
     drawn = iter([[1, 2, 3, 4, 5, 6], [7, 8, 9, 10, 11, 12]])
     monkeypatch.setattr(municipal, 'free_ports', lambda _amount: next(drawn))
-    settings = gateway_settings(1, fleet_port=3)
+    settings = gateway_settings(1, fleet_port=2)
     listeners = (settings.callers, settings.ready, settings.lookups)
-    assert 3 not in {one.port for one in (*listeners, settings.metrics)}
-    assert settings.fleet_ports[0] == 3
+    assert 2 not in {one.port for one in (*listeners, settings.metrics)}
+    assert settings.fleet_ports[0] == 2
