Give the planted lie something to lie about on a busy machine

A lie needs a request that may run once whose answer is lost; upstreams lost one answer in 100, and a busy machine makes fewer requests in the play's 6 s, so a play without any such request is possible. The product is not concerned. Change: the plays with a break lose one answer in four; the break that reverts does so at every second offer. The check is as strict as before.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -40,7 +40,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setenv(KIND_VARIABLE, kind)
-    plan = replace(SHORT, module=BROKEN)
+    # Many lost answers, so that a busy machine with few requests has some.
+    plan = replace(SHORT, module=BROKEN, lost_share=0.25)
     verdict = run(plan, tmp_path)
     assert any(words in line for line in verdict.broken)
 
--- a/tests/soak/broken.py
+++ b/tests/soak/broken.py
@@ -35,7 +35,7 @@
     ) -> bool:
         kept.append(stored)
         adopted = adopt(self, stored, source)
-        if len(kept) % 4 == 0 and self.steering is not None:
+        if len(kept) % 2 == 0 and self.steering is not None:
             # Back to the first version, as if nothing had been seen since.
             self.steering = replace(self.steering, version=-1)
             adopt(self, kept[0], source)
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -18,7 +18,7 @@
 from soak.ledger import Kind, Ledger
 from soak.processes import GatewayProcess, choose_places
 from soak.proxy import Proxy
-from soak.upstreams import SoakUpstream
+from soak.upstreams import LOST_SHARE, SoakUpstream
 from soak.versions import VersionProbe, marked_configuration
 
 GATEWAY = 'wardstair.cli.gateway'
@@ -41,6 +41,7 @@
         upstreams: How many upstreams.
         callers: How many callers.
         gap: Mean seconds between the begins of faults.
+        lost_share: Share of answers that a well upstream loses.
         module: Program that is run as a gateway.
     """
 
@@ -50,6 +51,7 @@
     upstreams: int = 6
     callers: int = 8
     gap: float = 1.0
+    lost_share: float = LOST_SHARE
     module: str = GATEWAY
 
 
@@ -93,6 +95,7 @@
                 zones[number % len(zones)],
                 self.ledger,
                 Random(plan.seed * 1000 + number),
+                plan.lost_share,
             )
             for number in range(plan.upstreams)
         ]
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -44,8 +44,10 @@
         zone: str,
         ledger: Ledger,
         random: Random,
+        lost_share: float = LOST_SHARE,
     ) -> None:
         """Prepare without a socket."""
+        self.lost_share = lost_share
         self.zone = zone
         self.life = 0
         self.service = 'views'
@@ -151,7 +153,7 @@
         run: Run | None,
     ) -> None:
         habits = self.habits
-        if self._random.random() < habits.lost_share:
+        if self._random.random() < max(habits.lost_share, self.lost_share):
             self._blame(run)
             writer.transport.abort()
             return
