--- a/src/wardstair/cli/explain.py
+++ b/src/wardstair/cli/explain.py
@@ -1,19 +1,47 @@
-"""`wardstair-explain`: why a request ended as it did, from a log."""
+"""`wardstair-explain`: why requests ended as they did, from a log."""
 
 import sys
 
 import fire
 
+from wardstair.cli.tables import print_rows
 from wardstair.process.story import Cause, tell_story
+from wardstair.process.summary import CauseCount, summarize
 
 
-def explain(request_id: str) -> None:
-    """Read a log on standard input and tell the story of one request.
+def explain(request_id: str = '', *, summary: bool = False) -> None:
+    """Read a log on standard input; tell of one request or count causes.
 
     Args:
         request_id: The caller's name of its try.
+        summary: Count the causes of all requests not served in time instead.
     """
-    story = tell_story(sys.stdin, str(request_id))
+    if summary:
+        _print_summary()
+        return
+    if not request_id:
+        print('name a request, or ask for --summary', file=sys.stderr)
+        sys.exit(2)
+    _print_story(str(request_id))
+
+
+def _print_summary() -> None:
+    rows = [_row(count) for count in summarize(sys.stdin)]
+    print_rows(rows, as_json=False)
+
+
+def _row(count: CauseCount) -> dict[str, str]:
+    return {
+        'requests': str(count.requests),
+        'share': f'{count.share:.1%}',
+        'median_seconds': f'{count.seconds:.3f}',
+        'route': count.route,
+        'cause': count.cause,
+    }
+
+
+def _print_story(request_id: str) -> None:
+    story = tell_story(sys.stdin, request_id)
     print(f'request {request_id}: {story.cause}')
     for line in story.lines:
         print(f'  {line.text()}')
--- a/src/wardstair/process/story.py
+++ b/src/wardstair/process/story.py
@@ -147,7 +147,15 @@
         and line.fields.get('upstream') in named
         and line.fields.get('process') == process
     ]
-    return Story(_cause(own), own, context)
+    return Story(cause_of(own[-1]), own, context)
+
+
+def cause_of(last: LogLine) -> Cause:
+    """Return why a request ended as it did, from its last line."""
+    if last.event == 'request-answered':
+        return _answered_cause(last)
+    known = _CAUSES.get((last.event, last.fields.get('reason', '')))
+    return known or _CAUSES.get((last.event, ''), Cause.untold)
 
 
 def _upstreams(lines: Sequence[LogLine]) -> set[str]:
@@ -158,14 +166,6 @@
     return named - {''}
 
 
-def _cause(lines: Sequence[LogLine]) -> Cause:
-    last = lines[-1]
-    if last.event == 'request-answered':
-        return _answered_cause(last)
-    known = _CAUSES.get((last.event, last.fields.get('reason', '')))
-    return known or _CAUSES.get((last.event, ''), Cause.untold)
-
-
 def _answered_cause(line: LogLine) -> Cause:
     fields = line.fields
     if fields.get('late') != 'True':
