Notice connections that have gone silent for good

Cause: a peer without power, or a path that drops one connection's packets, leaves a connection open without a reset. Requests on it ended at their own time, and a waiting watch of the store at its 30 s. Change: connections to upstreams and to the store end once bytes stay unacknowledged for 1.5 s, and are probed after 1 s of rest (two probes). Ruled out: shorter times; a packet lost between regions is sent again after 0.2 and 0.6 s. Shown: the options are set on both kinds of sockets (tests fail before). That a silent path is noticed cannot be played on loopback, whose kernel acknowledges for the peer; no figure is claimed.

--- a/src/wardstair/connection/upstream.py
+++ b/src/wardstair/connection/upstream.py
@@ -15,6 +15,8 @@
 
 from httptools import HttpParserError, HttpResponseParser
 
+from wardstair.connection.silence import notice_silence
+
 _INTERIM_END = 200
 _NO_BODY = frozenset((204, 304))
 Pairs = Sequence[tuple[str, str]]
@@ -114,6 +116,7 @@
         """Take the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        notice_silence(transport.get_extra_info('socket'))
 
     def data_received(self, data: bytes) -> None:
         """Read bytes of an answer."""
--- a/src/wardstair/platform/store.py
+++ b/src/wardstair/platform/store.py
@@ -16,6 +16,7 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
 from wardstair.connection.client import close_client, make_client
+from wardstair.connection.silence import notice_silence_of
 from wardstair.errors import (
     ObjectMissing,
     PlatformError,
@@ -256,6 +257,13 @@
 def _prepare(curl: pycurl.Curl) -> None:
     curl.setopt(pycurl.PROXY, '')
     curl.setopt(pycurl.TCP_NODELAY, 1)
+    curl.setopt(pycurl.SOCKOPTFUNCTION, _on_socket)
+
+
+def _on_socket(descriptor: int, _purpose: int) -> int:
+    """Set up a socket of libcurl's; a waiting watch has no other sign."""
+    notice_silence_of(descriptor)
+    return int(pycurl.SOCKOPT_OK)
 
 
 def _judge(response: HTTPResponse, call: str) -> Result[bytes, PlatformError]:
--- /dev/null
+++ b/tests/functional/test_silence.py
@@ -0,0 +1,80 @@
+"""Connections that would go silent for good are set up to end by themselves."""
+
+import asyncio
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import pytest
+from lib.municipal import Rig, UpstreamStandin
+
+from wardstair.connection.silence import (
+    PROBE_SECONDS,
+    UNACKNOWLEDGED_SECONDS,
+    notice_silence_of,
+)
+
+WANTED = {
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT): UNACKNOWLEDGED_SECONDS
+    * 1000,
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE): 1,
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE): PROBE_SECONDS,
+}
+
+
+def options(connected: Any) -> dict[tuple[int, int], float]:
+    """Return how a socket is set up."""
+    return {name: connected.getsockopt(*name) for name in WANTED}
+
+
+@contextmanager
+def curl_sockets(monkeypatch: pytest.MonkeyPatch) -> Iterator[list[int]]:
+    """Collect the descriptors that the store's client sets up."""
+    seen: list[int] = []
+
+    def note(descriptor: int) -> None:
+        notice_silence_of(descriptor)
+        seen.append(descriptor)
+
+    monkeypatch.setattr('wardstair.platform.store.notice_silence_of', note)
+    yield seen
+
+
+def test_connections_to_upstreams_notice_silence() -> None:
+    one = UpstreamStandin('i-1')
+
+    async def main() -> None:
+        async with Rig(one) as rig, asyncio.timeout(25):
+            await rig.ask()
+            connection = rig.gateway.pool.borrow('i-1', is_once=False)
+            assert connection is not None
+            assert connection._transport is not None
+            connected = connection._transport.get_extra_info('socket')
+            assert options(connected) == WANTED
+            connection.close()
+
+    asyncio.run(main())
+
+
+def test_connections_to_the_store_notice_silence(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> None:
+        async with Rig(UpstreamStandin('i-1')):
+            for descriptor in seen[-2:]:
+                borrowed = socket.socket(fileno=descriptor)
+                try:
+                    assert options(borrowed) == WANTED
+                finally:
+                    borrowed.detach()
+
+    with curl_sockets(monkeypatch) as seen:
+        asyncio.run(main())
+    assert seen
+
+
+def test_a_borrowed_descriptor_stays_open() -> None:
+    with socket.socket() as own:
+        notice_silence_of(own.fileno())
+        assert options(own) == WANTED
