Believe the load that a rejection tells; send those turned away back at once

Cause: an upstream that sheds part of its requests though it has room was taken for full (three times its slots) at each rejection. Change: the load in the rejection counts, if it tells one; a caller whose last upstream had a free slot gets 503 'turned-away' with 0.05 s. Mechanisms can be switched off by name in the settings; the course of a request has a module. Ruled out: counting such rejections as failures: while all upstreams shed, an ejection only moves keys.

--- /dev/null
+++ b/src/wardstair/decisions/mechanisms.py
@@ -0,0 +1,16 @@
+"""Mechanisms of the request path that operators can switch off.
+
+A mechanism that is off leaves the plainer behaviour it was built on, so that
+its worth can be measured against live traffic: docs/ABLATION.md has the table.
+"""
+
+from enum import StrEnum
+
+
+class Mechanism(StrEnum):
+    """A mechanism, by its name in the settings."""
+
+    # A silent upstream's request goes to a second one, if it may run again.
+    hedging = 'hedging'
+    # An upstream that turns a request away is as full as it says, not full.
+    told_rejections = 'told-rejections'
--- a/src/wardstair/errors.py
+++ b/src/wardstair/errors.py
@@ -18,6 +18,7 @@
     already_run = 'already-run'
     outcome_unknown = 'outcome-unknown'
     overloaded = 'overloaded'
+    turned_away = 'turned-away'
     no_memory = 'no-memory'
     no_upstream = 'no-upstream'
     cap_reached = 'cap-reached'
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -6,10 +6,9 @@
 
 import asyncio
 import time
-from dataclasses import dataclass, field
-from enum import StrEnum
 
 from wardstair.decisions.answer_times import hedge_after
+from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.resends import (
     ResendBudget,
     ResendLimit,
@@ -17,7 +16,8 @@
 )
 from wardstair.gateway import refusals
 from wardstair.gateway.choosing import Ask, Chooser, Placement
-from wardstair.gateway.learning import Learner, SendCase, is_failure
+from wardstair.gateway.course import Course, ResendReason
+from wardstair.gateway.learning import Learner, is_failure
 from wardstair.gateway.messages import Inbound, Reply
 from wardstair.gateway.reporting import Reporter, Trail
 from wardstair.gateway.sending import (
@@ -46,41 +46,6 @@
 LEAST_QUEUE_SHARE = 1.0
 
 
-class ResendReason(StrEnum):
-    """Why a request is sent once more."""
-
-    unreachable = 'unreachable'
-    turned_away = 'turned-away'
-    lost = 'lost'
-    # The upstream answered that it failed.
-    failed = 'failed'
-    silent = 'silent'
-
-
-@dataclass(slots=True)
-class _Course:
-    """What has happened to one request so far."""
-
-    inbound: Inbound
-    route: SteeredRoute
-    service: str
-    key: str
-    until: float
-    trail: Trail
-    sends: int = 0
-    may_have_run: bool = False
-    is_ended: bool = False
-    # A failure that an upstream answered; the answer if nobody does better.
-    failure: tuple[Placement, Delivered] | None = None
-    running: dict['asyncio.Task[SendOutcome]', Placement] = field(
-        default_factory=dict,
-    )
-
-    def case_of(self, placement: Placement) -> SendCase:
-        """Return what the learner has to know of one of its sends."""
-        return SendCase(placement, self.route, self.key, self.trail)
-
-
 class Forwarder:
     """Carries requests; one a process."""
 
@@ -103,7 +68,7 @@
         """
         self._belief = belief
         self._chooser = chooser
-        self._learner = Learner(belief.catalog, chooser)
+        self._learner = Learner(belief.catalog, chooser, settings)
         self._sender = sender
         self._settings = settings
         self._reporter = reporter
@@ -131,11 +96,11 @@
         inbound: Inbound,
         route: SteeredRoute,
         version: int,
-    ) -> _Course:
+    ) -> Course:
         key = inbound.key or inbound.request_id
         service = self._chooser.service_of(route, key)
         seconds = min(inbound.seconds, route.timeout)
-        return _Course(
+        return Course(
             inbound=inbound,
             route=route,
             service=service,
@@ -144,7 +109,7 @@
             trail=Trail(inbound, route, version, service),
         )
 
-    async def _run(self, course: _Course) -> Reply:
+    async def _run(self, course: Course) -> Reply:
         reply = self._send_next(course)
         while reply is None:
             done, _ = await asyncio.wait(
@@ -160,7 +125,7 @@
                 self._hedge(course)
         return reply
 
-    def _patience(self, course: _Course) -> float:
+    def _patience(self, course: Course) -> float:
         """Return how long to wait for the running sends, in seconds."""
         now = time.monotonic()
         left = max(0.0, course.until - now)
@@ -170,14 +135,15 @@
         expected = placement.choice.seconds
         return min(left, hedge_after(expected, placement.longest))
 
-    def _may_hedge(self, course: _Course) -> bool:
+    def _may_hedge(self, course: Course) -> bool:
         return (
-            course.route.is_repeatable
+            self._settings.current.uses(Mechanism.hedging)
+            and course.route.is_repeatable
             and len(course.running) == 1
             and course.sends < course.route.most_attempts
         )
 
-    def _hedge(self, course: _Course) -> None:
+    def _hedge(self, course: Course) -> None:
         if not self._may_hedge(course):
             return
         placement = self._place(course)
@@ -189,7 +155,7 @@
 
     def _settle(
         self,
-        course: _Course,
+        course: Course,
         done: 'set[asyncio.Task[SendOutcome]]',
     ) -> Reply | None:
         """Take in sends that have ended; None while there is hope."""
@@ -210,7 +176,8 @@
                     course.trail.unreachable += 1
                     course.sends -= 1
                     reason = ResendReason.unreachable
-                case TurnedAway():
+                case TurnedAway(load=load):
+                    course.met_room = load is not None and load.has_room
                     reason = ResendReason.turned_away
                 case Lost():
                     course.may_have_run = True
@@ -218,11 +185,11 @@
             return None
         return self._send_again(course, reason)
 
-    def _may_improve(self, course: _Course, delivered: Delivered) -> bool:
+    def _may_improve(self, course: Course, delivered: Delivered) -> bool:
         """Return whether another upstream may do better than this answer."""
         return is_failure(delivered) and course.route.is_repeatable
 
-    def _time_out(self, course: _Course) -> Reply:
+    def _time_out(self, course: Course) -> Reply:
         """End a request whose time is up while upstreams are at it."""
         now = time.monotonic()
         for placement in course.running.values():
@@ -234,7 +201,7 @@
 
     def _send_again(
         self,
-        course: _Course,
+        course: Course,
         reason: ResendReason,
     ) -> Reply | None:
         if course.may_have_run and not course.route.is_repeatable:
@@ -247,7 +214,7 @@
 
     def _send_next(
         self,
-        course: _Course,
+        course: Course,
         reason: ResendReason | None = None,
     ) -> Reply | None:
         """Send to the next upstream; return the answer if there is none."""
@@ -261,8 +228,12 @@
         self._start(course, placement, reason)
         return None
 
-    def _place(self, course: _Course) -> Placement | None:
+    def _queue_share(self, course: Course) -> float:
+        """Return the requests above its slots that an upstream may have."""
         share = FULL_QUEUE_SHARE - PRIORITY_STEP * course.route.priority
+        return max(share, LEAST_QUEUE_SHARE)
+
+    def _place(self, course: Course) -> Placement | None:
         return self._chooser.choose(
             Ask(
                 route=course.route,
@@ -270,14 +241,14 @@
                 key=course.key,
                 request_id=course.inbound.request_id,
                 body_bytes=len(course.inbound.body),
-                queue_share=max(share, LEAST_QUEUE_SHARE),
+                queue_share=self._queue_share(course),
                 tried=frozenset(course.trail.upstreams),
             ),
         )
 
     def _start(
         self,
-        course: _Course,
+        course: Course,
         placement: Placement,
         reason: ResendReason | None,
     ) -> None:
@@ -299,7 +270,7 @@
         )
         course.running[task] = placement
 
-    def _take_resend(self, course: _Course) -> bool:
+    def _take_resend(self, course: Course) -> bool:
         bounds = self._settings.current.bounds
         fleet = ResendLimit(
             bounds.retry_ratio,
@@ -312,12 +283,12 @@
             self._reporter.withheld(course.trail, 'budget-spent')
         return taken
 
-    def _budget(self, course: _Course) -> ResendBudget:
+    def _budget(self, course: Course) -> ResendBudget:
         return self._budgets.setdefault(course.service, ResendBudget())
 
     def _deliver(
         self,
-        course: _Course,
+        course: Course,
         placement: Placement,
         delivered: Delivered,
     ) -> Reply:
@@ -336,16 +307,18 @@
             answer.body,
         )
 
-    def _give_up(self, course: _Course) -> Reply:
+    def _give_up(self, course: Course) -> Reply:
         if course.failure is not None:
             return self._deliver(course, *course.failure)
         if course.may_have_run:
             return self._end(course, refusals.OUTCOME_UNKNOWN)
         if course.trail.unreachable:
             return self._end(course, refusals.NO_UPSTREAM)
+        if course.met_room:
+            return self._end(course, refusals.TURNED_AWAY)
         return self._end(course, refusals.OVERLOADED)
 
-    def _end(self, course: _Course, ending: refusals.Ending) -> Reply:
+    def _end(self, course: Course, ending: refusals.Ending) -> Reply:
         course.is_ended = True
         known = len(self._belief.catalog.of_service(course.service))
         left = course.until - time.monotonic()
--- a/src/wardstair/gateway/learning.py
+++ b/src/wardstair/gateway/learning.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 
 from wardstair.decisions.answer_times import slowness_shown
+from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.placement import expected_seconds
 from wardstair.gateway.choosing import Chooser, Placement
 from wardstair.gateway.reporting import Trail
@@ -14,6 +15,8 @@
     SendOutcome,
     TurnedAway,
 )
+from wardstair.gateway.settings import LiveSettings
+from wardstair.platform.headers import ToldLoad
 from wardstair.process.log import log_event
 from wardstair.state.catalog import Catalog
 from wardstair.version.steering import SteeredRoute
@@ -22,8 +25,8 @@
 # says that it was given too little time.
 _FAILURES_FROM = 500
 _TOO_LITTLE_TIME = 504
-# Load that is assumed of an upstream which turned a request away, as a multiple
-# of its slots: full, with a queue.
+# Load that is assumed of an upstream which turned a request away and told none,
+# as a multiple of its slots: full, with a queue.
 _FULL_FACTOR = 3
 _LEAST_SECONDS = 0.001
 
@@ -54,13 +57,20 @@
 class Learner:
     """Takes outcomes into the view of upstreams; one a process."""
 
-    def __init__(self, catalog: Catalog, chooser: Chooser) -> None:
+    def __init__(
+        self,
+        catalog: Catalog,
+        chooser: Chooser,
+        settings: LiveSettings,
+    ) -> None:
         """Prepare.
 
         Args:
             catalog: The upstreams.
             chooser: Keeps the usual work of routes.
+            settings: Settings of this host.
         """
+        self._settings = settings
         self._catalog = catalog
         self._chooser = chooser
 
@@ -79,6 +89,10 @@
                     self._learn_time(case, seconds, now)
             case TurnedAway(is_other=True):
                 self._catalog.mark_gone(upstream.name)
+            case TurnedAway(load=ToldLoad() as load) if self._trusts_load():
+                # One that is short of nothing turns some away as well: taken
+                # for full, it would lose the keys that it remembers.
+                upstream.note_load(load.running + load.waiting, now)
             case TurnedAway():
                 upstream.note_load(upstream.entry.slots * _FULL_FACTOR, now)
             case NotSent(reason=reason):
@@ -95,6 +109,9 @@
                 self._distrust(case, broken, now)
         return outcome
 
+    def _trusts_load(self) -> bool:
+        return self._settings.current.uses(Mechanism.told_rejections)
+
     def note_silence(self, case: SendCase, now: float) -> None:
         """Note against an upstream that it was far slower than expected.
 
--- a/src/wardstair/gateway/refusals.py
+++ b/src/wardstair/gateway/refusals.py
@@ -77,6 +77,15 @@
     'no upstream has room; come back after the stated seconds',
     retry_after=0.4,
 )
+# An upstream that has room and turned the request away may take the next one:
+# coming back at once, a caller may still be served in time. Beyond the resends
+# that the fleet's limit allows, only its own next try can be.
+TURNED_AWAY = Ending(
+    503,
+    RefusalKind.turned_away,
+    'the upstreams tried turned it away; come back at once',
+    retry_after=0.05,
+)
 # Bodies are held for about the time of an answer.
 NO_MEMORY = Ending(
     503,
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -20,6 +20,7 @@
 from wardstair.gateway.distances import Distances
 from wardstair.gateway.messages import Inbound
 from wardstair.platform.headers import (
+    ToldLoad,
     UpstreamFields,
     decode_upstream,
     encode_upstream,
@@ -50,10 +51,12 @@
     Attributes:
         status: Its status.
         is_other: Whether another upstream has the address now.
+        load: The load that it told, if any.
     """
 
     status: int
     is_other: bool
+    load: ToldLoad | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,7 +215,8 @@
     seconds: float,
 ) -> SendOutcome:
     if fields.is_not_run or answer.status == _MISDIRECTED:
-        return TurnedAway(answer.status, answer.status == _MISDIRECTED)
+        is_other = answer.status == _MISDIRECTED
+        return TurnedAway(answer.status, is_other, fields.load)
     if answer.status in _SUCCESS and not fields.is_proven:
         return Lost(BreakReason.malformed)
     if answer.status in _PROMISES:
--- a/src/wardstair/gateway/settings.py
+++ b/src/wardstair/gateway/settings.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.placement_policies import (
     DEFAULT_POLICY,
     PlacementPolicy,
@@ -76,6 +77,7 @@
         cores: Processor cores that this host may use.
         is_first_start: Whether the whole fleet starts for the first time.
         placement: By what rule upstreams are chosen.
+        switched_off: Mechanisms that are not to be used.
         bounds: What the fleet is held to.
     """
 
@@ -96,6 +98,7 @@
     cores: float = 1.0
     is_first_start: bool = False
     placement: PlacementPolicy = DEFAULT_POLICY
+    switched_off: frozenset[Mechanism] = frozenset()
     bounds: Bounds = field(default_factory=Bounds)
 
     @property
@@ -103,6 +106,10 @@
         """The region of this host's zone."""
         return self.zones[self.zone]
 
+    def uses(self, mechanism: Mechanism) -> bool:
+        """Return whether a mechanism is to be used."""
+        return mechanism not in self.switched_off
+
     def is_in_region(self, zone: str) -> bool:
         """Return whether a zone is in the region of this host."""
         return self.zones.get(zone) == self.region
--- a/src/wardstair/platform/headers.py
+++ b/src/wardstair/platform/headers.py
@@ -80,6 +80,11 @@
     waiting: int
     slots: int
 
+    @property
+    def has_room(self) -> bool:
+        """Whether a slot was free."""
+        return self.running + self.waiting < self.slots
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamFields:
--- a/src/wardstair/platform/settings.py
+++ b/src/wardstair/platform/settings.py
@@ -10,6 +10,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.placement_policies import POLICIES, PlacementPolicy
 from wardstair.errors import ConfigurationError
 from wardstair.gateway.settings import Bounds, GatewaySettings, Listener
@@ -50,6 +51,7 @@
     store: str
     first_start: bool = False
     placement: str = 'warm-home'
+    switched_off: frozenset[Mechanism] = frozenset()
     limits: _Limits = Field(default_factory=_Limits)
     bounds: tuple[str, ...] = ()
 
@@ -88,6 +90,7 @@
         cores=parsed.limits.core_share * parsed.limits.core_speed,
         is_first_start=parsed.first_start,
         placement=_placement(parsed.placement),
+        switched_off=parsed.switched_off,
         bounds=decode_bounds(parsed.bounds),
     )
 
--- a/src/wardstair/process/story.py
+++ b/src/wardstair/process/story.py
@@ -36,6 +36,10 @@
         'it has not run: no upstream of its service had room; the caller was '
         'told when to come back'
     )
+    refused_shed = (
+        'it has not run: the upstreams that it was sent to turned it away '
+        'though they had room; the caller was told to come back at once'
+    )
     refused_gone = (
         'it has not run: no connection to an upstream came up; the caller '
         'was told when to come back'
@@ -59,6 +63,7 @@
 # By kind of the last line and its reason; no reason stands for all others.
 _CAUSES = {
     ('request-refused', 'overloaded'): Cause.refused_full,
+    ('request-refused', 'turned-away'): Cause.refused_shed,
     ('request-refused', 'no-upstream'): Cause.refused_gone,
     ('request-refused', 'outcome-unknown'): Cause.unknown,
     ('request-refused', 'deadline-passed'): Cause.timed_out,
--- a/tests/functional/test_gateway_requests.py
+++ b/tests/functional/test_gateway_requests.py
@@ -1,6 +1,7 @@
 """Requests through a gateway, while upstreams answer well, badly and late."""
 
 import asyncio
+import json
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -22,6 +23,7 @@
 )
 
 from wardstair.connection.pool import LEAST_FORGOTTEN_SECONDS
+from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.placement_policies import POLICIES
 
 Test = Callable[[Rig], Awaitable[None]]
@@ -528,3 +530,70 @@
         assert len(other.seen) == statuses.count(200)
 
     run(test, full, other)
+
+
+def rejects(load: str) -> Script:
+    """Return a script that turns requests away and tells this load."""
+    told = f'Wardstair-Server-Load: {load}\r\n'.encode()
+    not_run = b'Wardstair-Not-Executed: 1\r\n'
+    return writes(
+        b'HTTP/1.1 503 Service Unavailable\r\n' + ID + not_run + told + EMPTY
+    )
+
+
+@pytest.mark.parametrize(
+    ('load', 'told', 'kind', 'is_soon'),
+    [
+        # Running, waiting, slots: it has room, and sheds all the same.
+        ('1,0,4', 1, 'turned-away', True),
+        ('4,9,4', 13, 'overloaded', False),
+        # It does not say: it is taken for full.
+        ('?', 12, 'overloaded', False),
+    ],
+)
+def test_a_rejection_is_believed_for_what_it_tells(
+    load: str,
+    told: int,
+    kind: str,
+    is_soon: bool,
+) -> None:
+    one = UpstreamStandin('i-1', rejects(load))
+
+    async def test(rig: Rig) -> None:
+        answer = await rig.ask()
+        upstream = rig.gateway.belief.catalog.upstreams['i-1']
+        assert upstream.told == told
+        assert answer.status == 503
+        assert json.loads(answer.body)['kind'] == kind
+        # Soon enough to be served within the route's objective of 0.5 s.
+        assert (float(answer.headers['retry-after']) < 0.1) is is_soon
+
+    run(test, one)
+
+
+def test_a_rejection_fills_an_upstream_with_the_mechanism_off() -> None:
+    one = UpstreamStandin('i-1', rejects('1,0,4'))
+
+    async def test(rig: Rig) -> None:
+        live = rig.gateway.live_settings
+        off = frozenset((Mechanism.told_rejections,))
+        live.current = replace(live.current, switched_off=off)
+        await rig.ask()
+        assert rig.gateway.belief.catalog.upstreams['i-1'].told == 12
+
+    run(test, one)
+
+
+def test_a_silent_upstream_is_waited_for_with_hedging_off() -> None:
+    one = UpstreamStandin('i-1', answer_never)
+    two = UpstreamStandin('i-2', answer_never)
+
+    async def test(rig: Rig) -> None:
+        live = rig.gateway.live_settings
+        off = frozenset((Mechanism.hedging,))
+        live.current = replace(live.current, switched_off=off)
+        answer = await rig.ask()
+        assert answer.status == 504
+        assert len(one.seen) + len(two.seen) == 1
+
+    run(test, one, two)
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -9,6 +9,7 @@
 from lib import municipal
 from lib.municipal import gateway_settings
 
+from wardstair.decisions.mechanisms import Mechanism
 from wardstair.errors import ConfigurationError
 from wardstair.gateway.host import GatewayHost
 from wardstair.platform.settings import decode_bounds, load_settings
@@ -74,6 +75,7 @@
         ('address = "10.0.0.1"', ''),
         ('10.0.0.1:1"', '10.0.0.1"'),
         ('drain_ms=2000', 'drain_ms=soon'),
+        ('switched_off = []', 'switched_off = ["haste"]'),
         ('"warm-home"', '"warmest"'),
         ('[listen]', '[listen'),
     ],
@@ -113,3 +115,12 @@
     listeners = (settings.callers, settings.ready, settings.lookups)
     assert 2 not in {one.port for one in (*listeners, settings.metrics)}
     assert settings.fleet_ports[0] == 2
+
+
+def test_mechanisms_are_switched_off_by_name(tmp_path: Path) -> None:
+    file = tmp_path / 'gateway.toml'
+    text = filled().replace('switched_off = []', 'switched_off = ["hedging"]')
+    file.write_text(text)
+    settings = load_settings(file)
+    assert not settings.uses(Mechanism.hedging)
+    assert settings.uses(Mechanism.told_rejections)
