Keep keys near as far as a region's slots go; relieve crowded upstreams

Change: a region keeps 0.7 of its keys, or as many as its slots carry beside what the others send it; an upstream above 1.3 of the mean of a service that is calm sheds a tenth of its weight a second. Ranking has a module of its own (homes), usual work too (route_work).

--- a/src/wardstair/decisions/placement.py
+++ b/src/wardstair/decisions/placement.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 
 # Work on a key that the upstream does not remember, beside one that it does.
-# On played days first runs took some 0.64 s and later ones 0.2 s; a fleet whose
-# services differ from that is not measured.
+# By the sheets of three deployments a first run takes 0.36 to 0.84 s, and later
+# ones three tenths of that.
 COLD_KEY_FACTOR = 3.0
 # Part of its slots up to which an upstream takes keys that are not its own:
 # all of them while it remembers the key, some while it does not.
--- /dev/null
+++ b/src/wardstair/decisions/relief.py
@@ -0,0 +1,66 @@
+"""Keys move off an upstream that stays more crowded than its like.
+
+Hashing gives each upstream its keys by chance: of twelve with sixteen keys in
+the mean, the fullest has some twenty-five, and its callers queue while others
+idle. Every host lowers the weight of such an upstream step by step, so that
+only some of its keys move at a time, to where each would go if it were gone.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+# Requests for each slot, running and waiting, from which one is crowded.
+CROWDED = 0.8
+# Beside the mean of its service, so that a service that is full as a whole
+# moves nothing.
+CROWDED_MULTIPLE = 1.3
+# Mean of a service above which nothing moves: while most keys run first, or all
+# upstreams are full, every moved key is one more first run.
+MOST_MEAN = 1.0
+# Part of its weight, and so about of its keys, that goes in one step.
+STEP = 0.1
+# Beside the mean, from which one gets a step of its keys back.
+EMPTY_MULTIPLE = 0.6
+LEAST_WEIGHT = 0.4
+# Seconds between steps: a key that has moved runs first in its new place, and
+# the load told has to show that.
+STEP_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Crowd:
+    """How full an upstream is.
+
+    Attributes:
+        name: Names the upstream's run.
+        weight: Factor on its weight now, 1 at most.
+        crowding: Requests for each slot, averaged over the last seconds.
+    """
+
+    name: str
+    weight: float
+    crowding: float
+
+
+def relieved(crowds: Collection[Crowd]) -> dict[str, float]:
+    """Return new factors for the upstreams of a service whose factor changes.
+
+    Args:
+        crowds: Those that told their load lately.
+    """
+    if not crowds:
+        return {}
+    mean = sum(one.crowding for one in crowds) / len(crowds)
+    if mean >= MOST_MEAN:
+        return {}
+    limit = max(CROWDED, mean * CROWDED_MULTIPLE)
+    changed = {}
+    for one in crowds:
+        weight = one.weight
+        if one.crowding > limit:
+            weight = max(LEAST_WEIGHT, weight * (1 - STEP))
+        elif one.crowding < mean * EMPTY_MULTIPLE:
+            weight = min(1.0, weight / (1 - STEP))
+        if weight != one.weight:
+            changed[one.name] = weight
+    return changed
--- a/src/wardstair/gateway/bodies.py
+++ b/src/wardstair/gateway/bodies.py
@@ -7,7 +7,8 @@
 
 from dataclasses import dataclass
 
-# What a process needs beside bodies: some 40 MB were seen on played days.
+# What a process needs beside bodies: 40 MB were measured
+# with 48 upstreams, 50 MB with 184.
 BASE_BYTES = 83886080
 # A body lies in the chunks that came, in one piece, and in the bytes on their
 # way to an upstream.
--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 
 from wardstair.decisions.cold import HostView, Pace, sender_rate
+from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.placement import (
     Candidate,
     Choice,
@@ -15,9 +16,11 @@
     WarmHome,
     choose_by,
 )
-from wardstair.decisions.ranking import Nearness, Place, rank, unit_hash
+from wardstair.decisions.ranking import unit_hash
+from wardstair.decisions.route_work import RouteWork
 from wardstair.decisions.split import SplitTally
 from wardstair.gateway.distances import Distances
+from wardstair.gateway.homes import Haul, Homes, KeyAsk
 from wardstair.gateway.settings import LiveSettings
 from wardstair.state.belief import Belief
 from wardstair.state.upstream import Upstream
@@ -26,15 +29,6 @@
 # Bodies from here on make the way to an upstream count for more than the
 # spread of keys: uploads have tens of kilobytes.
 LARGE_BYTES = 16384
-# Kilobytes there and back from which a route's requests rather stay in the
-# zone. Below that it pays more that all hosts agree on the home of a key:
-# callers move between zones, and a zone with one host shares its region's.
-HEAVY_KILOBYTES = 4.0
-LIGHT_NEARNESS = Nearness(zone=1.6, region=1.5)
-HEAVY_NEARNESS = Nearness(zone=2.4, region=1.0)
-LARGE_NEARNESS = Nearness(zone=6.0, region=4.0)
-# Heads of a request and its answer together.
-_HEAD_KILOBYTES = 0.7
 # What moving a kilobyte costs, as seconds of delay that would be as bad:
 # between zones about 0.011 and between regions 0.028 of a small request's
 # worth, which loses four fifths of its worth when it is half a second late.
@@ -43,48 +37,8 @@
 _KILOBYTE = 1024
 # Part of a service's upstreams that slowness alone does not take out.
 LEAST_USABLE_SHARE = 0.6
-# Ranked keys kept; an upstream's change empties the table.
-MOST_RANKED = 20000
 # A cold upstream works about twice as long on everything.
 COLD_SLOWNESS = 2.0
-# How fast the usual work of a route follows shorter and longer answers.
-_DOWN_SHARE = 0.1
-_SIZE_SHARE = 0.05
-_UP_SHARE = 0.03
-
-
-@dataclass(slots=True)
-class RouteWork:
-    """What the requests of a route usually take, averaged.
-
-    Attributes:
-        seconds: Work on a key that is warm.
-        kilobytes: Bytes there and back, heads included.
-    """
-
-    seconds: float
-    kilobytes: float = 0.0
-
-    @property
-    def is_heavy(self) -> bool:
-        """Whether its requests rather stay in the zone."""
-        return self.kilobytes >= HEAVY_KILOBYTES
-
-    def note_size(self, body_bytes: int) -> None:
-        """Take in the bytes of both bodies of a request."""
-        size = _HEAD_KILOBYTES + body_bytes / _KILOBYTE
-        if not self.kilobytes:
-            self.kilobytes = size
-        self.kilobytes += _SIZE_SHARE * (size - self.kilobytes)
-
-    def note(self, seconds: float) -> None:
-        """Take in the time of one answer without the way.
-
-        Slow answers count for less: among those on warm keys are some whose
-        key was displaced meanwhile.
-        """
-        share = _DOWN_SHARE if seconds < self.seconds else _UP_SHARE
-        self.seconds += share * (max(seconds, 0.001) - self.seconds)
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,10 +110,7 @@
         self._settings = settings
         self._belief = belief
         self._distances = distances
-        self._ranked: dict[
-            tuple[str, str, Nearness, frozenset[str]], list[Upstream]
-        ] = {}
-        self._generation = -1
+        self._homes = Homes(settings, belief)
         self._paces: dict[str, Pace] = {}
         self._splits: dict[str, SplitTally] = {}
         self._work: dict[str, RouteWork] = {}
@@ -192,6 +143,7 @@
     def choose(self, ask: Ask) -> Placement | None:
         """Choose an upstream for one send, or None if there is no room."""
         now = time.monotonic()
+        self._homes.step(now)
         for group in self._groups(ask, now):
             placed = self._choose_among(group, ask, now)
             if placed is not None:
@@ -208,7 +160,7 @@
             for upstream in self.ranked(ask)
             if not (upstream.is_cold(now) and not self._bears(upstream, now))
         ]
-        usable = [one for one in ranked if not one.is_avoided(now)]
+        usable = [one for one in ranked if not self._avoids(one, now)]
         if len(usable) < len(ranked) * LEAST_USABLE_SHARE:
             # So many cannot all be worse than the others.
             usable = [one for one in ranked if now >= one.distrusted_until]
@@ -225,58 +177,26 @@
             case _:
                 return [numbered]
 
+    def _avoids(self, upstream: Upstream, now: float) -> bool:
+        if self._settings.current.uses(Mechanism.ejection):
+            return upstream.is_avoided(now)
+        return now < upstream.distrusted_until
+
     def ranked(self, ask: Ask) -> list[Upstream]:
-        """Return the upstreams that may serve a key, its home first."""
-        catalog = self._belief.catalog
-        if self._generation != catalog.generation:
-            self._generation = catalog.generation
-            self._ranked.clear()
-        nearness = self._nearness_of(ask)
-        name = (ask.service, ask.key, nearness, ask.route.regions)
-        known = self._ranked.get(name)
-        if known is None:
-            if len(self._ranked) >= MOST_RANKED:
-                self._ranked.clear()
-            known = self._rank(ask, nearness)
-            self._ranked[name] = known
-        return known
+        """Return the upstreams that may serve a request, its home first."""
+        key = KeyAsk(
+            ask.service,
+            ask.key,
+            ask.route.regions,
+            self._haul_of(ask),
+        )
+        return self._homes.ranked(key)
 
-    def _nearness_of(self, ask: Ask) -> Nearness:
+    def _haul_of(self, ask: Ask) -> Haul:
         if ask.is_large:
-            return LARGE_NEARNESS
+            return Haul.large
         is_heavy = self.work_of(ask.route).is_heavy
-        return HEAVY_NEARNESS if is_heavy else LIGHT_NEARNESS
-
-    def _rank(self, ask: Ask, nearness: Nearness) -> list[Upstream]:
-        by_name = {
-            upstream.name: upstream
-            for upstream in self._belief.catalog.of_service(ask.service)
-            if self._is_allowed(ask.route, upstream)
-        }
-        places = [
-            Place(
-                name,
-                upstream.entry.slots * self._nearness(upstream, nearness),
-            )
-            for name, upstream in by_name.items()
-        ]
-        return [by_name[name] for name in rank(ask.key, places)]
-
-    def _is_allowed(self, route: SteeredRoute, upstream: Upstream) -> bool:
-        zone = upstream.entry.zone
-        if zone in self._belief.evacuated:
-            return False
-        if not route.regions:
-            return True
-        return self._settings.current.zones.get(zone) in route.regions
-
-    def _nearness(self, upstream: Upstream, nearness: Nearness) -> float:
-        zone = upstream.entry.zone
-        if zone == self._settings.current.zone:
-            return nearness.zone
-        if self._settings.current.is_in_region(zone):
-            return nearness.region
-        return nearness.far
+        return Haul.heavy if is_heavy else Haul.light
 
     def _bears(self, upstream: Upstream, now: float) -> bool:
         """Return whether a cold upstream bears a request from here now."""
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -115,6 +115,11 @@
         'an upstream is far slower than usual or fails often; it is left out',
         'upstream service reason slowness errors seconds',
     ),
+    _kind(
+        'upstream-relieved',
+        'an upstream is more, or no longer, crowded than others: keys move',
+        'upstream service crowding weight before',
+    ),
     _kind(
         'upstream-unreadable',
         'an entry in the store cannot be decoded',
--- a/src/wardstair/state/upstream.py
+++ b/src/wardstair/state/upstream.py
@@ -15,6 +15,8 @@
 # A load report tells little about the present after this long.
 REPORT_SECONDS = 1.5
 LATENCY_SHARE = 0.15
+# How far back told loads count towards how crowded an upstream is.
+CROWDING_SECONDS = 2.0
 # After this long without an answer, half of what made it look slow is gone.
 SLOWNESS_HALF_SECONDS = 2.0
 LEAST_SLOWNESS = 0.8
@@ -68,6 +70,9 @@
         told: Load it told last: running and waiting.
         told_own: This host's requests at it when it told that.
         told_at: When it told that.
+        crowding: Told load for each slot, averaged over the last seconds.
+        relief: Factor on its weight among the homes of keys; below 1 after it
+            was more crowded than others.
         slowness: Its time beside what was expected, averaged.
         distrusted_until: Monotonic time until which it is avoided.
         failures: Failures in a row.
@@ -87,6 +92,8 @@
     told: int = 0
     told_own: int = 0
     told_at: float = float('-inf')
+    crowding: float = 0.0
+    relief: float = 1.0
     slowness: float = 1.0
     distrusted_until: float = 0.0
     failures: int = 0
@@ -149,6 +156,9 @@
 
     def note_load(self, running_and_waiting: int, now: float) -> None:
         """Take in a load report; this host's answered request is over."""
+        share = 1 - math.exp((self.told_at - now) / CROWDING_SECONDS)
+        told = running_and_waiting / self.entry.slots
+        self.crowding += share * (told - self.crowding)
         self.told = running_and_waiting
         self.told_own = self.own
         self.told_at = now
