--- a/tests/unit/test_ranked_homes.py
+++ b/tests/unit/test_ranked_homes.py
@@ -1,6 +1,7 @@
 """Ranks of upstreams for keys, as a host sees its fleet."""
 
 from collections.abc import Callable
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -128,3 +129,20 @@
     plain = Fleet(Mechanism.near_homes)
     assert [fleet.ranked(key) for key in KEYS] != near
     assert fleet.kept() == plain.kept()
+
+
+def fullest(fleet: Fleet) -> int:
+    """Return the most keys that one upstream is the home of."""
+    homes = Counter(fleet.ranked(key)[0] for key in KEYS[:192])
+    return homes.most_common(1)[0][1]
+
+
+def test_relief_evens_out_what_hashing_gives_by_chance() -> None:
+    """The figure before and after; 16 keys would be the mean of twelve."""
+    fleet = Fleet(Mechanism.near_homes)
+    before = fullest(fleet)
+    for _ in range(40):
+        homes = Counter(fleet.ranked(key)[0] for key in KEYS[:192])
+        # Four slots; a key asked for once a second takes 0.15 s.
+        fleet.tell(lambda name, homes=homes: round(homes[name] * 0.15), 1)
+    assert (before, fullest(fleet)) == (24, 21)
