--- a/tests/functional/test_explain.py
+++ b/tests/functional/test_explain.py
@@ -5,14 +5,9 @@
 from contextlib import contextmanager
 
 import pytest
-from lib.municipal import (
-    Rig,
-    Seen,
-    UpstreamStandin,
-    answer_full,
-    answer_ok,
-    upstream_spec,
-)
+from lib.rig import Rig
+from lib.specs import upstream_spec
+from lib.upstream_standin import Seen, UpstreamStandin, answer_full, answer_ok
 from loguru import logger
 
 from wardstair.process.story import Cause, Story, tell_story
--- a/tests/functional/test_gateway_fleet.py
+++ b/tests/functional/test_gateway_fleet.py
@@ -8,20 +8,10 @@
 from functools import partial
 from random import Random
 
-from lib.municipal import (
-    Caller,
-    Rig,
-    Seen,
-    StoreStandin,
-    UpstreamStandin,
-    answer_never,
-    answer_ok,
-    configuration_spec,
-    free_ports,
-    gateway_settings,
-    until,
-    upstream_spec,
-)
+from lib.rig import Caller, Rig, free_ports, gateway_settings, until
+from lib.specs import configuration_spec, upstream_spec
+from lib.store_standin import StoreStandin
+from lib.upstream_standin import Seen, UpstreamStandin, answer_never, answer_ok
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from wardstair.gateway.host import GatewayHost
--- a/tests/functional/test_gateway_process.py
+++ b/tests/functional/test_gateway_process.py
@@ -8,16 +8,10 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from lib.municipal import (
-    ADDRESS,
-    Caller,
-    StoreStandin,
-    UpstreamStandin,
-    configuration_spec,
-    free_ports,
-    own_address,
-    upstream_spec,
-)
+from lib.rig import Caller, free_ports, own_address
+from lib.specs import ADDRESS, configuration_spec, upstream_spec
+from lib.store_standin import StoreStandin
+from lib.upstream_standin import UpstreamStandin
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from wardstair.gateway.settings import Listener
--- a/tests/functional/test_gateway_requests.py
+++ b/tests/functional/test_gateway_requests.py
@@ -7,18 +7,15 @@
 from dataclasses import replace
 
 import pytest
-from lib.municipal import (
-    Caller,
-    Rig,
+from lib.rig import Caller, Rig
+from lib.specs import configuration_spec, route_spec, upstream_spec
+from lib.upstream_standin import (
     Script,
     Seen,
     UpstreamStandin,
     answer_full,
     answer_never,
     answer_ok,
-    configuration_spec,
-    route_spec,
-    upstream_spec,
     whole_answer,
 )
 
--- a/tests/functional/test_silence.py
+++ b/tests/functional/test_silence.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 import pytest
-from lib.municipal import Rig, UpstreamStandin
+from lib.rig import Rig
+from lib.upstream_standin import UpstreamStandin
 
 from wardstair.connection.silence import (
     PROBE_SECONDS,
--- a/tests/functional/test_store.py
+++ b/tests/functional/test_store.py
@@ -4,7 +4,9 @@
 from random import Random
 
 import pytest
-from lib.municipal import ADDRESS, StoreStandin, until
+from lib.rig import until
+from lib.specs import ADDRESS
+from lib.store_standin import StoreStandin
 from result import Ok
 
 from wardstair.platform.store import Store
--- /dev/null
+++ b/tests/lib/store_standin.py
@@ -0,0 +1,180 @@
+"""The municipal platform's store in memory, for tests.
+
+It keeps objects by kind with revisions and waiting watches.
+"""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from lib.specs import ADDRESS, Stored
+
+
+@dataclass
+class StoredKind:
+    """Objects and history of one kind."""
+
+    objects: dict[str, Stored] = field(default_factory=dict)
+    history: list[tuple[int, Stored, bool]] = field(default_factory=list)
+    forgotten_below: int = 0
+
+
+class StoreStandin:
+    """The platform's store in memory."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.kinds: dict[str, StoredKind] = {}
+        self.calls: list[str] = []
+        self.status: int | None = None
+        self.silenced = 0
+        self.is_stopped = False
+        self.changed = asyncio.Event()
+        self.port = 0
+        self._server: HTTPServer | None = None
+
+    def start(self) -> None:
+        sockets = bind_sockets(0, ADDRESS)
+        self.port = sockets[0].getsockname()[1]
+        handler = (r'/objects/([^/]+)(?:/([^/]+))?', _Handler, {'store': self})
+        application = Application([handler], log_function=_silent)
+        self._server = HTTPServer(application)
+        self._server.add_sockets(sockets)
+
+    async def stop(self) -> None:
+        assert self._server is not None
+        self._server.stop()
+        self.is_stopped = True
+        self._wake()
+        await self._server.close_all_connections()
+
+    def kind(self, name: str) -> StoredKind:
+        return self.kinds.setdefault(name, StoredKind())
+
+    def put(self, kind: str, name: str, spec: object) -> None:
+        """Write an object as the operator or an upstream does."""
+        self.revision += 1
+        stored: Stored = {
+            'metadata': {'name': name, 'revision': self.revision},
+            'spec': spec,
+            'status': None,
+        }
+        held = self.kind(kind)
+        held.objects[name] = stored
+        held.history.append((self.revision, stored, False))
+        self._wake()
+
+    def delete(self, kind: str, name: str) -> None:
+        held = self.kind(kind)
+        stored = held.objects.pop(name)
+        self.revision += 1
+        held.history.append((self.revision, stored, True))
+        self._wake()
+
+    def compact(self, kind: str) -> None:
+        """Forget the history, so that watches end with 410."""
+        self.kind(kind).forgotten_below = self.revision
+        self._wake()
+
+    def silence_watches(self) -> None:
+        """Let every watch that waits now hang for good."""
+        self.silenced = len(self.calls)
+
+    def cut_watches(self) -> None:
+        """End every waiting watch with an error."""
+        self.status = 503
+        self._wake()
+        asyncio.get_running_loop().call_later(0.05, self._serve_again)
+
+    def _serve_again(self) -> None:
+        self.status = None
+
+    def events(self, kind: str, after: int) -> list[Stored]:
+        return [
+            {'object': stored, 'deleted': deleted}
+            for revision, stored, deleted in self.kind(kind).history
+            if revision > after
+        ]
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class _Handler(RequestHandler):
+    def initialize(self, store: StoreStandin) -> None:
+        self._store = store
+
+    def prepare(self) -> None:
+        self._store.calls.append(f'{self.request.method} {self.request.uri}')
+        if self._store.status is not None:
+            self.set_status(self._store.status)
+            self.finish()
+
+    async def get(self, kind: str, name: str | None) -> None:
+        store = self._store
+        held = store.kind(kind)
+        if name:
+            if name not in held.objects:
+                self.set_status(404)
+                return
+            self.finish(json.dumps(held.objects[name]))
+            return
+        watch = self.get_argument('watch', None)
+        if watch is None:
+            items = [held.objects[one] for one in sorted(held.objects)]
+            self.finish(json.dumps({'items': items, 'as_of': store.revision}))
+            return
+        await self._watch(kind, int(watch))
+
+    async def _watch(self, kind: str, after: int) -> None:
+        store = self._store
+        number = len(store.calls)
+        wait = float(self.get_argument('wait_ms', '0')) / 1000
+        end = asyncio.get_running_loop().time() + wait
+        while not store.events(kind, after):
+            if after < store.kind(kind).forgotten_below:
+                break
+            left = end - asyncio.get_running_loop().time()
+            if left <= 0:
+                break
+            if store.is_stopped:
+                break
+            changed = store.changed
+            try:
+                async with asyncio.timeout(left):
+                    await changed.wait()
+            except TimeoutError:
+                break
+        if number <= store.silenced:
+            await asyncio.Event().wait()
+        if store.status is not None:
+            self.set_status(store.status)
+            return
+        if after < store.kind(kind).forgotten_below:
+            self.set_status(410)
+            return
+        answer = {'events': store.events(kind, after), 'as_of': store.revision}
+        self.finish(json.dumps(answer))
+
+    def post(self, kind: str, _name: str | None) -> None:
+        document = json.loads(self.request.body)
+        name = document['metadata']['name']
+        if name in self._store.kind(kind).objects:
+            self.set_status(409)
+            return
+        self._store.put(kind, name, document['spec'])
+        self.finish(json.dumps(self._store.kind(kind).objects[name]))
+
+    def put(self, kind: str, name: str | None) -> None:
+        assert name is not None
+        self._store.put(kind, name, json.loads(self.request.body)['spec'])
+        self.finish(json.dumps(self._store.kind(kind).objects[name]))
+
+
+def _silent(_handler: RequestHandler) -> None:
+    """No access log."""
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,7 +7,7 @@
 from itertools import count
 from random import Random
 
-from lib.municipal import Caller
+from lib.rig import Caller
 
 from soak.ledger import Kind, Ledger, Try
 from soak.processes import GatewayProcess
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from lib.municipal import StoreStandin
+from lib.store_standin import StoreStandin
 
 from soak.ledger import Ledger
 from soak.processes import GatewayProcess
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from random import Random
 
-from lib.municipal import StoreStandin
+from lib.store_standin import StoreStandin
 
 from soak.callers import CallerTask
 from soak.faults import Scene, Schedule
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from lib.municipal import ADDRESS, free_ports, own_address
+from lib.rig import free_ports, own_address
+from lib.specs import ADDRESS
 
 from wardstair.gateway.settings import Listener
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -3,7 +3,7 @@
 import asyncio
 from enum import StrEnum
 
-from lib.municipal import ADDRESS
+from lib.specs import ADDRESS
 
 # Bytes taken at a time, so that faults take hold in the middle of a body.
 CHUNK = 4096
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from random import Random
 
-from lib.municipal import ADDRESS, Seen, upstream_spec, whole_answer
+from lib.specs import ADDRESS, upstream_spec
+from lib.upstream_standin import Seen, whole_answer
 
 from soak.ledger import Ledger, Run
 from soak.proxy import Proxy
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 from itertools import count
 
-from lib.municipal import Caller, configuration_spec, route_spec
+from lib.rig import Caller
+from lib.specs import configuration_spec, route_spec
 
 from soak.ledger import Kind, Ledger
 from soak.processes import GatewayProcess
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -6,8 +6,8 @@
 from random import Random
 
 import pytest
-from lib import municipal
-from lib.municipal import gateway_settings
+from lib import rig
+from lib.rig import gateway_settings
 
 from wardstair.decisions.mechanisms import Mechanism
 from wardstair.errors import ConfigurationError
@@ -110,7 +110,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     drawn = iter([[1, 2, 3, 4, 5, 6], [7, 8, 9, 10, 11, 12]])
-    monkeypatch.setattr(municipal, 'free_ports', lambda _amount: next(drawn))
+    monkeypatch.setattr(rig, 'free_ports', lambda _amount: next(drawn))
     settings = gateway_settings(1, fleet_port=2)
     listeners = (settings.callers, settings.ready, settings.lookups)
     assert 2 not in {one.port for one in (*listeners, settings.metrics)}
--- a/tests/unit/test_ranked_homes.py
+++ b/tests/unit/test_ranked_homes.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 import pytest
-from lib.municipal import gateway_settings
+from lib.rig import gateway_settings
 from lib.upstreams import ENTRY, Clock
 
 from wardstair.decisions.mechanisms import Mechanism
