--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -20,4 +20,9 @@
     cause: str
 
 
-FAILED_SEEDS: tuple[FailedSeed, ...] = ()
+FAILED_SEEDS: tuple[FailedSeed, ...] = (
+    FailedSeed(
+        3871459380,
+        'a hang-up ended a process that was still loading; test_program.py',
+    ),
+)
--- a/tests/unit/test_events.py
+++ b/tests/unit/test_events.py
@@ -15,7 +15,7 @@
 
 
 def calls() -> Iterator[tuple[str, int, ast.Call]]:
-    files = [SOURCE / 'cli' / 'gateway.py', SOURCE / 'process/supervision.py']
+    files = [SOURCE / 'process/supervision.py']
     for package in PACKAGES:
         files.extend(sorted((SOURCE / package).glob('*.py')))
     for file in files:
