Read the bounds of a deployment by their names

Cause: the template rendered the values of the table of bounds without their keys; the decoder found no name it knew and every bound kept its default, the figures of the first sites (drain 2.5 s, grace 6 s, 64 resends). A list is taken as well, its numbers are dropped. Change: names are rendered. An entry without a name or with a value that cannot be used ends the start with one line; a bound that is not given gets a cautious figure with its reason beside it, is named in a warning line and in a gauge, and is a fault for wardstair-check. The same for limits of the process (were 300 MB and 4,096 descriptors in silence), and a zone in no region is refused at the start. Errors of the file are one line. The test that filled the template by substitutions of its own put names in that the template did not, so it could not fail; the template is now rendered by chevron, as a table and as a list, each bound unlike its default.

--- a/src/wardstair/cli/check.py
+++ b/src/wardstair/cli/check.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from wardstair.errors import Fault
+from wardstair.platform.settings import settings_faults
 from wardstair.process.settings import check_settings
 from wardstair.version.document import check_document, read_toml
 
@@ -13,8 +14,10 @@
 def check(*files: str) -> None:
     """Check TOML files and name the remedy of every fault.
 
-    A file with a `host` table is read as the settings of an entry host, any
-    other as steering configuration.
+    A file with `fleet_ports` is read as the settings of a gateway, one with a
+    `host` table as those of an entry host, any other as steering
+    configuration. A gateway's setting that is not given is a fault here,
+    though the gateway starts without it.
 
     Args:
         files: Paths of the files.
@@ -28,6 +31,8 @@
 
 def _faults(path: Path) -> list[Fault]:
     match read_toml(path):
+        case Ok(content) if 'fleet_ports' in content:
+            return settings_faults(path)
         case Ok(content):
             checked = _checked(content, str(path))
             return checked.err_value if isinstance(checked, Err) else []
--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -59,6 +59,11 @@
         'Entry hosts that this one hears, itself included',
         lambda: [(float(len(host.members.live()) + 1), {})],
     )
+    metrics.add_gauge(
+        'wardstair_settings_missing',
+        'What stands in for a setting that the file does not give',
+        lambda: _gaps(host),
+    )
     metrics.add_gauge(
         'wardstair_sentinel',
         'Whether this host watches the store closely',
@@ -106,6 +111,11 @@
     return -1.0 if heard_at is None else time.monotonic() - heard_at
 
 
+def _gaps(host: 'GatewayHost') -> list[Row]:
+    gaps = host.live_settings.current.gaps
+    return [(gap.used, {'setting': gap.name}) for gap in gaps]
+
+
 def _upstreams(
     host: 'GatewayHost',
     *,
--- a/src/wardstair/gateway/program.py
+++ b/src/wardstair/gateway/program.py
@@ -58,6 +58,7 @@
 ) -> None:
     # The curl client belongs to the loop that runs when it is made.
     host = GatewayHost(settings, SystemRandom())
+    _warn_of_gaps(settings)
     add_line_counts(host.metrics, sink)
     stopped = asyncio.Event()
     hung_up = asyncio.Event()
@@ -96,11 +97,20 @@
         hung_up.clear()
         seen = _stamp(path)
         try:
-            changed = host.adopt_settings(load_settings(path))
+            settings = load_settings(path)
         except ConfigurationError as error:
             log_warning('settings-rejected', reason=error.message)
         else:
+            changed = host.adopt_settings(settings)
             log_event('settings-reread', changed=','.join(changed))
+            _warn_of_gaps(settings)
+
+
+def _warn_of_gaps(settings: GatewaySettings) -> None:
+    """Name the settings that are not given, with what stands in for them."""
+    if settings.gaps:
+        names = ','.join(map(str, settings.gaps))
+        log_warning('settings-missing', used=names)
 
 
 def _stamp(path: Path) -> tuple[int, int]:
--- a/src/wardstair/gateway/settings.py
+++ b/src/wardstair/gateway/settings.py
@@ -26,33 +26,65 @@
 class Bounds:
     """Times and shares that the operators hold the fleet to.
 
+    Each default stands in for a bound that a deployment does not state. It is
+    chosen so that the bound is kept whatever it is within reason, not so that
+    requests are served best.
+
     Attributes:
-        drain_seconds: Time to stop sending to a draining upstream.
-        grace_seconds: Time between the stop signal and the kill.
-        apply_seconds: Time for a configuration to be in force.
+        drain_seconds: Time to stop sending to a draining upstream. Without
+            it the time between two heartbeats: nothing shorter can be kept.
+        grace_seconds: Time between the stop signal and the kill. Without it
+            ten seconds, the shortest that common supervisors leave: ending
+            sooner than needed would cut requests that the kill would not.
+        apply_seconds: Time for a configuration to be in force; without it as
+            for leaving upstreams.
+        evacuate_seconds: Time to stop sending to a zone that is emptied;
+            without it as for leaving upstreams.
         contact_seconds: Time of undisturbed contact after which a host is
-            held to the other bounds.
-        retry_ratio: Retries allowed a request, over the fleet.
-        retry_extra: Retries allowed beside that ratio in a window.
-        retry_window: That window in seconds.
-        cold_overshoot: Factor on a cold upstream's rate that is borne.
-        cold_slack: Requests above that in one second that are borne.
-        lookup_seconds: Longest time that a look-up may be cached.
-        shift_share: Largest part of a region's requests that may move to
-            another region between two short windows.
+            held to the other bounds. Without it two heartbeats, from which on
+            a host can tell that it has heard the others.
+        retry_ratio: Retries allowed a request, over the fleet. Without it one
+            in ten, the smallest that retry budgets usually allow.
+        retry_extra: Retries allowed beside that ratio in a window. Without
+            it ten in the whole fleet: a lost connection now and then.
+        retry_window: That window in seconds. Without it ten: within a longer
+            one the ratio weighs more than the fixed part, which is small.
+        cold_overshoot: Factor on a cold upstream's rate that is borne;
+            without it none above the rate.
+        cold_slack: Requests above that in one second that are borne; without
+            it none.
+        lookup_seconds: Longest time that a look-up may be cached; without it
+            a second, which costs look-ups but leaves no caller behind.
     """
 
-    drain_seconds: float = 2.5
-    grace_seconds: float = 6.0
-    apply_seconds: float = 2.5
-    contact_seconds: float = 4.0
-    retry_ratio: float = 0.2
-    retry_extra: float = 64.0
+    drain_seconds: float = 1.0
+    grace_seconds: float = 10.0
+    apply_seconds: float = 1.0
+    evacuate_seconds: float = 1.0
+    contact_seconds: float = 2.0
+    retry_ratio: float = 0.1
+    retry_extra: float = 10.0
     retry_window: float = 10.0
-    cold_overshoot: float = 1.5
-    cold_slack: float = 5.0
-    lookup_seconds: float = 5.0
-    shift_share: float = 0.15
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
+    lookup_seconds: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Gap:
+    """A setting that the file does not give.
+
+    Attributes:
+        name: Its name in the file.
+        used: What is used in its place.
+    """
+
+    name: str
+    used: float
+
+    def __str__(self) -> str:
+        """Return `name:used`."""
+        return f'{self.name}:{self.used:g}'
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +111,7 @@
         placement: By what rule upstreams are chosen.
         switched_off: Mechanisms that are not to be used.
         bounds: What the fleet is held to.
+        gaps: Settings that the file does not give, with their stand-ins.
     """
 
     name: str
@@ -100,6 +133,7 @@
     placement: PlacementPolicy = DEFAULT_POLICY
     switched_off: frozenset[Mechanism] = frozenset()
     bounds: Bounds = field(default_factory=Bounds)
+    gaps: tuple[Gap, ...] = ()
 
     @property
     def region(self) -> str:
--- a/src/wardstair/platform/settings.py
+++ b/src/wardstair/platform/settings.py
@@ -5,17 +5,17 @@
 """
 
 import tomllib
-from collections.abc import Mapping
 from pathlib import Path
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.placement_policies import POLICIES, PlacementPolicy
-from wardstair.errors import ConfigurationError
-from wardstair.gateway.settings import Bounds, GatewaySettings, Listener
+from wardstair.errors import ConfigurationError, Fault
+from wardstair.gateway.settings import Gap, GatewaySettings, Listener
+from wardstair.platform.bounds import decode_bounds
+from wardstair.version.document import faults_of
 
-_MILLISECONDS = 1000
 _MEGABYTE = 1048576
 
 
@@ -32,12 +32,14 @@
 
 
 class _Limits(_Model):
-    memory_megabytes: int = 300
-    descriptors: int = 4096
+    # The stand-ins are what a process may count on where nobody says: a small
+    # virtual machine, the usual soft limit of descriptors, one plain core.
+    memory_megabytes: int = Field(default=128, gt=0)
+    descriptors: int = Field(default=1024, gt=0)
     # Part of one core that a process may use, and how many times as fast that
     # core is as an ordinary one; not a number of cores.
-    core_share: float = 1.0
-    core_speed: float = 1.0
+    core_share: float = Field(default=1.0, gt=0)
+    core_speed: float = Field(default=1.0, gt=0)
 
 
 class _File(_Model):
@@ -66,12 +68,26 @@
         ConfigurationError: The file cannot be read or is not valid.
     """
     try:
-        parsed = _File.model_validate(tomllib.loads(path.read_text()))
-    except (OSError, tomllib.TOMLDecodeError, ValidationError) as error:
+        content = tomllib.loads(path.read_text())
+    except (OSError, tomllib.TOMLDecodeError) as error:
         raise ConfigurationError(
-            f'the settings file {path} cannot be used: {error}',
+            f'the settings file {path} cannot be read: {error}',
             'compare it with deploy/gateway.toml',
         ) from error
+    try:
+        parsed = _File.model_validate(content)
+    except ValidationError as error:
+        faults = ' | '.join(map(str, faults_of(error, str(path))))
+        raise ConfigurationError(
+            f'the settings file cannot be used: {faults}',
+            'compare it with deploy/gateway.toml',
+        ) from error
+    if parsed.zone not in parsed.zones:
+        raise ConfigurationError(
+            f'the zone {parsed.zone} of this host is in no region',
+            'list it under [zones] with its region',
+        )
+    decoded = decode_bounds(parsed.bounds)
     return GatewaySettings(
         name=parsed.name,
         address=parsed.address,
@@ -91,32 +107,36 @@
         is_first_start=parsed.first_start,
         placement=_placement(parsed.placement),
         switched_off=parsed.switched_off,
-        bounds=decode_bounds(parsed.bounds),
+        bounds=decoded.bounds,
+        gaps=(*_limit_gaps(parsed.limits), *decoded.gaps),
     )
 
 
-def decode_bounds(texts: tuple[str, ...]) -> Bounds:
-    """Decode the bounds; what is not named keeps its default.
+def settings_faults(path: Path) -> list[Fault]:
+    """Return what is wrong with a settings file, and what it leaves out.
 
     Args:
-        texts: One `name=value` each; unknown names are ignored.
+        path: The file.
     """
-    given = dict(text.partition('=')[::2] for text in texts)
-    plain = Bounds()
-    return Bounds(
-        drain_seconds=_millis(given, 'drain_ms', plain.drain_seconds),
-        grace_seconds=_number(given, 'grace_s', plain.grace_seconds),
-        apply_seconds=_millis(given, 'config_apply_ms', plain.apply_seconds),
-        contact_seconds=_millis(given, 'contact_ms', plain.contact_seconds),
-        retry_ratio=_number(given, 'retry_budget_ratio', plain.retry_ratio),
-        # A count of requests, not a time, though it stands among times.
-        retry_extra=_number(given, 'budget_extra', plain.retry_extra),
-        retry_window=_number(given, 'budget_window_s', plain.retry_window),
-        cold_overshoot=_number(given, 'cold_overshoot', plain.cold_overshoot),
-        # Requests in one second, not a rate factor.
-        cold_slack=_number(given, 'cold_slack', plain.cold_slack),
-        lookup_seconds=_number(given, 'ttl_max_s', plain.lookup_seconds),
-        shift_share=_number(given, 'max_shift', plain.shift_share),
+    try:
+        settings = load_settings(path)
+    except ConfigurationError as error:
+        return [Fault(str(path), '(file)', error.message, error.hint)]
+    return [
+        Fault(
+            str(path),
+            gap.name,
+            f'it is not given, and {gap.used:g} stands in for it',
+            'state it among the fields of the deployment',
+        )
+        for gap in settings.gaps
+    ]
+
+
+def _limit_gaps(limits: _Limits) -> tuple[Gap, ...]:
+    missing = _Limits.model_fields.keys() - limits.model_fields_set
+    return tuple(
+        Gap(f'limits.{name}', getattr(limits, name)) for name in sorted(missing)
     )
 
 
@@ -130,23 +150,6 @@
     return policy
 
 
-def _number(given: Mapping[str, str], name: str, default: float) -> float:
-    text = given.get(name)
-    if text is None:
-        return default
-    try:
-        return float(text)
-    except ValueError as error:
-        raise ConfigurationError(
-            f'the bound {name} is not a number: {text}',
-            'write it as name=number',
-        ) from error
-
-
-def _millis(given: Mapping[str, str], name: str, default: float) -> float:
-    return _number(given, name, default * _MILLISECONDS) / _MILLISECONDS
-
-
 def _listener(text: str) -> Listener:
     host, _, port = text.rpartition(':')
     if not port.isdecimal():
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -171,6 +171,11 @@
         'the settings file was read again',
         'changed',
     ),
+    _kind(
+        'settings-missing',
+        'the settings file leaves out settings; these figures stand in',
+        'used',
+    ),
     _kind(
         'settings-rejected',
         'the changed settings file is not valid; the old settings stay',
--- a/tests/functional/test_gateway_process.py
+++ b/tests/functional/test_gateway_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import re
 import signal
 import sys
 from asyncio.subprocess import PIPE, Process
@@ -130,6 +131,9 @@
         path, ports = surroundings.path, surroundings.ports
         address = surroundings.address
         process = await start(path)
+        missing = await wait_line(process, 'settings-missing')
+        assert 'bounds.drain_ms:1000' in missing
+        assert 'grace_s' not in missing
         await wait_line(process, 'host-started')
         await wait_line(process, 'upstream-changed')
 
@@ -137,7 +141,10 @@
         answer = await caller.ask(request_id='r77')
         assert (answer.status, answer.body) == (200, b'i-1')
         assert 'request=r77' in await wait_line(process, 'request-answered')
-        assert 'wardstair_requests_total' in await scrape(address, ports[4])
+        metrics = await scrape(address, ports[4])
+        assert 'wardstair_requests_total' in metrics
+        gauge = r'wardstair_settings_missing{.*="bounds.drain_ms"} 1000\.0'
+        assert re.search(gauge, metrics)
 
         path.write_text(path.read_text() + '"south-a" = "south"\n')
         process.send_signal(signal.SIGHUP)
--- /dev/null
+++ b/tests/unit/test_bounds.py
@@ -0,0 +1,115 @@
+"""Bounds on their way from the platform's fields to the decoded settings."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import fields
+from pathlib import Path
+
+import pytest
+from lib.template import BOUNDS, entries, filled
+
+from wardstair.cli.check import check
+from wardstair.errors import ConfigurationError
+from wardstair.gateway.settings import Bounds, GatewaySettings
+from wardstair.platform.settings import load_settings
+
+TEXTS = [f'{name}={value}' for name, value in BOUNDS.items()]
+
+
+def settings_of(
+    folder: Path,
+    bounds: Mapping[str, object] | Sequence[object],
+) -> GatewaySettings:
+    file = folder / 'gateway.toml'
+    file.write_text(filled(bounds=entries(bounds)))
+    return load_settings(file)
+
+
+@pytest.mark.parametrize('given', [BOUNDS, TEXTS], ids=['table', 'list'])
+def test_every_bound_comes_from_the_deployment(
+    tmp_path: Path,
+    given: Mapping[str, object] | Sequence[object],
+) -> None:
+    settings = settings_of(tmp_path, given)
+    plain = Bounds()
+    for one in fields(Bounds):
+        decoded = getattr(settings.bounds, one.name)
+        assert decoded != getattr(plain, one.name), one.name
+    assert settings.bounds.drain_seconds == 2
+    assert settings.bounds.retry_extra == 62
+    assert not settings.gaps
+
+
+@pytest.mark.parametrize(
+    ('bounds', 'named'),
+    [
+        ({**BOUNDS, 'drain_ms': 'soon'}, 'drain_ms'),
+        ({**BOUNDS, 'grace_s': 'nan'}, 'grace_s'),
+        ({**BOUNDS, 'budget_extra': -1}, 'budget_extra'),
+        ({**BOUNDS, 'contact_ms': 0}, 'contact_ms'),
+        # Values that have lost their names say nothing.
+        (['3', '2', '4000'], '3'),
+        ({'0': 3}, '3'),
+        (['=3'], '3'),
+    ],
+)
+def test_a_bound_that_cannot_be_read_ends_the_start_with_its_name(
+    tmp_path: Path,
+    bounds: Mapping[str, object] | Sequence[object],
+    named: str,
+) -> None:
+    with pytest.raises(ConfigurationError) as caught:
+        settings_of(tmp_path, bounds)
+    assert named in caught.value.message
+    assert '\n' not in str(caught.value)
+    assert caught.value.hint
+
+
+@pytest.mark.parametrize('missing', list(BOUNDS))
+def test_a_bound_that_is_not_given_is_named_with_what_stands_for_it(
+    tmp_path: Path,
+    missing: str,
+) -> None:
+    rest = {key: one for key, one in BOUNDS.items() if key != missing}
+    settings = settings_of(tmp_path, rest)
+    assert [gap.name for gap in settings.gaps] == [f'bounds.{missing}']
+    plain, used = Bounds(), settings.gaps[0].used
+    replaced = [
+        getattr(plain, one.name)
+        for one in fields(Bounds)
+        if getattr(settings.bounds, one.name) == getattr(plain, one.name)
+    ]
+    assert replaced in ([used], [used / 1000])
+
+
+def test_a_deployment_without_bounds_is_served(tmp_path: Path) -> None:
+    settings = settings_of(tmp_path, {})
+    assert settings.bounds == Bounds()
+    assert len(settings.gaps) == len(fields(Bounds))
+
+
+def test_bounds_with_unknown_names_are_ignored(tmp_path: Path) -> None:
+    settings = settings_of(tmp_path, {**BOUNDS, 'new_bound': 'any'})
+    assert settings == settings_of(tmp_path, BOUNDS)
+
+
+def test_the_check_tells_of_what_a_file_does_not_give(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    file = tmp_path / 'gateway.toml'
+    file.write_text(filled())
+    check(str(file))
+    rest = {key: one for key, one in BOUNDS.items() if key != 'grace_s'}
+    text = filled(bounds=entries(rest)).replace('descriptors = 4100\n', '')
+    file.write_text(text)
+    with pytest.raises(SystemExit):
+        check(str(file))
+    told = capsys.readouterr().out.splitlines()
+    assert [line.split(': ')[1] for line in told] == [
+        'limits.descriptors',
+        'bounds.grace_s',
+    ]
+    file.write_text(filled(bounds=entries(['3'])))
+    with pytest.raises(SystemExit):
+        check(str(file))
+    assert 'the bound 0=3 has no name' in capsys.readouterr().out
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -1,6 +1,5 @@
 """The settings file, as the platform fills it from our template."""
 
-import re
 from dataclasses import replace
 from pathlib import Path
 from random import Random
@@ -8,55 +7,19 @@
 import pytest
 from lib import rig
 from lib.rig import gateway_settings
+from lib.template import filled
 
 from wardstair.decisions.mechanisms import Mechanism
 from wardstair.errors import ConfigurationError
 from wardstair.gateway.host import GatewayHost
-from wardstair.platform.settings import decode_bounds, load_settings
-
-TEMPLATE = Path(__file__).parents[2] / 'deploy' / 'gateway.toml'
-VALUES = {
-    'node_name': 'edge-1',
-    'ip': '10.0.0.1',
-    'zone': 'a1',
-    'internal_ports.0': '7200',
-    'internal_ports.1': '7215',
-    'platform.address': '10.9.9.9:80',
-    'listen.front': '10.0.0.1:1',
-    'listen.ready': '10.0.0.1:2',
-    'listen.control': '10.0.0.1:3',
-    'listen.directory': '10.0.0.1:4',
-    'limits.memory_mb': '300',
-    'limits.max_fds': '4100',
-    'limits.cpu_share': '0.717',
-    'limits.cores': '3',
-}
-LISTS = {
-    'seeds': '"10.0.0.2:3","10.0.0.3:3"',
-    'bounds': '"drain_ms=2000","budget_extra=62","new_bound=1"',
-    'zones': '"a1" = "a"\n"b1" = "b"\n',
-}
-
-
-def filled() -> str:
-    """Fill the template as the platform would."""
-    text = TEMPLATE.read_text()
-    for name, content in LISTS.items():
-        pattern = r'\{\{#' + name + r'\}\}.*?\{\{/' + name + r'\}\}'
-        text = re.sub(pattern, content, text, flags=re.DOTALL)
-    section = r'\{\{\^bootstrap\}\}.*?\{\{/bootstrap\}\}'
-    text = re.sub(section, '', text)
-    text = text.replace('{{#bootstrap}}', '').replace('{{/bootstrap}}', '')
-    for name, value in VALUES.items():
-        text = text.replace('{{' + name + '}}', value)
-    assert '{{' not in text
-    return text
+from wardstair.platform.settings import load_settings
 
 
 def test_the_template_gives_valid_settings(tmp_path: Path) -> None:
     file = tmp_path / 'gateway.toml'
     file.write_text(filled())
     settings = load_settings(file)
+    assert not settings.gaps
     assert settings.region == 'a'
     assert settings.is_first_start
     assert settings.cores == pytest.approx(2.151)
@@ -64,9 +27,6 @@
     assert not settings.is_in_region('b1')
     assert str(settings.callers) == '10.0.0.1:1'
     assert settings.seeds == ('10.0.0.2:3', '10.0.0.3:3')
-    assert settings.bounds.drain_seconds == 2
-    assert settings.bounds.retry_extra == 62
-    assert settings.bounds.grace_seconds == 6
 
 
 @pytest.mark.parametrize(
@@ -78,6 +38,8 @@
         ('switched_off = []', 'switched_off = ["haste"]'),
         ('"warm-home"', '"warmest"'),
         ('[listen]', '[listen'),
+        ('zone = "a1"', 'zone = "c1"'),
+        ('memory_megabytes = 300', 'memory_megabytes = 0'),
     ],
 )
 def test_a_wrong_file_is_refused_with_a_hint(
@@ -91,10 +53,7 @@
     with pytest.raises(ConfigurationError) as caught:
         load_settings(file)
     assert caught.value.hint
-
-
-def test_bounds_that_are_not_named_keep_their_default() -> None:
-    assert decode_bounds(()) == decode_bounds(('unknown=3',))
+    assert '\n' not in str(caught.value)
 
 
 def test_changed_settings_are_in_force_at_once() -> None:
