Derive how often a host looks from the bounds on news and contact

Cause: the sentinels' second, the wait of half a second for further changes, the proofs of contact (2 and 8 s) and the replacement of silent relays (1.6 s) were constants that fit drain and apply bounds of 2.5 s and contact of 4 s; the bounds of a deployment were decoded and used by nothing. Live settings are read at each use, so a changed bound is in force at once. Not measured on the users' platform here. Below 2 s a missed watch plus everything else does not fit: a lost heartbeat alone takes 1.1 s.

--- a/src/wardstair/fleet/members.py
+++ b/src/wardstair/fleet/members.py
@@ -7,17 +7,13 @@
 from dataclasses import dataclass, field
 
 from wardstair.decisions.relays import RelayCandidate, choose_relays
+from wardstair.decisions.timing import LEAST_REPLACED_SECONDS
 from wardstair.fleet.beats import Beat, PeerName, Versions
 from wardstair.process.log import log_event
 
-# Three heartbeats and a little: one or two may be lost on the way.
+# Three heartbeats and a little: one or two may be lost on the way. Operators
+# let look-ups name a dead host for seconds beyond the time of contact.
 SILENT_SECONDS = 3.2
-# A relay or a sentinel that is silent for this long is replaced: one heartbeat
-# may be lost. The tightest bounds (2.5 s on leaving upstreams and on
-# configurations) have to hold while it is noticed. A needless replacement costs
-# a call on the store; leaving a live host out of look-ups would cost more, so
-# these wait longer.
-REPLACED_SECONDS = 1.6
 # A host that is silent for this long is taken out of the store.
 FORGOTTEN_SECONDS = 30.0
 # Until then a silent host counts among those that share the fleet's bounds: it
@@ -84,6 +80,7 @@
         own: This host.
         clock: Monotonic time in seconds.
         hears_store: Whether this host is in contact with the store.
+        replaced_seconds: Silence after which a relay is replaced.
         is_busy: Whether this host is short of processor time.
         is_leaving: Whether this host is about to stop.
         table: Members by name.
@@ -94,6 +91,9 @@
     own: PeerName
     clock: Callable[[], float]
     hears_store: Callable[[], bool] = field(default=lambda: False)
+    replaced_seconds: Callable[[], float] = field(
+        default=lambda: LEAST_REPLACED_SECONDS,
+    )
     is_busy: bool = False
     is_leaving: bool = False
     table: dict[str, Member] = field(default_factory=dict)
@@ -103,10 +103,11 @@
     @property
     def relays(self) -> tuple[str, ...]:
         """The relays of this host's zone."""
+        silent = self.replaced_seconds()
         candidates = [
             RelayCandidate(one.peer.name, one.hears_store)
             for one in self.in_zone(self.own.zone)
-            if self.is_heard(one, REPLACED_SECONDS) and not one.is_leaving
+            if self.is_heard(one, silent) and not one.is_leaving
         ]
         if not self.is_leaving or not candidates:
             own = RelayCandidate(self.own.name, self.hears_store())
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -15,7 +15,7 @@
 from wardstair.decisions.cold import HostView
 from wardstair.decisions.sentinels import Watcher, choose_sentinels
 from wardstair.fleet.beats import PeerName
-from wardstair.fleet.members import REPLACED_SECONDS, Members
+from wardstair.fleet.members import Members
 from wardstair.fleet.radio import Radio
 from wardstair.gateway.bodies import body_room
 from wardstair.gateway.callers import CallerListener
@@ -103,7 +103,12 @@
         self.belief.on_steering = self._on_steering
         self.store = Store(settings.store)
         self.contact = StoreContact(clock, random)
-        self.members = Members(own, clock, lambda: self.contact.is_held)
+        self.members = Members(
+            own,
+            clock,
+            lambda: self.contact.is_held,
+            lambda: self.live_settings.current.timing.replaced,
+        )
         self.radio = Radio(
             self.members,
             settings.fleet_ports[0],
@@ -114,7 +119,13 @@
             lambda: self.members.is_relay,
             lambda: self.is_sentinel,
         )
-        self.sync = StoreSync(self.store, self.contact, self.belief, roles)
+        self.sync = StoreSync(
+            self.store,
+            self.contact,
+            self.belief,
+            roles,
+            lambda: self.live_settings.current.timing,
+        )
         self.exchange = StateExchange(
             self.belief,
             self.contact,
@@ -165,6 +176,7 @@
         members = self.members
         if not members.is_relay:
             return False
+        silent = self.live_settings.current.timing.replaced
         own = Watcher(self.settings.name, self.settings.zone)
         relays = {own.name, *members.relays}
         hosts = [
@@ -172,7 +184,7 @@
             for one in members.table.values()
             if one.hears_store
             and not one.is_leaving
-            and members.is_heard(one, REPLACED_SECONDS)
+            and members.is_heard(one, silent)
             and (one.peer.zone != own.zone or one.peer.name in relays)
         ]
         if self.contact.is_held and not self._is_stopping:
--- a/src/wardstair/gateway/settings.py
+++ b/src/wardstair/gateway/settings.py
@@ -8,6 +8,7 @@
     DEFAULT_POLICY,
     PlacementPolicy,
 )
+from wardstair.decisions.timing import Timing, timing_for
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,6 +141,19 @@
         """The region of this host's zone."""
         return self.zones[self.zone]
 
+    @property
+    def timing(self) -> Timing:
+        """How often this host looks, so that it keeps the bounds."""
+        bounds = self.bounds
+        return timing_for(
+            min(
+                bounds.drain_seconds,
+                bounds.apply_seconds,
+                bounds.evacuate_seconds,
+            ),
+            bounds.contact_seconds,
+        )
+
     def uses(self, mechanism: Mechanism) -> bool:
         """Return whether a mechanism is to be used."""
         return mechanism not in self.switched_off
--- a/src/wardstair/state/following.py
+++ b/src/wardstair/state/following.py
@@ -28,6 +28,11 @@
     return WATCH_SECONDS
 
 
+def no_pause() -> float:
+    """Return the pause of a kind that is watched without one, in seconds."""
+    return 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class FollowPlan:
     """What to follow and how.
@@ -43,7 +48,7 @@
     """
 
     kind: str
-    pause: float = 0.0
+    pause: Callable[[], float] = no_pause
     is_wanted: Callable[[], bool] = always
     wait: Callable[[], float] = watch_long
     resumes: bool = False
@@ -156,8 +161,8 @@
             self.revision = changes.revision
             self._sinks.on_changes(changes)
         self._sinks.on_revision(changes.revision)
-        if changes.changes and self._plan.pause:
-            await asyncio.sleep(self._plan.pause)
+        if changes.changes:
+            await asyncio.sleep(self._plan.pause())
 
     async def _watch_once(self) -> Result[Changes, PlatformError] | None:
         """Watch once; None if the watch was dropped and is to be renewed."""
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -5,6 +5,7 @@
 
 from result import Err
 
+from wardstair.decisions.timing import Timing
 from wardstair.platform.objects import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -26,19 +27,6 @@
 )
 from wardstair.state.roles import Roles, ignore
 
-# Upstreams change one by one at a release or a start. A leaving one has to be
-# known within the drain bound (2.5 s), so half a second costs little of it.
-UPSTREAM_PAUSE_SECONDS = 0.5
-# How often contact is proved by a cheap read.
-PROOF_SECONDS = 2.0
-# The same for a host that is no relay: only whether it could become one depends
-# on it.
-RARE_PROOF_SECONDS = 8.0
-# How long a sentinel's watch of the evacuations waits. Its answer carries the
-# store's revision, which tells of changes that another watch has missed: a
-# watch may be cut without a word. The tightest bound, on leaving upstreams and
-# on configurations, is 2.5 s.
-SENTINEL_SECONDS = 1.0
 # How long another watch may take to bring a change that the revision tells of.
 LAG_SECONDS = 0.15
 
@@ -52,6 +40,7 @@
         contact: StoreContact,
         belief: Belief,
         roles: Roles,
+        timing: Callable[[], Timing],
     ) -> None:
         """Prepare without a call.
 
@@ -60,6 +49,7 @@
             contact: Contact with it.
             belief: Where news goes.
             roles: What this host does for others.
+            timing: How often it looks, by the bounds in force.
         """
         self._store = store
         self._contact = contact
@@ -67,6 +57,7 @@
         self.on_news: Callable[[], None] = ignore
         self._evacuated: set[str] = set()
         self._roles = roles
+        self._timing = timing
         self._checking: asyncio.Task[None] | None = None
         self.configuration = Follower(
             store,
@@ -97,7 +88,7 @@
             contact,
             FollowPlan(
                 UPSTREAM_KIND,
-                UPSTREAM_PAUSE_SECONDS,
+                pause=lambda: timing().pause,
                 is_wanted=self._wants_upstreams,
                 resumes=True,
             ),
@@ -116,8 +107,8 @@
         """
         while True:
             is_relay = self._roles.is_relay()
-            seconds = PROOF_SECONDS if is_relay else RARE_PROOF_SECONDS
-            await asyncio.sleep(seconds)
+            timing = self._timing()
+            await asyncio.sleep(timing.proof if is_relay else timing.rare_proof)
             if self._contact.is_lost and is_relay:
                 # Its watches ask whether the store is back.
                 continue
@@ -133,7 +124,13 @@
             self._offer(read.ok_value, 'stale-read')
 
     def _evacuation_wait(self) -> float:
-        return SENTINEL_SECONDS if self._roles.is_sentinel() else WATCH_SECONDS
+        """Return how long a watch of the evacuations waits, in seconds.
+
+        A sentinel's answers carry the store's revision, which tells of changes
+        that another watch has missed: a watch may be cut without a word.
+        """
+        is_sentinel = self._roles.is_sentinel()
+        return self._timing().watch if is_sentinel else WATCH_SECONDS
 
     def _wants_upstreams(self) -> bool:
         if not self._roles.is_sentinel():
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -10,6 +10,7 @@
 from lib.beats import beat_of, peer_of
 
 from wardstair.decisions.relays import RelayCandidate, choose_relays
+from wardstair.decisions.timing import LEAST_REPLACED_SECONDS
 from wardstair.fleet.beats import (
     Beat,
     BeatKind,
@@ -17,11 +18,7 @@
     decode_beat,
     encode_beat,
 )
-from wardstair.fleet.members import (
-    REPLACED_SECONDS,
-    SILENT_SECONDS,
-    Members,
-)
+from wardstair.fleet.members import SILENT_SECONDS, Members
 from wardstair.fleet.radio import FAR_TARGETS, Radio
 
 
@@ -54,7 +51,7 @@
     for peer in others:
         members.hear(beat_of(peer))
     first = next(name for name in members.relays if name != 'a')
-    now[0] += REPLACED_SECONDS - 0.1
+    now[0] += LEAST_REPLACED_SECONDS - 0.1
     for peer in others:
         if peer.name != first:
             members.hear(beat_of(peer, 2))
--- /dev/null
+++ b/tests/unit/test_timing.py
@@ -0,0 +1,57 @@
+"""Periods that are derived from the bounds of a deployment."""
+
+import pytest
+from lib.rig import gateway_settings
+
+from wardstair.decisions.timing import timing_for
+from wardstair.fleet.members import SILENT_SECONDS
+from wardstair.fleet.radio import BEAT_SECONDS, JITTER
+from wardstair.gateway.settings import Bounds
+from wardstair.state.exchange import GRACE_SECONDS
+from wardstair.state.sync import LAG_SECONDS
+
+# Heartbeats between regions 35 ms apart and two fetches, by round trips.
+SPREAD_SECONDS = 2 * GRACE_SECONDS + 6 * 0.07
+
+
+@pytest.mark.parametrize('news', [2.0, 2.5, 3.0, 4.0, 6.0, 60.0])
+def test_a_change_that_a_watch_has_missed_is_known_in_time(
+    news: float,
+) -> None:
+    timing = timing_for(news, 4.0)
+    missed = timing.watch + LAG_SECONDS + timing.pause + SPREAD_SECONDS
+    assert missed < news
+    lost_heartbeat = BEAT_SECONDS * (1 + JITTER)
+    assert timing.pause + SPREAD_SECONDS + lost_heartbeat < max(news, 2.5)
+    assert timing.replaced <= max(news, lost_heartbeat * 1.5)
+
+
+@pytest.mark.parametrize('contact', [1.0, 3.0, 4.0, 8.0, 60.0])
+def test_contact_is_proved_before_it_counts(contact: float) -> None:
+    timing = timing_for(2.5, contact)
+    assert 2 * timing.proof <= contact
+    assert timing.rare_proof > timing.proof
+
+
+@pytest.mark.parametrize('news', [0.5, 2.5, 60.0])
+def test_one_lost_heartbeat_replaces_nobody(news: float) -> None:
+    replaced = timing_for(news, 4.0).replaced
+    assert BEAT_SECONDS * (1 + JITTER) < replaced < SILENT_SECONDS
+
+
+@pytest.mark.parametrize(
+    'tight',
+    ['drain_seconds', 'apply_seconds', 'evacuate_seconds'],
+)
+def test_the_tightest_bound_on_news_decides(tight: str) -> None:
+    wide = {
+        'drain_seconds': 4.0,
+        'apply_seconds': 4.0,
+        'evacuate_seconds': 5.0,
+        'contact_seconds': 3.0,
+    }
+    bounds = Bounds(**{**wide, tight: 2.0})
+    settings = gateway_settings(1, bounds=bounds)
+    assert settings.timing == timing_for(2.0, 3.0)
+    loose = gateway_settings(1, bounds=Bounds(**wide))
+    assert loose.timing == timing_for(4.0, 3.0)
