Hold the senders of cold upstreams to the deployment's bound, at any size

Cause: the rate was 0.7 of what an upstream bears whatever the deployment's overshoot and slack, and where every host was a sender (its zone had no entry host, or a host heard less than 0.6 of its zone) each began with a request to spare. At 195 hosts 195 were sent in the first second against a bound of 25; of 45 cut-off hosts in a zone 45, of 22 22 (all worked out by the test's play on the code before). Change: what the bound leaves is divided among two views; how many senders a view may choose follows from the slack; a zone without hosts is stood in for by one other zone, chosen alike by all; a host that hears few chooses among all known names, which are the same for all that are cut off. At overshoot 1.5 the rate is what it was, 0.6975 for 0.7.

--- a/src/wardstair/decisions/cold.py
+++ b/src/wardstair/decisions/cold.py
@@ -11,13 +11,45 @@
 
 # One host may fail or be cut off; two keep the upstream served.
 SENDERS = 2
-# Part of the rate that the senders use together; two pairs of senders that
-# come from differing views stay below the bound with its overshoot.
-RATE_USED = 0.7
+# Views of the fleet that may differ at one time: hosts that see most of their
+# zone, and those that do not. Each chooses senders of its own.
+VIEWS = 2
+# Part of the bound that is used: sends that were spaced a second apart arrive
+# less so, and the bound is on arrivals.
+BOUND_USED = 0.93
 # Part of the known hosts that must be heard for a view to count as whole.
 WHOLE_VIEW = 0.6
 
 
+@dataclass(frozen=True, slots=True)
+class ColdLimit:
+    """What a cold upstream bears from the whole fleet.
+
+    Attributes:
+        rate: Requests a second.
+        overshoot: Factor on that rate that is borne.
+        slack: Requests above that in one second that are borne.
+    """
+
+    rate: float
+    overshoot: float
+    slack: float
+
+    @property
+    def senders(self) -> int:
+        """Senders that one view may choose.
+
+        A sender that was idle sends at once, and again after its pause: each
+        may add one request to a second beyond its rate.
+        """
+        return max(1, min(SENDERS, int(self.slack / VIEWS)))
+
+    @property
+    def view_rate(self) -> float:
+        """Requests a second that the senders of one view make together."""
+        return self.rate * self.overshoot / VIEWS * BOUND_USED
+
+
 @dataclass(frozen=True, slots=True)
 class HostView:
     """Whom this host knows and hears.
@@ -26,7 +58,7 @@
         own: Its own name.
         zone: Its availability zone.
         live: Hosts of its zone that it hears, itself included.
-        zone_size: Hosts known in its zone, those not heard included.
+        known: Hosts known in its zone, those not heard and itself included.
         fleet_size: Hosts known in all zones.
         zones: Zones that have entry hosts.
         is_settled: Whether it had time to hear the others after its start.
@@ -35,42 +67,52 @@
     own: str
     zone: str
     live: Collection[str]
-    zone_size: int
+    known: Collection[str]
     fleet_size: int
     zones: frozenset[str] = frozenset()
     is_settled: bool = True
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether it hears most hosts of its zone."""
+        return len(self.live) >= len(self.known) * WHOLE_VIEW
+
 
 def sender_rate(
     upstream: str,
     zone: str,
-    rate: float,
+    limit: ColdLimit,
     view: HostView,
 ) -> float:
     """Return the requests a second that this host may send.
 
     Only hosts of the upstream's own zone send to it: they all hear each other,
-    and are cut off from it last. One whose zone has no entry host gets an
-    equal part from every host.
+    and are cut off from it last. If that zone has no entry host, one other
+    zone stands in for it. However large the fleet is, only a few hosts send:
+    each that may has a request to spare after a pause, and 195 of them sent
+    195 in the first second.
 
     Args:
         upstream: Name of the cold upstream's run.
         zone: Its availability zone.
-        rate: Requests a second that it bears from the fleet.
+        limit: What it bears.
         view: Whom this host knows and hears.
     """
-    if not view.is_settled:
+    if not view.is_settled or view.zone != _serving_zone(upstream, zone, view):
         return 0.0
-    if zone != view.zone:
-        is_served = zone in view.zones
-        return 0.0 if is_served else rate * RATE_USED / view.fleet_size
-    if len(view.live) < view.zone_size * WHOLE_VIEW:
-        # Cut off from most: others may have chosen senders without us.
-        return rate * RATE_USED / view.zone_size
-    senders = rendezvous(view.live, f'cold {upstream}', SENDERS)
+    # A host that is cut off from most cannot tell whom the others have chosen,
+    # but all that are know the same names.
+    hosts = view.live if view.is_whole else view.known
+    senders = rendezvous(hosts, f'cold {upstream}', limit.senders)
     if view.own not in senders:
         return 0.0
-    return rate * RATE_USED / len(senders)
+    return limit.view_rate / len(senders)
+
+
+def _serving_zone(upstream: str, zone: str, view: HostView) -> str:
+    if zone == view.zone or zone in view.zones:
+        return zone
+    return rendezvous(view.zones | {view.zone}, f'cold {upstream}', 1)[0]
 
 
 @dataclass(slots=True)
--- a/src/wardstair/fleet/members.py
+++ b/src/wardstair/fleet/members.py
@@ -216,6 +216,11 @@
         names.add(self.own.name)
         return names
 
+    def known_in_zone(self) -> set[str]:
+        """Return names of this zone's hosts, heard or not, this one's too."""
+        names = {one.peer.name for one in self.in_zone(self.own.zone)}
+        return names | {self.own.name}
+
     def live_in_zone(self) -> set[str]:
         """Return names of this zone's hosts that serve, this one included."""
         names = {
--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -3,7 +3,7 @@
 import time
 from dataclasses import dataclass, replace
 
-from wardstair.decisions.cold import HostView, Pace, sender_rate
+from wardstair.decisions.cold import ColdLimit, HostView, Pace, sender_rate
 from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.placement import (
     Candidate,
@@ -106,7 +106,7 @@
         """
         own = settings.current.name
         zone = settings.current.zone
-        self.view = HostView(own, zone, (own,), 1, 1)
+        self.view = HostView(own, zone, (own,), (own,), 1)
         self._settings = settings
         self._belief = belief
         self._distances = distances
@@ -285,10 +285,15 @@
         service = steering.services.get(upstream.entry.service)
         if service is None:
             return 0.0
+        bounds = self._settings.current.bounds
         return sender_rate(
             upstream.name,
             upstream.entry.zone,
-            service.cold_rate,
+            ColdLimit(
+                service.cold_rate,
+                bounds.cold_overshoot,
+                bounds.cold_slack,
+            ),
             self.view,
         )
 
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -338,7 +338,7 @@
             own=self.settings.name,
             zone=self.settings.zone,
             live=sorted(members.live_in_zone()),
-            zone_size=members.zone_size,
+            known=sorted(members.known_in_zone()),
             fleet_size=members.fleet_size,
             zones=frozenset(members.zones()),
             is_settled=self._clock() - self._started_at > SETTLE_SECONDS,
--- a/tests/unit/test_fleet_shares.py
+++ b/tests/unit/test_fleet_shares.py
@@ -8,7 +8,12 @@
 from hypothesis import strategies as st
 from lib.beats import beat_of
 
-from wardstair.decisions.cold import HostView, Pace, sender_rate
+from wardstair.decisions.cold import (
+    ColdLimit,
+    HostView,
+    Pace,
+    sender_rate,
+)
 from wardstair.decisions.resends import (
     LONGEST_WINDOW,
     ResendBudget,
@@ -57,6 +62,34 @@
         assert again <= FLEET.ratio * most + FLEET.extra
 
 
+COLD = ColdLimit(rate=11.0, overshoot=1.5, slack=5.0)
+COLD_LIMITS = [
+    COLD,
+    ColdLimit(rate=10.0, overshoot=1.5, slack=10.0),
+    ColdLimit(rate=8.0, overshoot=1.0, slack=2.0),
+    ColdLimit(rate=3.0, overshoot=2.0, slack=4.0),
+]
+
+
+def most_sent(views: list[HostView], limit: ColdLimit) -> int:
+    """Return the most that all hosts send to a cold upstream in a second.
+
+    Every host has a request for it at any time.
+    """
+    sent: list[float] = []
+    for view in views:
+        rate = sender_rate('i-1', 'z', limit, view)
+        pace = Pace()
+        sent.extend(
+            step / 100 for step in range(600) if pace.take(rate, step / 100)
+        )
+    return max(
+        sum(1 for at in sent if begin / 100 <= at < begin / 100 + 1)
+        for begin in range(500)
+    )
+
+
+@pytest.mark.parametrize('limit', COLD_LIMITS)
 @pytest.mark.parametrize(
     'views',
     [
@@ -65,57 +98,56 @@
         [(6, 12)] * 12,
         [(1, 12)] * 12,
         [(11, 12)] * 11 + [(1, 12)],
+        # The same in zones of hundreds of hosts.
+        [(45, 45)] * 45,
+        [(1, 45)] * 45,
+        [(30, 45)] * 30 + [(15, 45)] * 15,
     ],
 )
 def test_cold_sends_of_all_hosts_stay_in_the_bound(
     views: list[tuple[int, int]],
+    limit: ColdLimit,
 ) -> None:
-    rate, overshoot, slack = 11.0, 1.5, 5.0
     names = [f'host-{number}' for number in range(len(views))]
-    sent: list[float] = []
+    seen = []
     for number, (live, known) in enumerate(views):
         start = number - number % live
         heard = (names * 2)[start : start + live]
         own = names[number]
-        view = HostView(own, 'z', {*heard, own}, known, known)
-        own_rate = sender_rate('i-1', 'z', rate, view)
-        pace = Pace()
-        sent.extend(
-            step / 100 for step in range(600) if pace.take(own_rate, step / 100)
-        )
-    for begin in range(500):
-        count = sum(1 for at in sent if begin / 100 <= at < begin / 100 + 1)
-        assert count <= rate * overshoot + slack
+        seen.append(HostView(own, 'z', {*heard, own}, names[:known], known))
+    assert most_sent(seen, limit) <= limit.rate * limit.overshoot + limit.slack
 
 
 def test_a_host_that_has_just_started_sends_nothing_to_a_cold_upstream() -> (
     None
 ):
-    view = HostView('a', 'z', {'a'}, 1, 1, is_settled=False)
-    assert sender_rate('i-1', 'z', 11, view) == 0
+    view = HostView('a', 'z', {'a'}, {'a'}, 1, is_settled=False)
+    assert sender_rate('i-1', 'z', COLD, view) == 0
 
 
-@pytest.mark.parametrize(
-    ('zones', 'senders'),
-    [
-        # Its own zone has hosts: only these send, however many others there
-        # are; without, all hosts take an equal part.
-        (frozenset(('z', 'y')), 2),
-        (frozenset(('y',)), 10),
-    ],
-)
-def test_a_cold_upstream_is_sent_to_from_its_own_zone(
-    zones: frozenset[str],
-    senders: int,
+@pytest.mark.parametrize('zones', [8, 62])
+@pytest.mark.parametrize('has_own', [True, False])
+def test_a_cold_upstream_is_sent_to_from_one_zone(
+    zones: int,
+    has_own: bool,
 ) -> None:
-    rate = 11.0
-    near = [f'near-{number}' for number in range(5 if 'z' in zones else 0)]
-    far = [f'far-{number}' for number in range(10)]
-    views = [HostView(name, 'z', near, 5, 15, zones) for name in near]
-    views += [HostView(name, 'y', far, 10, 10, zones) for name in far]
-    rates = [sender_rate('i-1', 'z', rate, view) for view in views]
-    assert sum(1 for own in rates if own > 0) == senders
-    assert sum(rates) <= rate
+    """Its own zone's hosts, or those of the one that stands in for it."""
+    names = [f'y{number}' for number in range(zones)] + ['z'] * has_own
+    views = []
+    for zone in names:
+        hosts = [f'{zone}-{number}' for number in range(20)]
+        size = 20 * len(names)
+        views += [
+            HostView(host, zone, hosts, hosts, size, frozenset(names))
+            for host in hosts
+        ]
+    sending = [
+        view.zone for view in views if sender_rate('i-1', 'z', COLD, view) > 0
+    ]
+    assert len(sending) == 2
+    assert len(set(sending)) == 1
+    assert not has_own or sending[0] == 'z'
+    assert most_sent(views, COLD) <= COLD.rate * COLD.overshoot + COLD.slack
 
 
 @given(
