Name the fields that a configuration or an upstream leaves out

Looked for the same fault elsewhere: what falls back in silence. A route that names no service, or only parts of weight zero, passed and failed each request with a fault of ours. Change: fields left out are named in a warning line for each version adopted and each entry; connections that nobody states are kept to the few a host needs; routes that lead nowhere make the version invalid, the one before stays. Not taken from the settings, for a reason: the store's rates (calls refused for them are paced like an outage) and its history (a watch that has been forgotten lists anew), upstreams' heartbeats (entries go by themselves).

--- a/src/wardstair/platform/objects.py
+++ b/src/wardstair/platform/objects.py
@@ -3,7 +3,13 @@
 from collections.abc import Mapping
 from typing import Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
 
 from wardstair.errors import ConfigurationError
 from wardstair.fleet.beats import PeerName
@@ -46,6 +52,7 @@
     kind: str
     timeout_ms: float = Field(gt=0)
     target_latency_ms: float = Field(gt=0)
+    # Without it as important as anything: what is, must not be put behind.
     priority: int = 0
     service: str | None = None
     # The parts of a split route, in place of `service`.
@@ -56,13 +63,23 @@
     # The only regions that may serve it; empty for all.
     allowed_regions: tuple[str, ...] = ()
 
+    @model_validator(mode='after')
+    def _leads_somewhere(self) -> '_Route':
+        if self.service is None and not any(
+            share.weight > 0 for share in self.backends
+        ):
+            raise ValueError('the route names no service')
+        return self
+
 
 class _Service(_Model):
     health_path: str = '/healthz'
-    # Connections an upstream takes from all entry hosts together.
-    max_conns: int = 100
+    # Connections an upstream takes from all entry hosts together. Without it
+    # each host keeps to the few that it needs.
+    max_conns: int = 0
     cold_start_s: float = 0
     # Requests a second that a cold upstream bears from all entry hosts.
+    # Without it none are sent: the upstream may fall over.
     cold_per_s: float = 0
 
 
@@ -83,10 +100,12 @@
 class _Info(_Model):
     service: str
     zone: str
+    # Without it one request at a time is what it surely bears.
     slots: int = 1
 
 
 class _Status(_Model):
+    # Without it ready: a leaving upstream says so, or its entry goes.
     state: Literal['ready', 'draining'] = 'ready'
     # Time left, counted from when the upstream wrote the entry.
     cold_left_ms: float = 0
@@ -158,7 +177,14 @@
         header_seconds=parsed.limits.header_timeout_ms / _MILLISECONDS,
         idle_seconds=parsed.limits.idle_timeout_ms / _MILLISECONDS,
     )
-    return Steering(version, routes, services, limits, index_routes(routes))
+    return Steering(
+        version,
+        routes,
+        services,
+        limits,
+        index_routes(routes),
+        gaps=_configuration_gaps(parsed),
+    )
 
 
 def decode_upstream_entry(stored: StoredObject) -> UpstreamEntry | None:
@@ -190,6 +216,10 @@
         phase=UpstreamPhase(spec.status.state),
         cold_seconds=spec.status.cold_left_ms / _MILLISECONDS,
         revision=stored.metadata.revision,
+        gaps=(
+            *_gaps('info', spec.info, ('slots',)),
+            *_gaps('status', spec.status, ('state', 'cold_left_ms')),
+        ),
     )
 
 
@@ -219,6 +249,30 @@
     }
 
 
+def _gaps(
+    place: str,
+    model: BaseModel,
+    names: tuple[str, ...],
+) -> tuple[str, ...]:
+    """Return the fields of an object that were not given, with their place."""
+    return tuple(
+        f'{place}.{name}'
+        for name in names
+        if name not in model.model_fields_set
+    )
+
+
+def _configuration_gaps(parsed: _Configuration) -> tuple[str, ...]:
+    gaps = list(_gaps('limits', parsed.limits, tuple(_Limits.model_fields)))
+    for name, route in parsed.routes.items():
+        place = f'routes.{name}'
+        gaps.extend(_gaps(place, route, ('priority', 'max_attempts')))
+    for name, service in parsed.services.items():
+        place = f'services.{name}'
+        gaps.extend(_gaps(place, service, tuple(_Service.model_fields)))
+    return tuple(gaps)
+
+
 def _decode_route(name: str, route: _Route) -> SteeredRoute:
     shares = tuple(
         ServiceShare(share.service, share.weight) for share in route.backends
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -75,6 +75,11 @@
         'a newer version is in force on this host',
         'version before source routes',
     ),
+    _kind(
+        'configuration-incomplete',
+        'a version leaves out fields; docs/reference/settings.md has the rest',
+        'version missing',
+    ),
     _kind(
         'configuration-rejected',
         'a stored version cannot be used; the one before stays',
@@ -120,6 +125,11 @@
         'an upstream is more, or no longer, crowded than others: keys move',
         'upstream service crowding weight before',
     ),
+    _kind(
+        'upstream-incomplete',
+        'an entry in the store leaves out fields that have a stand-in',
+        'upstream missing',
+    ),
     _kind(
         'upstream-unreadable',
         'an entry in the store cannot be decoded',
--- a/src/wardstair/state/belief.py
+++ b/src/wardstair/state/belief.py
@@ -91,6 +91,12 @@
             source=source,
             routes=len(steering.routes),
         )
+        if steering.gaps:
+            log_warning(
+                'configuration-incomplete',
+                version=steering.version,
+                missing=','.join(steering.gaps),
+            )
         self.on_steering()
         return True
 
--- a/src/wardstair/state/entries.py
+++ b/src/wardstair/state/entries.py
@@ -1,6 +1,6 @@
 """What the platform tells of upstreams, in the product's own terms."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 
@@ -26,6 +26,7 @@
         cold_seconds: Seconds for which it stays cold, counted from the
             moment the entry was read.
         revision: Store revision at which the entry last changed.
+        gaps: Fields that it left out and that have a stand-in.
     """
 
     name: str
@@ -37,3 +38,4 @@
     phase: UpstreamPhase
     cold_seconds: float
     revision: int = 0
+    gaps: tuple[str, ...] = field(default=(), compare=False)
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -15,7 +15,7 @@
     decode_upstream_entry,
 )
 from wardstair.platform.store import Changes, Listing, Store
-from wardstair.process.log import log_event
+from wardstair.process.log import log_event, log_warning
 from wardstair.state.belief import Belief
 from wardstair.state.contact import StoreContact
 from wardstair.state.entries import UpstreamEntry
@@ -224,5 +224,11 @@
         if entry is None:
             log_event('upstream-unreadable', upstream=stored.metadata.name)
             continue
+        if entry.gaps:
+            log_warning(
+                'upstream-incomplete',
+                upstream=entry.name,
+                missing=','.join(entry.gaps),
+            )
         entries.append(entry)
     return entries
--- a/src/wardstair/version/steering.py
+++ b/src/wardstair/version/steering.py
@@ -111,6 +111,7 @@
         services: Services by name.
         limits: Limits for callers.
         by_host: Routes of each host name, longest prefix first.
+        gaps: Fields that it leaves out and that have a stand-in.
     """
 
     version: int
@@ -120,6 +121,7 @@
     by_host: Mapping[str, tuple[SteeredRoute, ...]] = field(
         default_factory=dict,
     )
+    gaps: tuple[str, ...] = ()
 
     def find_route(self, host: str, path: str) -> SteeredRoute | None:
         """Return the route with the longest prefix of a path, or None.
