Pace what moves between regions when a route gets other services

Cause: max_shift, the part of a region's requests that may move to another region from one window of two seconds to the next, was decoded and used by nothing. Played: a split route whose weights turn from 0.9/0.1 to 0.1/0.9, the second service with an eighth of its upstreams in the region, the first with a third: 0.34 of the region's requests moved at once, 0.15 are allowed. Ruled out as movers by the same play (at most 0.08): a tenth of the upstreams draining, two steps of relief, a zone's upstreams doubled. Change: the weights hold at once; a route that gets other services goes to the regions in the shares it had and from there to its own ones by 0.6 of the bound a window. Moves that allowed regions order are not paced. Not covered: room in the regions, where a region's homes are all full and requests go to later ranks; that needs a play of load.

--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -184,11 +184,13 @@
 
     def ranked(self, ask: Ask) -> list[Upstream]:
         """Return the upstreams that may serve a request, its home first."""
+        name = ask.route.name
         key = KeyAsk(
             ask.service,
             ask.key,
             ask.route.regions,
             self._haul_of(ask),
+            name if self._homes.is_moving(name) else '',
         )
         return self._homes.ranked(key)
 
--- a/src/wardstair/gateway/homes.py
+++ b/src/wardstair/gateway/homes.py
@@ -11,11 +11,14 @@
 from wardstair.decisions.locality import Kept, RegionPart, near_factor
 from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.ranking import Nearness, Place, rank
+from wardstair.decisions.region_pace import odds_factor
 from wardstair.decisions.relief import STEP_SECONDS, Crowd, relieved
+from wardstair.gateway.moving import RegionMoves
 from wardstair.gateway.settings import LiveSettings
 from wardstair.process.log import log_event
 from wardstair.state.belief import Belief
 from wardstair.state.upstream import Upstream
+from wardstair.version.steering import SteeredRoute
 
 # Ranked keys kept; a change of the upstreams or their weights empties the
 # table.
@@ -31,6 +34,10 @@
 KEPT = Kept(most=0.7, fullness=1.0)
 
 
+# While a route moves between regions its keys are ranked anew this often.
+MOVE_STEP_SECONDS = 0.25
+
+
 class Haul(Enum):
     """What a request weighs on the way, with factors by place.
 
@@ -55,12 +62,14 @@
         key: What the request concerns.
         regions: The only regions that may serve it; empty for all.
         haul: What it weighs on the way.
+        route: Its route while that moves between regions, else empty.
     """
 
     service: str
     key: str
     regions: frozenset[str]
     haul: Haul
+    route: str = ''
 
 
 class Homes:
@@ -77,6 +86,9 @@
         self._belief = belief
         self._ranked: dict[KeyAsk, list[Upstream]] = {}
         self._near: dict[tuple[str, frozenset[str], Haul], Nearness] = {}
+        self._moves = RegionMoves()
+        self._now = 0.0
+        self._moved_at = 0.0
         self._generation = -1
         self._ranked_by = settings.current
         self._stepped_at = 0.0
@@ -98,6 +110,8 @@
         Args:
             now: Monotonic time in seconds.
         """
+        self._now = now
+        self._follow_moves()
         if now - self._stepped_at < STEP_SECONDS:
             return
         self._stepped_at = now
@@ -112,6 +126,49 @@
         for upstreams in by_service.values():
             self._relieve(upstreams)
 
+    def is_moving(self, route: str) -> bool:
+        """Return whether a route's requests are moving between regions."""
+        return self._offset(route) != 0
+
+    def _follow_moves(self) -> None:
+        is_new = self._moves.follow(
+            self._belief.steering,
+            self._region_share,
+            self._now,
+            self._most_share,
+        )
+        if is_new or self._now - self._moved_at >= MOVE_STEP_SECONDS:
+            self._moved_at = self._now
+            self._ranked = {
+                ask: ranked
+                for ask, ranked in self._ranked.items()
+                if not ask.route
+            }
+
+    @property
+    def _most_share(self) -> float:
+        return self._settings.current.bounds.shift_share
+
+    def _offset(self, route: str) -> float:
+        return self._moves.offset(route, self._now, self._most_share)
+
+    def _region_share(self, service: str, route: SteeredRoute) -> float:
+        """Return the share of a service's requests that run in the region."""
+        self._forget_old()
+        ask = KeyAsk(service, '', route.regions, Haul.light)
+        upstreams = self._allowed(ask)
+        return self._share(upstreams, self._nearness(ask, upstreams))
+
+    def _share(self, upstreams: list[Upstream], near: Nearness) -> float:
+        own = 0.0
+        total = 0.0
+        for one in upstreams:
+            weight = one.entry.slots * self._factor(one, near)
+            total += weight
+            if self._settings.current.is_in_region(one.entry.zone):
+                own += weight
+        return own / total if total else 0.0
+
     def _forget_old(self) -> None:
         """Drop ranks that were made for other upstreams or settings."""
         generation = self._belief.catalog.generation
@@ -145,16 +202,23 @@
         if changed:
             self._ranked.clear()
 
-    def _rank(self, ask: KeyAsk) -> list[Upstream]:
-        by_name = {
-            upstream.name: upstream
+    def _allowed(self, ask: KeyAsk) -> list[Upstream]:
+        return [
+            upstream
             for upstream in self._belief.catalog.of_service(ask.service)
             if self._is_allowed(ask.regions, upstream)
-        }
-        uses = self._settings.current.uses(Mechanism.near_homes)
-        if not uses or ask.haul is Haul.large:
-            return self._order(ask.key, by_name, ask.haul.value)
-        nearness = self._nearness(ask, list(by_name.values()))
+        ]
+
+    def _rank(self, ask: KeyAsk) -> list[Upstream]:
+        upstreams = self._allowed(ask)
+        nearness = self._nearness(ask, upstreams)
+        offset = self._offset(ask.route)
+        if offset:
+            factor = odds_factor(self._share(upstreams, nearness), offset)
+            nearness = Nearness(
+                nearness.zone * factor, nearness.region * factor
+            )
+        by_name = {upstream.name: upstream for upstream in upstreams}
         return self._order(ask.key, by_name, nearness)
 
     def _order(
@@ -185,6 +249,9 @@
     def _nearness(self, ask: KeyAsk, upstreams: list[Upstream]) -> Nearness:
         """Return the factors for one kind of request."""
         plain: Nearness = ask.haul.value
+        uses = self._settings.current.uses(Mechanism.near_homes)
+        if not uses or ask.haul is Haul.large:
+            return plain
         name = (ask.service, ask.regions, ask.haul)
         known = self._near.get(name)
         if known is None:
--- a/src/wardstair/gateway/settings.py
+++ b/src/wardstair/gateway/settings.py
@@ -56,6 +56,9 @@
             it none.
         lookup_seconds: Longest time that a look-up may be cached; without it
             a second, which costs look-ups but leaves no caller behind.
+        shift_share: Largest part of a region's requests that may move to
+            another region between two windows of two seconds. Without it a
+            twentieth, as far as the spread of keys lets a bound be kept.
     """
 
     drain_seconds: float = 1.0
@@ -69,6 +72,7 @@
     cold_overshoot: float = 1.0
     cold_slack: float = 0.0
     lookup_seconds: float = 1.0
+    shift_share: float = 0.05
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wardstair/platform/bounds.py
+++ b/src/wardstair/platform/bounds.py
@@ -42,6 +42,7 @@
     # Requests in one second, not a rate factor.
     'cold_slack': _Bound('cold_slack'),
     'lookup_seconds': _Bound('ttl_max_s'),
+    'shift_share': _Bound('max_shift'),
 }
 
 
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -120,6 +120,11 @@
         'an upstream is far slower than usual or fails often; it is left out',
         'upstream service reason slowness errors seconds',
     ),
+    _kind(
+        'region-move-paced',
+        'a route has other services: its requests change regions in steps',
+        'route offset',
+    ),
     _kind(
         'upstream-relieved',
         'an upstream is more, or no longer, crowded than others: keys move',
--- a/tests/lib/template.py
+++ b/tests/lib/template.py
@@ -23,6 +23,7 @@
     'cold_overshoot': 1.75,
     'cold_slack': 7,
     'ttl_max_s': 6,
+    'max_shift': 0.2,
 }
 
 
