--- a/tests/unit/test_bounds.py
+++ b/tests/unit/test_bounds.py
@@ -10,8 +10,12 @@
 from wardstair.cli.check import check
 from wardstair.errors import ConfigurationError
 from wardstair.gateway.settings import Bounds, GatewaySettings
+from wardstair.platform.bounds import BOUNDS as DECODED
+from wardstair.platform.bounds import decode_bounds
 from wardstair.platform.settings import load_settings
 
+ROOT = Path(__file__).parents[2]
+BOUND_NAMES = {bound.name: bound for bound in DECODED.values()}
 TEXTS = [f'{name}={value}' for name, value in BOUNDS.items()]
 
 
@@ -113,3 +117,15 @@
     with pytest.raises(SystemExit):
         check(str(file))
     assert 'the bound 0=3 has no name' in capsys.readouterr().out
+
+
+def test_the_page_lists_every_bound_with_its_stand_in() -> None:
+    page = (ROOT / 'docs' / 'reference' / 'settings.md').read_text()
+    rows = [line.split('|') for line in page.splitlines() if '|' in line]
+    listed = {row[1].strip(): row for row in rows}
+    for gap in decode_bounds(()).gaps:
+        name = gap.name.removeprefix('bounds.')
+        row = listed[f'`{name}`']
+        least = BOUND_NAMES[name].least
+        assert row[3].strip() == f'{least:g}'
+        assert row[5].split(':')[0].split()[0] == f'{gap.used:g}'
