Let hosts find each other through seeds and one another, the store last

Cause: every start wrote an object and listed all hosts, 4 pages at 195 and 24 at 1,200 hosts; and a host that had heard nobody yet took itself for a relay and a sentinel, so it also listed configuration, evacuations and all upstreams. Ruled out: sampled views (docs/design/state-and-membership.md); seeds only, two halves would need a person. Change: answers to a greeting name the newcomer's zone and hosts elsewhere; heartbeats tell how many hosts the sender knows, and who knows fewer asks; relays name hosts of other zones; a host without anybody greets its seeds each second. Only relays and hosts without an answer write and list objects, relays again each 10 s. For 2.5 s a host leaves being a relay to others that have a configuration, and reads nothing from the store before somebody answered (0.3 s at most). Until then it takes the fleet for the largest planned, since a herd of 195 that knows nobody would spend 195 times the resends of one. Before: a host's start makes 4 to 9 calls (tests: 4 with one page of hosts). After: none for a host that joins others; of 10 hosts in 2 zones at most 6 ever register (tests/functional/test_gateway_fleet.py). Fleets of 2 to 198 hosts with a tenth of the datagrams lost are whole after 15 heartbeats, halves meet by one name (tests/unit/test_joining.py). The soak kills all hosts at once, starts seeds last and starts hosts without a store; the seed that failed once keeps the faults it drew.

--- a/src/wardstair/fleet/members.py
+++ b/src/wardstair/fleet/members.py
@@ -25,6 +25,12 @@
 OWN_PAUSE_SECONDS = 1.5
 
 
+# Times that a host which knows more of the zone is asked for names, each time
+# that more are told of. Names of hosts that are gone would otherwise be asked
+# for again and again, since each host forgets them at a time of its own.
+MOST_ASKED = 12
+
+
 @dataclass(slots=True)
 class Member:
     """An entry host as this one sees it.
@@ -81,11 +87,13 @@
         clock: Monotonic time in seconds.
         hears_store: Whether this host is in contact with the store.
         replaced_seconds: Silence after which a relay is replaced.
+        is_settled: Whether this host had time to hear the others.
         is_busy: Whether this host is short of processor time.
         is_leaving: Whether this host is about to stop.
         table: Members by name.
         hinted: Relays of other zones, as a host of theirs named them.
         generation: Grows when the set of live hosts changes.
+        registered_size: Largest fleet that hosts in the store have stated.
     """
 
     own: PeerName
@@ -94,11 +102,15 @@
     replaced_seconds: Callable[[], float] = field(
         default=lambda: LEAST_REPLACED_SECONDS,
     )
+    is_settled: Callable[[], bool] = field(default=lambda: True)
     is_busy: bool = False
     is_leaving: bool = False
     table: dict[str, Member] = field(default_factory=dict)
     hinted: dict[str, tuple[str, ...]] = field(default_factory=dict)
     generation: int = 0
+    registered_size: int = 0
+    _asked_for: int = 0
+    _asked: int = 0
 
     @property
     def relays(self) -> tuple[str, ...]:
@@ -109,7 +121,7 @@
             for one in self.in_zone(self.own.zone)
             if self.is_heard(one, silent) and not one.is_leaving
         ]
-        if not self.is_leaving or not candidates:
+        if self._may_relay(candidates):
             own = RelayCandidate(self.own.name, self.hears_store())
             candidates.append(own)
         return choose_relays(candidates, self.own.zone)
@@ -145,6 +157,9 @@
             for one in self.in_zone(self.own.zone)
             if one.is_relay and self.is_live(one)
         ]
+        if not self.live():
+            # Alone: others may go on whom this host has never heard.
+            told.append(self.registered_size)
         return max(self.counted_size, *told, 1)
 
     def zones(self) -> set[str]:
@@ -216,6 +231,24 @@
         names.add(self.own.name)
         return names
 
+    def better_informed(self) -> list[Member]:
+        """Return hosts of the zone that know more of it, if any is to be asked.
+
+        A seed names as many hosts as a datagram holds, and one of another zone
+        knows hardly any.
+        """
+        heard = [
+            one for one in self.in_zone(self.own.zone) if self.is_live(one)
+        ]
+        most = max((one.zone_size for one in heard), default=0)
+        if most > self._asked_for:
+            self._asked_for = most
+            self._asked = 0
+        if most <= self.zone_size or self._asked >= MOST_ASKED:
+            return []
+        self._asked += 1
+        return [one for one in heard if one.zone_size > self.zone_size]
+
     def known_in_zone(self) -> set[str]:
         """Return names of this zone's hosts, heard or not, this one's too."""
         names = {one.peer.name for one in self.in_zone(self.own.zone)}
@@ -267,5 +300,18 @@
             if now - one.heard_at > FORGOTTEN_SECONDS
         ]
 
+    def _may_relay(self, others: list[RelayCandidate]) -> bool:
+        """Return whether this host is to be chosen from beside others.
+
+        One that has just started hears few, and would take itself for a relay
+        and read everything from the store: 8 calls a start at 195 hosts. It
+        leaves that to others as long as one of them has what it needs.
+        """
+        if self.is_leaving and others:
+            return False
+        return self.is_settled() or not any(
+            one.versions.configuration >= 0 for one in self.live()
+        )
+
     def _has_stepped_down(self, beat: Beat) -> bool:
         return beat.sender.zone != self.own.zone and not beat.is_relay
--- a/src/wardstair/fleet/radio.py
+++ b/src/wardstair/fleet/radio.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import cast
 
@@ -28,6 +28,9 @@
 FAR_TARGETS = RELAYS_A_ZONE
 # A newcomer asks again this often until somebody answers.
 HELLO_SECONDS = 0.3
+# Hosts of other zones that each heartbeat of a relay names: whoever takes its
+# place has to know some, and a zone of 20 hosts hears 40 names a second.
+FAR_NAMED = 2
 # Spread of the heartbeats, so that hosts started together do not beat so.
 JITTER = 0.1
 
@@ -52,6 +55,8 @@
         """
         self.on_beat: Callable[[Beat], None] = _ignore
         self.sent = 0
+        # Set once a host has answered, or has had the time to.
+        self.is_greeted = asyncio.Event()
         self._members = members
         self._port = port
         self._versions = versions
@@ -90,11 +95,11 @@
         members = self._members
         members.learn(beat.named)
         if members.hear(beat):
+            self.is_greeted.set()
             self.on_beat(beat)
         match beat.kind:
             case BeatKind.hello:
-                named = self._names_for(beat.sender.zone)
-                self._send(beat.sender.address, self._beat(named=named))
+                self._answer(beat.sender)
             case BeatKind.redirect:
                 names = tuple(peer.name for peer in beat.named)
                 members.hinted[beat.sender.zone] = names
@@ -120,12 +125,24 @@
             if gap > BEAT_SECONDS + OWN_PAUSE_SECONDS:
                 log_warning('host-paused', seconds=round(gap, 1))
                 self._members.forgive_pause(gap - BEAT_SECONDS)
-            self.send_beats()
-            self._members.check()
+            self.beat(seeds)
+
+    def beat(self, seeds: Iterable[str]) -> None:
+        """Do what is due each second.
+
+        Args:
+            seeds: IP addresses to greet as long as nobody is heard.
+        """
+        self.send_beats()
+        if self._members.live():
+            self._ask_for_names()
+        else:
+            self.greet(seeds)
+        self._members.check()
 
     def send_beats(self) -> None:
         """Send a heartbeat now to everybody who should have it."""
-        datagram = encode_beat(self._beat())
+        datagram = encode_beat(self._beat(named=self._far_names()))
         addresses = self._near_addresses()
         if self._members.is_relay:
             self._far = self._far_addresses()
@@ -137,15 +154,40 @@
         for address in addresses:
             self._send_bytes(address, datagram)
 
+    def greet(self, seeds: Iterable[str]) -> None:
+        """Ask the hosts known, and others, who is there.
+
+        Args:
+            seeds: IP addresses of those others.
+        """
+        greeted = self._near_addresses().union(seeds)
+        for address in greeted - {self._members.own.address}:
+            self._send(address, self._beat(BeatKind.hello))
+
+    def _ask_for_names(self) -> None:
+        """Ask a host of the zone that knows more of it than this one."""
+        informed = self._members.better_informed()
+        if informed:
+            asked = self._random.choice(informed)
+            self._send(asked.peer.address, self._beat(BeatKind.hello))
+
     async def _greet(self, seeds: tuple[str, ...]) -> None:
         for _ in range(3):
-            greeted = self._near_addresses().union(seeds)
-            for address in greeted - {self._members.own.address}:
-                self._send(address, self._beat(BeatKind.hello))
+            self.greet(seeds)
             await asyncio.sleep(HELLO_SECONDS)
+            self.is_greeted.set()
             if self._members.live():
+                # To the hosts just named, which have not heard of this one.
+                self.send_beats()
                 return
 
+    def _answer(self, newcomer: PeerName) -> None:
+        """Name hosts that a newcomer should know: its zone's, then others."""
+        near, far = self._names_for(newcomer.zone)
+        self._send(newcomer.address, self._beat(named=near))
+        if far:
+            self._send(newcomer.address, self._beat(named=far))
+
     def _near_addresses(self) -> set[str]:
         zone = self._members.own.zone
         return {one.peer.address for one in self._members.in_zone(zone)}
@@ -191,14 +233,24 @@
         answer = self._beat(BeatKind.redirect, named=named)
         self._send(beat.sender.address, answer)
 
-    def _names_for(self, zone: str) -> tuple[PeerName, ...]:
-        """Return hosts that a newcomer should know: its zone's, then ours."""
+    def _names_for(
+        self,
+        zone: str,
+    ) -> tuple[tuple[PeerName, ...], tuple[PeerName, ...]]:
+        """Return hosts of a zone, and heard ones of others, one answer each."""
         members = self._members
-        wanted = [one.peer for one in members.in_zone(zone)]
-        self._random.shuffle(wanted)
-        near = [one.peer for one in members.live() if one.peer not in wanted]
+        near = [one.peer for one in members.in_zone(zone)]
+        far = [one.peer for one in members.live() if one.peer.zone != zone]
         self._random.shuffle(near)
-        return tuple([*wanted, *near][:MOST_NAMED])
+        self._random.shuffle(far)
+        return tuple(near[:MOST_NAMED]), tuple(far[:MOST_NAMED])
+
+    def _far_names(self) -> tuple[PeerName, ...]:
+        """Return some hosts of other zones, for who may become a relay."""
+        zone = self._members.own.zone
+        live = self._members.live()
+        far = [one.peer for one in live if one.peer.zone != zone]
+        return tuple(self._random.sample(far, min(FAR_NAMED, len(far))))
 
     def _beat(
         self,
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -53,11 +53,16 @@
 # How often what is past is swept out: connections, missing upstreams.
 SWEEP_SECONDS = 0.5
 # Time after the start to hear the other hosts before cold upstreams get
-# requests from here.
+# requests from here, and before this host is a relay beside others.
 SETTLE_SECONDS = 2.5
+# The fleet's size as a host takes it that cannot know it yet, so that hundreds
+# of hosts which start at once do not each spend what is meant for a few: the
+# largest fleet of the users' plan.
+UNSETTLED_FLEET_SIZE = 1200
 # When the whole fleet starts for the first time, no caller waits yet: only the
 # hosts that are relays then need to read the store. A host that starts into
-# traffic does not wait.
+# traffic waits until another has answered, 0.3 s at most: from then on it knows
+# whether it is a relay, and gets from others what they have.
 FIRST_LISTING_SECONDS = 1.2
 # Part of an upstream's connections that the fleet uses.
 CONNECTION_SHARE = 0.8
@@ -108,6 +113,7 @@
             clock,
             lambda: self.contact.is_held,
             lambda: self.live_settings.current.timing.replaced,
+            self._is_settled,
         )
         self.radio = Radio(
             self.members,
@@ -140,6 +146,7 @@
             self.contact,
             own,
             self.members,
+            self.radio.is_greeted.wait,
         )
         distances = Distances(self.live_settings)
         self.pool = UpstreamPool(self._most_connections)
@@ -158,6 +165,9 @@
             body_room(settings.memory_bytes),
             reporter.unheld,
         )
+        # Time that this host takes to know the others, in seconds.
+        self.settle_seconds = SETTLE_SECONDS
+        self.refresh_view()
         add_gauges(self)
         self._supervisor = Supervisor(self.metrics.task_failures.add)
         self._servers: list[HTTPServer] = []
@@ -307,6 +317,10 @@
         share = service.most_connections * CONNECTION_SHARE / hosts
         return max(LEAST_CONNECTIONS, int(share))
 
+    def refresh_view(self) -> None:
+        """Let requests be placed by whom this host knows and hears now."""
+        self.chooser.view = self._view()
+
     async def _sweep(self) -> None:
         while True:
             due = self._clock() + SWEEP_SECONDS
@@ -317,12 +331,13 @@
             catalog.expire_missing()
             self.pool.sweep(self._is_wanted)
             self.chooser.forget(set(catalog.upstreams))
-            self.chooser.view = self._view()
+            self.refresh_view()
 
     def _follow(self, follower: Follower) -> Callable[[], Awaitable[None]]:
         async def follow() -> None:
             if self.settings.is_first_start:
                 await asyncio.sleep(FIRST_LISTING_SECONDS)
+            await self.radio.is_greeted.wait()
             await follower.run()
 
         return follow
@@ -334,16 +349,21 @@
 
     def _view(self) -> HostView:
         members = self.members
+        is_settled = self._is_settled()
+        least = 0 if is_settled else UNSETTLED_FLEET_SIZE
         return HostView(
             own=self.settings.name,
             zone=self.settings.zone,
             live=sorted(members.live_in_zone()),
             known=sorted(members.known_in_zone()),
-            fleet_size=members.fleet_size,
+            fleet_size=max(members.fleet_size, least),
             zones=frozenset(members.zones()),
-            is_settled=self._clock() - self._started_at > SETTLE_SECONDS,
+            is_settled=is_settled,
         )
 
+    def _is_settled(self) -> bool:
+        return self._clock() - self._started_at > self.settle_seconds
+
     def _is_wanted(self, name: str) -> bool:
         upstream = self.belief.catalog.upstreams.get(name)
         return upstream is not None and upstream.takes_work
--- a/src/wardstair/platform/objects.py
+++ b/src/wardstair/platform/objects.py
@@ -1,6 +1,7 @@
 """Objects of the platform's store, decoded into the product's types."""
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Literal
 
 from pydantic import (
@@ -121,6 +122,21 @@
     zone: str
     address: str
     front: str
+    # Hosts that it knew of in all zones.
+    fleet: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RegisteredHost:
+    """An entry host as its object in the store tells of it.
+
+    Attributes:
+        peer: Who it is.
+        fleet_size: Hosts that it knew of in all zones when it registered.
+    """
+
+    peer: PeerName
+    fleet_size: int
 
 
 class Metadata(_Model):
@@ -223,28 +239,31 @@
     )
 
 
-def decode_host(stored: StoredObject) -> PeerName | None:
+def decode_host(stored: StoredObject) -> RegisteredHost | None:
     """Decode an entry host's object; None if it is not usable."""
     try:
         spec = _HostSpec.model_validate(stored.spec)
     except ValidationError:
         return None
-    return PeerName(
+    peer = PeerName(
         stored.metadata.name,
         spec.zone,
         spec.address,
         spec.front,
     )
+    return RegisteredHost(peer, spec.fleet)
 
 
-def encode_host(host: PeerName) -> dict[str, object]:
+def encode_host(host: RegisteredHost) -> dict[str, object]:
     """Return the object that registers an entry host."""
+    peer = host.peer
     return {
-        'metadata': {'name': host.name},
+        'metadata': {'name': peer.name},
         'spec': {
-            'zone': host.zone,
-            'address': host.address,
-            'front': host.front,
+            'zone': peer.zone,
+            'address': peer.address,
+            'front': peer.front,
+            'fleet': host.fleet_size,
         },
     }
 
--- a/src/wardstair/platform/store.py
+++ b/src/wardstair/platform/store.py
@@ -122,10 +122,22 @@
         if client is not None:
             close_client(client)
 
-    async def list_kind(self, kind: str) -> Result[Listing, PlatformError]:
-        """List all objects of a kind, page by page."""
+    async def list_kind(
+        self,
+        kind: str,
+        *,
+        is_stale: bool = False,
+    ) -> Result[Listing, PlatformError]:
+        """List all objects of a kind, page by page.
+
+        Args:
+            kind: The kind.
+            is_stale: Whether it may be some seconds old, at a tenth of the
+                price.
+        """
         listed: list[StoredObject] = []
-        query: dict[str, object] = {}
+        plain: dict[str, object] = {'stale_ok': 1} if is_stale else {}
+        query = plain
         while True:
             answered = await self._call('GET', _path(kind, query=query))
             if isinstance(answered, Err):
@@ -137,7 +149,7 @@
             listed.extend(page.items)
             if not page.truncated or not page.items:
                 return Ok(Listing(tuple(listed), page.as_of))
-            query = {'after': page.items[-1].metadata.name}
+            query = {**plain, 'after': page.items[-1].metadata.name}
 
     async def watch_kind(
         self,
--- a/src/wardstair/state/registration.py
+++ b/src/wardstair/state/registration.py
@@ -1,4 +1,10 @@
-"""Registers this entry host in the store, finds others, removes dead ones."""
+"""The meeting point of entry hosts in the store, for those who find nobody.
+
+Hosts find each other through seeds and through one another. The store is for
+what that cannot mend: seeds that are gone, and halves of a fleet that formed
+apart. Only relays, and hosts that nobody answers, write and read it, so that
+its cost grows with the zones and not with the hosts.
+"""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -11,6 +17,7 @@
 from wardstair.fleet.members import Members
 from wardstair.platform.objects import (
     HOST_KIND,
+    RegisteredHost,
     StoredObject,
     decode_host,
     encode_host,
@@ -20,8 +27,16 @@
 from wardstair.state.contact import StoreContact
 
 Step = Callable[[], Awaitable[bool]]
-# How often hosts are looked for that are gone for good.
-CLEANING_SECONDS = 10.0
+# How often a relay reads who else is there: two halves of a zone that formed
+# apart have met after this and a heartbeat. Also how often hosts are looked for
+# that are gone for good.
+MEETING_SECONDS = 10.0
+# How long after its start a host that hears others waits for who is a relay.
+SETTLE_SECONDS = 2.5
+# How often it looks whether it has become one.
+LOOK_SECONDS = 1.0
+# An object is written anew when the fleet has grown by this factor since.
+GROWN_FACTOR = 1.25
 
 
 class Registration:
@@ -33,6 +48,7 @@
         contact: StoreContact,
         own: PeerName,
         members: Members,
+        greeted: Callable[[], Awaitable[object]],
     ) -> None:
         """Prepare without a call.
 
@@ -41,20 +57,45 @@
             contact: Contact with it.
             own: This host.
             members: Where found hosts are noted.
+            greeted: Returns once others had the time to answer.
         """
         self._store = store
         self._contact = contact
         self._own = own
         self._members = members
+        self._greeted = greeted
         self._revisions: dict[str, int] = {}
+        # Size of the fleet that this host's object states; 0 without one.
+        self._stated = 0
 
     async def run(self) -> None:
-        """Register, find the others, then clean up until cancelled."""
-        await self._until_done(self._register)
-        await self._until_done(self._find_others)
+        """Meet others in the store as often as it takes, until cancelled."""
+        await self._greeted()
+        if self._members.live():
+            await asyncio.sleep(SETTLE_SECONDS)
         while True:
-            await asyncio.sleep(CLEANING_SECONDS)
-            await self._clean()
+            if self._members.is_relay:
+                await self._meet()
+                await asyncio.sleep(MEETING_SECONDS)
+            else:
+                await asyncio.sleep(LOOK_SECONDS)
+
+    async def _meet(self) -> None:
+        """Write that this host is there, read who else is, and clean up.
+
+        Of any two that come the one that reads later knows the other.
+        """
+        is_first = not self._stated
+        if self._members.fleet_size > self._stated * GROWN_FACTOR:
+            await self._until_done(self._register)
+        await self._until_done(self._find_new if is_first else self._find)
+        await self._clean()
+
+    async def _find_new(self) -> bool:
+        return await self._find_others(is_stale=False)
+
+    async def _find(self) -> bool:
+        return await self._find_others(is_stale=True)
 
     async def _until_done(self, step: Step) -> None:
         while True:
@@ -64,11 +105,13 @@
 
     async def _register(self) -> bool:
         own = self._own
-        document = encode_host(own)
+        size = self._members.fleet_size
+        document = encode_host(RegisteredHost(own, size))
         created = await self._store.create(HOST_KIND, document)
         match created:
             case Ok():
                 self._contact.note_success()
+                self._stated = size
                 return True
             case Err(VersionConflict()):
                 # From an earlier run of this host, or its own call whose
@@ -79,14 +122,16 @@
                     document,
                 )
                 self._contact.note_success()
+                if isinstance(replaced, Ok):
+                    self._stated = size
                 return isinstance(replaced, Ok)
             case Err(error):
                 reason = getattr(error, 'message', type(error).__name__)
                 self._contact.note_failure(f'registration: {reason}')
                 return False
 
-    async def _find_others(self) -> bool:
-        listed = await self._store.list_kind(HOST_KIND)
+    async def _find_others(self, *, is_stale: bool) -> bool:
+        listed = await self._store.list_kind(HOST_KIND, is_stale=is_stale)
         if isinstance(listed, Err):
             reason = getattr(listed.err_value, 'message', 'hosts')
             self._contact.note_failure(f'hosts: {reason}')
@@ -104,16 +149,19 @@
         if host is None:
             log_event('host-unreadable', host=stored.metadata.name)
             return
-        self._revisions[host.name] = stored.metadata.revision
-        found.append(host)
+        peer = host.peer
+        self._revisions[peer.name] = stored.metadata.revision
+        members = self._members
+        members.registered_size = max(members.registered_size, host.fleet_size)
+        found.append(peer)
 
     async def _clean(self) -> None:
-        """Remove hosts that are gone; one live host does it for each."""
+        """Remove hosts that are gone; one relay does it for each."""
         if not self._contact.is_held:
             return
-        live = self._members.live_in_zone()
+        relays = self._members.relays
         for name in self._members.forgotten():
-            chosen = rendezvous(live, f'clean {name}', 1)
+            chosen = rendezvous(relays, f'clean {name}', 1)
             if chosen != [self._own.name]:
                 continue
             revision = self._revisions.get(name)
--- a/tests/functional/test_gateway_fleet.py
+++ b/tests/functional/test_gateway_fleet.py
@@ -8,28 +8,39 @@
 from functools import partial
 from random import Random
 
+import pytest
 from lib.rig import Caller, Rig, free_ports, gateway_settings, until
 from lib.specs import configuration_spec, upstream_spec
 from lib.store_standin import StoreStandin
 from lib.upstream_standin import Seen, UpstreamStandin, answer_never, answer_ok
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
+from wardstair.decisions.relays import RelayCandidate, choose_relays
 from wardstair.gateway.host import GatewayHost
+from wardstair.state import registration
 from wardstair.state.belief import Belief
 
 
+def no_seed(_number: int) -> None:
+    """Give no host a seed."""
+
+
 @asynccontextmanager
 async def fleet(
     size: int = 2,
     store: StoreStandin | None = None,
     zones: tuple[str, ...] = ('north-a',),
+    seed_of: Callable[[int], int | None] = no_seed,
 ) -> AsyncIterator[tuple[StoreStandin, list[GatewayHost]]]:
-    """Run gateways on addresses of their own, in turn in the zones."""
+    """Run gateways on addresses of their own, in turn in the zones.
+
+    Each has the host whose number `seed_of` returns for its own as a seed.
+    """
     store = store or StoreStandin()
     store.start()
     store.put('config', 'main', configuration_spec(1))
     (port,) = free_ports(1)
-    hosts = []
+    hosts: list[GatewayHost] = []
     for number in range(1, size + 1):
         settings = gateway_settings(
             store.port,
@@ -37,6 +48,10 @@
             fleet_port=port,
         )
         settings = replace(settings, zone=zones[number % len(zones)])
+        seed = seed_of(number)
+        if seed is not None and seed < number:
+            known = hosts[seed - 1].settings.control
+            settings = replace(settings, seeds=(str(known),))
         host = GatewayHost(settings, Random(number))
         await host.start()
         hosts.append(host)
@@ -300,3 +315,86 @@
             assert (await caller.answer()).status in {0, 504}
 
     run(test)
+
+
+def host_calls(store: StoreStandin) -> list[str]:
+    """Return the calls that concern entry hosts."""
+    return [call for call in store.calls if '/entry-hosts' in call]
+
+
+def test_hosts_with_a_seed_leave_the_store_to_their_relays() -> None:
+    async def test() -> None:
+        zones = ('north-a', 'south-a')
+        async with fleet(10, zones=zones, seed_of=lambda _: 1) as (
+            store,
+            hosts,
+        ):
+            await until(lambda: are_relays_settled(hosts))
+            await until(lambda: all(host.is_ready for host in hosts))
+            await until(lambda: len(store.kind('entry-hosts').objects) >= 4)
+            # Some were relays for a moment, while few were heard.
+            registered = {*store.kind('entry-hosts').objects}
+            assert len(registered) <= 6
+            written = [one for one in host_calls(store) if one[0] != 'G']
+            assert len(written) <= len(registered)
+
+    run(test)
+
+
+def test_a_host_that_joins_others_reads_nothing_from_the_store() -> None:
+    async def test() -> None:
+        async with fleet(4, seed_of=lambda _: 1) as (store, hosts):
+            await until(lambda: hear_each_other(hosts))
+            await until(lambda: all(host.is_ready for host in hosts))
+            store.put('servers', 'i-1', upstream_spec(1))
+            await until(lambda: knows_upstream(hosts[0], 'i-1'))
+            relays = hosts[0].members.relays
+            port = hosts[0].settings.fleet_ports[0]
+            # Of names, one that makes it no relay.
+            names = [f'new-{number}' for number in range(50)]
+            name = next(
+                one
+                for one in names
+                if one
+                not in choose_relays(
+                    [RelayCandidate(two, True) for two in (*relays, one)],
+                    'north-a',
+                )
+            )
+            settings = gateway_settings(store.port, name, port)
+            seeds = (str(hosts[0].settings.control),)
+            host = GatewayHost(replace(settings, seeds=seeds), Random(9))
+            await host.start()
+            await until(lambda: host.is_ready)
+            await until(lambda: knows_upstream(host, 'i-1'))
+            assert not host.store.calls
+            await host.close()
+
+    run(test)
+
+
+def test_halves_that_formed_apart_meet_at_the_store(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        monkeypatch.setattr(registration, 'MEETING_SECONDS', 0.3)
+        async with fleet(6, seed_of=lambda number: 2 - number % 2) as (
+            _store,
+            hosts,
+        ):
+            await until(lambda: hear_each_other(hosts))
+
+    run(test)
+
+
+def test_hosts_that_start_without_a_store_meet_when_it_is_there() -> None:
+    async def test() -> None:
+        store = StoreStandin()
+        store.status = 503
+        async with fleet(3, store) as (_store, hosts):
+            await until(lambda: all(host.contact.is_lost for host in hosts))
+            assert all(not host.members.live() for host in hosts)
+            store.status = None
+            await until(lambda: hear_each_other(hosts))
+
+    run(test)
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -13,17 +13,26 @@
 
 BROKEN = 'soak.broken'
 SEED = 20261202
+HERD_SEED = 1
 SHORT = Plan(SEED, seconds=6, hosts=4, upstreams=5, callers=6, gap=0.6)
-SEEDS = (SEED, *(one.seed for one in FAILED_SEEDS))
+PLANS = [
+    replace(SHORT, with_herds=False),
+    # Draws each of the faults after which hosts find each other anew.
+    replace(SHORT, seed=HERD_SEED),
+    *(
+        replace(SHORT, seed=one.seed, with_herds=one.with_herds)
+        for one in FAILED_SEEDS
+    ),
+]
 
 
 def run(plan: Plan, folder: Path) -> Verdict:
     return asyncio.run(play(plan, folder))
 
 
-@pytest.mark.parametrize('seed', SEEDS)
-def test_promises_hold_under_drawn_faults(seed: int, tmp_path: Path) -> None:
-    verdict = run(replace(SHORT, seed=seed), tmp_path)
+@pytest.mark.parametrize('plan', PLANS, ids=lambda plan: str(plan.seed))
+def test_promises_hold_under_drawn_faults(plan: Plan, tmp_path: Path) -> None:
+    verdict = run(plan, tmp_path)
     assert verdict.broken == []
     assert verdict.statuses[200]
     assert verdict.faults
@@ -41,7 +50,7 @@
 ) -> None:
     monkeypatch.setenv(KIND_VARIABLE, kind)
     # Many lost answers, so that a busy machine with few requests has some.
-    plan = replace(SHORT, module=BROKEN, lost_share=0.25)
+    plan = replace(SHORT, module=BROKEN, lost_share=0.25, with_herds=False)
     verdict = run(plan, tmp_path)
     assert any(words in line for line in verdict.broken)
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 from lib.store_standin import StoreStandin
 
 from soak.ledger import Ledger
-from soak.processes import GatewayProcess
+from soak.processes import SEEDS, GatewayProcess
 from soak.proxy import Mode, Proxy
 from soak.upstreams import Habits, SoakUpstream
 from soak.versions import marked_configuration
@@ -81,6 +81,29 @@
     await asyncio.gather(*(_restart(scene, one) for one in half))
 
 
+async def kill_all(scene: Scene) -> None:
+    """Kill all processes at one moment; no host has what the others lack."""
+    await asyncio.gather(*(_restart(scene, one) for one in scene.gateways))
+
+
+async def start_with_late_seeds(scene: Scene) -> None:
+    """Kill all processes; those that the others greet first start last."""
+    ended = [one for one in scene.gateways if one.is_running]
+    await asyncio.gather(*(one.end() for one in ended))
+    seeds = scene.gateways[:SEEDS]
+    await asyncio.gather(*(one.start() for one in ended if one not in seeds))
+    await asyncio.sleep(scene.draw_seconds())
+    await asyncio.gather(*(one.start() for one in ended if one in seeds))
+
+
+async def start_without_store(scene: Scene) -> None:
+    """Kill half of the processes and start them while the store is away."""
+    scene.store.status = 503
+    await kill_many(scene)
+    await asyncio.sleep(scene.draw_seconds() / 2)
+    scene.store.status = None
+
+
 async def _restart(scene: Scene, gateway: GatewayProcess) -> None:
     if not gateway.is_running:
         return
@@ -225,18 +248,32 @@
     ail_upstream,
     evacuate,
 )
+# What hosts meet that have to find each other anew.
+HERDS: tuple[Fault, ...] = (
+    kill_all,
+    start_with_late_seeds,
+    start_without_store,
+)
 
 
 class Schedule:
     """Applies drawn faults until time is up, some at once."""
 
-    def __init__(self, scene: Scene, gap: float) -> None:
+    def __init__(
+        self,
+        scene: Scene,
+        gap: float,
+        *,
+        with_herds: bool,
+    ) -> None:
         """Prepare.
 
         Args:
             scene: What the faults act on.
             gap: Mean seconds from one fault's begin to the next.
+            with_herds: Whether hosts have to find each other anew.
         """
+        self._groups = (PLANNED, UNPLANNED + HERDS * with_herds)
         self.applied: list[str] = []
         self._scene = scene
         self._gap = gap
@@ -248,7 +285,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         while loop.time() < end:
-            group = random.choice((PLANNED, UNPLANNED))
+            group = random.choice(self._groups)
             self._begin(random.choice(group))
             await asyncio.sleep(random.expovariate(1 / self._gap))
         while self._tasks:
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -43,6 +43,7 @@
         gap: Mean seconds between the begins of faults.
         lost_share: Share of answers that a well upstream loses.
         module: Program that is run as a gateway.
+        with_herds: Whether hosts have to find each other anew.
     """
 
     seed: int
@@ -53,6 +54,7 @@
     gap: float = 1.0
     lost_share: float = LOST_SHARE
     module: str = GATEWAY
+    with_herds: bool = True
 
 
 @dataclass
@@ -150,7 +152,11 @@
             *(caller.run(self._has_ended) for caller in self._callers()),
         ]
         asked = asyncio.gather(*running)
-        schedule = Schedule(scene, self._plan.gap)
+        schedule = Schedule(
+            scene,
+            self._plan.gap,
+            with_herds=self._plan.with_herds,
+        )
         await schedule.run(self._plan.seconds)
         scene.put_configuration()
         await self._wait_well(probes, 'recovery', RECOVERY_SECONDS)
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -15,6 +15,8 @@
 
 TESTS = Path(__file__).parents[1]
 NAMES = ('callers', 'ready', 'control', 'lookups', 'metrics')
+# Hosts that the others greet first.
+SEEDS = 3
 GRACE_SECONDS = 5
 
 
@@ -153,7 +155,7 @@
         )
         for number in range(hosts)
     ]
-    seeds = ', '.join(f'"{one.address}:{ports[2]}"' for one in places[:3])
+    seeds = ', '.join(f'"{one.address}:{ports[2]}"' for one in places[:SEEDS])
     for place in places:
         place.settings.write_text(settings_text(place, zones, seeds))
     return places
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -14,15 +14,18 @@
     Attributes:
         seed: The seed.
         cause: Why, and where it is tested.
+        with_herds: Whether those faults were drawn from as well.
     """
 
     seed: int
     cause: str
+    with_herds: bool = True
 
 
 FAILED_SEEDS: tuple[FailedSeed, ...] = (
     FailedSeed(
         3871459380,
         'a hang-up ended a process that was still loading; test_program.py',
+        with_herds=False,
     ),
 )
--- a/tests/unit/test_fleet_shares.py
+++ b/tests/unit/test_fleet_shares.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from lib.beats import beat_of
+from lib.rig import gateway_settings
 
 from wardstair.decisions.cold import (
     ColdLimit,
@@ -24,6 +25,7 @@
 from wardstair.decisions.split import SplitTally
 from wardstair.fleet.beats import PeerName
 from wardstair.fleet.members import GONE_SECONDS, Members
+from wardstair.gateway.host import GatewayHost
 
 FLEET = ResendLimit(0.2, 64, 10)
 
@@ -221,3 +223,19 @@
     now[0] = GONE_SECONDS + 1
     members.check()
     assert 'b' not in members.table
+
+
+def test_hosts_that_have_just_started_spend_as_part_of_a_large_fleet() -> None:
+    """As after a loss of power, when none of 195 hosts knows the others."""
+    host = GatewayHost(gateway_settings(1), Random(1))
+    bounds = host.settings.bounds
+    fleet = ResendLimit(
+        bounds.retry_ratio,
+        bounds.retry_extra,
+        bounds.retry_window,
+    )
+    spent = host_limit(fleet, host.chooser.view.fleet_size).extra * 195
+    assert spent < fleet.extra / 5
+    host.settle_seconds = 0
+    host.refresh_view()
+    assert host.chooser.view.fleet_size == 1
--- /dev/null
+++ b/tests/unit/test_joining.py
@@ -0,0 +1,129 @@
+"""How hosts find each other through seeds and one another, without a store."""
+
+import asyncio
+from random import Random
+
+import pytest
+from lib.wire import Wire, zone_hosts
+
+SETTLED_BEATS = 12
+
+
+def assert_whole(wire: Wire, zones: int, hosts: int) -> None:
+    """Check that all know their zone, and relays hear all other zones."""
+    for members, _radio in wire.hosts.values():
+        assert len(members.live_in_zone()) == hosts, members.own.name
+        assert members.fleet_size == zones * hosts
+        if members.is_relay:
+            heard = {one.peer.zone for one in members.live()}
+            assert len(heard | {members.own.zone}) == zones
+
+
+@pytest.mark.parametrize(
+    ('zones', 'hosts', 'loss'),
+    [(1, 2, 0.0), (6, 2, 0.0), (9, 22, 0.0), (9, 22, 0.1), (3, 45, 0.05)],
+)
+def test_a_fleet_forms_from_its_seeds(
+    zones: int,
+    hosts: int,
+    loss: float,
+) -> None:
+    async def test() -> None:
+        random = Random(3)
+        wire = Wire()
+        wire.passes = lambda _sender, _receiver: random.random() >= loss
+        peers = [
+            peer
+            for number in range(zones)
+            for peer in zone_hosts(f'z{number}', hosts)
+        ]
+        random.shuffle(peers)
+        seeds = [peer.address for peer in peers[-3:]]
+        wire.start(peers, seeds)
+        wire.beat(SETTLED_BEATS)
+        wire.passes = lambda _sender, _receiver: True
+        # What was lost last does not count; three beats bring it back.
+        wire.beat(3)
+        assert_whole(wire, zones, hosts)
+
+    asyncio.run(test())
+
+
+def test_a_newcomer_learns_its_zone_from_a_seed_elsewhere() -> None:
+    async def test() -> None:
+        wire = Wire()
+        peers = [p for zone in 'abc' for p in zone_hosts(zone, 30)]
+        wire.start(peers[:-1], [peers[0].address])
+        wire.beat(SETTLED_BEATS)
+        wire.start(peers[-1:], [peers[0].address])
+        wire.beat(5)
+        assert_whole(wire, 3, 30)
+
+    asyncio.run(test())
+
+
+def test_a_zone_that_lost_its_relays_hears_the_others_again() -> None:
+    async def test() -> None:
+        wire = Wire()
+        peers = [p for zone in 'abc' for p in zone_hosts(zone, 12)]
+        wire.start(peers, [peers[0].address])
+        wire.beat(SETTLED_BEATS)
+        relays = {
+            name
+            for name, (members, _) in wire.hosts.items()
+            if members.is_relay and members.own.zone == 'b'
+        }
+        assert len(relays) == 2
+        for name in relays:
+            wire.hosts.pop(name)
+        wire.beat(8)
+        for members, _radio in wire.hosts.values():
+            if members.is_relay:
+                zones = {one.peer.zone for one in members.live()}
+                assert {*zones, members.own.zone} == {'a', 'b', 'c'}
+
+    asyncio.run(test())
+
+
+def test_halves_that_formed_apart_meet_when_one_knows_one_of_the_other() -> (
+    None
+):
+    """One name is enough; the store's meeting point brings it."""
+
+    async def test() -> None:
+        wire = Wire()
+        peers = [p for zone in 'ab' for p in zone_hosts(zone, 24)]
+        halves = peers[::2], peers[1::2]
+        for half in halves:
+            wire.start(half, [half[0].address])
+        wire.beat(SETTLED_BEATS)
+        assert len(wire.hosts['a-0'][0].live_in_zone()) == 12
+        for zone in 'ab':
+            members, _radio = wire.hosts[f'{zone}-0']
+            members.learn([wire.hosts[f'{zone}-1'][0].own])
+        wire.beat(SETTLED_BEATS)
+        assert_whole(wire, 2, 24)
+
+    asyncio.run(test())
+
+
+def test_names_of_hosts_that_are_gone_are_not_asked_for_for_ever(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        wire = Wire()
+        peers = zone_hosts('a', 4)
+        wire.start(peers, [peers[0].address])
+        wire.beat(SETTLED_BEATS)
+        # One host remembers names that no other does and cannot pass on.
+        members, radio = wire.hosts['a-0']
+        members.learn(zone_hosts('a', 9))
+        monkeypatch.setattr(radio, '_names_for', lambda _zone: ((), ()))
+        wire.beat(60)
+        asked = wire.sent
+        wire.beat(10)
+        # Heartbeats only: three to hosts that run from each, five to names
+        # that nobody answers from the one.
+        assert wire.sent - asked == 10 * (4 * 3 + 5)
+
+    asyncio.run(test())
