Count calls on the store by what they are for

Each call is paid for; a counter of all of them did not tell listings from watches or proofs. wardstair_store_calls_total has the labels call and kind now.

--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -86,8 +86,8 @@
     )
     metrics.add_count(
         'wardstair_store_calls',
-        'Calls on the store',
-        lambda: [(float(host.store.calls), {})],
+        'Calls on the store, by what they are for and kind of objects',
+        lambda: _store_calls(host),
     )
     metrics.add_count(
         'wardstair_upstream_connections_opened',
@@ -111,6 +111,13 @@
     return -1.0 if heard_at is None else time.monotonic() - heard_at
 
 
+def _store_calls(host: 'GatewayHost') -> list[Row]:
+    return [
+        (float(count), {'call': case.call.value, 'kind': case.kind})
+        for case, count in host.store.calls.items()
+    ]
+
+
 def _gaps(host: 'GatewayHost') -> list[Row]:
     gaps = host.live_settings.current.gaps
     return [(gap.used, {'setting': gap.name}) for gap in gaps]
--- a/src/wardstair/platform/store.py
+++ b/src/wardstair/platform/store.py
@@ -5,8 +5,10 @@
 """
 
 import json
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass
+from enum import StrEnum
 from urllib.parse import quote, urlencode
 
 import pycurl
@@ -94,8 +96,37 @@
     revision: int
 
 
+class CallKind(StrEnum):
+    """What a call on the store is for; each is priced."""
+
+    listing = 'list'
+    stale_listing = 'stale-list'
+    stale_read = 'stale-read'
+    watch = 'watch'
+    creation = 'create'
+    replacement = 'replace'
+    removal = 'delete'
+
+
+@dataclass(frozen=True, slots=True)
+class CallCase:
+    """What calls on the store are counted by.
+
+    Attributes:
+        call: What the call is for.
+        kind: The kind of objects that it concerns.
+    """
+
+    call: CallKind
+    kind: str
+
+
 class Store:
-    """Calls on the store."""
+    """Calls on the store.
+
+    Attributes:
+        calls: Calls made, by what they are for.
+    """
 
     def __init__(self, address: str) -> None:
         """Prepare without a connection.
@@ -103,7 +134,7 @@
         Args:
             address: `ip:port` of the store.
         """
-        self.calls = 0
+        self.calls = Counter[CallCase]()
         self._address = address
         self._client = make_client(_MANY_TRANSFERS, _ANSWER_BYTES)
         # A watch has a client of its own: tornado cannot end a transfer that
@@ -138,7 +169,9 @@
         listed: list[StoredObject] = []
         plain: dict[str, object] = {'stale_ok': 1} if is_stale else {}
         query = plain
+        call = CallKind.stale_listing if is_stale else CallKind.listing
         while True:
+            self._count(call, kind)
             answered = await self._call('GET', _path(kind, query=query))
             if isinstance(answered, Err):
                 return answered
@@ -168,6 +201,7 @@
             'watch': revision,
             'wait_ms': round(seconds * _MILLISECONDS),
         }
+        self._count(CallKind.watch, kind)
         client = self._watches.get(kind)
         if client is None:
             client = make_client(1, _ANSWER_BYTES)
@@ -200,6 +234,7 @@
             kind: Its kind.
             name: Its name.
         """
+        self._count(CallKind.stale_read, kind)
         path = _path(kind, name, {'stale_ok': 1})
         answered = await self._call('GET', path)
         if isinstance(answered, Err):
@@ -215,6 +250,7 @@
         document: Mapping[str, object],
     ) -> Result[bytes, PlatformError]:
         """Create an object; a conflict means that it is there already."""
+        self._count(CallKind.creation, kind)
         return await self._call('POST', _path(kind), document)
 
     async def replace(
@@ -224,6 +260,7 @@
         document: Mapping[str, object],
     ) -> Result[bytes, PlatformError]:
         """Replace an object's own part."""
+        self._count(CallKind.replacement, kind)
         return await self._call('PUT', _path(kind, name), document)
 
     async def delete(
@@ -233,9 +270,13 @@
         revision: int,
     ) -> Result[bytes, PlatformError]:
         """Delete an object if it still has the given revision."""
+        self._count(CallKind.removal, kind)
         query = {'revision': revision}
         return await self._call('DELETE', _path(kind, name, query))
 
+    def _count(self, call: CallKind, kind: str) -> None:
+        self.calls[CallCase(call, kind)] += 1
+
     async def _call(
         self,
         method: str,
@@ -245,7 +286,6 @@
         seconds: float = CALL_SECONDS,
         client: CurlAsyncHTTPClient | None = None,
     ) -> Result[bytes, PlatformError]:
-        self.calls += 1
         used = client or self._client
         body = None if document is None else json.dumps(document)
         request = HTTPRequest(
--- a/tests/functional/test_gateway_process.py
+++ b/tests/functional/test_gateway_process.py
@@ -145,6 +145,8 @@
         assert 'wardstair_requests_total' in metrics
         gauge = r'wardstair_settings_missing{.*="bounds.drain_ms"} 1000\.0'
         assert re.search(gauge, metrics)
+        calls = 'wardstair_store_calls_total{call="watch",kind="servers"'
+        assert calls in metrics
 
         path.write_text(path.read_text() + '"south-a" = "south"\n')
         process.send_signal(signal.SIGHUP)
