Let the members tell who is a sentinel; one wire for the tests of heartbeats

No behaviour changes: the choice moves from the assembly of a host to where the other roles are chosen, and the tests of relays use the fleet of tests/lib.

--- a/src/wardstair/fleet/members.py
+++ b/src/wardstair/fleet/members.py
@@ -3,10 +3,11 @@
 It hears all hosts of its own availability zone and the relays of the others.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from wardstair.decisions.relays import RelayCandidate, choose_relays
+from wardstair.decisions.sentinels import Watcher, choose_sentinels
 from wardstair.decisions.timing import LEAST_REPLACED_SECONDS
 from wardstair.fleet.beats import Beat, PeerName, Versions
 from wardstair.process.log import log_event
@@ -131,6 +132,36 @@
         """Whether this host is a relay of its zone."""
         return self.own.name in self.relays
 
+    def is_sentinel(
+        self,
+        regions: Mapping[str, str],
+        *,
+        takes_part: bool,
+    ) -> bool:
+        """Return whether this host watches the store closely for all.
+
+        Args:
+            regions: Region of each zone.
+            takes_part: Whether this host is in contact and stays.
+        """
+        if not self.is_relay:
+            return False
+        silent = self.replaced_seconds()
+        relays = {self.own.name, *self.relays}
+        hosts = [
+            Watcher(one.peer.name, one.peer.zone)
+            for one in self.table.values()
+            if one.hears_store
+            and not one.is_leaving
+            and self.is_heard(one, silent)
+            and (one.peer.zone != self.own.zone or one.peer.name in relays)
+        ]
+        if takes_part:
+            hosts.append(Watcher(self.own.name, self.own.zone))
+        chosen = choose_sentinels(hosts, regions)
+        # Without any, every relay has to look for itself.
+        return not chosen or self.own.name in chosen
+
     @property
     def zone_size(self) -> int:
         """Hosts known in this host's zone, those not heard included."""
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -13,7 +13,6 @@
 from wardstair.connection.pool import UpstreamPool
 from wardstair.decisions.busyness import Busyness
 from wardstair.decisions.cold import HostView
-from wardstair.decisions.sentinels import Watcher, choose_sentinels
 from wardstair.fleet.beats import PeerName
 from wardstair.fleet.members import Members
 from wardstair.fleet.radio import Radio
@@ -184,25 +183,10 @@
     @property
     def is_sentinel(self) -> bool:
         """Whether this host watches the store closely for the others."""
-        members = self.members
-        if not members.is_relay:
-            return False
-        silent = self.live_settings.current.timing.replaced
-        own = Watcher(self.settings.name, self.settings.zone)
-        relays = {own.name, *members.relays}
-        hosts = [
-            Watcher(one.peer.name, one.peer.zone)
-            for one in members.table.values()
-            if one.hears_store
-            and not one.is_leaving
-            and members.is_heard(one, silent)
-            and (one.peer.zone != own.zone or one.peer.name in relays)
-        ]
-        if self.contact.is_held and not self._is_stopping:
-            hosts.append(own)
-        chosen = choose_sentinels(hosts, self.settings.zones)
-        # Without any, every relay has to look for itself.
-        return not chosen or own.name in chosen
+        return self.members.is_sentinel(
+            self.live_settings.current.zones,
+            takes_part=self.contact.is_held and not self._is_stopping,
+        )
 
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from lib.beats import beat_of, peer_of
+from lib.wire import Wire, zone_hosts
 
 from wardstair.decisions.relays import RelayCandidate, choose_relays
 from wardstair.decisions.timing import LEAST_REPLACED_SECONDS
@@ -91,6 +92,20 @@
     assert members.fleet_size == 9
 
 
+def knowing(zones: int, hosts: int) -> Wire:
+    """Return a fleet of which each host knows all names."""
+    peers = [
+        peer
+        for number in range(zones)
+        for peer in zone_hosts(f'z{number}', hosts)
+    ]
+    wire = Wire()
+    wire.start(peers, ())
+    for members, _radio in wire.hosts.values():
+        members.learn(peers)
+    return wire
+
+
 @pytest.mark.parametrize(
     ('zones', 'hosts'),
     [(1, 4), (3, 2), (6, 12), (9, 9)],
@@ -100,12 +115,12 @@
     hosts: int,
 ) -> None:
     async def test() -> None:
-        wire = Wire(zones, hosts)
+        wire = knowing(zones, hosts)
         for _ in range(8):
             wire.beat()
         before = wire.sent
         wire.beat()
-        for members, _radio in wire.hosts:
+        for members, _radio in wire.hosts.values():
             near = [one.peer.zone == members.own.zone for one in members.live()]
             assert sum(near) == hosts - 1
             heard = Counter(one.peer.zone for one in members.live())
@@ -128,16 +143,16 @@
 
 def test_a_zone_finds_the_new_relays_of_another() -> None:
     async def test() -> None:
-        wire = Wire(3, 6)
+        wire = knowing(3, 6)
         for _ in range(6):
             wire.beat()
         # Both relays of a zone end at once.
-        ended = set(wire.hosts[0][0].relays)
-        wire.end(ended)
+        for name in wire.hosts['z0-0'][0].relays:
+            wire.hosts.pop(name)
         wire.now += SILENT_SECONDS
         for _ in range(6):
             wire.beat()
-        for members, _radio in wire.hosts:
+        for members, _radio in wire.hosts.values():
             if members.is_relay:
                 zones = {one.peer.zone for one in members.live()}
                 assert len(zones | {members.own.zone}) == 3
@@ -157,53 +172,6 @@
     assert decode_beat(encode_beat(beat)) == beat
 
 
-class Wire:
-    """A fleet whose datagrams arrive at once; time moves by the beat."""
-
-    def __init__(self, zones: int, hosts: int) -> None:
-        self.now = 100.0
-        self.sent = 0
-        self.hosts: list[tuple[Members, Radio]] = []
-        self._by_address: dict[str, Radio] = {}
-        names = [f'{z}-{h}' for z in range(zones) for h in range(hosts)]
-        peers = [peer_of(name, name.partition('-')[0]) for name in names]
-        for number, peer in enumerate(peers):
-            members = Members(peer, lambda: self.now, lambda: True)
-            members.learn(peers)
-            radio = _WiredRadio(self, members, number)
-            self.hosts.append((members, radio))
-            self._by_address[peer.address] = radio
-
-    def beat(self) -> None:
-        self.now += 1
-        for _members, radio in self.hosts:
-            radio.send_beats()
-
-    def end(self, names: set[str]) -> None:
-        self.hosts = [
-            (members, radio)
-            for members, radio in self.hosts
-            if members.own.name not in names
-        ]
-        for name in names:
-            del self._by_address[name]
-
-    def carry(self, address: str, datagram: bytes) -> None:
-        self.sent += 1
-        radio = self._by_address.get(address)
-        if radio is not None:
-            radio.datagram_received(datagram, (address, 1))
-
-
-class _WiredRadio(Radio):
-    def __init__(self, wire: Wire, members: Members, seed: int) -> None:
-        super().__init__(members, 1, Versions, Random(seed))
-        self._wire = wire
-
-    def _send_bytes(self, address: str, datagram: bytes) -> None:
-        self._wire.carry(address, datagram)
-
-
 def test_an_answer_to_a_newcomer_names_hosts_of_its_zone_first() -> None:
     answers: list[Beat] = []
 
