Wait before the meeting in the store; do not call hosts lost that live

Change: every host waits 2.5 s before it meets others in the store; a greeting from another zone gives a name only; host-lost is said of hosts of the own zone, relay-unheard of the others. A newcomer whose seeds are in other zones knows by their answers that it need not be a relay. Test first: of 36 hosts that start together and lose a relay, 11 lines, all of that relay (tests/unit/test_joining.py); 5 objects at most for 10 hosts.

--- a/src/wardstair/fleet/members.py
+++ b/src/wardstair/fleet/members.py
@@ -95,6 +95,7 @@
         hinted: Relays of other zones, as a host of theirs named them.
         generation: Grows when the set of live hosts changes.
         registered_size: Largest fleet that hosts in the store have stated.
+        is_informed: Whether a host has said that it has a configuration.
     """
 
     own: PeerName
@@ -110,6 +111,7 @@
     hinted: dict[str, tuple[str, ...]] = field(default_factory=dict)
     generation: int = 0
     registered_size: int = 0
+    is_informed: bool = False
     _asked_for: int = 0
     _asked: int = 0
 
@@ -227,6 +229,7 @@
         if member.run == beat.run and member.number >= beat.number:
             return False
         member.take_in(beat, now)
+        self.is_informed |= beat.versions.configuration >= 0
         if self._has_stepped_down(beat):
             # It lives, but will not be heard from now on.
             member.run = 0
@@ -301,12 +304,7 @@
             if member.was_live and not self.is_live(member):
                 member.was_live = False
                 self.generation += 1
-                log_event(
-                    'host-lost',
-                    host=member.peer.name,
-                    zone=member.peer.zone,
-                    silent=round(self.clock() - member.heard_at, 1),
-                )
+                self._tell_silent(member)
         end = self.clock() - GONE_SECONDS
         self.table = {
             name: member
@@ -314,6 +312,17 @@
             if member.heard_at > end
         }
 
+    def _tell_silent(self, member: Member) -> None:
+        # A relay of another zone may live: relays send to two hosts of each
+        # zone, and to others once they find them.
+        is_own = member.peer.zone == self.own.zone
+        log_event(
+            'host-lost' if is_own else 'relay-unheard',
+            host=member.peer.name,
+            zone=member.peer.zone,
+            silent=round(self.clock() - member.heard_at, 1),
+        )
+
     def forgive_pause(self, gap: float) -> None:
         """Move all times on after a pause of this process."""
         for member in self.table.values():
@@ -340,9 +349,7 @@
         """
         if self.is_leaving and others:
             return False
-        return self.is_settled() or not any(
-            one.versions.configuration >= 0 for one in self.live()
-        )
+        return self.is_settled() or not self.is_informed
 
     def _has_stepped_down(self, beat: Beat) -> bool:
         return beat.sender.zone != self.own.zone and not beat.is_relay
--- a/src/wardstair/fleet/radio.py
+++ b/src/wardstair/fleet/radio.py
@@ -94,7 +94,10 @@
             return
         members = self._members
         members.learn(beat.named)
-        if members.hear(beat):
+        if self._is_far_hello(beat):
+            # Heard once and then no more, it would look lost in a moment.
+            members.learn([beat.sender])
+        elif members.hear(beat):
             self.is_greeted.set()
             self.on_beat(beat)
         match beat.kind:
@@ -218,6 +221,10 @@
             self._random.shuffle(others)
         return targets + others[: FAR_TARGETS - len(targets)]
 
+    def _is_far_hello(self, beat: Beat) -> bool:
+        is_far = beat.sender.zone != self._members.own.zone
+        return is_far and beat.kind is BeatKind.hello
+
     def _is_misdirected(self, beat: Beat) -> bool:
         members = self._members
         is_far = beat.sender.zone != members.own.zone
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -149,7 +149,12 @@
     _kind('host-leaving', 'another entry host is stopping', 'host zone'),
     _kind(
         'host-lost',
-        'another entry host has fallen silent',
+        'another entry host of this zone has fallen silent',
+        'host zone silent',
+    ),
+    _kind(
+        'relay-unheard',
+        'a relay of another zone sends to others now, or has fallen silent',
         'host zone silent',
     ),
     _kind(
--- a/src/wardstair/state/registration.py
+++ b/src/wardstair/state/registration.py
@@ -32,7 +32,9 @@
 # apart have met after this and a heartbeat. Also how often hosts are looked for
 # that are gone for good.
 MEETING_SECONDS = 15.0
-# How long after its start a host that hears others waits for who is a relay.
+# How long after its start a host waits to hear who is a relay. Seeds may load
+# for longer than others: without the wait 63 of 65 hosts that started together
+# took themselves for alone and registered, and 69 objects were written anew.
 SETTLE_SECONDS = 2.5
 # How often it looks whether it has become one.
 LOOK_SECONDS = 1.0
@@ -79,8 +81,7 @@
     async def run(self) -> None:
         """Meet others in the store as often as it takes, until cancelled."""
         await self._greeted()
-        if self._members.live():
-            await asyncio.sleep(SETTLE_SECONDS)
+        await asyncio.sleep(SETTLE_SECONDS)
         while True:
             if self._members.is_relay:
                 await self._meet()
--- a/tests/functional/test_gateway_fleet.py
+++ b/tests/functional/test_gateway_fleet.py
@@ -25,12 +25,17 @@
     """Give no host a seed."""
 
 
+def first_host(_number: int) -> int:
+    """Give all others the first host for a seed."""
+    return 1
+
+
 @asynccontextmanager
 async def fleet(
     size: int = 2,
     store: StoreStandin | None = None,
     zones: tuple[str, ...] = ('north-a',),
-    seed_of: Callable[[int], int | None] = no_seed,
+    seed_of: Callable[[int], int | None] = first_host,
 ) -> AsyncIterator[tuple[StoreStandin, list[GatewayHost]]]:
     """Run gateways on addresses of their own, in turn in the zones.
 
@@ -108,7 +113,7 @@
 
 def test_hosts_find_each_other_and_are_named_in_look_ups() -> None:
     async def test() -> None:
-        async with fleet(3) as (store, hosts):
+        async with fleet(3, seed_of=no_seed) as (store, hosts):
             await until(lambda: hear_each_other(hosts))
             fronts = {str(host.settings.callers) for host in hosts}
             assert set(await lookup(hosts[0])) == fronts
@@ -325,16 +330,16 @@
 def test_hosts_with_a_seed_leave_the_store_to_their_relays() -> None:
     async def test() -> None:
         zones = ('north-a', 'south-a')
-        async with fleet(10, zones=zones, seed_of=lambda _: 1) as (
+        async with fleet(10, zones=zones) as (
             store,
             hosts,
         ):
             await until(lambda: are_relays_settled(hosts))
             await until(lambda: all(host.is_ready for host in hosts))
             await until(lambda: len(store.kind('entry-hosts').objects) >= 4)
-            # Some were relays for a moment, while few were heard.
             registered = {*store.kind('entry-hosts').objects}
-            assert len(registered) <= 6
+            # Two a zone, and one that was a relay while the others joined.
+            assert len(registered) <= 5
             written = [one for one in host_calls(store) if one[0] != 'G']
             assert len(written) <= len(registered)
 
@@ -343,7 +348,7 @@
 
 def test_a_host_that_joins_others_reads_nothing_from_the_store() -> None:
     async def test() -> None:
-        async with fleet(4, seed_of=lambda _: 1) as (store, hosts):
+        async with fleet(4) as (store, hosts):
             await until(lambda: hear_each_other(hosts))
             await until(lambda: all(host.is_ready for host in hosts))
             store.put('servers', 'i-1', upstream_spec(1))
@@ -391,7 +396,7 @@
     async def test() -> None:
         store = StoreStandin()
         store.status = 503
-        async with fleet(3, store) as (_store, hosts):
+        async with fleet(3, store, seed_of=no_seed) as (_store, hosts):
             await until(lambda: all(host.contact.is_lost for host in hosts))
             assert all(not host.members.live() for host in hosts)
             store.status = None
--- a/tests/unit/test_joining.py
+++ b/tests/unit/test_joining.py
@@ -1,14 +1,29 @@
 """How hosts find each other through seeds and one another, without a store."""
 
 import asyncio
+from collections.abc import Iterator
 from random import Random
 
 import pytest
+from lib.beats import beat_of
 from lib.wire import Wire, zone_hosts
+from loguru import logger
+
+from wardstair.fleet.beats import Versions
+from wardstair.fleet.members import Members
 
 SETTLED_BEATS = 12
 
 
+@pytest.fixture
+def lines() -> Iterator[list[str]]:
+    """Return the log lines of the test."""
+    written: list[str] = []
+    sink = logger.add(written.append, format='{message}')
+    yield written
+    logger.remove(sink)
+
+
 def assert_whole(wire: Wire, zones: int, hosts: int) -> None:
     """Check that all know their zone, and relays hear all other zones."""
     for members, _radio in wire.hosts.values():
@@ -49,6 +64,52 @@
     asyncio.run(test())
 
 
+def test_no_host_that_lives_is_called_lost(lines: list[str]) -> None:
+    """Neither at the start nor when relays of other zones change."""
+
+    async def test() -> None:
+        wire = Wire()
+        peers = [p for zone in 'abc' for p in zone_hosts(zone, 12)]
+        wire.start(peers, [peers[-1].address])
+        wire.beat(SETTLED_BEATS)
+        relay = next(
+            name
+            for name, (members, _) in wire.hosts.items()
+            if members.is_relay and members.own.zone == 'b'
+        )
+        wire.hosts.pop(relay)
+        wire.beat(SETTLED_BEATS)
+        lost = [line for line in lines if 'event=host-lost' in line]
+        assert len(lost) == 11
+        assert all(f'host={relay} ' in line for line in lost)
+
+    asyncio.run(test())
+
+
+def test_a_newcomer_is_no_relay_beside_hosts_that_have_what_it_needs() -> None:
+    async def test() -> None:
+        wire = Wire()
+        peers = zone_hosts('a', 4)
+        wire.start(peers[:3], [])
+        newcomer = Members(
+            peers[3],
+            lambda: wire.now,
+            is_settled=lambda: wire.now > 105,
+        )
+        # Alone it has to look for itself; one that knows nothing is no help.
+        assert newcomer.is_relay
+        newcomer.hear(beat_of(peers[0]))
+        assert newcomer.is_relay
+        newcomer.hear(beat_of(peers[1], versions=Versions(1, 1, 1)))
+        assert not newcomer.is_relay
+        wire.now = 106
+        for number, peer in enumerate(peers[:3]):
+            newcomer.hear(beat_of(peer, number + 2))
+        assert len(newcomer.relays) == 2
+
+    asyncio.run(test())
+
+
 def test_a_newcomer_learns_its_zone_from_a_seed_elsewhere() -> None:
     async def test() -> None:
         wire = Wire()
