Count the whole fleet while parts of it are cut off; name every zone in turn

Cause: hosts no longer list all others in the store, so what a host knew of other zones was what their relays, while heard, had said. Played with 198 hosts in 9 zones: cut into three regions each host counted 117 after a minute, cut into zones 95, a host that hears nobody 31 of 36, and so would have taken more than its part of the resends. And a host that has not heard of a zone took it for one without hosts, whose cold upstreams another zone serves: each host another one. Change: what a host said last of its zone and of the fleet counts also while it is silent. Relays name hosts of other zones zone by zone in place of two at random; a greeting is answered with the whole zone, up to 64 names, since one datagram of 16 left a zone of 45 unknown in part after 12 questions. For 15 s a host leaves cold upstreams of zones it does not know to themselves. After: 198 and 36 in all of these (tests/unit/test_joining.py, red before); 18 zones of 22 hosts are known to all after 11 heartbeats. Members wait 2.5 s for the meeting whether somebody answered or not, which makes the event needless.

--- a/src/wardstair/decisions/cold.py
+++ b/src/wardstair/decisions/cold.py
@@ -62,6 +62,7 @@
         fleet_size: Hosts known in all zones.
         zones: Zones that have entry hosts.
         is_settled: Whether it had time to hear the others after its start.
+        knows_zones: Whether it had time to hear of all zones with hosts.
     """
 
     own: str
@@ -71,6 +72,7 @@
     fleet_size: int
     zones: frozenset[str] = frozenset()
     is_settled: bool = True
+    knows_zones: bool = True
 
     @property
     def is_whole(self) -> bool:
@@ -110,7 +112,8 @@
 
 
 def _serving_zone(upstream: str, zone: str, view: HostView) -> str:
-    if zone == view.zone or zone in view.zones:
+    if zone == view.zone or zone in view.zones or not view.knows_zones:
+        # One that is not heard of yet probably has hosts of its own.
         return zone
     return rendezvous(view.zones | {view.zone}, f'cold {upstream}', 1)[0]
 
--- a/src/wardstair/decisions/timing.py
+++ b/src/wardstair/decisions/timing.py
@@ -33,6 +33,12 @@
 # would cost more, so these wait longer.
 LEAST_REPLACED_SECONDS = 1.6
 MOST_REPLACED_SECONDS = 3.0
+# Time after its start that a host takes to hear the others: until then it sends
+# nothing to cold upstreams, is no relay beside hosts that have a configuration,
+# and does not meet others in the store. Seeds may load for longer than others:
+# without the wait 63 of 65 hosts that started together took themselves for
+# alone and registered, and 69 objects were written anew.
+SETTLE_SECONDS = 2.5
 # Contact is proved twice within the time after which a host is held to the
 # bounds again, and by a host that is no relay once in twice that time: for it
 # only whether it could become one depends on it.
--- a/src/wardstair/fleet/members.py
+++ b/src/wardstair/fleet/members.py
@@ -171,25 +171,25 @@
 
     @property
     def counted_size(self) -> int:
-        """Hosts in all zones, as this host and the relays it hears count."""
+        """Hosts in all zones, as this host and relays have counted.
+
+        What a relay said last counts also while it is not heard: its zone may
+        be cut off and go on.
+        """
         sizes: dict[str, int] = {}
         for one in self.table.values():
             zone = one.peer.zone
             sizes[zone] = sizes.get(zone, 0) + 1
         sizes[self.own.zone] = self.zone_size
-        for one in self.live():
+        for one in self.table.values():
             zone = one.peer.zone
             sizes[zone] = max(sizes[zone], one.zone_size)
         return sum(sizes.values())
 
     @property
     def fleet_size(self) -> int:
-        """Hosts in all zones, as this host or a relay of its zone counts."""
-        told = [
-            one.fleet_size
-            for one in self.in_zone(self.own.zone)
-            if one.is_relay and self.is_live(one)
-        ]
+        """Hosts in all zones, as this host or one of its zone has counted."""
+        told = [one.fleet_size for one in self.in_zone(self.own.zone)]
         if not self.live():
             # Alone: others may go on whom this host has never heard.
             told.append(self.registered_size)
@@ -268,8 +268,7 @@
     def better_informed(self) -> list[Member]:
         """Return hosts of the zone that know more of it, if any is to be asked.
 
-        A seed names as many hosts as a datagram holds, and one of another zone
-        knows hardly any.
+        A seed of another zone knows hardly any, and datagrams are lost.
         """
         heard = [
             one for one in self.in_zone(self.own.zone) if self.is_live(one)
--- a/src/wardstair/fleet/radio.py
+++ b/src/wardstair/fleet/radio.py
@@ -28,9 +28,17 @@
 FAR_TARGETS = RELAYS_A_ZONE
 # A newcomer asks again this often until somebody answers.
 HELLO_SECONDS = 0.3
-# Hosts of other zones that each heartbeat of a relay names: whoever takes its
-# place has to know some, and a zone of 20 hosts hears 40 names a second.
-FAR_NAMED = 2
+# Datagrams with names of a newcomer's zone in one answer: 64 hosts, three times
+# the planned zone; a larger one is asked for the rest.
+MOST_ANSWERS = 4
+# Hosts of other zones, of one zone each in turn, that a relay's heartbeat
+# names: whoever takes its place has to know some. With 18 zones of 22 hosts all
+# hosts knew of all zones after 11 heartbeats of the first start. At 62 zones of
+# 20 that is 5 KB a second in the zone, and 7 to relays of others.
+NAMED_NEAR = 4
+NAMED_FAR = 1
+# Relays begin with zones of their own choice; more than there will be.
+ZONES_AT_MOST = 1024
 # Spread of the heartbeats, so that hosts started together do not beat so.
 JITTER = 0.1
 
@@ -65,6 +73,8 @@
         self._far: set[str] = set()
         self._run = random.getrandbits(48) + 1
         self._number = 0
+        # Whose turn it is among the other zones to be named.
+        self._turn = random.randrange(ZONES_AT_MOST)
         self._transport: asyncio.DatagramTransport | None = None
 
     async def start(self, address: str) -> None:
@@ -145,15 +155,24 @@
 
     def send_beats(self) -> None:
         """Send a heartbeat now to everybody who should have it."""
-        datagram = encode_beat(self._beat(named=self._far_names()))
-        addresses = self._near_addresses()
+        near = self._near_addresses()
+        far = self._far_now()
+        self._send_all(near, self._beat(named=self._far_names(NAMED_NEAR)))
+        if far:
+            self._send_all(far, self._beat(named=self._far_names(NAMED_FAR)))
+
+    def _far_now(self) -> set[str]:
+        """Return where this heartbeat goes in other zones."""
+        before = self._far
         if self._members.is_relay:
             self._far = self._far_addresses()
-            addresses |= self._far
-        elif self._far:
-            # A last one, which says that this host is no relay any more.
-            addresses |= self._far
-            self._far = set()
+            return self._far
+        self._far = set()
+        # A last one, if any, which says that this host is no relay any more.
+        return before
+
+    def _send_all(self, addresses: set[str], beat: Beat) -> None:
+        datagram = encode_beat(beat)
         for address in addresses:
             self._send_bytes(address, datagram)
 
@@ -185,9 +204,16 @@
                 return
 
     def _answer(self, newcomer: PeerName) -> None:
-        """Name hosts that a newcomer should know: its zone's, then others."""
+        """Name hosts that a newcomer should know: its zone's, then others.
+
+        A datagram holds some; with one of a zone of 45 hosts a newcomer would
+        ask 20 times until it knew all.
+        """
         near, far = self._names_for(newcomer.zone)
-        self._send(newcomer.address, self._beat(named=near))
+        starts = range(0, min(len(near), MOST_ANSWERS * MOST_NAMED), MOST_NAMED)
+        for start in starts or (0,):
+            named = near[start : start + MOST_NAMED]
+            self._send(newcomer.address, self._beat(named=named))
         if far:
             self._send(newcomer.address, self._beat(named=far))
 
@@ -244,20 +270,28 @@
         self,
         zone: str,
     ) -> tuple[tuple[PeerName, ...], tuple[PeerName, ...]]:
-        """Return hosts of a zone, and heard ones of others, one answer each."""
+        """Return the hosts of a zone, and some that are heard of others."""
         members = self._members
         near = [one.peer for one in members.in_zone(zone)]
         far = [one.peer for one in members.live() if one.peer.zone != zone]
         self._random.shuffle(near)
         self._random.shuffle(far)
-        return tuple(near[:MOST_NAMED]), tuple(far[:MOST_NAMED])
-
-    def _far_names(self) -> tuple[PeerName, ...]:
-        """Return some hosts of other zones, for who may become a relay."""
-        zone = self._members.own.zone
-        live = self._members.live()
-        far = [one.peer for one in live if one.peer.zone != zone]
-        return tuple(self._random.sample(far, min(FAR_NAMED, len(far))))
+        return tuple(near), tuple(far[:MOST_NAMED])
+
+    def _far_names(self, amount: int) -> tuple[PeerName, ...]:
+        """Return a host each of other zones, which take turns."""
+        own = self._members.own.zone
+        by_zone: dict[str, list[PeerName]] = {}
+        for one in self._members.live():
+            if one.peer.zone != own:
+                by_zone.setdefault(one.peer.zone, []).append(one.peer)
+        zones = sorted(by_zone)
+        named = []
+        for _ in range(min(amount, len(zones))):
+            self._turn += 1
+            zone = zones[self._turn % len(zones)]
+            named.append(self._random.choice(by_zone[zone]))
+        return tuple(named)
 
     def _beat(
         self,
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -13,6 +13,7 @@
 from wardstair.connection.pool import UpstreamPool
 from wardstair.decisions.busyness import Busyness
 from wardstair.decisions.cold import HostView
+from wardstair.decisions.timing import SETTLE_SECONDS
 from wardstair.fleet.beats import PeerName
 from wardstair.fleet.members import Members
 from wardstair.fleet.radio import Radio
@@ -51,9 +52,8 @@
 
 # How often what is past is swept out: connections, missing upstreams.
 SWEEP_SECONDS = 0.5
-# Time after the start to hear the other hosts before cold upstreams get
-# requests from here, and before this host is a relay beside others.
-SETTLE_SECONDS = 2.5
+# Time to hear of a host in each zone, which took 11 s with 18 of them.
+ZONES_SECONDS = 15.0
 # The fleet's size as a host takes it that cannot know it yet, so that hundreds
 # of hosts which start at once do not each spend what is meant for a few: the
 # largest fleet of the users' plan.
@@ -145,7 +145,6 @@
             self.contact,
             own,
             self.members,
-            self.radio.is_greeted.wait,
             is_first_start=settings.is_first_start,
         )
         distances = Distances(self.live_settings)
@@ -344,6 +343,7 @@
             fleet_size=max(members.fleet_size, least),
             zones=frozenset(members.zones()),
             is_settled=is_settled,
+            knows_zones=self._clock() - self._started_at > ZONES_SECONDS,
         )
 
     def _is_settled(self) -> bool:
--- a/src/wardstair/state/registration.py
+++ b/src/wardstair/state/registration.py
@@ -13,6 +13,7 @@
 from result import Err, Ok
 
 from wardstair.decisions.membership import rendezvous
+from wardstair.decisions.timing import SETTLE_SECONDS
 from wardstair.errors import ObjectMissing, VersionConflict
 from wardstair.fleet.beats import PeerName
 from wardstair.fleet.members import Members
@@ -32,10 +33,6 @@
 # apart have met after this and a heartbeat. Also how often hosts are looked for
 # that are gone for good.
 MEETING_SECONDS = 15.0
-# How long after its start a host waits to hear who is a relay. Seeds may load
-# for longer than others: without the wait 63 of 65 hosts that started together
-# took themselves for alone and registered, and 69 objects were written anew.
-SETTLE_SECONDS = 2.5
 # How often it looks whether it has become one.
 LOOK_SECONDS = 1.0
 # An object is written anew when the fleet has grown by this factor since: what
@@ -53,7 +50,6 @@
         contact: StoreContact,
         own: PeerName,
         members: Members,
-        greeted: Callable[[], Awaitable[object]],
         *,
         is_first_start: bool,
     ) -> None:
@@ -64,14 +60,12 @@
             contact: Contact with it.
             own: This host.
             members: Where found hosts are noted.
-            greeted: Returns once others had the time to answer.
             is_first_start: Whether the whole fleet starts for the first time.
         """
         self._store = store
         self._contact = contact
         self._own = own
         self._members = members
-        self._greeted = greeted
         self._revisions: dict[str, int] = {}
         self._is_first_start = is_first_start
         self._has_met = False
@@ -80,7 +74,6 @@
 
     async def run(self) -> None:
         """Meet others in the store as often as it takes, until cancelled."""
-        await self._greeted()
         await asyncio.sleep(SETTLE_SECONDS)
         while True:
             if self._members.is_relay:
--- a/tests/unit/test_fleet_shares.py
+++ b/tests/unit/test_fleet_shares.py
@@ -127,6 +127,23 @@
     assert sender_rate('i-1', 'z', COLD, view) == 0
 
 
+def test_a_zone_that_is_not_heard_of_yet_is_left_to_its_own_hosts() -> None:
+    """Hosts that know few zones would each choose another to stand in."""
+    views = [
+        HostView(
+            f'{zone}-1',
+            zone,
+            {f'{zone}-1'},
+            {f'{zone}-1'},
+            9,
+            frozenset((zone,)),
+            knows_zones=False,
+        )
+        for zone in 'abcdefgh'
+    ]
+    assert most_sent(views, COLD) == 0
+
+
 @pytest.mark.parametrize('zones', [8, 62])
 @pytest.mark.parametrize('has_own', [True, False])
 def test_a_cold_upstream_is_sent_to_from_one_zone(
--- a/tests/unit/test_joining.py
+++ b/tests/unit/test_joining.py
@@ -11,6 +11,7 @@
 
 from wardstair.fleet.beats import Versions
 from wardstair.fleet.members import Members
+from wardstair.gateway.host import ZONES_SECONDS
 
 SETTLED_BEATS = 12
 
@@ -64,6 +65,52 @@
     asyncio.run(test())
 
 
+def test_every_host_hears_of_every_zone() -> None:
+    async def test() -> None:
+        wire = Wire()
+        zones = [f'z{number}' for number in range(9)]
+        peers = [p for zone in zones for p in zone_hosts(zone, 22)]
+        wire.start(peers, [peers[0].address])
+        wire.beat(int(ZONES_SECONDS))
+        for members, _radio in wire.hosts.values():
+            assert members.zones() == set(zones)
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize('regions', [3, 9])
+def test_parts_that_are_cut_off_count_the_whole_fleet(regions: int) -> None:
+    """Each part goes on spending its part of the fleet's bounds only."""
+
+    async def test() -> None:
+        wire = Wire()
+        peers = [p for zone in 'abcdefghi' for p in zone_hosts(zone, 22)]
+        wire.start(peers, [peers[0].address])
+        wire.beat(SETTLED_BEATS)
+        wire.passes = lambda sender, receiver: (
+            ord(sender[0]) % regions == ord(receiver[0]) % regions
+        )
+        wire.beat(60)
+        for members, _radio in wire.hosts.values():
+            assert members.fleet_size == 198
+
+    asyncio.run(test())
+
+
+def test_a_host_that_hears_nobody_any_more_counts_the_whole_fleet() -> None:
+    async def test() -> None:
+        wire = Wire()
+        peers = [p for zone in 'abc' for p in zone_hosts(zone, 12)]
+        wire.start(peers, [peers[0].address])
+        wire.beat(SETTLED_BEATS)
+        wire.passes = lambda _sender, _receiver: False
+        wire.beat(60)
+        for members, _radio in wire.hosts.values():
+            assert members.fleet_size == 36
+
+    asyncio.run(test())
+
+
 def test_no_host_that_lives_is_called_lost(lines: list[str]) -> None:
     """Neither at the start nor when relays of other zones change."""
 
