Pace no move to a service whose upstreams are not known yet

Cause, found by reading: a route that gets a service before its upstreams have registered had a share of 0 to go on to, so the pace kept its old share on top of the new one once they came: 0.96 of a region's requests stayed in it where 0.34 belong (tests/unit/test_region_moves.py, red before). Change: without upstreams on either side nothing is paced. While no route moves, ranks are no longer gone through four times a second.

--- a/src/wardstair/gateway/homes.py
+++ b/src/wardstair/gateway/homes.py
@@ -32,8 +32,6 @@
 # gained is the way between regions: 40 ms of an objective of 250 ms, and a
 # sixth of the bytes on it.
 KEPT = Kept(most=0.7, fullness=1.0)
-
-
 # While a route moves between regions its keys are ranked anew this often.
 MOVE_STEP_SECONDS = 0.25
 
@@ -137,7 +135,8 @@
             self._now,
             self._most_share,
         )
-        if is_new or self._now - self._moved_at >= MOVE_STEP_SECONDS:
+        is_due = self._now - self._moved_at >= MOVE_STEP_SECONDS
+        if is_new or (is_due and self._moves.are_under_way):
             self._moved_at = self._now
             self._ranked = {
                 ask: ranked
@@ -152,11 +151,17 @@
     def _offset(self, route: str) -> float:
         return self._moves.offset(route, self._now, self._most_share)
 
-    def _region_share(self, service: str, route: SteeredRoute) -> float:
+    def _region_share(
+        self,
+        service: str,
+        route: SteeredRoute,
+    ) -> float | None:
         """Return the share of a service's requests that run in the region."""
         self._forget_old()
         ask = KeyAsk(service, '', route.regions, Haul.light)
         upstreams = self._allowed(ask)
+        if not upstreams:
+            return None
         return self._share(upstreams, self._nearness(ask, upstreams))
 
     def _share(self, upstreams: list[Upstream], near: Nearness) -> float:
--- a/src/wardstair/gateway/moving.py
+++ b/src/wardstair/gateway/moving.py
@@ -6,8 +6,9 @@
 from wardstair.process.log import log_event
 from wardstair.version.steering import SteeredRoute, Steering
 
-# Returns the share of a service's requests that run in the own region.
-ShareOf = Callable[[str, SteeredRoute], float]
+# Returns the share of a service's requests that run in the own region, None if
+# no upstream of it is known.
+ShareOf = Callable[[str, SteeredRoute], float | None]
 # A smaller move is not worth pacing.
 LEAST_OFFSET = 0.01
 
@@ -20,6 +21,11 @@
         self._steering: Steering | None = None
         self._moves: dict[str, RegionMove] = {}
 
+    @property
+    def are_under_way(self) -> bool:
+        """Whether any route is on its way."""
+        return bool(self._moves)
+
     def follow(
         self,
         steering: Steering | None,
@@ -44,15 +50,11 @@
         old = {route.name: route for route in before.routes}
         for route in steering.routes:
             known = old.get(route.name)
-            # A move that allowed regions order is made at once.
-            if known is None or known.regions != route.regions:
-                self._moves.pop(route.name, None)
-                continue
-            if known.shares == route.shares:
-                continue
-            left = self.offset(route.name, now, most_share)
-            offset = left + _mix(known, share_of) - _mix(route, share_of)
-            self._begin(route.name, offset, now)
+            if known is not None and known.shares != route.shares:
+                left = self.offset(route.name, now, most_share)
+                move = _move(known, route, share_of)
+                offset = 0.0 if move is None else left + move
+                self._begin(route.name, offset, now)
         return True
 
     def offset(self, route: str, now: float, most_share: float) -> float:
@@ -73,10 +75,29 @@
         log_event('region-move-paced', route=route, offset=round(offset, 3))
 
 
-def _mix(route: SteeredRoute, share_of: ShareOf) -> float:
+def _move(
+    before: SteeredRoute,
+    after: SteeredRoute,
+    share_of: ShareOf,
+) -> float | None:
+    """Return what a change takes off a route's share in the own region.
+
+    None if there is nothing to pace: a move that allowed regions order is made
+    at once, and without upstreams there is no share to go on from.
+    """
+    share, next_share = _mix(before, share_of), _mix(after, share_of)
+    if before.regions != after.regions or share is None or next_share is None:
+        return None
+    return share - next_share
+
+
+def _mix(route: SteeredRoute, share_of: ShareOf) -> float | None:
     """Return the share of a route's requests that run in the own region."""
     total = sum(part.weight for part in route.shares)
-    return sum(
-        part.weight / total * share_of(part.service, route)
-        for part in route.shares
-    )
+    mix = 0.0
+    for part in route.shares:
+        share = share_of(part.service, route)
+        if share is None and part.weight > 0:
+            return None
+        mix += part.weight / total * (share or 0.0)
+    return mix
--- a/tests/unit/test_region_moves.py
+++ b/tests/unit/test_region_moves.py
@@ -190,3 +190,16 @@
     for _ in range(12):
         region.wait(WINDOW_SECONDS)
     assert region.shares() == first
+
+
+def test_a_service_whose_upstreams_come_later_is_not_paced() -> None:
+    """Its share is not known when the route changes: nothing to go on from."""
+    late, direct = Region('west'), Region('west')
+    direct.steer({'views': 0.1, 'orders': 0.9})
+    late.adopt([one for one in late.entries if one.service == 'views'])
+    late.steer({'views': 1.0})
+    late.homes.step(late.clock.now)
+    swap_weights(late)
+    late.homes.step(late.clock.now)
+    late.adopt(late.entries)
+    assert late.shares() == direct.shares()
