Do not pass the names of dead hosts from newcomer to newcomer

Cause, found by reading: answers named every host known, and a newcomer keeps a name for two hours from when it learns it. Names used to come from the store, where dead hosts are removed after 30 s. Change: an answer has a kind of its own; only hosts that the sender, or a host that named it in a heartbeat or the store, has heard within 30 s are named, and names from answers are not passed on. A name that nobody answers to is dropped after a minute. Heartbeats of older builds are not read (format 4). Member has a module of its own.

--- a/src/wardstair/fleet/beats.py
+++ b/src/wardstair/fleet/beats.py
@@ -12,7 +12,7 @@
 
 # Two versions of the program in one fleet drop each other's datagrams
 # instead of misreading them.
-_FORMAT = 3
+_FORMAT = 4
 _UNREADABLE = (cbor2.CBORDecodeError, ValueError, TypeError, LookupError)
 # Hosts named in one answer to a newcomer, so that a datagram holds them.
 MOST_NAMED = 16
@@ -22,11 +22,13 @@
     """What a datagram is for."""
 
     beat = 0
-    # From a host that has just started; answered by a beat that names others.
+    # From a host that has just started; answered by names of others.
     hello = 1
     # To a host of another zone that took this one for a relay of its zone:
     # names the hosts that are.
     redirect = 2
+    # To a host that has asked: names hosts the sender hears or was told of.
+    answer = 3
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/wardstair/fleet/member.py
@@ -0,0 +1,55 @@
+"""One entry host as another sees it."""
+
+from dataclasses import dataclass, field
+
+from wardstair.fleet.beats import Beat, PeerName, Versions
+
+
+@dataclass(slots=True)
+class Member:
+    """An entry host as this one sees it.
+
+    Attributes:
+        peer: Who it is.
+        heard_at: Monotonic time of its last heartbeat, or of when this host
+            first learned its name.
+        vouched_at: When it was last heard, or named by a host that hears it.
+        run: Its process's run; 0 before the first heartbeat.
+        number: Number of its last heartbeat.
+        is_leaving: Whether it said that it is about to stop.
+        hears_store: Whether it said that it is in contact with the store.
+        is_busy: Whether it said that it is short of processor time.
+        is_relay: Whether it said that it is a relay of its zone.
+        zone_size: Hosts that it knows of in its zone.
+        fleet_size: Hosts that it knows of in all zones.
+        versions: How new it said its state is.
+        was_live: Whether it counted as live when last looked at.
+    """
+
+    peer: PeerName
+    heard_at: float
+    vouched_at: float = float('-inf')
+    run: int = 0
+    number: int = 0
+    is_leaving: bool = False
+    hears_store: bool = False
+    is_busy: bool = False
+    is_relay: bool = False
+    zone_size: int = 0
+    fleet_size: int = 0
+    versions: Versions = field(default_factory=Versions)
+    was_live: bool = False
+
+    def take_in(self, beat: Beat, now: float) -> None:
+        """Note what a heartbeat says."""
+        self.peer = beat.sender
+        self.heard_at = now
+        self.vouched_at = now
+        self.run = beat.run
+        self.number = beat.number
+        self.hears_store = beat.hears_store
+        self.is_busy = beat.is_busy
+        self.is_relay = beat.is_relay
+        self.zone_size = beat.zone_size
+        self.fleet_size = beat.fleet_size
+        self.versions = beat.versions
--- a/src/wardstair/fleet/members.py
+++ b/src/wardstair/fleet/members.py
@@ -9,7 +9,8 @@
 from wardstair.decisions.relays import RelayCandidate, choose_relays
 from wardstair.decisions.sentinels import Watcher, choose_sentinels
 from wardstair.decisions.timing import LEAST_REPLACED_SECONDS
-from wardstair.fleet.beats import Beat, PeerName, Versions
+from wardstair.fleet.beats import Beat, PeerName
+from wardstair.fleet.member import Member
 from wardstair.process.log import log_event
 
 # Three heartbeats and a little: one or two may be lost on the way. Operators
@@ -21,6 +22,9 @@
 # may be cut off and go on. Regions lose each other for an hour now and then,
 # but a host that is replaced must not take its part along for good.
 GONE_SECONDS = 7200.0
+# A name that was only heard of and never answered is dropped after this long;
+# one that somebody hears is told again and again.
+UNHEARD_SECONDS = 60.0
 # A gap in this process's own timer above which its silence, not the others',
 # explains what it has not heard.
 OWN_PAUSE_SECONDS = 1.5
@@ -32,53 +36,6 @@
 MOST_ASKED = 12
 
 
-@dataclass(slots=True)
-class Member:
-    """An entry host as this one sees it.
-
-    Attributes:
-        peer: Who it is.
-        heard_at: Monotonic time of its last heartbeat, or of when this host
-            first learned its name.
-        run: Its process's run; 0 before the first heartbeat.
-        number: Number of its last heartbeat.
-        is_leaving: Whether it said that it is about to stop.
-        hears_store: Whether it said that it is in contact with the store.
-        is_busy: Whether it said that it is short of processor time.
-        is_relay: Whether it said that it is a relay of its zone.
-        zone_size: Hosts that it knows of in its zone.
-        fleet_size: Hosts that it knows of in all zones.
-        versions: How new it said its state is.
-        was_live: Whether it counted as live when last looked at.
-    """
-
-    peer: PeerName
-    heard_at: float
-    run: int = 0
-    number: int = 0
-    is_leaving: bool = False
-    hears_store: bool = False
-    is_busy: bool = False
-    is_relay: bool = False
-    zone_size: int = 0
-    fleet_size: int = 0
-    versions: Versions = field(default_factory=Versions)
-    was_live: bool = False
-
-    def take_in(self, beat: Beat, now: float) -> None:
-        """Note what a heartbeat says."""
-        self.peer = beat.sender
-        self.heard_at = now
-        self.run = beat.run
-        self.number = beat.number
-        self.hears_store = beat.hears_store
-        self.is_busy = beat.is_busy
-        self.is_relay = beat.is_relay
-        self.zone_size = beat.zone_size
-        self.fleet_size = beat.fleet_size
-        self.versions = beat.versions
-
-
 @dataclass(slots=True)
 class Members:
     """All known entry hosts but this one.
@@ -204,8 +161,20 @@
         """Return the known hosts of a zone but this one."""
         return [one for one in self.table.values() if one.peer.zone == zone]
 
-    def learn(self, peers: Iterable[PeerName]) -> None:
-        """Take in names of hosts that somebody else knows."""
+    def learn(
+        self,
+        peers: Iterable[PeerName],
+        *,
+        is_hearsay: bool = False,
+    ) -> None:
+        """Take in names of hosts that somebody else knows.
+
+        Args:
+            peers: Their names.
+            is_hearsay: Whether who told them does not hear them itself. Such
+                names are not passed on: each newcomer would prolong the life
+                of those that are gone.
+        """
         now = self.clock()
         for peer in peers:
             if peer.name == self.own.name:
@@ -213,9 +182,17 @@
             known = self.table.get(peer.name)
             if known is None:
                 # Not heard yet: it counts as live only once it is.
-                self.table[peer.name] = Member(peer, now)
+                known = Member(peer, now)
+                self.table[peer.name] = known
             elif not known.run:
                 known.peer = peer
+            if not is_hearsay:
+                known.vouched_at = now
+
+    def vouched_in_zone(self, zone: str) -> list[PeerName]:
+        """Return hosts of a zone that somebody has heard lately."""
+        end = self.clock() - FORGOTTEN_SECONDS
+        return [one.peer for one in self.in_zone(zone) if one.vouched_at > end]
 
     def hear(self, beat: Beat) -> bool:
         """Take in a heartbeat; return whether it is news."""
@@ -304,13 +281,19 @@
                 member.was_live = False
                 self.generation += 1
                 self._tell_silent(member)
-        end = self.clock() - GONE_SECONDS
         self.table = {
             name: member
             for name, member in self.table.items()
-            if member.heard_at > end
+            if self._is_kept(member)
         }
 
+    def _is_kept(self, member: Member) -> bool:
+        now = self.clock()
+        if member.run:
+            return now - member.heard_at < GONE_SECONDS
+        known_at = max(member.heard_at, member.vouched_at)
+        return now - known_at < UNHEARD_SECONDS
+
     def _tell_silent(self, member: Member) -> None:
         # A relay of another zone may live: relays send to two hosts of each
         # zone, and to others once they find them.
--- a/src/wardstair/fleet/radio.py
+++ b/src/wardstair/fleet/radio.py
@@ -20,7 +20,8 @@
     decode_beat,
     encode_beat,
 )
-from wardstair.fleet.members import OWN_PAUSE_SECONDS, Member, Members
+from wardstair.fleet.member import Member
+from wardstair.fleet.members import OWN_PAUSE_SECONDS, Members
 from wardstair.process.log import log_warning
 
 BEAT_SECONDS = 1.0
@@ -103,7 +104,7 @@
             log_warning('beat-unreadable', source=addr[0], size=len(data))
             return
         members = self._members
-        members.learn(beat.named)
+        members.learn(beat.named, is_hearsay=beat.kind is BeatKind.answer)
         if self._is_far_hello(beat):
             # Heard once and then no more, it would look lost in a moment.
             members.learn([beat.sender])
@@ -211,11 +212,12 @@
         """
         near, far = self._names_for(newcomer.zone)
         starts = range(0, min(len(near), MOST_ANSWERS * MOST_NAMED), MOST_NAMED)
-        for start in starts or (0,):
-            named = near[start : start + MOST_NAMED]
-            self._send(newcomer.address, self._beat(named=named))
-        if far:
-            self._send(newcomer.address, self._beat(named=far))
+        parts = [near[start : start + MOST_NAMED] for start in starts]
+        if far or not parts:
+            parts.append(far)
+        for named in parts:
+            answer = self._beat(BeatKind.answer, named=named)
+            self._send(newcomer.address, answer)
 
     def _near_addresses(self) -> set[str]:
         zone = self._members.own.zone
@@ -272,7 +274,7 @@
     ) -> tuple[tuple[PeerName, ...], tuple[PeerName, ...]]:
         """Return the hosts of a zone, and some that are heard of others."""
         members = self._members
-        near = [one.peer for one in members.in_zone(zone)]
+        near = members.vouched_in_zone(zone)
         far = [one.peer for one in members.live() if one.peer.zone != zone]
         self._random.shuffle(near)
         self._random.shuffle(far)
