Name the registry and what is second hand by the field's terms; log a lost object

Cause, found by reading: meeting, hearsay and vouched are figures of speech of our own; an object of this host that was removed from the store was registered anew without a word, so nobody could tell why. Change: registry, second hand, confirmed; host-unregistered is logged when an object is found gone. No other behaviour changes. After: tests/unit and tests/functional/test_gateway_fleet.py green; the test of a removed object checks the line. Two tests share one way to read log lines.

--- a/src/wardstair/decisions/timing.py
+++ b/src/wardstair/decisions/timing.py
@@ -36,7 +36,7 @@
 MOST_REPLACED_SECONDS = 3.0
 # Time after its start that a host takes to hear the others: until then it sends
 # nothing to cold upstreams, is no relay beside hosts that have a configuration,
-# and does not meet others in the store. Seeds may load for longer than others:
+# and does not register in the store. Seeds may load for longer than others:
 # without the wait 63 of 65 hosts that started together took themselves for
 # alone and registered, and 69 objects were written anew.
 SETTLE_SECONDS = 2.5
--- a/src/wardstair/fleet/member.py
+++ b/src/wardstair/fleet/member.py
@@ -13,7 +13,7 @@
         peer: Who it is.
         heard_at: Monotonic time of its last heartbeat, or of when this host
             first learned its name.
-        vouched_at: When it was last heard, or named by a host that hears it.
+        confirmed_at: When it was last heard, or named by a host that hears it.
         run: Its process's run; 0 before the first heartbeat.
         number: Number of its last heartbeat.
         is_leaving: Whether it said that it is about to stop.
@@ -28,7 +28,7 @@
 
     peer: PeerName
     heard_at: float
-    vouched_at: float = float('-inf')
+    confirmed_at: float = float('-inf')
     run: int = 0
     number: int = 0
     is_leaving: bool = False
@@ -44,7 +44,7 @@
         """Note what a heartbeat says."""
         self.peer = beat.sender
         self.heard_at = now
-        self.vouched_at = now
+        self.confirmed_at = now
         self.run = beat.run
         self.number = beat.number
         self.hears_store = beat.hears_store
--- a/src/wardstair/fleet/members.py
+++ b/src/wardstair/fleet/members.py
@@ -52,7 +52,8 @@
         hinted: Relays of other zones, as a host of theirs named them.
         generation: Grows when the set of live hosts changes.
         registered_size: Largest fleet that hosts in the store have stated.
-        is_informed: Whether a host has said that it has a configuration.
+        has_heard_configured: Whether a host has said that it has a
+            configuration.
     """
 
     own: PeerName
@@ -68,7 +69,7 @@
     hinted: dict[str, tuple[str, ...]] = field(default_factory=dict)
     generation: int = 0
     registered_size: int = 0
-    is_informed: bool = False
+    has_heard_configured: bool = False
     _asked_for: int = 0
     _asked: int = 0
 
@@ -165,15 +166,15 @@
         self,
         peers: Iterable[PeerName],
         *,
-        is_hearsay: bool = False,
+        is_second_hand: bool = False,
     ) -> None:
         """Take in names of hosts that somebody else knows.
 
         Args:
             peers: Their names.
-            is_hearsay: Whether who told them does not hear them itself. Such
-                names are not passed on: each newcomer would prolong the life
-                of those that are gone.
+            is_second_hand: Whether who told them does not hear them itself.
+                Such names are not passed on: each newcomer would prolong the
+                life of those that are gone.
         """
         now = self.clock()
         for peer in peers:
@@ -186,13 +187,15 @@
                 self.table[peer.name] = known
             elif not known.run:
                 known.peer = peer
-            if not is_hearsay:
-                known.vouched_at = now
+            if not is_second_hand:
+                known.confirmed_at = now
 
-    def vouched_in_zone(self, zone: str) -> list[PeerName]:
+    def confirmed_in_zone(self, zone: str) -> list[PeerName]:
         """Return hosts of a zone that somebody has heard lately."""
         end = self.clock() - FORGOTTEN_SECONDS
-        return [one.peer for one in self.in_zone(zone) if one.vouched_at > end]
+        return [
+            one.peer for one in self.in_zone(zone) if one.confirmed_at > end
+        ]
 
     def hear(self, beat: Beat) -> bool:
         """Take in a heartbeat; return whether it is news."""
@@ -206,7 +209,7 @@
         if member.run == beat.run and member.number >= beat.number:
             return False
         member.take_in(beat, now)
-        self.is_informed |= beat.versions.configuration >= 0
+        self.has_heard_configured |= beat.versions.configuration >= 0
         if self._has_stepped_down(beat):
             # It lives, but will not be heard from now on.
             member.run = 0
@@ -291,7 +294,7 @@
         now = self.clock()
         if member.run:
             return now - member.heard_at < GONE_SECONDS
-        known_at = max(member.heard_at, member.vouched_at)
+        known_at = max(member.heard_at, member.confirmed_at)
         return now - known_at < UNHEARD_SECONDS
 
     def _tell_silent(self, member: Member) -> None:
@@ -332,7 +335,7 @@
         """
         if self.is_leaving and others:
             return False
-        return self.is_settled() or not self.is_informed
+        return self.is_settled() or not self.has_heard_configured
 
     def _has_stepped_down(self, beat: Beat) -> bool:
         return beat.sender.zone != self.own.zone and not beat.is_relay
--- a/src/wardstair/fleet/radio.py
+++ b/src/wardstair/fleet/radio.py
@@ -106,7 +106,7 @@
             log_warning('beat-unreadable', source=addr[0], size=len(data))
             return
         members = self._members
-        members.learn(beat.named, is_hearsay=beat.kind is BeatKind.answer)
+        members.learn(beat.named, is_second_hand=beat.kind is BeatKind.answer)
         if self._is_far_hello(beat):
             # Heard once and then no more, it would look lost in a moment.
             members.learn([beat.sender])
@@ -276,7 +276,7 @@
     ) -> tuple[tuple[PeerName, ...], tuple[PeerName, ...]]:
         """Return the hosts of a zone, and some that are heard of others."""
         members = self._members
-        near = members.vouched_in_zone(zone)
+        near = members.confirmed_in_zone(zone)
         far = [one.peer for one in members.live() if one.peer.zone != zone]
         self._random.shuffle(near)
         self._random.shuffle(far)
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -167,6 +167,11 @@
         "a dead host's object could not be taken out; it is tried again",
         'host reason',
     ),
+    _kind(
+        'host-unregistered',
+        "this host's object is gone from the store; it registers again",
+        'host',
+    ),
     _kind(
         'host-unreadable',
         "a host's object in the store cannot be decoded",
--- a/src/wardstair/state/registration.py
+++ b/src/wardstair/state/registration.py
@@ -1,4 +1,4 @@
-"""The meeting point of entry hosts in the store, for those who find nobody.
+"""The registry of entry hosts in the store, for those who find nobody.
 
 Hosts find each other through seeds and through one another. The store is for
 what that cannot mend: seeds that are gone, and halves of a fleet that formed
@@ -32,7 +32,7 @@
 # How often a relay reads who else is there: two halves of a zone that formed
 # apart have met after this and a heartbeat. Also how often hosts are looked for
 # that are gone for good.
-MEETING_SECONDS = 15.0
+DISCOVERY_SECONDS = 15.0
 # How often it looks whether it has become one.
 LOOK_SECONDS = 1.0
 # An object is written anew when the fleet has grown by this factor since: what
@@ -68,41 +68,41 @@
         self._members = members
         self._revisions: dict[str, int] = {}
         self._is_first_start = is_first_start
-        self._has_met = False
+        self._is_registered = False
         # Size of the fleet that this host's object states; 0 without one.
-        self._stated = 0
+        self._stated_size = 0
 
     async def run(self) -> None:
         """Meet others in the store as often as it takes, until cancelled."""
         await asyncio.sleep(SETTLE_SECONDS)
         while True:
             if self._members.is_relay:
-                await self._meet()
-                await asyncio.sleep(MEETING_SECONDS)
+                await self._discover()
+                await asyncio.sleep(DISCOVERY_SECONDS)
             else:
                 await asyncio.sleep(LOOK_SECONDS)
 
-    async def _meet(self) -> None:
+    async def _discover(self) -> None:
         """Make sure that this host is in the store, read who else is, clean up.
 
         Of any two that come the one that reads later knows the other.
         """
-        if self._has_met:
+        if self._is_registered:
             await self._until_done(self._find_stale)
         else:
-            await self._meet_first()
-        if self._members.fleet_size > self._stated * GROWN_FACTOR:
+            await self._register_once()
+        if self._members.fleet_size > self._stated_size * GROWN_FACTOR:
             await self._until_done(self._restate)
         await self._clean()
 
-    async def _meet_first(self) -> None:
+    async def _register_once(self) -> None:
         """Look whether an earlier run is registered; register if not."""
         if not self._is_first_start:
             await self._until_done(self._find)
-        if not self._stated:
+        if not self._stated_size:
             await self._until_done(self._register)
             await self._until_done(self._find)
-        self._has_met = bool(self._stated)
+        self._is_registered = bool(self._stated_size)
 
     async def _until_done(self, step: Step) -> None:
         while True:
@@ -116,7 +116,7 @@
         match created:
             case Ok():
                 self._contact.note_success()
-                self._stated = self._members.fleet_size
+                self._stated_size = self._members.fleet_size
                 return True
             case Err(VersionConflict()):
                 # From an earlier run of this host, or its own call whose
@@ -134,10 +134,10 @@
         match replaced:
             case Ok():
                 self._contact.note_success()
-                self._stated = self._members.fleet_size
+                self._stated_size = self._members.fleet_size
                 return True
             case Err(ObjectMissing()):
-                # Removed: the next listing shows it.
+                # Removed: the next listing shows it, and the log tells then.
                 self._contact.note_success()
                 return True
             case Err(error):
@@ -166,21 +166,25 @@
         for stored in listed.ok_value.objects:
             self._note(stored, found)
         if self._own.name not in {peer.name for peer in found}:
-            # Not there yet, or taken for gone and removed: the next meeting
-            # registers it.
-            self._stated = 0
-            self._has_met = False
+            self._note_absence()
         self._members.learn(found)
         log_event('hosts-found', count=len(found))
         return True
 
+    def _note_absence(self) -> None:
+        """Register with the next reading: not yet there, or removed."""
+        if self._is_registered:
+            log_event('host-unregistered', host=self._own.name)
+        self._stated_size = 0
+        self._is_registered = False
+
     def _note(self, stored: StoredObject, found: list[PeerName]) -> None:
         host = decode_host(stored)
         if host is None:
             log_event('host-unreadable', host=stored.metadata.name)
             return
         peer = host.peer
-        if peer.name == self._own.name and not self._has_met:
+        if peer.name == self._own.name and not self._is_registered:
             self._recognise(host)
         self._revisions[peer.name] = stored.metadata.revision
         members = self._members
@@ -192,7 +196,7 @@
         own = self._own
         # The size of the host is not in the store.
         if replace(host.peer, size=own.size) == own:
-            self._stated = max(host.fleet_size, 1)
+            self._stated_size = max(host.fleet_size, 1)
 
     async def _clean(self) -> None:
         """Remove hosts that are gone; one relay does it for each."""
--- a/tests/functional/test_gateway_fleet.py
+++ b/tests/functional/test_gateway_fleet.py
@@ -9,6 +9,7 @@
 from random import Random
 
 import pytest
+from lib.logs import logged
 from lib.rig import Caller, Rig, free_ports, gateway_settings, until
 from lib.specs import configuration_spec, upstream_spec
 from lib.store_standin import StoreStandin
@@ -382,7 +383,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
-        monkeypatch.setattr(registration, 'MEETING_SECONDS', 0.3)
+        monkeypatch.setattr(registration, 'DISCOVERY_SECONDS', 0.3)
         async with fleet(6, seed_of=lambda number: 2 - number % 2) as (
             _store,
             hosts,
@@ -432,10 +433,12 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def test() -> None:
-        monkeypatch.setattr(registration, 'MEETING_SECONDS', 0.2)
+        monkeypatch.setattr(registration, 'DISCOVERY_SECONDS', 0.2)
         async with fleet(1) as (store, hosts):
             await until(lambda: len(store.kind('entry-hosts').objects) == 1)
             store.delete('entry-hosts', 'host-1')
             await until(lambda: len(store.kind('entry-hosts').objects) == 1)
+            assert any('event=host-unregistered' in line for line in lines)
 
-    run(test)
+    with logged() as lines:
+        run(test)
--- a/tests/unit/test_joining.py
+++ b/tests/unit/test_joining.py
@@ -1,13 +1,12 @@
 """How hosts find each other through seeds and one another, without a store."""
 
 import asyncio
-from collections.abc import Iterator
 from random import Random
 
 import pytest
 from lib.beats import beat_of
+from lib.logs import logged
 from lib.wire import Wire, zone_hosts
-from loguru import logger
 
 from wardstair.fleet.beats import Versions
 from wardstair.fleet.members import (
@@ -23,15 +22,6 @@
 ZONES_KNOWN_BEATS = 10
 
 
-@pytest.fixture
-def lines() -> Iterator[list[str]]:
-    """Return the log lines of the test."""
-    written: list[str] = []
-    sink = logger.add(written.append, format='{message}')
-    yield written
-    logger.remove(sink)
-
-
 def assert_alive(wire: Wire, first: int, second: int) -> None:
     """Check that the hosts of two zones hear all of their own."""
     for members, _radio in wire.hosts.values():
@@ -126,7 +116,7 @@
     asyncio.run(test())
 
 
-def test_no_host_that_lives_is_called_lost(lines: list[str]) -> None:
+def test_no_host_that_lives_is_called_lost() -> None:
     """Neither at the start nor when relays of other zones change."""
 
     async def test() -> None:
@@ -145,7 +135,8 @@
         assert len(lost) == 11
         assert all(f'host={relay} ' in line for line in lost)
 
-    asyncio.run(test())
+    with logged() as lines:
+        asyncio.run(test())
 
 
 def test_a_newcomer_is_no_relay_beside_hosts_that_have_what_it_needs() -> None:
@@ -211,7 +202,7 @@
 def test_halves_that_formed_apart_meet_when_one_knows_one_of_the_other() -> (
     None
 ):
-    """One name is enough; the store's meeting point brings it."""
+    """One name is enough; the registry in the store brings it."""
 
     async def test() -> None:
         wire = Wire()
