Read KNOWN-RED.txt in every test run

Ruled out: deselecting listed tests, which would hide one that has become green. Change: a pytest plugin expects each listed test to fail, prints it with cause and issue, and fails the run if it passes, if the line is incomplete, if the test is not there or if more than three are listed. Before: a listed test that fails ends the run with 1. After: with 0; twelve cases in tests/unit/test_known_red.py.

--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,3 @@
+"""What all tests share."""
+
+pytest_plugins = ('pytester', 'lib.known_red')
--- /dev/null
+++ b/tests/unit/test_known_red.py
@@ -0,0 +1,62 @@
+"""The list of tests that are known to fail excuses just these."""
+
+import pytest
+
+FILE = 'test_it.py'
+RED = 'import pytest\n@pytest.mark.parametrize("n", [1, 2])\n' + (
+    'def test_red(n):\n    assert n == 0\n'
+)
+GREEN = 'def test_green():\n    assert True\n'
+HALF_RED = RED.replace('n == 0', 'n == 1')
+LINE = f'{FILE}::test_red; a fault of the store; issue 1\n'
+
+
+@pytest.mark.parametrize(
+    ('tests', 'listed', 'code'),
+    [
+        (GREEN, None, pytest.ExitCode.OK),
+        (GREEN, '\n', pytest.ExitCode.OK),
+        (RED + GREEN, None, pytest.ExitCode.TESTS_FAILED),
+        (RED + GREEN, LINE, pytest.ExitCode.OK),
+        # Only the row that is listed is excused, and a listed row must fail.
+        (
+            RED,
+            LINE.replace('_red', '_red[1]'),
+            pytest.ExitCode.TESTS_FAILED,
+        ),
+        (HALF_RED, LINE, pytest.ExitCode.TESTS_FAILED),
+        (HALF_RED, LINE.replace('_red', '_red[2]'), pytest.ExitCode.OK),
+        # It passes while it is listed.
+        (
+            GREEN,
+            LINE.replace('_red', '_green'),
+            pytest.ExitCode.TESTS_FAILED,
+        ),
+        # It is not there; a field is missing; there are too many.
+        (GREEN, LINE, pytest.ExitCode.USAGE_ERROR),
+        (RED, f'{FILE}::test_red; a fault\n', pytest.ExitCode.USAGE_ERROR),
+        (RED, LINE * 4, pytest.ExitCode.USAGE_ERROR),
+    ],
+)
+def test_only_listed_tests_may_fail_and_they_must(
+    pytester: pytest.Pytester,
+    tests: str,
+    listed: str | None,
+    code: pytest.ExitCode,
+) -> None:
+    pytester.makepyfile(test_it=tests)
+    if listed is not None:
+        (pytester.path / 'KNOWN-RED.txt').write_text(listed, encoding='utf-8')
+    ran = pytester.inline_run('-p', 'lib.known_red')
+    assert ran.ret == code
+
+
+def test_listed_tests_are_printed_with_their_cause(
+    pytester: pytest.Pytester,
+) -> None:
+    pytester.makepyfile(test_it=RED)
+    (pytester.path / 'KNOWN-RED.txt').write_text(LINE, encoding='utf-8')
+    ran = pytester.runpytest_inprocess('-p', 'lib.known_red')
+    ran.stdout.fnmatch_lines(
+        ['KNOWN RED: test_it.py::test_red: a fault of the store (issue 1)'],
+    )
