Tell the parts of split routes, and who sends to cold upstreams by what view

Ruled out: a field in each line of a request (200 lines a second and host). Change: split-changed (parts, weights before, what was sent by them), cold-upstream-used (rate, hosts heard and known, zones), two counters. What a host sends to cold upstreams and how it divides routes move into modules of their own; no logic changes. Unit, request and fleet tests pass as before.

--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -3,7 +3,7 @@
 import time
 from dataclasses import dataclass, replace
 
-from wardstair.decisions.cold import ColdLimit, HostView, Pace, sender_rate
+from wardstair.decisions.cold import HostView
 from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.placement import (
     Candidate,
@@ -18,10 +18,11 @@
 )
 from wardstair.decisions.ranking import unit_hash
 from wardstair.decisions.route_work import RouteWork
-from wardstair.decisions.split import SplitTally
+from wardstair.gateway.cold_sends import ColdSends
 from wardstair.gateway.distances import Distances
 from wardstair.gateway.homes import Haul, Homes, KeyAsk
 from wardstair.gateway.settings import LiveSettings
+from wardstair.gateway.splitting import Splits
 from wardstair.state.belief import Belief
 from wardstair.state.upstream import Upstream
 from wardstair.version.steering import SteeredRoute
@@ -111,8 +112,8 @@
         self._belief = belief
         self._distances = distances
         self._homes = Homes(settings, belief)
-        self._paces: dict[str, Pace] = {}
-        self._splits: dict[str, SplitTally] = {}
+        self.cold_sends = ColdSends(settings, belief, lambda: self.view)
+        self._splits = Splits()
         self._work: dict[str, RouteWork] = {}
 
     @property
@@ -121,15 +122,7 @@
 
     def service_of(self, route: SteeredRoute, key: str) -> str:
         """Return the service for a request; a split route's by weight."""
-        if len(route.shares) == 1:
-            return route.shares[0].service
-        shares = [
-            (share.service, share.weight)
-            for share in route.shares
-            if share.weight > 0
-        ]
-        tally = self._splits.setdefault(route.name, SplitTally())
-        return tally.choose(key, shares)
+        return self._splits.service_of(route, key)
 
     def work_of(self, route: SteeredRoute) -> RouteWork:
         """Return the usual work of a route."""
@@ -158,7 +151,8 @@
         ranked = [
             upstream
             for upstream in self.ranked(ask)
-            if not (upstream.is_cold(now) and not self._bears(upstream, now))
+            if not upstream.is_cold(now)
+            or self.cold_sends.are_due(upstream, now)
         ]
         usable = [one for one in ranked if not self._avoids(one, now)]
         if len(usable) < len(ranked) * LEAST_USABLE_SHARE:
@@ -200,11 +194,6 @@
         is_heavy = self.work_of(ask.route).is_heavy
         return Haul.heavy if is_heavy else Haul.light
 
-    def _bears(self, upstream: Upstream, now: float) -> bool:
-        """Return whether a cold upstream bears a request from here now."""
-        is_due = self._pace_of(upstream).is_due(now)
-        return is_due and self._cold_rate(upstream) > 0
-
     def _choose_among(
         self,
         group: list[tuple[int, Upstream]],
@@ -226,7 +215,7 @@
             return None
         upstream = by_name[choice.candidate.name]
         if upstream.is_cold(now):
-            self._pace_of(upstream).take(self._cold_rate(upstream), now)
+            self.cold_sends.take(upstream, now)
         longest = choice.seconds
         if ask.route.is_sticky and not upstream.warm.has(ask.key, now):
             cold = replace(choice.candidate, is_warm=False)
@@ -279,34 +268,3 @@
         if self._settings.current.is_in_region(zone):
             return ZONE_SECONDS_A_KILOBYTE * kilobytes
         return REGION_SECONDS_A_KILOBYTE * kilobytes
-
-    def _cold_rate(self, upstream: Upstream) -> float:
-        steering = self._belief.steering
-        if steering is None:
-            return 0.0
-        service = steering.services.get(upstream.entry.service)
-        if service is None:
-            return 0.0
-        bounds = self._settings.current.bounds
-        return sender_rate(
-            upstream.name,
-            upstream.entry.zone,
-            ColdLimit(
-                service.cold_rate,
-                bounds.cold_overshoot,
-                bounds.cold_slack,
-            ),
-            self.view,
-        )
-
-    def _pace_of(self, upstream: Upstream) -> Pace:
-        return self._paces.setdefault(upstream.name, Pace())
-
-    def forget(self, names: set[str]) -> None:
-        """Drop what is kept for upstreams that are gone.
-
-        Args:
-            names: Names of the upstreams that are still there.
-        """
-        for name in self._paces.keys() - names:
-            self._paces.pop(name)
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -99,6 +99,8 @@
     ) -> Course:
         key = inbound.key or inbound.request_id
         service = self._chooser.service_of(route, key)
+        if len(route.shares) > 1:
+            self._reporter.divided(route, service)
         seconds = min(inbound.seconds, route.timeout)
         return Course(
             inbound=inbound,
--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -89,6 +89,11 @@
         'Calls on the store, by what they are for and kind of objects',
         lambda: _store_calls(host),
     )
+    metrics.add_count(
+        'wardstair_cold_sends',
+        'Requests sent to upstreams that were cold, by service',
+        lambda: _cold_sends(host),
+    )
     metrics.add_count(
         'wardstair_upstream_connections_opened',
         'Connections opened to upstreams',
@@ -118,6 +123,13 @@
     ]
 
 
+def _cold_sends(host: 'GatewayHost') -> list[Row]:
+    return [
+        (float(count), {'service': service})
+        for service, count in host.chooser.cold_sends.sent.items()
+    ]
+
+
 def _gaps(host: 'GatewayHost') -> list[Row]:
     gaps = host.live_settings.current.gaps
     return [(gap.used, {'setting': gap.name}) for gap in gaps]
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -314,7 +314,7 @@
             catalog = self.belief.catalog
             catalog.expire_missing()
             self.pool.sweep(self._is_wanted)
-            self.chooser.forget(set(catalog.upstreams))
+            self.chooser.cold_sends.forget(set(catalog.upstreams))
             self.refresh_view()
 
     def _follow(self, follower: Follower) -> Callable[[], Awaitable[None]]:
--- a/src/wardstair/gateway/reporting.py
+++ b/src/wardstair/gateway/reporting.py
@@ -94,6 +94,10 @@
         self._good = LinePace(GOOD_LINES_A_SECOND)
         self._other = LinePace(OTHER_LINES_A_SECOND)
 
+    def divided(self, route: SteeredRoute, service: str) -> None:
+        """Count a request of a split route by the service it was given."""
+        self._metrics.split_requests.add(route.name, service)
+
     def answered(
         self,
         trail: Trail,
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -120,6 +120,18 @@
         'an upstream is far slower than usual or fails often; it is left out',
         'upstream service reason slowness errors seconds',
     ),
+    _kind(
+        'cold-upstream-used',
+        'this host sends to a cold upstream, or at another rate than before; '
+        '`live` and `known` count hosts of its own zone',
+        'upstream service zone left rate live known fleet zones',
+    ),
+    _kind(
+        'split-changed',
+        'a split route has other services or weights; `sent`: what this host '
+        'had sent to each by the ones before',
+        'route parts before sent',
+    ),
     _kind(
         'region-move-paced',
         'a route has other services: its requests change regions in steps',
--- a/src/wardstair/process/metrics.py
+++ b/src/wardstair/process/metrics.py
@@ -72,6 +72,12 @@
             'Requests answered by an upstream',
             'workload',
         )
+        self.split_requests = self._tally(
+            'split_requests',
+            'Requests of split routes by the service they were given',
+            'workload',
+            'service',
+        )
         self.refusals = self._tally(
             'refusals',
             'Requests refused',
