--- /dev/null
+++ b/tests/lib/routes.py
@@ -0,0 +1,31 @@
+"""Routes of the configuration for tests of what follows from them."""
+
+from collections.abc import Mapping
+
+from wardstair.version.steering import (
+    Repeatability,
+    ServiceShare,
+    SteeredRoute,
+)
+
+
+def route_of(
+    weights: Mapping[str, float],
+    name: str = 'read',
+) -> SteeredRoute:
+    """Return a route that is divided by weights."""
+    return SteeredRoute(
+        name=name,
+        host='music.example',
+        prefix='/read/',
+        repeatability=Repeatability.once,
+        shares=tuple(
+            ServiceShare(service, weight) for service, weight in weights.items()
+        ),
+        most_attempts=2,
+        timeout=2.0,
+        objective=0.5,
+        priority=1,
+        is_sticky=True,
+        regions=frozenset(),
+    )
--- /dev/null
+++ b/tests/unit/test_cold_after_start.py
@@ -0,0 +1,67 @@
+"""A cold upstream after a start of many hosts.
+
+What users saw: a region came back after a loss of power, and two of its
+upstreams, cold for three seconds more, got 20 and 24 requests in one second
+where 19.9 are borne. The order of events: the region's hosts and upstreams
+were lost; all other hosts lost power as well; the upstreams started; all
+hosts started within a tenth of a second; in that same second the requests
+came.
+
+The cause: what a host may send to a cold upstream follows from whom it hears.
+One that had heard nobody yet took itself for the only host of the fleet, and
+each of twelve sent as much as two are meant to send together.
+
+The evidence: a host of the program that users ran was assembled and asked. By
+its view it was settled, alone and in a fleet of one, and allowed itself 6.93
+requests a second to an upstream of any zone until its first sweep, half a
+second later. Twelve such hosts make 12 sends at once and 48 in that time.
+The same mistake comes back later if nobody answers within the wait after a
+start: 2.5 s after it the host counted as settled whatever it had heard.
+"""
+
+import asyncio
+from random import Random
+
+import pytest
+from lib.cold import most_allowed, most_sent
+from lib.rig import gateway_settings
+
+from wardstair.decisions.cold import ColdLimit
+from wardstair.gateway.host import GatewayHost
+
+LIMIT = ColdLimit(rate=9.9, overshoot=1.5, slack=5.0)
+OWN_ZONE = 'north-a'
+OTHER_ZONE = 'south-a'
+
+
+def hosts_of_a_zone(amount: int) -> list[GatewayHost]:
+    """Return hosts that have been assembled and have heard nobody."""
+
+    async def assemble() -> list[GatewayHost]:
+        return [
+            GatewayHost(gateway_settings(1, f'host-{number}'), Random(number))
+            for number in range(amount)
+        ]
+
+    return asyncio.run(assemble())
+
+
+@pytest.mark.parametrize('amount', [1, 12, 45])
+@pytest.mark.parametrize('zone', [OWN_ZONE, OTHER_ZONE])
+def test_hosts_that_have_just_started_send_nothing(
+    amount: int,
+    zone: str,
+) -> None:
+    views = [host.chooser.view for host in hosts_of_a_zone(amount)]
+    assert most_sent(views, LIMIT, zone) == 0
+
+
+@pytest.mark.parametrize('amount', [3, 12, 45])
+def test_hosts_that_nobody_answers_stay_in_the_bound(amount: int) -> None:
+    hosts = hosts_of_a_zone(amount)
+    for host in hosts:
+        # The wait after a start is over, and nobody was heard in it.
+        host.settle_seconds = 0
+        host.refresh_view()
+    views = [host.chooser.view for host in hosts]
+    assert most_sent(views, LIMIT, OWN_ZONE) <= most_allowed(LIMIT)
--- a/tests/unit/test_fleet_shares.py
+++ b/tests/unit/test_fleet_shares.py
@@ -7,12 +7,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from lib.beats import beat_of
+from lib.cold import most_allowed, most_sent
 from lib.rig import gateway_settings
 
 from wardstair.decisions.cold import (
     ColdLimit,
     HostView,
-    Pace,
     sender_rate,
 )
 from wardstair.decisions.resends import (
@@ -22,7 +22,7 @@
     host_limit,
 )
 from wardstair.decisions.sentinels import Watcher, choose_sentinels
-from wardstair.decisions.split import SplitTally
+from wardstair.decisions.split import TOLERANCE, SplitTally
 from wardstair.fleet.beats import PeerName
 from wardstair.fleet.members import GONE_SECONDS, Members
 from wardstair.gateway.host import GatewayHost
@@ -73,24 +73,6 @@
 ]
 
 
-def most_sent(views: list[HostView], limit: ColdLimit) -> int:
-    """Return the most that all hosts send to a cold upstream in a second.
-
-    Every host has a request for it at any time.
-    """
-    sent: list[float] = []
-    for view in views:
-        rate = sender_rate('i-1', 'z', limit, view)
-        pace = Pace()
-        sent.extend(
-            step / 100 for step in range(600) if pace.take(rate, step / 100)
-        )
-    return max(
-        sum(1 for at in sent if begin / 100 <= at < begin / 100 + 1)
-        for begin in range(500)
-    )
-
-
 @pytest.mark.parametrize('limit', COLD_LIMITS)
 @pytest.mark.parametrize(
     'views',
@@ -117,7 +99,7 @@
         heard = (names * 2)[start : start + live]
         own = names[number]
         seen.append(HostView(own, 'z', {*heard, own}, names[:known], known))
-    assert most_sent(seen, limit) <= limit.rate * limit.overshoot + limit.slack
+    assert most_sent(seen, limit) <= most_allowed(limit)
 
 
 def test_a_host_that_has_just_started_sends_nothing_to_a_cold_upstream() -> (
@@ -169,7 +151,7 @@
     assert len(sending) == 2
     assert len(set(sending)) == 1
     assert not has_own or sending[0] == 'z'
-    assert most_sent(views, COLD) <= COLD.rate * COLD.overshoot + COLD.slack
+    assert most_sent(views, COLD) <= most_allowed(COLD)
 
 
 @given(
@@ -195,6 +177,39 @@
         assert abs(count[name] / 600 - weight / total) < 0.06
 
 
+@pytest.mark.parametrize(
+    ('weights', 'keys'),
+    [
+        # Drawn once by the test above: the first part had 0.303 of the
+        # requests in place of 0.364.
+        ([0.640625, 0.12109375, 1.0], 16),
+        ([1.0] * 5, 40),
+    ],
+)
+def test_no_part_of_many_falls_behind_its_weight(
+    weights: list[float],
+    keys: int,
+) -> None:
+    """All parts but one may run ahead a little each, and that one lag by all.
+
+    A share moves by at most one request beyond the tolerance; the first few
+    requests of a host cannot be nearer than one.
+    """
+    shares = [(f'part {n}', weight) for n, weight in enumerate(weights)]
+    most_behind = 0.0
+    for seed in range(30):
+        tally = SplitTally()
+        random = Random(seed)
+        count: Counter[str] = Counter()
+        for _ in range(600):
+            chosen = tally.choose(f'key {random.randrange(keys)}', shares)
+            count[chosen] += 1
+        for name, weight in shares:
+            behind = weight / sum(weights) - count[name] / 600
+            most_behind = max(most_behind, behind)
+    assert most_behind <= TOLERANCE + 1 / 600
+
+
 def test_a_key_keeps_to_its_part_while_weights_are_met() -> None:
     tally = SplitTally()
     random = Random(1)
