Count what was sent of a split route by the weights in force only

Cause: a host kept its tally of a split route by the route's name, over versions. A part that had three quarters by old weights counted as half of all requests ahead of its new quarter and got nothing until some 150 further requests of the host. Ruled out: a shorter half-life of the tally, which keeps the fault for fewer requests and holds weights worse; correcting by the difference of old and new weights, which is the same as beginning anew with more to get wrong. Change: a tally belongs to the services and weights that it was counted by; other changes of a route keep it. What is kept for routes that are not split any more goes with the version that ends it.

--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -113,7 +113,7 @@
         self._distances = distances
         self._homes = Homes(settings, belief)
         self.cold_sends = ColdSends(settings, belief, lambda: self.view)
-        self._splits = Splits()
+        self.splits = Splits()
         self._work: dict[str, RouteWork] = {}
 
     @property
@@ -122,7 +122,7 @@
 
     def service_of(self, route: SteeredRoute, key: str) -> str:
         """Return the service for a request; a split route's by weight."""
-        return self._splits.service_of(route, key)
+        return self.splits.service_of(route, key)
 
     def work_of(self, route: SteeredRoute) -> RouteWork:
         """Return the usual work of a route."""
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -281,6 +281,7 @@
     def _on_steering(self) -> None:
         steering = self.belief.steering
         assert steering is not None
+        self.chooser.splits.follow(steering.routes)
         limits = steering.limits
         # Connections accepted from now on; older ones keep their limits.
         self._caller_server.conn_params = HTTP1ConnectionParameters(
--- a/tests/unit/test_split_after_change.py
+++ b/tests/unit/test_split_after_change.py
@@ -23,7 +23,7 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 import pytest
@@ -82,3 +82,29 @@
 def test_parts_follow_the_weights_after_a_change(spans: list[Span]) -> None:
     share = share_after(spans, {'bind': 1, 'quote': 3}, 'bind')
     assert share == pytest.approx(0.25, abs=TOLERANCE)
+
+
+def test_a_version_with_the_same_weights_changes_nothing() -> None:
+    """Other fields of a route change, and its keys stay where they are."""
+    route = route_of({'bind': 1, 'quote': 3})
+    random = Random(1)
+    keys = [f'key {random.randrange(KEYS)}' for _ in range(400)]
+    chosen = []
+    for after in (route, replace(route, timeout=route.timeout * 2)):
+        splits = Splits()
+        for key in keys[:200]:
+            splits.service_of(route, key)
+        splits.follow([after])
+        chosen.append([splits.service_of(after, key) for key in keys[200:]])
+    assert chosen[0] == chosen[1]
+
+
+@pytest.mark.parametrize('weights', [{'bind': 1}, None])
+def test_nothing_is_kept_for_routes_that_are_not_split_any_more(
+    weights: dict[str, float] | None,
+) -> None:
+    splits = Splits()
+    splits.service_of(route_of({'bind': 3, 'quote': 1}), 'key')
+    assert splits.routes == {'read'}
+    splits.follow([] if weights is None else [route_of(weights)])
+    assert splits.routes == set()
