Wait in a test until a host has seen its own object before removing it

Cause: test_an_object_that_was_removed_comes_back failed once. Its log: the host wrote its object, the test deleted it within 2 ms, and the host's listing right after (hosts-found count=0) was its first; nothing that it had known was gone, so it rightly told of no removal. Change: the test waits for the host's second look, as its neighbour does. Before: fails when the poll of 10 ms falls into those 2 ms. Conclusion: the check is as strict as before.

--- a/tests/functional/test_gateway_fleet.py
+++ b/tests/functional/test_gateway_fleet.py
@@ -435,7 +435,8 @@
     async def test() -> None:
         monkeypatch.setattr(registration, 'DISCOVERY_SECONDS', 0.2)
         async with fleet(1) as (store, hosts):
-            await until(lambda: len(store.kind('entry-hosts').objects) == 1)
+            # It looks, writes, and looks again: only then it has been there.
+            await until(lambda: len(host_calls(store)) >= 3)
             store.delete('entry-hosts', 'host-1')
             await until(lambda: len(store.kind('entry-hosts').objects) == 1)
             assert any('event=host-unregistered' in line for line in lines)
