Take a host that has heard nobody for one of many

Cause: whether a host had time to know the others was told by the time since its start. After 2.5 s one that nobody had answered took itself for the only one: three of a zone sent 6.9 requests a second each to a cold upstream (23 in a second where 19.9 are borne), and each spent the whole fleet's resends. A view without any knowledge was also what a view was by default: settled, alone, in a fleet of one. On the code that users ran hosts placed requests by it for their first half second. Ruled out: a longer wait, which is over just the same; shares by the number of registered hosts, since only relays register. Change: the wait counts from the first host that is heard, or from a listing of the store that shows this host and no other; a pause of the process is no part of it. Until then nothing goes to cold upstreams, and the fleet is taken for the largest planned unless another host has counted it. Views know nothing by default. A line fleet-known tells when the wait is over. A check that said the opposite (an unanswered host counts itself alone) is replaced: it is of a large fleet until the store shows that it is the only one. Before: test_hosts_that_nobody_answers_stay_in_the_bound fails for 3, 12 and 45 hosts. After: they send nothing; three that hear one another send, within the bound.

--- a/src/wardstair/decisions/cold.py
+++ b/src/wardstair/decisions/cold.py
@@ -19,6 +19,10 @@
 BOUND_USED = 0.93
 # Part of the known hosts that must be heard for a view to count as whole.
 WHOLE_VIEW = 0.6
+# The fleet's size as a host takes it that cannot know it yet, so that hundreds
+# of hosts which start at once do not each spend what is meant for a few: the
+# largest fleet of the users' plan.
+UNSETTLED_FLEET_SIZE = 1200
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +65,8 @@
         known: Hosts known in its zone, those not heard and itself included.
         fleet_size: Hosts known in all zones.
         zones: Zones that have entry hosts.
-        is_settled: Whether it had time to hear the others after its start.
+        is_settled: Whether it has heard others and had time to know all. A
+            host that cannot say so has to take it that there are many.
         knows_zones: Whether it had time to hear of all zones with hosts.
     """
 
@@ -71,8 +76,13 @@
     known: Collection[str]
     fleet_size: int
     zones: frozenset[str] = frozenset()
-    is_settled: bool = True
-    knows_zones: bool = True
+    is_settled: bool = False
+    knows_zones: bool = False
+
+    @classmethod
+    def unsettled(cls, own: str, zone: str) -> 'HostView':
+        """Return the view of a host that has not heard anybody yet."""
+        return cls(own, zone, (own,), (own,), UNSETTLED_FLEET_SIZE)
 
     @property
     def is_whole(self) -> bool:
--- a/src/wardstair/fleet/members.py
+++ b/src/wardstair/fleet/members.py
@@ -3,7 +3,7 @@
 It hears all hosts of its own availability zone and the relays of the others.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from wardstair.decisions.relays import RelayCandidate, choose_relays
@@ -52,6 +52,8 @@
         hinted: Relays of other zones, as a host of theirs named them.
         generation: Grows when the set of live hosts changes.
         registered_size: Largest fleet that hosts in the store have stated.
+        heard_since: When this process first heard another host, or found in
+            the store that there is none; None before.
         has_heard_configured: Whether a host has said that it has a
             configuration.
     """
@@ -69,6 +71,7 @@
     hinted: dict[str, tuple[str, ...]] = field(default_factory=dict)
     generation: int = 0
     registered_size: int = 0
+    heard_since: float | None = None
     has_heard_configured: bool = False
     _asked_for: int = 0
     _asked: int = 0
@@ -153,6 +156,32 @@
             told.append(self.registered_size)
         return max(self.counted_size, *told, 1)
 
+    def knows_fleet(self, seconds: float) -> bool:
+        """Return whether it had time to know the others.
+
+        Time alone does not tell: who is cut off, or whose seeds are gone, has
+        heard nobody after any time, and three such hosts of a zone each sent
+        what two may send together to a cold upstream. Counted from the first
+        answer: a host that is heard names others.
+
+        Args:
+            seconds: Time that it takes to hear of them.
+        """
+        since = self.heard_since
+        return since is not None and self.clock() - since >= seconds
+
+    def note_registry(self, names: Collection[str]) -> None:
+        """Take in which hosts the store lists.
+
+        A listing without this host was made before it registered, and so may
+        lack others that start together with it.
+
+        Args:
+            names: Their names.
+        """
+        if set(names) == {self.own.name}:
+            self._note_heard()
+
     def zones(self) -> set[str]:
         """Return the zones of all known hosts, this one's included."""
         known = {one.peer.zone for one in self.table.values()}
@@ -209,6 +238,7 @@
         if member.run == beat.run and member.number >= beat.number:
             return False
         member.take_in(beat, now)
+        self._note_heard()
         self.has_heard_configured |= beat.versions.configuration >= 0
         if self._has_stepped_down(beat):
             # It lives, but will not be heard from now on.
@@ -310,6 +340,9 @@
 
     def forgive_pause(self, gap: float) -> None:
         """Move all times on after a pause of this process."""
+        if self.heard_since is not None:
+            # It has heard nobody meanwhile.
+            self.heard_since += gap
         for member in self.table.values():
             member.heard_at += gap
 
@@ -337,5 +370,9 @@
             return False
         return self.is_settled() or not self.has_heard_configured
 
+    def _note_heard(self) -> None:
+        if self.heard_since is None:
+            self.heard_since = self.clock()
+
     def _has_stepped_down(self, beat: Beat) -> bool:
         return beat.sender.zone != self.own.zone and not beat.is_relay
--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -105,9 +105,8 @@
             belief: What this host knows.
             distances: Round trips to zones.
         """
-        own = settings.current.name
-        zone = settings.current.zone
-        self.view = HostView(own, zone, (own,), (own,), 1)
+        own = settings.current
+        self.view = HostView.unsettled(own.name, own.zone)
         self._settings = settings
         self._belief = belief
         self._distances = distances
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -12,7 +12,7 @@
 
 from wardstair.connection.pool import UpstreamPool
 from wardstair.decisions.busyness import Busyness
-from wardstair.decisions.cold import HostView
+from wardstair.decisions.cold import UNSETTLED_FLEET_SIZE, HostView
 from wardstair.decisions.timing import SETTLE_SECONDS
 from wardstair.fleet.beats import PeerName
 from wardstair.fleet.members import Members
@@ -54,10 +54,6 @@
 SWEEP_SECONDS = 0.5
 # Time to hear of a host in each zone, which took 32 heartbeats with 62 zones.
 ZONES_SECONDS = 45.0
-# The fleet's size as a host takes it that cannot know it yet, so that hundreds
-# of hosts which start at once do not each spend what is meant for a few: the
-# largest fleet of the users' plan.
-UNSETTLED_FLEET_SIZE = 1200
 # When the whole fleet starts for the first time, no caller waits yet: only the
 # hosts that are relays then need to read the store. A host that starts into
 # traffic waits until another has answered, 0.3 s at most: from then on it knows
@@ -304,7 +300,10 @@
 
     def refresh_view(self) -> None:
         """Let requests be placed by whom this host knows and hears now."""
+        before = self.chooser.view
         self.chooser.view = self._view()
+        if self.chooser.view.is_settled and not before.is_settled:
+            self._tell_view(self.chooser.view)
 
     async def _sweep(self) -> None:
         while True:
@@ -334,8 +333,10 @@
 
     def _view(self) -> HostView:
         members = self.members
-        is_settled = self._is_settled()
-        least = 0 if is_settled else UNSETTLED_FLEET_SIZE
+        is_settled = members.knows_fleet(self.settle_seconds)
+        # Others have counted the fleet for a host that only the store answers.
+        is_counted = is_settled or members.registered_size > 1
+        least = 0 if is_counted else UNSETTLED_FLEET_SIZE
         return HostView(
             own=self.settings.name,
             zone=self.settings.zone,
@@ -347,6 +348,16 @@
             knows_zones=self._clock() - self._started_at > ZONES_SECONDS,
         )
 
+    def _tell_view(self, view: HostView) -> None:
+        log_event(
+            'fleet-known',
+            live=len(view.live),
+            known=len(view.known),
+            fleet=view.fleet_size,
+            zones=','.join(sorted(view.zones)),
+            after=round(self._clock() - self._started_at, 2),
+        )
+
     def _is_settled(self) -> bool:
         return self._clock() - self._started_at > self.settle_seconds
 
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -120,6 +120,12 @@
         'an upstream is far slower than usual or fails often; it is left out',
         'upstream service reason slowness errors seconds',
     ),
+    _kind(
+        'fleet-known',
+        'this host has heard others and had time to know all, or is the only '
+        'one; `live` and `known` count hosts of its own zone',
+        'live known fleet zones after',
+    ),
     _kind(
         'cold-upstream-used',
         'this host sends to a cold upstream, or at another rate than before; '
--- a/src/wardstair/state/registration.py
+++ b/src/wardstair/state/registration.py
@@ -165,9 +165,11 @@
         found: list[PeerName] = []
         for stored in listed.ok_value.objects:
             self._note(stored, found)
-        if self._own.name not in {peer.name for peer in found}:
+        names = {peer.name for peer in found}
+        if self._own.name not in names:
             self._note_absence()
         self._members.learn(found)
+        self._members.note_registry(names)
         log_event('hosts-found', count=len(found))
         return True
 
--- a/tests/lib/cold.py
+++ b/tests/lib/cold.py
@@ -1,6 +1,6 @@
 """What hosts would send to a cold upstream between them."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from wardstair.decisions.cold import ColdLimit, HostView, Pace, sender_rate
 
@@ -9,6 +9,29 @@
 PLAYED_SECONDS = 6
 
 
+def settled_view(
+    own: str,
+    zone: str,
+    live: Collection[str],
+    known: Collection[str],
+    fleet_size: int,
+    zones: frozenset[str] = frozenset(),
+    *,
+    knows_zones: bool = True,
+) -> HostView:
+    """Return the view of a host that had time to know the others."""
+    return HostView(
+        own,
+        zone,
+        live,
+        known,
+        fleet_size,
+        zones,
+        is_settled=True,
+        knows_zones=knows_zones,
+    )
+
+
 def most_sent(
     views: Iterable[HostView],
     limit: ColdLimit,
--- a/tests/lib/rig.py
+++ b/tests/lib/rig.py
@@ -115,8 +115,9 @@
             self.store.put('servers', upstream.name, entry)
         settings = gateway_settings(self.store.port, bounds=self._bounds)
         self._gateway = GatewayHost(settings, Random(7))
-        # It is alone and need not wait for others.
+        # It is alone, knows that and need not wait for others.
         self._gateway.settle_seconds = 0
+        self._gateway.members.note_registry({settings.name})
         self._gateway.refresh_view()
         await self._gateway.start()
         await self.until(lambda: self.gateway.is_ready)
--- a/tests/unit/test_cold_after_start.py
+++ b/tests/unit/test_cold_after_start.py
@@ -23,10 +23,13 @@
 from random import Random
 
 import pytest
+from lib.beats import beat_of, peer_of
 from lib.cold import most_allowed, most_sent
 from lib.rig import gateway_settings
+from lib.upstreams import Clock
 
-from wardstair.decisions.cold import ColdLimit
+from wardstair.decisions.cold import ColdLimit, HostView
+from wardstair.fleet.members import Members
 from wardstair.gateway.host import GatewayHost
 
 LIMIT = ColdLimit(rate=9.9, overshoot=1.5, slack=5.0)
@@ -46,6 +49,13 @@
     return asyncio.run(assemble())
 
 
+def settle(host: GatewayHost) -> HostView:
+    """Let the wait after a start be over; return what the host sees then."""
+    host.settle_seconds = 0
+    host.refresh_view()
+    return host.chooser.view
+
+
 @pytest.mark.parametrize('amount', [1, 12, 45])
 @pytest.mark.parametrize('zone', [OWN_ZONE, OTHER_ZONE])
 def test_hosts_that_have_just_started_send_nothing(
@@ -59,9 +69,49 @@
 @pytest.mark.parametrize('amount', [3, 12, 45])
 def test_hosts_that_nobody_answers_stay_in_the_bound(amount: int) -> None:
     hosts = hosts_of_a_zone(amount)
-    for host in hosts:
-        # The wait after a start is over, and nobody was heard in it.
-        host.settle_seconds = 0
-        host.refresh_view()
-    views = [host.chooser.view for host in hosts]
+    views = [settle(host) for host in hosts]
     assert most_sent(views, LIMIT, OWN_ZONE) <= most_allowed(LIMIT)
+
+
+def test_hosts_that_hear_one_another_share_the_bound() -> None:
+    hosts = hosts_of_a_zone(3)
+    for host in hosts:
+        for other in hosts:
+            host.members.hear(beat_of(other.members.own))
+    sent = most_sent([settle(host) for host in hosts], LIMIT, OWN_ZONE)
+    assert 0 < sent <= most_allowed(LIMIT)
+
+
+@pytest.mark.parametrize(
+    ('listed', 'sends'),
+    [
+        # Listed before it had registered: others may be in the same place.
+        ((), False),
+        (('host-0',), True),
+        (('host-0', 'host-9'), False),
+    ],
+)
+def test_a_host_that_hears_nobody_asks_the_store_whether_it_is_the_only_one(
+    listed: tuple[str, ...],
+    *,
+    sends: bool,
+) -> None:
+    (host,) = hosts_of_a_zone(1)
+    host.members.note_registry(listed)
+    assert bool(most_sent([settle(host)], LIMIT, OWN_ZONE)) is sends
+
+
+def test_the_wait_begins_with_the_first_host_that_is_heard() -> None:
+    clock = Clock()
+    members = Members(peer_of('a'), clock)
+    clock.now += 100
+    assert not members.knows_fleet(2.5)
+    members.hear(beat_of(peer_of('b')))
+    clock.now += 2
+    assert not members.knows_fleet(2.5)
+    # A pause of this process is no time in which it could hear anybody.
+    clock.now += 10
+    members.forgive_pause(10)
+    assert not members.knows_fleet(2.5)
+    clock.now += 0.5
+    assert members.knows_fleet(2.5)
--- a/tests/unit/test_fleet_shares.py
+++ b/tests/unit/test_fleet_shares.py
@@ -7,10 +7,11 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 from lib.beats import beat_of
-from lib.cold import most_allowed, most_sent
+from lib.cold import most_allowed, most_sent, settled_view
 from lib.rig import gateway_settings
 
 from wardstair.decisions.cold import (
+    UNSETTLED_FLEET_SIZE,
     ColdLimit,
     HostView,
     sender_rate,
@@ -98,7 +99,7 @@
         start = number - number % live
         heard = (names * 2)[start : start + live]
         own = names[number]
-        seen.append(HostView(own, 'z', {*heard, own}, names[:known], known))
+        seen.append(settled_view(own, 'z', {*heard, own}, names[:known], known))
     assert most_sent(seen, limit) <= most_allowed(limit)
 
 
@@ -112,7 +113,7 @@
 def test_a_zone_that_is_not_heard_of_yet_is_left_to_its_own_hosts() -> None:
     """Hosts that know few zones would each choose another to stand in."""
     views = [
-        HostView(
+        settled_view(
             f'{zone}-1',
             zone,
             {f'{zone}-1'},
@@ -139,7 +140,7 @@
         hosts = [f'{zone}-{number}' for number in range(20)]
         size = 20 * len(names)
         views += [
-            HostView(host, zone, hosts, hosts, size, frozenset(names))
+            settled_view(host, zone, hosts, hosts, size, frozenset(names))
             for host in hosts
         ]
     rates = [sender_rate('i-1', 'z', COLD, view) for view in views]
@@ -272,6 +273,10 @@
     )
     spent = host_limit(fleet, host.chooser.view.fleet_size).extra * 195
     assert spent < fleet.extra / 5
+    # The wait is over, and nobody was heard in it.
     host.settle_seconds = 0
     host.refresh_view()
+    assert host.chooser.view.fleet_size == UNSETTLED_FLEET_SIZE
+    host.members.note_registry({host.settings.name})
+    host.refresh_view()
     assert host.chooser.view.fleet_size == 1
