Count the time to know all zones from the first host that is heard

Cause: after 45 s a host took each zone that it had not heard of for one without entry hosts, also one that had heard nobody in that time; hosts of another zone then stand in for its cold upstreams beside its own. Ruled out: leaving it to the wait for the fleet, which ends 2.5 s after the first answer, before zones are known. Change: both waits begin with the first host heard. Before: the new test fails (zones known 2.5 s after the first answer). After: it passes.

--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -345,7 +345,7 @@
             fleet_size=max(members.fleet_size, least),
             zones=frozenset(members.zones()),
             is_settled=is_settled,
-            knows_zones=self._clock() - self._started_at > ZONES_SECONDS,
+            knows_zones=members.knows_fleet(ZONES_SECONDS),
         )
 
     def _tell_view(self, view: HostView) -> None:
--- a/tests/unit/test_cold_after_start.py
+++ b/tests/unit/test_cold_after_start.py
@@ -21,6 +21,7 @@
 
 import asyncio
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 from lib.beats import beat_of, peer_of
@@ -30,6 +31,7 @@
 
 from wardstair.decisions.cold import ColdLimit, HostView
 from wardstair.fleet.members import Members
+from wardstair.gateway import host as host_module
 from wardstair.gateway.host import GatewayHost
 
 LIMIT = ColdLimit(rate=9.9, overshoot=1.5, slack=5.0)
@@ -115,3 +117,21 @@
     assert not members.knows_fleet(2.5)
     clock.now += 0.5
     assert members.knows_fleet(2.5)
+
+
+def test_zones_are_known_some_time_after_somebody_is_heard(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Who hears somebody late takes no zone for one without hosts yet."""
+    clock = Clock()
+    monkeypatch.setattr(host_module, 'time', SimpleNamespace(monotonic=clock))
+    (host,) = hosts_of_a_zone(1)
+    clock.now += 2 * host_module.ZONES_SECONDS
+    host.members.hear(beat_of(peer_of('host-9', OWN_ZONE)))
+    clock.now += host.settle_seconds
+    host.refresh_view()
+    assert host.chooser.view.is_settled
+    assert not host.chooser.view.knows_zones
+    clock.now += host_module.ZONES_SECONDS
+    host.refresh_view()
+    assert host.chooser.view.knows_zones
