Tell newcomers that upstreams of a zone being emptied come back cold

Cause: found by going through what a host keeps of a zone over its evacuation. That its upstreams are cold afterwards is known only to hosts that knew of the evacuation. One that gets the upstreams from one host during it and its end from another that is further has never known it, and sends at full rate until the upstreams say so themselves (a heartbeat of 1.5 s, and the way). Ruled out: marking after each change of evacuations for any zone, which marks nothing for a set that was never seen; an object in the store, two more calls an evacuation. Change: a host that hands on upstreams tells those of evacuated zones as cold for their service's cold time. Before: the row where only the end is heard fails. After: it holds. Left: a host that reads all of it from the store itself, within the moment between the end and the upstreams' own word.

--- a/src/wardstair/state/belief.py
+++ b/src/wardstair/state/belief.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from wardstair.errors import ConfigurationError
 from wardstair.fleet.beats import Versions
@@ -15,7 +15,8 @@
     decode_configuration,
 )
 from wardstair.process.log import log_event, log_warning
-from wardstair.state.catalog import Catalog
+from wardstair.state.catalog import Catalog, CatalogChanges
+from wardstair.state.entries import UpstreamEntry
 from wardstair.version.steering import Steering
 
 # Begin of the source of what another host has told.
@@ -140,6 +141,29 @@
         )
         return True
 
+    def upstreams_since(self, revision: int) -> CatalogChanges:
+        """Return what another host lacks of the upstreams.
+
+        Those of a zone that is being emptied are told as cold, as they are
+        when that ends: the other host may learn of the end without ever having
+        known of the evacuation, from a host that is further, and would send to
+        them at full rate.
+
+        Args:
+            revision: Up to which the other host knows everything.
+        """
+        changes = self.catalog.changes_since(revision)
+        if not self.evacuated:
+            return changes
+        entries = tuple(map(self._as_evacuated, changes.entries))
+        return replace(changes, entries=entries)
+
+    def _as_evacuated(self, entry: UpstreamEntry) -> UpstreamEntry:
+        if entry.zone not in self.evacuated:
+            return entry
+        seconds = max(entry.cold_seconds, self._cold_seconds(entry.service))
+        return replace(entry, cold_seconds=seconds)
+
     def _cold_seconds(self, service: str) -> float:
         if self.steering is None:
             return 0.0
--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -100,7 +100,7 @@
             )
         upstreams = None
         if own.upstreams > theirs.upstreams:
-            upstreams = belief.catalog.changes_since(theirs.upstreams)
+            upstreams = belief.upstreams_since(theirs.upstreams)
         state = SharedState(configuration, evacuations, upstreams)
         return self._encoder.encode(state)
 
