Let paced moves end of routes that nobody asks for

Cause: a move of a route between regions ended only when a request asked for its offset. One of a route that was taken out stayed under way for good, and all keys of moving routes were dropped and ranked anew four times a second. Ruled out: dropping moves with their routes, which leaves those of idle routes. Change: whether any move is under way is asked with the time, and ends those past it. Before: the new test fails. After: it passes. Conclusion: kept; costs only processor time, not measured.

--- a/src/wardstair/gateway/homes.py
+++ b/src/wardstair/gateway/homes.py
@@ -136,7 +136,7 @@
             self._most_share,
         )
         is_due = self._now - self._moved_at >= MOVE_STEP_SECONDS
-        if is_new or (is_due and self._moves.are_under_way):
+        if is_new or (is_due and self._are_moving):
             self._moved_at = self._now
             self._ranked = {
                 ask: ranked
@@ -144,6 +144,10 @@
                 if not ask.route
             }
 
+    @property
+    def _are_moving(self) -> bool:
+        return self._moves.are_under_way(self._now, self._most_share)
+
     @property
     def _most_share(self) -> float:
         return self._settings.current.bounds.shift_share
--- a/src/wardstair/gateway/moving.py
+++ b/src/wardstair/gateway/moving.py
@@ -21,9 +21,14 @@
         self._steering: Steering | None = None
         self._moves: dict[str, RegionMove] = {}
 
-    @property
-    def are_under_way(self) -> bool:
-        """Whether any route is on its way."""
+    def are_under_way(self, now: float, most_share: float) -> bool:
+        """Return whether any route is on its way.
+
+        One that nobody asks for any more arrives as well: while any counts as
+        under way, keys are ranked anew four times a second.
+        """
+        for name in tuple(self._moves):
+            self.offset(name, now, most_share)
         return bool(self._moves)
 
     def follow(
--- a/tests/unit/test_region_moves.py
+++ b/tests/unit/test_region_moves.py
@@ -19,11 +19,13 @@
 from wardstair.decisions.relief import STEP_SECONDS
 from wardstair.decisions.split import SplitTally
 from wardstair.gateway.homes import Haul, Homes, KeyAsk
+from wardstair.gateway.moving import RegionMoves
 from wardstair.gateway.settings import Bounds, LiveSettings
 from wardstair.platform.objects import Metadata, StoredObject
 from wardstair.state.belief import Belief
 from wardstair.state.catalog import Catalog
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
+from wardstair.version.steering import SteeredRoute
 
 MOST_MOVED = 0.15
 REGIONS = ('north', 'south', 'west')
@@ -203,3 +205,21 @@
     late.homes.step(late.clock.now)
     late.adopt(late.entries)
     assert late.shares() == direct.shares()
+
+
+def test_a_move_of_a_route_that_is_gone_ends_as_well() -> None:
+    """While one is under way all keys of moving routes are ranked anew."""
+    region = Region('west')
+    steering = region.belief.steering
+    moves = RegionMoves()
+    shares = {'views': 0.5, 'orders': 0.1}
+
+    def share_of(service: str, _route: SteeredRoute) -> float:
+        return shares[service]
+
+    moves.follow(steering, share_of, 0, MOST_MOVED)
+    region.steer({'views': 0.1, 'orders': 0.9})
+    moves.follow(region.belief.steering, share_of, 0, MOST_MOVED)
+    assert moves.are_under_way(1, MOST_MOVED)
+    # Nobody asks for the route's offset from here on.
+    assert not moves.are_under_way(60, MOST_MOVED)
