Let the soak check the bound of cold upstreams and the weights of split routes

It had no cold upstreams, no split route, and no loss of power of hosts and upstreams together. Change: upstreams that start during a play are cold for 6 s and may get no more than 8 requests in a second, counted as sent and arrived within it; a split route whose weights differ from version to version, weighed after two changes in quiet; a fault that ends all hosts and a zone's upstreams, which start together; breaks for both. Callers ask for 24 keys instead of one. Ruled out: a wider bound (20), where six hosts that each take themselves for the only one were found in one of three plays, for want of callers.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -6,31 +6,54 @@
 
 import pytest
 from soak.broken import KIND_VARIABLE
-from soak.ledger import Kind, Ledger, Run, Span
+from soak.ledger import MOST_COLD, ColdArrival, Kind, Ledger, Run, Span
 from soak.play import Plan, Verdict, play
 from soak.processes import GatewayProcess, choose_places
 from soak.seeds import FAILED_SEEDS
+from soak.weights import Scale
 
 BROKEN = 'soak.broken'
 SEED = 20261202
 HERD_SEED = 2
-SHORT = Plan(SEED, seconds=6, hosts=4, upstreams=5, callers=6, gap=0.6)
+SHORT = Plan(
+    SEED,
+    seconds=6,
+    hosts=4,
+    upstreams=5,
+    callers=6,
+    gap=0.6,
+    with_power=False,
+)
+# Hosts lose power while upstreams start cold.
+POWER = replace(SHORT, only_power=True, gap=2)
 PLANS = [
     replace(SHORT, with_herds=False),
     # Kills all hosts twice; those greeted first start last.
     replace(SHORT, seed=HERD_SEED),
+    POWER,
     *(
-        replace(SHORT, seed=one.seed, with_herds=one.with_herds)
+        replace(
+            SHORT,
+            seed=one.seed,
+            with_herds=one.with_herds,
+            with_power=one.with_power,
+        )
         for one in FAILED_SEEDS
     ),
 ]
+# Many lost answers, so that a busy machine with few requests has some.
+LOSING = replace(SHORT, module=BROKEN, lost_share=0.25, with_herds=False)
 
 
 def run(plan: Plan, folder: Path) -> Verdict:
     return asyncio.run(play(plan, folder))
 
 
-@pytest.mark.parametrize('plan', PLANS, ids=lambda plan: str(plan.seed))
+@pytest.mark.parametrize(
+    'plan',
+    PLANS,
+    ids=lambda plan: f'{plan.seed}-power' if plan.only_power else plan.seed,
+)
 def test_promises_hold_under_drawn_faults(plan: Plan, tmp_path: Path) -> None:
     verdict = run(plan, tmp_path)
     assert verdict.broken == []
@@ -39,19 +62,24 @@
 
 
 @pytest.mark.parametrize(
-    ('kind', 'words'),
-    [('lie', 'told that it has not run'), ('revert', 'went back')],
+    ('kind', 'plan', 'words'),
+    [
+        ('lie', LOSING, 'told that it has not run'),
+        ('revert', LOSING, 'went back'),
+        # Enough hosts and callers for what the upstreams bear three times.
+        ('alone', replace(POWER, hosts=6, callers=12), 'in a second to cold'),
+        ('tally', SHORT, 'weights are not kept'),
+    ],
 )
 def test_a_break_that_was_put_in_is_found(
     kind: str,
+    plan: Plan,
     words: str,
     tmp_path: Path,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setenv(KIND_VARIABLE, kind)
-    # Many lost answers, so that a busy machine with few requests has some.
-    plan = replace(SHORT, module=BROKEN, lost_share=0.25, with_herds=False)
-    verdict = run(plan, tmp_path)
+    verdict = run(replace(plan, module=BROKEN), tmp_path)
     assert any(words in line for line in verdict.broken)
 
 
@@ -88,6 +116,49 @@
     assert words is None or words in found[0]
 
 
+@pytest.mark.parametrize(
+    ('sent', 'came', 'is_broken'),
+    [
+        # At once; over two seconds; sent before and held up on the way.
+        ([0.0] * MOST_COLD, [0.1] * MOST_COLD, False),
+        ([0.0] * (MOST_COLD + 1), [0.1] * (MOST_COLD + 1), True),
+        ([0.0] * MOST_COLD + [1.0], [0.1] * MOST_COLD + [1.1], False),
+        (
+            [number / 10 for number in range(MOST_COLD + 1)],
+            [2.0] * (MOST_COLD + 1),
+            False,
+        ),
+    ],
+)
+def test_the_ledger_holds_cold_upstreams_to_their_bound(
+    sent: list[float],
+    came: list[float],
+    *,
+    is_broken: bool,
+) -> None:
+    arrivals = [ColdArrival(*times) for times in zip(sent, came, strict=True)]
+    found = Ledger(cold={'i-1': arrivals}).check()
+    assert bool(found) is is_broken
+
+
+@pytest.mark.parametrize(
+    ('views', 'orders', 'broken'),
+    [(120, 120, 0), (165, 75, 0), (180, 60, 2), (0, 240, 2), (60, 60, 1)],
+)
+def test_weights_are_weighed_by_what_ran(
+    views: int,
+    orders: int,
+    broken: int,
+) -> None:
+    ledger = Ledger()
+    scale = Scale(ledger, {'views': 1, 'orders': 1})
+    services = ['views'] * views + ['orders'] * orders
+    for number, service in enumerate(services):
+        made = ledger.begin(f'r{number}', Kind.divided, 'host/1')
+        ledger.note_run(made.request_id, 'up', service)
+    assert len(scale.check()) == broken
+
+
 def test_a_request_cut_beside_another_fault_is_no_fault_of_the_stop() -> None:
     ledger = Ledger(stopped={'host/1'})
     made = ledger.begin('r', Kind.safe, 'host/1')
--- a/tests/lib/rig.py
+++ b/tests/lib/rig.py
@@ -192,13 +192,14 @@
         method: str = 'GET',
         body: bytes = b'',
         request_id: str = 'r1',
+        key: str = '17',
         **fields: str,
     ) -> None:
         lines = [
             f'{method} {target} HTTP/1.1',
             'Host: music.example',
             f'Wardstair-Attempt-Id: {request_id}',
-            'Cookie: Wardstair-Affinity-Key=17',
+            f'Cookie: Wardstair-Affinity-Key={key}',
             'Wardstair-Deadline-Ms: 3000',
         ]
         if body:
--- /dev/null
+++ b/tests/soak/breaks.py
@@ -0,0 +1,91 @@
+"""Breaks that are put into a gateway on purpose, which a play has to find."""
+
+from dataclasses import replace
+
+from wardstair.cli import gateway
+from wardstair.decisions.cold import HostView
+from wardstair.gateway import host, refusals, splitting
+from wardstair.platform.objects import StoredObject
+from wardstair.state import belief
+from wardstair.version.steering import SteeredRoute
+
+
+def lie_about_not_run() -> None:
+    """Tell callers that a request has not run when it may have."""
+    status = refusals.OVERLOADED.status
+    lie = replace(refusals.OUTCOME_UNKNOWN, status=status, retry_after=0.1)
+    refusals.OUTCOME_UNKNOWN = lie
+    refusals.TOO_LATE = lie
+
+
+def forget_versions() -> None:
+    """Let each version that is read be in force, also older ones."""
+    adopt = belief.Belief.offer_configuration
+    kept: list[StoredObject] = []
+
+    def offer(
+        self: belief.Belief,
+        stored: StoredObject,
+        source: str,
+    ) -> bool:
+        kept.append(stored)
+        adopted = adopt(self, stored, source)
+        if len(kept) % 2 == 0 and self.steering is not None:
+            # Back to the first version, as if nothing had been seen since.
+            self.steering = replace(self.steering, version=-1)
+            adopt(self, kept[0], source)
+        return adopted
+
+    belief.Belief.offer_configuration = offer  # type: ignore[method-assign]
+
+
+def believe_to_be_alone() -> None:
+    """Let each host take itself for the only one at any time."""
+
+    def view(self: host.GatewayHost) -> HostView:
+        own = (self.settings.name,)
+        return HostView(
+            self.settings.name,
+            self.settings.zone,
+            own,
+            own,
+            1,
+            is_settled=True,
+            knows_zones=True,
+        )
+
+    host.GatewayHost._view = view  # type: ignore[method-assign]
+
+
+def keep_old_tallies() -> None:
+    """Let what was sent by old weights count against new ones."""
+    begin = splitting.Splits._begin
+
+    def go_on(
+        self: splitting.Splits,
+        route: SteeredRoute,
+        before: splitting.RouteSplit,
+    ) -> splitting.RouteSplit:
+        split = begin(self, route, before)
+        split.tally = before.tally
+        return split
+
+    splitting.Splits._begin = go_on  # type: ignore[method-assign]
+
+
+def run(kind: str) -> None:
+    """Put a break in and run the program.
+
+    Args:
+        kind: Names the break.
+    """
+    match kind:
+        case 'lie':
+            lie_about_not_run()
+        case 'revert':
+            forget_versions()
+        case 'alone':
+            believe_to_be_alone()
+        case 'tally':
+            keep_old_tallies()
+    gateway.main()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,7 +12,13 @@
 from soak.ledger import Kind, Ledger, Try
 from soak.processes import GatewayProcess
 
-TARGETS = {Kind.safe: '/read/x', Kind.once: '/order/x'}
+TARGETS = {
+    Kind.safe: '/read/x',
+    Kind.once: '/order/x',
+    Kind.divided: '/split/x',
+}
+# Things that requests concern.
+KEYS = 24
 # A caller gives up on an answer after this long.
 PATIENCE_SECONDS = 4.0
 CONNECT_SECONDS = 1.0
@@ -43,7 +49,7 @@
     async def run(self, is_over: Callable[[], bool]) -> None:
         """Send requests until it is over; the last one is answered."""
         while not is_over():
-            kind = self._random.choice((Kind.safe, Kind.safe, Kind.once))
+            kind = self._random.choice((Kind.safe, Kind.divided, Kind.once))
             await self.ask(kind)
             await asyncio.sleep(self._random.random() * PAUSE_SECONDS)
         self._drop()
@@ -58,9 +64,10 @@
         name = f'{self._name}-{next(self._numbers)}'
         made = self._ledger.begin(name, kind, self._life)
         body = b'x' * self._random.choice((1, 200, UPLOAD_BYTES))
+        key = str(self._random.randrange(KEYS))
         try:
             async with asyncio.timeout(PATIENCE_SECONDS):
-                await caller.send(TARGETS[kind], 'POST', body, name)
+                await caller.send(TARGETS[kind], 'POST', body, name, key)
                 answer = await caller.answer()
         except (TimeoutError, ConnectionError):
             # It leaves; what becomes of the request is not its business.
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -104,6 +104,21 @@
     scene.store.status = None
 
 
+async def lose_power(scene: Scene) -> None:
+    """End all processes and a zone's upstreams, which come back cold."""
+    zone = scene.random.choice(scene.zones)
+    lost = [one for one in scene.upstreams if one.zone == zone]
+    for upstream in lost:
+        name = upstream.name
+        upstream.crash()
+        scene.deregister(name)
+    await asyncio.gather(*(one.end() for one in scene.gateways))
+    await asyncio.sleep(scene.draw_seconds() / 4)
+    for upstream in lost:
+        scene.register(upstream)
+    await asyncio.gather(*(one.start() for one in scene.gateways))
+
+
 async def _restart(scene: Scene, gateway: GatewayProcess) -> None:
     if not gateway.is_running:
         return
@@ -256,6 +271,10 @@
 )
 
 
+# What makes hosts and upstreams start beside one another.
+POWER: tuple[Fault, ...] = (lose_power, lose_power)
+
+
 class Schedule:
     """Applies drawn faults until time is up, some at once."""
 
@@ -264,16 +283,16 @@
         scene: Scene,
         gap: float,
         *,
-        with_herds: bool,
+        groups: tuple[tuple[Fault, ...], ...],
     ) -> None:
         """Prepare.
 
         Args:
             scene: What the faults act on.
             gap: Mean seconds from one fault's begin to the next.
-            with_herds: Whether hosts have to find each other anew.
+            groups: Faults that are drawn from; each group is as likely.
         """
-        self._groups = (PLANNED, UNPLANNED + HERDS * with_herds)
+        self._groups = groups
         self.applied: list[str] = []
         self._scene = scene
         self._gap = gap
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -4,6 +4,12 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+# Requests that a cold upstream bears in a second: four, by half more, and two.
+# Hosts that keep to it send half of that; few callers are enough to exceed it.
+COLD_RATE = 4.0
+COLD_OVERSHOOT = 1.5
+COLD_SLACK = 2.0
+MOST_COLD = int(COLD_RATE * COLD_OVERSHOOT + COLD_SLACK)
 # Statuses by which a caller is told that its request has not run.
 PROMISES = frozenset((408, 421, 429, 503))
 
@@ -13,6 +19,8 @@
 
     safe = 'safe'
     once = 'once'
+    # Safe as well, and divided among services by weight.
+    divided = 'divided'
     # A request that only tells which version is in force.
     probe = 'probe'
 
@@ -23,9 +31,18 @@
 
     upstream: str
     at: float
+    service: str = ''
     is_faulted: bool = False
 
 
+@dataclass(frozen=True)
+class ColdArrival:
+    """A request that came to an upstream while it was cold."""
+
+    sent_at: float
+    at: float
+
+
 @dataclass
 class Try:
     """One request of a caller.
@@ -70,6 +87,7 @@
         broken: Promises found broken while the play runs.
         spans: Times of faults.
         stopped: Lives of gateways that were asked to stop and nothing else.
+        cold: What came to each upstream while it was cold.
     """
 
     tries: dict[str, Try] = field(default_factory=dict)
@@ -77,6 +95,7 @@
     broken: list[str] = field(default_factory=list)
     spans: list[Span] = field(default_factory=list)
     stopped: set[str] = field(default_factory=set)
+    cold: dict[str, list[ColdArrival]] = field(default_factory=dict)
 
     def begin(self, request_id: str, kind: Kind, gateway: str) -> Try:
         """Note a request that is about to be sent."""
@@ -84,13 +103,25 @@
         self.tries[request_id] = made
         return made
 
-    def note_run(self, request_id: str, upstream: str) -> Run | None:
+    def note_cold(self, request_id: str, upstream: str) -> None:
+        """Note that a request has come to a cold upstream."""
+        known = self.tries.get(request_id)
+        if known is not None:
+            came = ColdArrival(known.sent_at, time.monotonic())
+            self.cold.setdefault(upstream, []).append(came)
+
+    def note_run(
+        self,
+        request_id: str,
+        upstream: str,
+        service: str = '',
+    ) -> Run | None:
         """Note that an upstream has begun to work on a request."""
         known = self.tries.get(request_id)
         if known is None:
             self.unknown.append(request_id)
             return None
-        run = Run(upstream, time.monotonic())
+        run = Run(upstream, time.monotonic(), service)
         known.runs.append(run)
         return run
 
@@ -104,12 +135,21 @@
         """Return the promises that were broken, in words."""
         found = list(self.broken)
         found.extend(f'ran unasked: {name}' for name in self.unknown)
+        found.extend(self._check_cold())
         for one in self.tries.values():
             found.extend(_check_try(one))
             if self._is_cut_by_stop(one):
                 found.append(f'cut by a planned stop: {one}')
         return found
 
+    def _check_cold(self) -> list[str]:
+        found = []
+        for name, came in self.cold.items():
+            most = max(_in_second(came, one.sent_at) for one in came)
+            if most > MOST_COLD:
+                found.append(f'{most} requests in a second to cold {name}')
+        return found
+
     def _is_cut_by_stop(self, one: Try) -> bool:
         if one.status != 0 or not one.runs or one.gateway not in self.stopped:
             return False
@@ -121,6 +161,14 @@
         )
 
 
+def _in_second(came: list[ColdArrival], begin: float) -> int:
+    """Count what was sent and came within a second.
+
+    What was sent before and held up on the way says nothing of the senders.
+    """
+    return sum(1 for one in came if begin <= one.sent_at and one.at < begin + 1)
+
+
 def _check_try(one: Try) -> list[str]:
     found = []
     if one.kind is Kind.once and len(one.runs) > 1:
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -14,12 +15,21 @@
 from lib.store_standin import StoreStandin
 
 from soak.callers import CallerTask
-from soak.faults import Scene, Schedule
+from soak.faults import (
+    HERDS,
+    PLANNED,
+    POWER,
+    UNPLANNED,
+    Fault,
+    Scene,
+    Schedule,
+)
 from soak.ledger import Kind, Ledger
 from soak.processes import GatewayProcess, choose_places
 from soak.proxy import Proxy
 from soak.upstreams import LOST_SHARE, SoakUpstream
-from soak.versions import VersionProbe, marked_configuration
+from soak.versions import VersionProbe, marked_configuration, weights_of
+from soak.weights import Scale
 
 GATEWAY = 'wardstair.cli.gateway'
 ZONES = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
@@ -44,6 +54,8 @@
         lost_share: Share of answers that a well upstream loses.
         module: Program that is run as a gateway.
         with_herds: Whether hosts have to find each other anew.
+        with_power: Whether hosts and upstreams lose power together.
+        only_power: Whether nothing else happens.
     """
 
     seed: int
@@ -55,6 +67,16 @@
     lost_share: float = LOST_SHARE
     module: str = GATEWAY
     with_herds: bool = True
+    with_power: bool = True
+    only_power: bool = False
+
+    @property
+    def groups(self) -> tuple[tuple[Fault, ...], ...]:
+        """Faults that are drawn from; each group is as likely."""
+        if self.only_power:
+            return (POWER,)
+        herds = HERDS * self.with_herds
+        return (PLANNED, UNPLANNED + herds + POWER * self.with_power)
 
 
 @dataclass
@@ -155,11 +177,12 @@
         schedule = Schedule(
             scene,
             self._plan.gap,
-            with_herds=self._plan.with_herds,
+            groups=self._plan.groups,
         )
         await schedule.run(self._plan.seconds)
         scene.put_configuration()
         await self._wait_well(probes, 'recovery', RECOVERY_SECONDS)
+        await self._weigh(scene, probes)
         self._is_over = True
         await asked
         tries = self.ledger.tries.values()
@@ -169,6 +192,19 @@
             schedule.applied,
         )
 
+    async def _weigh(self, scene: Scene, probes: list[VersionProbe]) -> None:
+        """Change weights twice in quiet, and see whether they are kept."""
+        end = max(one.cold_until for one in self._upstreams)
+        await asyncio.sleep(max(0.0, end - time.monotonic()))
+        if scene.version % 2:
+            scene.put_configuration()
+        for _ in range(2):
+            scene.put_configuration()
+            await self._wait_well(probes, 'a quiet change', RECOVERY_SECONDS)
+            scale = Scale(self.ledger, weights_of(scene.version))
+            await scale.wait(RECOVERY_SECONDS)
+            self.ledger.broken.extend(scale.check())
+
     def _has_ended(self) -> bool:
         return self._is_over
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -11,6 +11,7 @@
 from lib.rig import free_ports, own_address
 from lib.specs import ADDRESS
 
+from soak.ledger import COLD_OVERSHOOT, COLD_SLACK
 from wardstair.gateway.settings import Listener
 
 TESTS = Path(__file__).parents[1]
@@ -118,11 +119,15 @@
     )
     regions = '\n'.join(f'"{zone}" = "{zones[zone]}"' for zone in zones)
     port = place.ports[-1]
+    bounds = (
+        f'"grace_s={GRACE_SECONDS}", "cold_overshoot={COLD_OVERSHOOT}", '
+        f'"cold_slack={COLD_SLACK}"'
+    )
     return (
         f'name = "{place.name}"\naddress = "{place.address}"\n'
         f'zone = "{place.zone}"\nfleet_ports = [{port}, {port}]\n'
         f'seeds = [{seeds}]\nstore = "{ADDRESS}:{place.store_port}"\n'
-        f'bounds = ["grace_s={GRACE_SECONDS}"]\n'
+        f'bounds = [{bounds}]\n'
         f'[listen]\n{listen}\n[zones]\n{regions}\n'
     )
 
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -15,11 +15,13 @@
         seed: The seed.
         cause: Why, and where it is tested.
         with_herds: Whether those faults were drawn from as well.
+        with_power: The same of losses of power.
     """
 
     seed: int
     cause: str
     with_herds: bool = True
+    with_power: bool = True
 
 
 FAILED_SEEDS: tuple[FailedSeed, ...] = (
@@ -27,5 +29,6 @@
         3871459380,
         'a hang-up ended a process that was still loading; test_program.py',
         with_herds=False,
+        with_power=False,
     ),
 )
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -1,6 +1,7 @@
 """Upstreams of a play: they work, lose answers, fall ill, leave, come back."""
 
 import asyncio
+import time
 from dataclasses import dataclass
 from random import Random
 
@@ -10,6 +11,10 @@
 from soak.ledger import Ledger, Run
 from soak.proxy import Proxy
 
+SERVICES = ('views', 'orders')
+# An upstream that starts during a play is cold for this long: twice the wait of
+# a host that starts beside it.
+COLD_SECONDS = 6.0
 SLOTS = 4
 QUEUE = 8
 WORK_SECONDS = 0.02
@@ -51,12 +56,14 @@
         self.lost_share = lost_share
         self.zone = zone
         self.life = 0
-        self.service = 'views'
+        self.service = SERVICES[place % len(SERVICES)]
+        self.cold_until = 0.0
         self.habits = Habits()
         self._place = place
         self._ledger = ledger
         self._random = random
         self._running = 0
+        self._registered_life = -1
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self.proxy = Proxy(0)
@@ -68,6 +75,11 @@
 
     def spec(self, **status: object) -> dict[str, object]:
         """Return the entry by which it registers itself."""
+        if self._registered_life != self.life:
+            self._registered_life = self.life
+            self.cold_until = time.monotonic() + COLD_SECONDS * bool(self.life)
+        left = max(0.0, self.cold_until - time.monotonic())
+        status = {'cold_left_ms': int(left * 1000), **status}
         return upstream_spec(
             self.proxy.port,
             self.service,
@@ -129,11 +141,13 @@
             misdirected = '421 Misdirected Request'
             writer.write(whole_answer(name, b'', misdirected, ''))
             return
+        if time.monotonic() < self.cold_until:
+            self._ledger.note_cold(name, self.name)
         if self._running >= SLOTS + QUEUE:
             full = '503 Service Unavailable'
             writer.write(whole_answer(name, b'', full, NOT_RUN))
             return
-        run = self._ledger.note_run(name, self.name)
+        run = self._ledger.note_run(name, self.name, self.service)
         self._running += 1
         await asyncio.sleep(self._work())
         if life != self.life:
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -11,8 +11,9 @@
 from lib.rig import Caller
 from lib.specs import configuration_spec, route_spec
 
-from soak.ledger import Kind, Ledger
+from soak.ledger import COLD_RATE, Kind, Ledger
 from soak.processes import GatewayProcess
+from soak.upstreams import SERVICES
 
 MARKS = 40
 PROBE_SECONDS = 0.25
@@ -20,6 +21,12 @@
 NOT_FOUND = 404
 
 
+def weights_of(version: int) -> dict[str, float]:
+    """Return the weights of the split route; each version has others."""
+    views, orders = SERVICES
+    return {views: 1, orders: 1 if version % 2 == 0 else 1 / 19}
+
+
 def marked_configuration(version: int) -> dict[str, object]:
     """Return a configuration with a marking route for each version."""
     begin = max(1, version - MARKS)
@@ -27,12 +34,26 @@
         f'mark-{one}': route_spec(f'/mark-{one}/', 'safe', timeout_ms=1500)
         for one in range(begin, version + 1)
     }
-    return configuration_spec(
+    document = configuration_spec(
         version,
         read=route_spec('/read/', 'safe'),
         order=route_spec('/order/', 'unsafe'),
+        split=route_spec(
+            '/split/',
+            'safe',
+            service=None,
+            backends=[
+                {'service': service, 'weight': weight}
+                for service, weight in weights_of(version).items()
+            ],
+        ),
         **marks,
     )
+    services = document['services']
+    assert isinstance(services, dict)
+    for service in services.values():
+        service['cold_per_s'] = COLD_RATE
+    return document
 
 
 class VersionProbe:
--- /dev/null
+++ b/tests/soak/weights.py
@@ -0,0 +1,64 @@
+"""Whether the weights of a split route are kept while nothing is at fault."""
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Mapping
+
+from soak.ledger import Kind, Ledger
+
+# Fewer requests say little of shares.
+LEAST_COUNTED = 240
+# How far a part may be off its weight.
+TOLERANCE = 0.2
+LOOK_SECONDS = 0.1
+
+
+class Scale:
+    """Weighs what is sent from now on by one version."""
+
+    def __init__(self, ledger: Ledger, weights: Mapping[str, float]) -> None:
+        """Begin to count.
+
+        Args:
+            ledger: What callers and upstreams saw.
+            weights: The weights in force.
+        """
+        self._ledger = ledger
+        self._weights = weights
+        self._begun_at = time.monotonic()
+
+    async def wait(self, seconds: float) -> None:
+        """Wait until enough is counted, at most some seconds."""
+        end = time.monotonic() + seconds
+        while self._count().total() < LEAST_COUNTED:
+            if time.monotonic() > end:
+                return
+            await asyncio.sleep(LOOK_SECONDS)
+
+    def check(self) -> list[str]:
+        """Return the parts that are off their weights, in words."""
+        count = self._count()
+        total = count.total()
+        if total < LEAST_COUNTED:
+            return [f'only {total} requests of a split route were served']
+        shares = {name: count[name] / total for name in self._weights}
+        return [
+            f'weights are not kept: {name} got {shares[name]:.2f} of {total} '
+            f'requests, its weight says {wanted:.2f}'
+            for name, wanted in self._wanted().items()
+            if abs(shares[name] - wanted) > TOLERANCE
+        ]
+
+    def _wanted(self) -> dict[str, float]:
+        whole = sum(self._weights.values())
+        return {name: weight / whole for name, weight in self._weights.items()}
+
+    def _count(self) -> Counter[str]:
+        return Counter(
+            one.runs[0].service
+            for one in self._ledger.tries.values()
+            if one.kind is Kind.divided
+            and one.sent_at >= self._begun_at
+            and one.runs
+        )
