Start a host again in the soak that a hang-up ended before its program ran

By the logs all of a late start's seeds but host-0 wrote host-started at 23:14:19.7 to 19.9; host-0 wrote no line after its last life had ended at 15.8; the faults drawn then are hang_up, stop_gateway, kill_all. A hang-up ends a process whose interpreter is still starting, nothing of ours runs by then, and every later fault passes over a host that does not run. The platform starts an ended process again; the soak did not. Ruled out: SIGTERM while loading and two faults at one host, after which start() is always called; a fault of the soak itself, which would be told. Change: a host that the hang-up ended before it wrote a line is started again; one that had written a line stays away, so that a program which does not bear hang-ups is still found. Conclusion: cause by exclusion and by the order of events, not seen in a trace of signals.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -169,6 +169,28 @@
     assert ledger.check() == []
 
 
+@pytest.mark.parametrize(
+    ('log', 'is_back'), [('', True), ('event=host-started', False)]
+)
+def test_a_gateway_that_a_hang_up_ends_comes_back_if_it_has_not_run_yet(
+    log: str,
+    tmp_path: Path,
+    *,
+    is_back: bool,
+) -> None:
+    async def test() -> None:
+        (place,) = choose_places({'a1': 'a'}, 1, [1], tmp_path)
+        # Nothing in it handles signals, as in an interpreter that starts.
+        gateway = GatewayProcess(place, 'soak.unready')
+        await gateway.start()
+        place.log.write_text(log, encoding='utf-8')
+        await gateway.hang_up()
+        assert gateway.is_running is is_back
+        await gateway.end()
+
+    asyncio.run(test())
+
+
 def test_a_gateway_that_two_faults_start_again_runs_once(
     tmp_path: Path,
 ) -> None:
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -19,6 +19,8 @@
 # Hosts that the others greet first.
 SEEDS = 3
 GRACE_SECONDS = 5
+# Time of a process to end by a signal, or to be ready for the next one.
+HUNG_UP_SECONDS = 0.3
 
 
 @dataclass
@@ -49,6 +51,8 @@
         self._module = module
         self._process: Process | None = None
         self._starting = asyncio.Lock()
+        # Size of the log when the present life began.
+        self._logged = 0
 
     @property
     def name(self) -> str:
@@ -73,8 +77,28 @@
             if not self.is_running:
                 await self._start()
 
+    async def hang_up(self) -> None:
+        """Have the process read its settings again.
+
+        Until the program runs its first line a hang-up ends the process, which
+        the platform then starts again. One that has written a line may not be
+        ended by it, and stays away.
+        """
+        process = self._process
+        self.send(signal.SIGHUP)
+        await asyncio.sleep(HUNG_UP_SECONDS)
+        if process is None or process.returncode != -signal.SIGHUP:
+            return
+        if process is self._process and self._log_size() == self._logged:
+            await self.start()
+
+    def _log_size(self) -> int:
+        log = self.place.log
+        return log.stat().st_size if log.exists() else 0
+
     async def _start(self) -> None:
         self.life += 1
+        self._logged = self._log_size()
         source = TESTS.parent / 'src'
         environment = {
             **os.environ,
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -31,4 +31,9 @@
         with_herds=False,
         with_power=False,
     ),
+    FailedSeed(
+        309958286,
+        'a hang-up ended a process whose interpreter was still starting, and '
+        'nobody started it again as the platform does; test_soak.py',
+    ),
 )
