--- a/tests/unit/test_cold_after_start.py
+++ b/tests/unit/test_cold_after_start.py
@@ -14,7 +14,10 @@
 The evidence: a host of the program that users ran was assembled and asked. By
 its view it was settled, alone and in a fleet of one, and allowed itself 6.93
 requests a second to an upstream of any zone until its first sweep, half a
-second later. Twelve such hosts make 12 sends at once and 48 in that time.
+second later. Twelve such hosts make 12 sends at once and 48 in that time. The
+same order of events was played with that program: 21 and 20 requests in a
+second, sent by all twelve hosts, also those of other regions, each within 1.3 s
+of its start, to upstreams that they knew as cold. Played with this one: none.
 The same mistake comes back later if nobody answers within the wait after a
 start: 2.5 s after it the host counted as settled whatever it had heard.
 """
