--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -268,7 +268,8 @@
 )
 
 
-# What makes hosts and upstreams start beside one another.
+# What makes hosts and upstreams start beside one another; listed twice, which
+# makes it one fault in sixteen.
 POWER: tuple[Fault, ...] = (lose_power, lose_power)
 
 
