Remember over all hosts which requests end upstreams, and refuse these

Cause: hosts judged upstreams by what became of requests, and no request by what became of upstreams; each try of a request that ends each upstream running it began anew at each host, with another id.

Ruled out: overload that looks like ends (each run's upstream did end, and was replaced); resends within one try alone (they explain a factor of two, not 33).

Change: a request is named by the bytes that an upstream gets. An exchange that breaks is followed up: an upstream has ended if it refuses connections twice, or a later life of it or another upstream at its address answers for it. What is proved is a set of lives a request; hosts merge sets by union, told apart by a digest in heartbeats, and sentinels keep those with two lives or more in one object of the store, for hosts that are cut off from each other and for those that start. From three lives on the request is refused at once, as not run; from two on it is not sent on or hedged. Answers clear a request, and so does one that explains more ends. For this a life of an upstream (name and start) is told from the next one: what was learned of it ends with it, and an old entry that comes late does not bring it back.

--- a/src/wardstair/connection/pool.py
+++ b/src/wardstair/connection/pool.py
@@ -168,6 +168,10 @@
             if line.open_count or is_wanted(name)
         }
 
+    def drop(self, name: str) -> None:
+        """Close the resting connections to an upstream's earlier life."""
+        self.sweep(lambda other: other != name)
+
     def close(self) -> None:
         """Close all resting connections."""
         self.sweep(lambda name: False)
--- a/src/wardstair/errors.py
+++ b/src/wardstair/errors.py
@@ -30,6 +30,7 @@
     stopping = 'stopping'
     not_authorised = 'not-authorised'
     starting = 'starting'
+    ends_upstreams = 'ends-upstreams'
     internal_fault = 'internal-fault'
 
 
--- a/src/wardstair/fleet/beats.py
+++ b/src/wardstair/fleet/beats.py
@@ -12,7 +12,7 @@
 
 # Two versions of the program in one fleet drop each other's datagrams
 # instead of misreading them.
-_FORMAT = 4
+_FORMAT = 5
 _UNREADABLE = (cbor2.CBORDecodeError, ValueError, TypeError, LookupError)
 # Hosts named in one answer to a newcomer, so that a datagram holds them.
 MOST_NAMED = 16
@@ -58,11 +58,14 @@
         configuration: Version of the configuration in force; -1 for none.
         evacuations: Store revision of its list of evacuations.
         upstreams: Store revision of its list of upstreams.
+        suspects: Digest of what it knows of requests that end upstreams; not
+            newer or older, but the same or another.
     """
 
     configuration: int = -1
     evacuations: int = 0
     upstreams: int = 0
+    suspects: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +120,7 @@
                 beat.versions.configuration,
                 beat.versions.evacuations,
                 beat.versions.upstreams,
+                beat.versions.suspects,
             ],
             [_name_row(peer) for peer in beat.named],
         ]
--- a/src/wardstair/fleet/sharing.py
+++ b/src/wardstair/fleet/sharing.py
@@ -5,22 +5,25 @@
 """
 
 import zlib
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
 import cbor2
 
+from wardstair.decisions.suspicion import Evidence
 from wardstair.fleet.beats import Versions
 from wardstair.state.catalog import CatalogChanges
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
 
-_FORMAT = 2
+_FORMAT = 3
 UNREADABLE = (
     cbor2.CBORDecodeError,
     zlib.error,
     ValueError,
     TypeError,
     LookupError,
+    AttributeError,
 )
 # Level of deflation: the fastest one; routes look alike enough for it.
 _DEFLATION = 1
@@ -59,6 +62,7 @@
     configuration: SharedConfiguration | None = None
     evacuations: SharedEvacuations | None = None
     upstreams: CatalogChanges | None = None
+    suspects: Mapping[str, Evidence] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -82,6 +86,10 @@
                 and [configuration.revision, self._deflate(configuration)],
                 evacuations and [evacuations.revision, list(evacuations.zones)],
                 state.upstreams and _changes_row(state.upstreams),
+                {
+                    name: _evidence_row(one)
+                    for name, one in state.suspects.items()
+                },
             ]
         )
 
@@ -103,6 +111,7 @@
             row[1] and _configuration(*row[1]),
             row[2] and SharedEvacuations(row[2][0], tuple(row[2][1])),
             row[3] and _changes(row[3]),
+            {str(name): _evidence(*one) for name, one in row[4].items()},
         )
     except UNREADABLE:
         return None
@@ -114,6 +123,7 @@
         versions.configuration,
         versions.evacuations,
         versions.upstreams,
+        versions.suspects,
     )
     return '.'.join(str(number) for number in numbers)
 
@@ -121,12 +131,10 @@
 def decode_versions(text: str) -> Versions | None:
     """Decode such a query; None if it is none."""
     try:
-        configuration, evacuations, upstreams = (
-            int(number) for number in text.split('.')
-        )
-    except ValueError:
+        numbers = [int(number) for number in text.split('.')]
+        return Versions(*numbers)
+    except (ValueError, TypeError):
         return None
-    return Versions(configuration, evacuations, upstreams)
 
 
 def _configuration(revision: int, deflated: bytes) -> SharedConfiguration:
@@ -134,6 +142,26 @@
     return SharedConfiguration(revision, document)
 
 
+def _evidence_row(evidence: Evidence) -> list[object]:
+    return [
+        dict(evidence.ended),
+        sorted(evidence.answered),
+        evidence.lifted_at,
+    ]
+
+
+def _evidence(
+    ended: dict[str, int],
+    answered: list[str],
+    lifted_at: int,
+) -> Evidence:
+    return Evidence(
+        {str(life): int(at) for life, at in ended.items()},
+        frozenset(map(str, answered)),
+        int(lifted_at),
+    )
+
+
 def _changes_row(changes: CatalogChanges) -> list[object]:
     return [
         changes.since,
@@ -167,13 +195,15 @@
         entry.phase.value,
         round(entry.cold_seconds, 3),
         entry.revision,
+        entry.born,
     ]
 
 
 def _entry(row: list[str]) -> UpstreamEntry:
     name, service, *rest = row
     host, port, zone, *rest = rest
-    slots, phase, cold, revision = rest
+    slots, phase, *rest = rest
+    cold, revision, born = rest
     return UpstreamEntry(
         name=name,
         service=service,
@@ -184,4 +214,5 @@
         phase=UpstreamPhase(phase),
         cold_seconds=float(cold),
         revision=int(revision),
+        born=int(born),
     )
--- a/src/wardstair/gateway/cold_sends.py
+++ b/src/wardstair/gateway/cold_sends.py
@@ -63,6 +63,15 @@
             self._paces.pop(name)
             self._told.pop(name, None)
 
+    def forget_one(self, name: str) -> None:
+        """Drop what is kept for an upstream that has started again.
+
+        Args:
+            name: Its name.
+        """
+        self._paces.pop(name, None)
+        self._told.pop(name, None)
+
     def _tell(self, upstream: Upstream, rate: float, now: float) -> None:
         view = self._view()
         log_event(
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 from wardstair.decisions.answer_times import hedge_after
 from wardstair.decisions.mechanisms import Mechanism
@@ -29,6 +30,7 @@
     TurnedAway,
 )
 from wardstair.gateway.settings import LiveSettings
+from wardstair.gateway.witness import Witness
 from wardstair.state.belief import Belief
 from wardstair.version.steering import SteeredRoute
 
@@ -56,6 +58,7 @@
         sender: Sender,
         settings: LiveSettings,
         reporter: Reporter,
+        witness: Witness,
     ) -> None:
         """Prepare without requests.
 
@@ -65,10 +68,17 @@
             sender: Sends to them.
             settings: Settings, with the fleet's limit of resends.
             reporter: Tells of each request.
+            witness: Knows which requests end upstreams.
         """
+        self._witness = witness
         self._belief = belief
         self._chooser = chooser
-        self._learner = Learner(belief.catalog, chooser, settings)
+        self._learner = Learner(
+            belief.catalog,
+            chooser,
+            settings,
+            witness,
+        )
         self._sender = sender
         self._settings = settings
         self._reporter = reporter
@@ -83,6 +93,8 @@
         if route is None:
             return self._refuse(inbound, refusals.NO_ROUTE)
         course = self._begin(inbound, route, steering.version)
+        if self._is_held(inbound):
+            return self._hold(course)
         try:
             return await self._run(course)
         finally:
@@ -111,6 +123,28 @@
             trail=Trail(inbound, route, version, service),
         )
 
+    def _is_held(self, inbound: Inbound) -> bool:
+        held = self._witness.suspects.held
+        # The digest is only worked out while something is held.
+        return bool(held) and inbound.identity in held
+
+    def _hold(self, course: Course) -> Reply:
+        """Refuse a request that ends upstreams; nobody has been sent this try.
+
+        One such request ended 33 upstreams in six seconds, in each of which 2
+        to 17 of 270 others were answered in time.
+        """
+        identity = course.inbound.identity
+        seconds = self._witness.suspects.seconds_left(identity)
+        ending = replace(refusals.ENDS_UPSTREAMS, retry_after=seconds)
+        return self._end(course, ending)
+
+    def _is_suspect(self, course: Course) -> bool:
+        witness = self._witness
+        return not witness.is_idle and witness.is_suspect(
+            course.inbound.identity,
+        )
+
     async def _run(self, course: Course) -> Reply:
         reply = self._send_next(course)
         while reply is None:
@@ -143,6 +177,7 @@
             and course.route.is_repeatable
             and len(course.running) == 1
             and course.sends < course.route.most_attempts
+            and not self._is_suspect(course)
         )
 
     def _hedge(self, course: Course) -> None:
@@ -208,6 +243,10 @@
     ) -> Reply | None:
         if course.may_have_run and not course.route.is_repeatable:
             return self._give_up(course)
+        if course.may_have_run and self._is_suspect(course):
+            # The next upstream would probably end as well.
+            self._reporter.withheld(course.trail, 'ends-upstreams')
+            return self._give_up(course)
         if course.trail.unreachable > MOST_UNREACHABLE:
             return self._give_up(course)
         if course.sends >= course.route.most_attempts:
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -37,6 +37,7 @@
     Listener,
     LiveSettings,
 )
+from wardstair.gateway.witness import Witness
 from wardstair.platform.store import Store
 from wardstair.process.log import log_event, log_warning
 from wardstair.process.metrics import Metrics
@@ -44,10 +45,12 @@
 from wardstair.state.belief import Belief
 from wardstair.state.catalog import Catalog
 from wardstair.state.contact import StoreContact
+from wardstair.state.entries import UpstreamEntry
 from wardstair.state.exchange import StateExchange
 from wardstair.state.following import Follower
 from wardstair.state.registration import Registration
 from wardstair.state.roles import Roles
+from wardstair.state.suspect_sharing import SuspectSharing
 from wardstair.state.sync import StoreSync
 
 # How often what is past is swept out: connections, missing upstreams.
@@ -64,6 +67,8 @@
 LEAST_CONNECTIONS = 4
 # A caller may rest on a connection for up to the configured time.
 IDLE_FACTOR = 1.3
+# How long a host waits for more before it tells of requests that end upstreams.
+TELL_SECONDS = 0.1
 # Left of the grace period when the process ends by itself.
 GRACE_LEFT_SECONDS = 0.5
 # What closing the sockets may take of that.
@@ -147,12 +152,24 @@
         self.pool = UpstreamPool(self._most_connections)
         self.chooser = Chooser(self.live_settings, self.belief, distances)
         reporter = Reporter(self.metrics)
+        self.witness = Witness(self.belief.suspects, self._newest_life)
+        self.belief.catalog.on_life_ended = self._on_life_ended
+        self.belief.suspects.on_change = self._on_suspects
+        self.suspect_sharing = SuspectSharing(
+            self.store,
+            self.contact,
+            self.belief.suspects,
+            roles,
+            random,
+        )
+        self._telling: asyncio.TimerHandle | None = None
         self.forwarder = Forwarder(
             self.belief,
             self.chooser,
             Sender(self.pool, distances),
             self.live_settings,
             reporter,
+            self.witness,
         )
         self.directory = Directory(self.live_settings, own, self.members)
         self.callers = CallerListener(
@@ -200,6 +217,9 @@
         spawn('configuration', self._follow(self.sync.configuration))
         spawn('evacuations', self._follow(self.sync.evacuations))
         spawn('upstreams', self._follow(self.sync.upstreams))
+        sharing = self.suspect_sharing
+        spawn('suspects', self._follow(sharing.follower))
+        spawn('suspect-sharing', sharing.run)
         spawn('contact', self.sync.prove_contact)
         spawn('registration', self.registration.run)
         spawn('heartbeats', lambda: self.radio.run(seeds))
@@ -244,6 +264,9 @@
             return
         self._is_closed = True
         await self._supervisor.stop()
+        self.witness.close()
+        if self._telling is not None:
+            self._telling.cancel()
         for server in (self._caller_server, *self._servers):
             server.stop()
             await server.close_all_connections()
@@ -315,6 +338,7 @@
             catalog.expire_missing()
             self.pool.sweep(self._is_wanted)
             self.chooser.cold_sends.forget(set(catalog.upstreams))
+            self.belief.suspects.expire()
             self.refresh_view()
 
     def _follow(self, follower: Follower) -> Callable[[], Awaitable[None]]:
@@ -326,6 +350,29 @@
 
         return follow
 
+    def _newest_life(self, name: str) -> UpstreamEntry | None:
+        """Return the entry of an upstream's newest life, if it is there."""
+        upstream = self.belief.catalog.upstreams.get(name)
+        if upstream is None or upstream.gone_at is not None:
+            return None
+        return upstream.entry
+
+    def _on_life_ended(self, name: str) -> None:
+        """Let nothing that belongs to an upstream's earlier life go on."""
+        self.pool.drop(name)
+        self.chooser.cold_sends.forget_one(name)
+
+    def _on_suspects(self) -> None:
+        """Have others know, and the store; ends come in series."""
+        self.suspect_sharing.changed.set()
+        if self._telling is None:
+            loop = asyncio.get_running_loop()
+            self._telling = loop.call_later(TELL_SECONDS, self._tell_suspects)
+
+    def _tell_suspects(self) -> None:
+        self._telling = None
+        self.radio.send_beats()
+
     def _tell_zone(self) -> None:
         """Tell the zone at once that this relay has learned something."""
         if self.members.is_relay:
--- a/src/wardstair/gateway/learning.py
+++ b/src/wardstair/gateway/learning.py
@@ -3,6 +3,7 @@
 import time
 from dataclasses import dataclass, replace
 
+from wardstair.connection.upstream import BreakReason
 from wardstair.decisions.answer_times import slowness_shown
 from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.placement import expected_seconds
@@ -16,6 +17,7 @@
     TurnedAway,
 )
 from wardstair.gateway.settings import LiveSettings
+from wardstair.gateway.witness import Witness
 from wardstair.platform.headers import ToldLoad
 from wardstair.process.log import log_event
 from wardstair.state.catalog import Catalog
@@ -29,6 +31,8 @@
 # as a multiple of its slots: full, with a queue.
 _FULL_FACTOR = 3
 _LEAST_SECONDS = 0.001
+# How an exchange ends when its upstream does.
+_BROKEN = frozenset((BreakReason.closed, BreakReason.reset))
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +66,7 @@
         catalog: Catalog,
         chooser: Chooser,
         settings: LiveSettings,
+        witness: Witness,
     ) -> None:
         """Prepare.
 
@@ -69,7 +74,9 @@
             catalog: The upstreams.
             chooser: Keeps the usual work of routes.
             settings: Settings of this host.
+            witness: Finds out whether an upstream ended under a request.
         """
+        self._witness = witness
         self._settings = settings
         self._catalog = catalog
         self._chooser = chooser
@@ -78,6 +85,7 @@
         """Note what an outcome tells of the upstream; return it."""
         upstream = case.placement.upstream
         now = time.monotonic()
+        self._testify(case, outcome)
         match outcome:
             case Delivered(fields=fields, seconds=seconds):
                 if fields.load is not None:
@@ -109,6 +117,21 @@
                 self._distrust(case, broken, now)
         return outcome
 
+    def _testify(self, case: SendCase, outcome: SendOutcome) -> None:
+        """Tell what an outcome says of the request rather than the upstream."""
+        upstream = case.placement.upstream
+        inbound = case.trail.inbound
+        match outcome:
+            case Lost(reason=reason) if reason in _BROKEN:
+                self._witness.note_broken(
+                    inbound.identity,
+                    upstream,
+                    is_forgotten=outcome.is_forgotten,
+                )
+            case Delivered() if not self._witness.is_idle:
+                suspects = self._witness.suspects
+                suspects.note_answered(inbound.identity, upstream.life)
+
     def _trusts_load(self) -> bool:
         return self._settings.current.uses(Mechanism.told_rejections)
 
--- a/src/wardstair/gateway/refusals.py
+++ b/src/wardstair/gateway/refusals.py
@@ -102,6 +102,13 @@
     'no upstream can be reached; come back after the stated seconds',
     retry_after=1.0,
 )
+# Upstreams ended under it. It stays refused until the stated time, or until an
+# operator lifts it; `retry_after` is set for each.
+ENDS_UPSTREAMS = Ending(
+    503,
+    RefusalKind.ends_upstreams,
+    'upstreams ended under this request, so it is not run; do not repeat it',
+)
 TOO_LATE = Ending(
     504,
     RefusalKind.deadline_passed,
--- a/src/wardstair/platform/objects.py
+++ b/src/wardstair/platform/objects.py
@@ -12,6 +12,7 @@
     model_validator,
 )
 
+from wardstair.decisions.suspicion import Evidence
 from wardstair.errors import ConfigurationError
 from wardstair.fleet.beats import PeerName
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
@@ -30,8 +31,10 @@
 CONFIGURATION_NAME = 'main'
 EVACUATION_KIND = 'evacuations'
 UPSTREAM_KIND = 'servers'
-# A kind of our own: the entry hosts.
+# Kinds of our own: the entry hosts, and requests that ended upstreams.
 HOST_KIND = 'entry-hosts'
+SUSPECTS_KIND = 'suspect-requests'
+SUSPECTS_NAME = 'all'
 _MILLISECONDS = 1000
 _HEXADECIMAL = 16
 
@@ -116,6 +119,8 @@
     address: str
     info: _Info
     status: _Status = Field(default_factory=_Status)
+    # Unix milliseconds of its start; older upstreams do not say.
+    born: int = Field(default=0, ge=0, strict=True)
 
 
 class _HostSpec(_Model):
@@ -126,6 +131,17 @@
     fleet: int = 0
 
 
+class _Suspect(_Model):
+    # Lives of upstreams with the Unix second of their end.
+    ended: dict[str, int]
+    answered: tuple[str, ...] = ()
+    lifted_at: int = 0
+
+
+class _SuspectsSpec(_Model):
+    requests: dict[str, _Suspect]
+
+
 @dataclass(frozen=True, slots=True)
 class RegisteredHost:
     """An entry host as its object in the store tells of it.
@@ -215,6 +231,10 @@
     if isinstance(stored.status, Mapping):
         nested = stored.status.get('status', stored.status)
         merged['status'] = nested
+        # The word of a later life stands beside that life's status.
+        born = stored.status.get('born')
+        if born is not None:
+            merged['born'] = born
     try:
         spec = _UpstreamSpec.model_validate(merged)
     except ValidationError:
@@ -232,6 +252,7 @@
         phase=UpstreamPhase(spec.status.state),
         cold_seconds=spec.status.cold_left_ms / _MILLISECONDS,
         revision=stored.metadata.revision,
+        born=spec.born,
         gaps=(
             *_gaps('info', spec.info, ('slots',)),
             *_gaps('status', spec.status, ('state', 'cold_left_ms')),
@@ -268,6 +289,42 @@
     }
 
 
+def decode_suspects(stored: StoredObject) -> dict[str, Evidence] | None:
+    """Decode what is known of requests that end upstreams; None if unusable."""
+    try:
+        spec = _SuspectsSpec.model_validate(stored.spec)
+    except ValidationError:
+        return None
+    return {
+        request: Evidence(one.ended, frozenset(one.answered), one.lifted_at)
+        for request, one in spec.requests.items()
+    }
+
+
+def encode_suspects(
+    records: Mapping[str, Evidence],
+    revision: int,
+) -> dict[str, object]:
+    """Return the object that holds them.
+
+    Args:
+        records: Evidence by request.
+        revision: Of the object that it is to replace; 0 for none.
+    """
+    metadata: dict[str, object] = {'name': SUSPECTS_NAME}
+    if revision:
+        metadata['revision'] = revision
+    requests = {
+        request: {
+            'ended': dict(one.ended),
+            'answered': sorted(one.answered),
+            'lifted_at': one.lifted_at,
+        }
+        for request, one in records.items()
+    }
+    return {'metadata': metadata, 'spec': {'requests': requests}}
+
+
 def _gaps(
     place: str,
     model: BaseModel,
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -116,6 +116,40 @@
         'try of one request, `rested` how long its connection had',
         'request content upstream reason seconds rested',
     ),
+    _kind(
+        'upstream-ended',
+        'an upstream ended while it had requests of this host; `contents` '
+        'names these as `content` does elsewhere',
+        'upstream born contents',
+    ),
+    _kind(
+        'upstream-restarted',
+        'an upstream started again under its name; what was learned of its '
+        'life before is dropped',
+        'upstream service born before in_flight',
+    ),
+    _kind(
+        'request-held',
+        'upstreams ended under a request: it is refused from now on; '
+        '`lives` names them, `answered` counts those that answered it',
+        'content lives answered',
+    ),
+    _kind(
+        'request-released',
+        'a request is not held any more: its time is over, it was lifted, or '
+        'another explains the ends',
+        'content',
+    ),
+    _kind(
+        'suspects-stored',
+        'requests that end upstreams were written to the store',
+        'count',
+    ),
+    _kind(
+        'suspects-unreadable',
+        'the object of requests that end upstreams cannot be decoded',
+        'revision',
+    ),
     _kind(
         'connection-forgotten',
         'a resting connection broke when it was used; not held against it',
--- a/src/wardstair/state/belief.py
+++ b/src/wardstair/state/belief.py
@@ -17,6 +17,7 @@
 from wardstair.process.log import log_event, log_warning
 from wardstair.state.catalog import Catalog, CatalogChanges
 from wardstair.state.entries import UpstreamEntry
+from wardstair.state.suspects import SuspectTable
 from wardstair.version.steering import Steering
 
 # Begin of the source of what another host has told.
@@ -35,6 +36,7 @@
         adopted_at: When it was adopted.
         evacuated: Availability zones that get nothing.
         evacuations_revision: Store revision of that set.
+        suspects: Requests that ended upstreams.
         on_steering: Called when a version is adopted.
     """
 
@@ -45,6 +47,7 @@
     adopted_at: float = 0.0
     evacuated: frozenset[str] = frozenset()
     evacuations_revision: int = 0
+    suspects: SuspectTable = field(default_factory=SuspectTable)
     on_steering: Callable[[], None] = field(default=lambda: None)
 
     @property
@@ -55,6 +58,7 @@
             -1 if steering is None else steering.version,
             self.evacuations_revision,
             self.catalog.revision,
+            self.suspects.digest,
         )
 
     def offer_configuration(self, stored: StoredObject, source: str) -> bool:
--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -49,12 +49,14 @@
         revision: Revision of the store up to which changes are in.
         upstreams: By name; those leaving stay until they are forgotten.
         generation: Grows when the upstreams that take work change.
+        on_life_ended: Told the name of an upstream that has started again.
     """
 
     clock: Callable[[], float]
     revision: int = 0
     upstreams: dict[str, Upstream] = field(default_factory=dict)
     generation: int = 0
+    on_life_ended: Callable[[str], None] = lambda _name: None
     _missing: dict[str, float] = field(default_factory=dict)
     _by_service: dict[str, list[Upstream]] = field(default_factory=dict)
     # Names with the revision up to which they had been removed, oldest first,
@@ -210,6 +212,12 @@
         now = self.clock()
         self._missing.pop(entry.name, None)
         known = self.upstreams.get(entry.name)
+        if known is not None and _is_older(entry, known.entry):
+            # It arrives late, by another way, and would bring a life back.
+            return
+        if known is not None and entry.born > known.entry.born:
+            self._end_life(known, entry)
+            known = None
         is_new = known is None
         if known is None:
             known = Upstream(entry)
@@ -229,6 +237,20 @@
         if entry.cold_seconds > 0:
             known.cold_until = max(known.cold_until, now + entry.cold_seconds)
 
+    def _end_life(self, upstream: Upstream, entry: UpstreamEntry) -> None:
+        """Drop all that was learned of an upstream that has started again."""
+        log_event(
+            'upstream-restarted',
+            upstream=entry.name,
+            service=entry.service,
+            born=entry.born,
+            before=upstream.entry.born,
+            in_flight=upstream.own,
+        )
+        upstream.has_ended = True
+        upstream.gone_at = self.clock()
+        self.on_life_ended(entry.name)
+
     def _forget(self, upstream: Upstream, now: float) -> None:
         self._missing.pop(upstream.name, None)
         upstream.gone_at = now
@@ -252,5 +274,12 @@
                 self._by_service.setdefault(service, []).append(upstream)
 
 
+def _is_older(entry: UpstreamEntry, known: UpstreamEntry) -> bool:
+    """Return whether an entry was written before the known one."""
+    if entry.born != known.born:
+        return entry.born < known.born
+    return entry.revision < known.revision
+
+
 def _with_cold(entry: UpstreamEntry, seconds: float) -> UpstreamEntry:
     return replace(entry, cold_seconds=seconds)
--- a/src/wardstair/state/entries.py
+++ b/src/wardstair/state/entries.py
@@ -16,7 +16,7 @@
     """One upstream as it registered itself.
 
     Attributes:
-        name: Names this run of the upstream; a restart has a new one.
+        name: Its name; it may start again under the same one.
         service: The service it belongs to.
         host: IP address.
         port: TCP port.
@@ -26,6 +26,8 @@
         cold_seconds: Seconds for which it stays cold, counted from the
             moment the entry was read.
         revision: Store revision at which the entry last changed.
+        born: When this life of it started, Unix milliseconds; 0 if it does
+            not say. Whatever was learned of it holds for this life only.
         gaps: Fields that it left out and that have a stand-in.
     """
 
@@ -38,4 +40,5 @@
     phase: UpstreamPhase
     cold_seconds: float
     revision: int = 0
+    born: int = 0
     gaps: tuple[str, ...] = field(default=(), compare=False)
--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -5,12 +5,13 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from result import Err, Ok, Result
 from tornado.httpclient import HTTPRequest
 
 from wardstair.connection.client import close_client, make_client
+from wardstair.decisions.suspicion import Evidence
 from wardstair.fleet.beats import Beat, Versions
 from wardstair.fleet.sharing import (
     SharedConfiguration,
@@ -67,6 +68,8 @@
         self._roles = roles
         self._encoder = StateEncoder()
         self._ahead: Beat | None = None
+        # Digests of another host and this one when they were last compared.
+        self._compared: dict[str, tuple[int, int]] = {}
         self._fetching: asyncio.Task[None] | None = None
         self._client = make_client(_MANY_FETCHES, _STATE_BYTES)
 
@@ -101,12 +104,15 @@
         upstreams = None
         if own.upstreams > theirs.upstreams:
             upstreams = belief.upstreams_since(theirs.upstreams)
-        state = SharedState(configuration, evacuations, upstreams)
+        suspects: Mapping[str, Evidence] = {}
+        if own.suspects != theirs.suspects:
+            suspects = belief.suspects.records
+        state = SharedState(configuration, evacuations, upstreams, suspects)
         return self._encoder.encode(state)
 
     def on_beat(self, beat: Beat) -> None:
         """Fetch from a host that is ahead, unless a fetch is under way."""
-        if not self._is_behind(beat.versions):
+        if not self._is_wanted(beat):
             return
         # Looked at again when the fetch ends: what it brings may be older.
         self._ahead = beat
@@ -114,6 +120,20 @@
             return
         self._fetching = asyncio.ensure_future(self._catch_up())
 
+    def _is_wanted(self, beat: Beat) -> bool:
+        return self._is_behind(beat.versions) or self._differs(beat)
+
+    def _differs(self, beat: Beat) -> bool:
+        """Return whether a host may know of requests that this one does not.
+
+        Tables that are full or of another age differ for good; nobody is asked
+        again for what brought nothing.
+        """
+        theirs = beat.versions.suspects
+        own = self._belief.versions.suspects
+        known = self._compared.get(beat.sender.name)
+        return theirs not in {0, own} and known != (theirs, own)
+
     def _is_behind(self, theirs: Versions) -> bool:
         own = self._belief.versions
         if theirs.configuration > own.configuration:
@@ -130,9 +150,10 @@
         while self._ahead is not None:
             beat = self._ahead
             self._ahead = None
-            if self._contact.is_held and self._roles.is_relay():
+            has_watch = self._contact.is_held and self._roles.is_relay()
+            if has_watch and not self._differs(beat):
                 await asyncio.sleep(GRACE_SECONDS)
-            if self._is_behind(beat.versions):
+            if self._is_wanted(beat):
                 await self._fetch_from(beat)
 
     async def _fetch_from(self, beat: Beat) -> None:
@@ -145,6 +166,9 @@
             )
             return
         self._take_in(fetched.ok_value, beat.sender.name)
+        self._belief.suspects.take_in(fetched.ok_value.suspects)
+        own = self._belief.versions.suspects
+        self._compared[beat.sender.name] = (beat.versions.suspects, own)
 
     async def _fetch(self, address: str) -> Result[SharedState, str]:
         self.fetches += 1
--- /dev/null
+++ b/src/wardstair/state/suspects.py
@@ -0,0 +1,180 @@
+"""Requests that ended upstreams, as all hosts together have seen them.
+
+Hosts exchange the whole table when their digests differ. It is small: a request
+enters it only when an upstream ends under it.
+"""
+
+import time
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
+
+from xxhash import xxh3_64_intdigest
+
+from wardstair.decisions.suspicion import (
+    HELD_FROM,
+    SUSPECT_FROM,
+    Evidence,
+    held_requests,
+    merge,
+)
+from wardstair.process.log import log_event, log_warning
+from wardstair.state.roles import ignore
+
+# What a request that comes again after minutes may cost: three upstreams in
+# each such time. Who is held wrongly is held for no longer, unless lifted.
+HELD_SECONDS = 900
+# A request with fewer lives than it takes: callers come again within seconds.
+SUSPECT_SECONDS = 300
+# About 400 bytes each, with four lives: 0.2 MB. A caller that draws ever new
+# requests pushes out those with the fewest lives first.
+MOST_RECORDS = 512
+# Lives that are kept of one request; the rest proves nothing more.
+MOST_LIVES = 32
+# Digests travel in heartbeats and in a query.
+_DIGEST_MASK = 2**48 - 1
+
+
+@dataclass(slots=True)
+class SuspectTable:
+    """Evidence by request.
+
+    Attributes:
+        today: Time of day in Unix seconds: evidence outlives processes.
+        records: Evidence by the request's digest.
+        held: Requests that are refused.
+        digest: The same at hosts that know the same; 0 for nothing.
+        on_change: Called when there is something new.
+    """
+
+    today: Callable[[], float] = time.time
+    records: dict[str, Evidence] = field(default_factory=dict)
+    held: frozenset[str] = frozenset()
+    digest: int = 0
+    on_change: Callable[[], None] = ignore
+
+    def count(self, request: str) -> int:
+        """Return how many lives count against a request."""
+        known = self.records.get(request)
+        return 0 if known is None else len(known.counted)
+
+    def seconds_left(self, request: str) -> float:
+        """Return how long a request that is held stays so, in seconds."""
+        end = self.records[request].last_at + HELD_SECONDS
+        return max(1.0, end - self.today())
+
+    def note_ended(self, requests: Iterable[str], life: str) -> None:
+        """Note that an upstream ended while it had these requests."""
+        seen = Evidence({life: int(self.today())})
+        self.take_in(dict.fromkeys(requests, seen))
+
+    def note_answered(self, request: str, life: str) -> None:
+        """Note that an upstream answered a request that is suspected."""
+        known = self.records.get(request)
+        if known is None or len(known.answered) >= MOST_LIVES:
+            return
+        if life not in known.answered:
+            answered = Evidence(answered=frozenset((life,)))
+            self.take_in({request: answered})
+
+    def lift(self, request: str) -> bool:
+        """Set aside what is known of a request; return whether any is."""
+        if request not in self.records:
+            return False
+        self.take_in({request: Evidence(lifted_at=int(self.today()))})
+        return True
+
+    def take_in(self, told: Mapping[str, Evidence]) -> bool:
+        """Take in evidence, of this host or others; return whether it is news.
+
+        Args:
+            told: Evidence by request.
+        """
+        before = self.digest
+        for request, evidence in told.items():
+            known = self.records.get(request, Evidence())
+            if len(known.ended) < MOST_LIVES or evidence.lifted_at:
+                self.records[request] = merge(known, evidence)
+        self.expire()
+        self._settle()
+        if self.digest == before:
+            return False
+        self.on_change()
+        return True
+
+    def expire(self) -> None:
+        """Drop what is too old, and what there is no room for."""
+        now = self.today()
+        kept = {
+            request: _not_ahead(one, now)
+            for request, one in self.records.items()
+            if now - one.last_at < _kept_seconds(one)
+        }
+        ranked = sorted(kept, key=lambda name: _worth(kept[name], name))
+        for name in ranked[: max(0, len(kept) - MOST_RECORDS)]:
+            kept.pop(name)
+        if kept.keys() != self.records.keys():
+            self.records = kept
+            self._settle()
+
+    def _settle(self) -> None:
+        """Work out what follows from the records."""
+        before = self.held
+        self.held = held_requests(self.records)
+        self.digest = 0
+        for request, one in self.records.items():
+            self.digest ^= _digest_of(request, one)
+        for request in self.held - before:
+            log_warning(
+                'request-held',
+                content=request,
+                lives=','.join(sorted(self.records[request].counted)),
+                answered=len(self.records[request].answered),
+            )
+        for request in before - self.held:
+            log_event('request-released', content=request)
+
+    @property
+    def shared(self) -> dict[str, Evidence]:
+        """What has to outlast the hosts: requests with more than one life.
+
+        Each end of an upstream makes some with one, nearly all of them
+        innocent; each of them written would be a call on the store.
+        """
+        return {
+            request: one
+            for request, one in self.records.items()
+            if len(one.ended) >= SUSPECT_FROM or one.lifted_at
+        }
+
+
+def _kept_seconds(evidence: Evidence) -> int:
+    is_full = len(evidence.ended) >= HELD_FROM
+    return HELD_SECONDS if is_full else SUSPECT_SECONDS
+
+
+def _not_ahead(evidence: Evidence, now: float) -> Evidence:
+    """Return evidence of a host whose clock is ahead as of now.
+
+    Its record would otherwise be held for as long as that clock is wrong.
+    """
+    if evidence.last_at <= now:
+        return evidence
+    today = int(now)
+    ended = {life: min(at, today) for life, at in evidence.ended.items()}
+    lifted = min(evidence.lifted_at, today)
+    return replace(evidence, ended=ended, lifted_at=lifted)
+
+
+def _worth(evidence: Evidence, name: str) -> tuple[int, int, str]:
+    return len(evidence.counted), evidence.last_at, name
+
+
+def _digest_of(request: str, evidence: Evidence) -> int:
+    parts = (
+        request,
+        *sorted(evidence.counted),
+        '',
+        *sorted(evidence.answered),
+        str(bool(evidence.lifted_at)),
+    )
+    return xxh3_64_intdigest('\0'.join(parts).encode()) & _DIGEST_MASK
--- a/src/wardstair/state/upstream.py
+++ b/src/wardstair/state/upstream.py
@@ -61,7 +61,7 @@
 
 @dataclass(slots=True)
 class Upstream:
-    """One run of an upstream as this host sees it.
+    """One life of an upstream as this host sees it.
 
     Attributes:
         entry: What it registered.
@@ -107,9 +107,14 @@
 
     @property
     def name(self) -> str:
-        """Names this run of the upstream."""
+        """Its name, which it may keep when it starts again."""
         return self.entry.name
 
+    @property
+    def life(self) -> str:
+        """Names this life of it among all hosts."""
+        return f'{self.entry.name}@{self.entry.born}'
+
     @property
     def own(self) -> int:
         """Requests of this host at it now."""
--- a/tests/functional/test_explain.py
+++ b/tests/functional/test_explain.py
@@ -77,7 +77,8 @@
     story = story_of(test, UpstreamStandin('i-1', breaks_off))
     assert story.cause is Cause.unknown
     events = [line.event for line in story.lines]
-    assert events == ['upstream-avoided', 'request-refused']
+    expected = ['exchange-broken', 'upstream-avoided', 'request-refused']
+    assert events == expected
     assert any(line.event == 'upstream-changed' for line in story.context)
 
 
