--- a/src/wardstair/decisions/suspicion.py
+++ b/src/wardstair/decisions/suspicion.py
@@ -14,7 +14,11 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-# Ended upstreams from which a request is held.
+# Ended upstreams from which a request is held. In 60 drawn series each (24
+# upstreams, 330 requests a second beside a harmful one, popular ones among
+# them) it ends 5 upstreams, without the decision 20 to 28 in six seconds.
+# Wrongly held were none of 119,043 requests, and 3 of 118,865 where keys have
+# homes; without explained ends 31, without answers that clear 70.
 HELD_FROM = 3
 # With this many, a request is not sent on or hedged within a try any more.
 SUSPECT_FROM = 2
@@ -58,10 +62,14 @@
 
 
 def merge(one: Evidence, other: Evidence) -> Evidence:
-    """Return what both tell together."""
+    """Return what both tell together.
+
+    A life ends once: of two times told of its end the earlier one holds, so
+    that a clock that is ahead does not renew it each time it is told.
+    """
     ended = dict(one.ended)
     for life, at in other.ended.items():
-        ended[life] = max(at, ended.get(life, 0))
+        ended[life] = min(at, ended.get(life, at))
     return Evidence(
         ended,
         one.answered | other.answered,
--- a/src/wardstair/gateway/endpoints.py
+++ b/src/wardstair/gateway/endpoints.py
@@ -1,5 +1,6 @@
 """The endpoints for look-ups, readiness checks and other entry hosts."""
 
+import json
 from collections.abc import Callable
 
 from tornado.web import Application, RequestHandler
@@ -15,12 +16,15 @@
     decode_lookup,
     encode_addresses,
 )
+from wardstair.process.log import log_event
 from wardstair.state.exchange import STATE_PATH, StateExchange
+from wardstair.state.suspects import SuspectTable
 
 # How long a caller may keep an answer. Shorter costs look-ups, longer leaves
 # callers with hosts that have gone; some keep it three times as long.
 KEEP_SECONDS = 2.0
 METRICS_PATH = '/metrics'
+SUSPECTS_PATH = '/v1/suspects/?([0-9a-f]*)'
 
 
 class Directory:
@@ -136,6 +140,22 @@
         self.finish(self._exchange.answer(theirs))
 
 
+class _SuspectsHandler(RequestHandler):
+    def initialize(self, suspects: SuspectTable) -> None:
+        self._suspects = suspects
+
+    def get(self, _request: str) -> None:
+        self.set_header('Content-Type', 'application/json')
+        self.finish(json.dumps(self._suspects.rows()))
+
+    def delete(self, request: str) -> None:
+        if not self._suspects.lift(request):
+            self.set_status(404)
+            self.finish('nothing is known of it; name it as `content` does')
+            return
+        log_event('request-lifted', content=request, by=self.request.remote_ip)
+
+
 class _MetricsHandler(RequestHandler):
     def initialize(self, render: Callable[[], bytes]) -> None:
         self._render = render
@@ -157,10 +177,21 @@
     )
 
 
-def state_application(exchange: StateExchange) -> Application:
-    """Return the endpoint at which other entry hosts fetch state."""
+def state_application(
+    exchange: StateExchange,
+    suspects: SuspectTable,
+) -> Application:
+    """Return the endpoint for other entry hosts, and for operators.
+
+    Args:
+        exchange: Hands out what this host knows.
+        suspects: Requests that ended upstreams; operators see and lift them.
+    """
     return Application(
-        [(STATE_PATH, _StateHandler, {'exchange': exchange})],
+        [
+            (STATE_PATH, _StateHandler, {'exchange': exchange}),
+            (SUSPECTS_PATH, _SuspectsHandler, {'suspects': suspects}),
+        ],
         log_function=_no_log,
     )
 
--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -69,6 +69,11 @@
         'Whether this host watches the store closely',
         lambda: [(float(host.is_sentinel), {})],
     )
+    metrics.add_gauge(
+        'wardstair_requests_suspected',
+        'Requests under which upstreams ended, by whether they are refused',
+        lambda: _suspects(host),
+    )
     metrics.add_gauge(
         'wardstair_requests_open',
         'Requests of callers that are not answered yet',
@@ -111,6 +116,13 @@
     )
 
 
+def _suspects(host: 'GatewayHost') -> list[Row]:
+    suspects = host.belief.suspects
+    held = len(suspects.held)
+    free = len(suspects.records) - held
+    return [(float(held), {'held': 'yes'}), (float(free), {'held': 'no'})]
+
+
 def _store_age(host: 'GatewayHost') -> float:
     heard_at = host.contact.heard_at
     return -1.0 if heard_at is None else time.monotonic() - heard_at
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -209,7 +209,7 @@
         self._serve(metrics_application(self.metrics.render), settings.metrics)
         await self.radio.start(settings.address)
         self._serve(
-            state_application(self.exchange),
+            state_application(self.exchange, self.belief.suspects),
             Listener(settings.address, settings.fleet_ports[0]),
         )
         seeds = tuple(seed.rpartition(':')[0] for seed in settings.seeds)
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -140,6 +140,11 @@
         'another explains the ends',
         'content',
     ),
+    _kind(
+        'request-lifted',
+        'an operator set aside what is known of a request; it is served again',
+        'content by',
+    ),
     _kind(
         'suspects-stored',
         'requests that end upstreams were written to the store',
--- a/src/wardstair/process/story.py
+++ b/src/wardstair/process/story.py
@@ -48,6 +48,10 @@
         'it has not run: the host held as many bodies as its memory allows; '
         'the caller was told when to come back'
     )
+    refused_harmful = (
+        'it has not run: upstreams ended under the same request before; '
+        '`request-held` names them, `wardstair-suspects` lifts it'
+    )
     refused_start = 'it has not run: the host knew no configuration yet'
     no_route = 'it has not run: no route of the version in force covers it'
     unknown = (
@@ -65,6 +69,7 @@
     ('request-refused', 'overloaded'): Cause.refused_full,
     ('request-refused', 'turned-away'): Cause.refused_shed,
     ('request-refused', 'no-upstream'): Cause.refused_gone,
+    ('request-refused', 'ends-upstreams'): Cause.refused_harmful,
     ('request-refused', 'outcome-unknown'): Cause.unknown,
     ('request-refused', 'deadline-passed'): Cause.timed_out,
     ('request-unrouted', 'starting'): Cause.refused_start,
--- a/src/wardstair/state/suspects.py
+++ b/src/wardstair/state/suspects.py
@@ -58,9 +58,9 @@
         return 0 if known is None else len(known.counted)
 
     def seconds_left(self, request: str) -> float:
-        """Return how long a request that is held stays so, in seconds."""
-        end = self.records[request].last_at + HELD_SECONDS
-        return max(1.0, end - self.today())
+        """Return how long a request stays held or suspected, in seconds."""
+        one = self.records[request]
+        return max(1.0, one.last_at + _kept_seconds(one) - self.today())
 
     def note_ended(self, requests: Iterable[str], life: str) -> None:
         """Note that an upstream ended while it had these requests."""
@@ -70,9 +70,7 @@
     def note_answered(self, request: str, life: str) -> None:
         """Note that an upstream answered a request that is suspected."""
         known = self.records.get(request)
-        if known is None or len(known.answered) >= MOST_LIVES:
-            return
-        if life not in known.answered:
+        if known is not None and life not in known.answered:
             answered = Evidence(answered=frozenset((life,)))
             self.take_in({request: answered})
 
@@ -92,8 +90,7 @@
         before = self.digest
         for request, evidence in told.items():
             known = self.records.get(request, Evidence())
-            if len(known.ended) < MOST_LIVES or evidence.lifted_at:
-                self.records[request] = merge(known, evidence)
+            self.records[request] = merge(known, _bounded(known, evidence))
         self.expire()
         self._settle()
         if self.digest == before:
@@ -112,8 +109,9 @@
         ranked = sorted(kept, key=lambda name: _worth(kept[name], name))
         for name in ranked[: max(0, len(kept) - MOST_RECORDS)]:
             kept.pop(name)
-        if kept.keys() != self.records.keys():
-            self.records = kept
+        is_changed = kept.keys() != self.records.keys()
+        self.records = kept
+        if is_changed:
             self._settle()
 
     def _settle(self) -> None:
@@ -133,6 +131,23 @@
         for request in before - self.held:
             log_event('request-released', content=request)
 
+    def rows(self) -> list[dict[str, object]]:
+        """Return what is known, for operators: those with most lives first."""
+        ranked = sorted(
+            self.records.items(),
+            key=lambda item: (-len(item[1].counted), item[0]),
+        )
+        return [
+            {
+                'content': request,
+                'held': request in self.held,
+                'lives': ','.join(sorted(one.counted)),
+                'answered': len(one.answered),
+                'seconds_left': round(self.seconds_left(request)),
+            }
+            for request, one in ranked
+        ]
+
     @property
     def shared(self) -> dict[str, Evidence]:
         """What has to outlast the hosts: requests with more than one life.
@@ -152,6 +167,15 @@
     return HELD_SECONDS if is_full else SUSPECT_SECONDS
 
 
+def _bounded(known: Evidence, told: Evidence) -> Evidence:
+    """Return what is told, without more lives than are kept."""
+    if len(known.ended) >= MOST_LIVES:
+        told = replace(told, ended={})
+    if len(known.answered) >= MOST_LIVES:
+        told = replace(told, answered=frozenset())
+    return told
+
+
 def _not_ahead(evidence: Evidence, now: float) -> Evidence:
     """Return evidence of a host whose clock is ahead as of now.
 
--- a/tests/functional/test_request_ends_upstreams.py
+++ b/tests/functional/test_request_ends_upstreams.py
@@ -18,6 +18,7 @@
 """
 
 import asyncio
+import json
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -29,6 +30,7 @@
 from lib.specs import configuration_spec, upstream_spec
 from lib.store_standin import StoreStandin
 from lib.upstream_standin import Seen, UpstreamStandin, answer_ok
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from wardstair.gateway.host import GatewayHost
 
@@ -190,3 +192,75 @@
             assert statuses[-1] == 503, statuses
 
     run(test)
+
+
+def test_it_is_known_to_a_host_that_starts() -> None:
+    async def test() -> None:
+        async with scene(size=3) as fleet:
+            await fleet.try_at_each(4)
+            before = len(fleet.ended)
+            port = fleet.hosts[0].settings.fleet_ports[0]
+            newcomer = await fleet.start_host(5, port)
+            await until(lambda: bool(newcomer.belief.suspects.held))
+            await until(lambda: newcomer.is_ready)
+            assert await fleet.try_harmful(newcomer, 50) == 503
+            assert len(fleet.ended) == before
+
+    run(test)
+
+
+def test_it_is_known_after_all_hosts_lost_power() -> None:
+    async def test() -> None:
+        async with scene(size=2) as fleet:
+            await fleet.try_at_each(4)
+            stored = fleet.store.kind('suspect-requests').objects
+            await until(lambda: 'all' in stored)
+            before = len(fleet.ended)
+            port = fleet.hosts[0].settings.fleet_ports[0]
+            for host in fleet.hosts:
+                await host.close()
+            fleet.hosts.clear()
+            for number in (6, 7):
+                host = await fleet.start_host(number, port)
+            await until(lambda: all(one.is_ready for one in fleet.hosts))
+            await until(
+                lambda: all(one.belief.suspects.held for one in fleet.hosts),
+            )
+            assert await fleet.try_harmful(host, 60) == 503
+            assert len(fleet.ended) == before
+
+    run(test)
+
+
+def test_others_are_served_beside_it_and_an_operator_lifts_it() -> None:
+    async def test() -> None:
+        async with scene(size=2) as fleet:
+            await fleet.try_at_each(4)
+            host, other = fleet.hosts
+            await until(lambda: bool(host.belief.suspects.held))
+            (held,) = host.belief.suspects.held
+            caller = await Caller.connect_to(host.settings.callers)
+            assert (await caller.ask('/read/other')).status == 200
+            refused = await caller.ask(HARMFUL, request_id='again')
+            assert refused.status == 503
+            assert b'ends-upstreams' in refused.body
+            assert float(refused.headers['retry-after']) > 60
+            caller.close()
+            client = SimpleAsyncHTTPClient(force_instance=True)
+            fleet_port = host.settings.fleet_ports[0]
+            url = f'http://{host.settings.address}:{fleet_port}/v1/suspects'
+            rows = json.loads((await client.fetch(url)).body)
+            assert [row['content'] for row in rows if row['held']] == [held]
+            assert rows[0]['lives'].count('@') >= 3
+            await until(lambda: bool(other.belief.suspects.held))
+            await client.fetch(f'{url}/{held}', method='DELETE')
+            await until(lambda: not other.belief.suspects.held)
+            missing = await client.fetch(
+                f'{url}/00',
+                method='DELETE',
+                raise_error=False,
+            )
+            assert missing.code == 404
+            client.close()
+
+    run(test)
--- /dev/null
+++ b/tests/unit/test_lives.py
@@ -0,0 +1,127 @@
+"""What a host learned of an upstream ends with that life of it."""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from lib.specs import upstream_spec
+from lib.upstreams import ENTRY, Clock
+
+from wardstair.fleet.sharing import SharedState, StateEncoder, decode_state
+from wardstair.platform.objects import (
+    Metadata,
+    StoredObject,
+    decode_upstream_entry,
+)
+from wardstair.state.catalog import Catalog, CatalogChanges
+from wardstair.state.entries import UpstreamEntry, UpstreamPhase
+from wardstair.state.upstream import RunningSend
+
+OLD = replace(ENTRY, born=100, revision=5)
+NEW = replace(ENTRY, born=200, revision=7, cold_seconds=3.0)
+
+
+def catalog_with(*entries: UpstreamEntry) -> Catalog:
+    clock = Clock()
+    clock.now = 50.0
+    catalog = Catalog(clock)
+    for number, entry in enumerate(entries, start=10):
+        catalog.apply([entry], [], number, store_was_away=False)
+    return catalog
+
+
+def test_a_new_life_begins_with_nothing_of_the_one_before() -> None:
+    catalog = catalog_with(OLD)
+    before = catalog.upstreams[ENTRY.name]
+    before.note_failure(50.0)
+    before.note_load(30, 50.0)
+    before.warm.note('key', 50.0)
+    before.slowness = 4.0
+    before.running[1] = RunningSend(49.0, 0.1, 0.1)
+    ended: list[str] = []
+    catalog.on_life_ended = ended.append
+    catalog.apply([NEW], [], 20, store_was_away=False)
+    after = catalog.upstreams[ENTRY.name]
+    assert after is not before
+    assert ended == [ENTRY.name]
+    assert catalog.of_service('views') == [after]
+    assert not after.is_avoided(50.0)
+    assert (after.load(50.0), after.own, after.failures) == (0.0, 0, 0)
+    assert not after.warm.has('key', 50.0)
+    assert after.slowness == 1.0
+    assert after.is_cold(51.0)
+    # Whoever still waits for the life before finds that it has ended.
+    assert before.has_ended
+    assert not before.takes_work
+
+
+@pytest.mark.parametrize(
+    'late',
+    [
+        pytest.param(OLD, id='the life before'),
+        pytest.param(replace(OLD, revision=9), id='written late by it'),
+        pytest.param(
+            replace(NEW, revision=6, phase=UpstreamPhase.draining),
+            id='an older word of this life',
+        ),
+    ],
+)
+def test_an_old_entry_that_comes_late_changes_nothing(
+    late: UpstreamEntry,
+) -> None:
+    catalog = catalog_with(NEW)
+    known = catalog.upstreams[ENTRY.name]
+    catalog.apply([late], [], 21, store_was_away=False)
+    assert catalog.upstreams[ENTRY.name] is known
+    assert known.entry == NEW
+
+
+@given(st.permutations([OLD, NEW, replace(NEW, revision=8), OLD]))
+def test_hosts_that_hear_in_any_order_end_up_the_same(
+    entries: list[UpstreamEntry],
+) -> None:
+    catalog = catalog_with(*entries)
+    assert catalog.upstreams[ENTRY.name].entry == replace(NEW, revision=8)
+
+
+def test_a_life_whose_address_was_taken_does_not_end_the_next() -> None:
+    catalog = catalog_with(OLD)
+    catalog.mark_gone(ENTRY.name)
+    assert not catalog.of_service('views')
+    catalog.apply([NEW], [], 20, store_was_away=False)
+    assert len(catalog.of_service('views')) == 1
+
+
+def test_other_hosts_are_told_of_lives() -> None:
+    changes = CatalogChanges(0, 9, (NEW,))
+    decoded = decode_state(
+        StateEncoder().encode(SharedState(None, None, changes))
+    )
+    assert decoded is not None
+    assert decoded.upstreams is not None
+    assert decoded.upstreams.entries[0].born == NEW.born
+
+
+@pytest.mark.parametrize(
+    ('born', 'read'),
+    [
+        pytest.param(1_700_000_000_123, 1_700_000_000_123, id='whole number'),
+        pytest.param(None, 0, id='an upstream that does not say'),
+        pytest.param('1700000000123', None, id='text'),
+        pytest.param(1.5, None, id='fraction'),
+        pytest.param(True, None, id='a flag'),
+        pytest.param(-1, None, id='before time'),
+        pytest.param([1], None, id='list'),
+    ],
+)
+def test_the_start_of_a_life_is_read_or_the_entry_names_nobody(
+    born: object,
+    read: int | None,
+) -> None:
+    spec = upstream_spec(8080)
+    if born is not None:
+        spec['born'] = born
+    stored = StoredObject(metadata=Metadata(name='i-1', revision=1), spec=spec)
+    entry = decode_upstream_entry(stored)
+    assert (entry.born if entry else None) == read
--- /dev/null
+++ b/tests/unit/test_suspects.py
@@ -0,0 +1,178 @@
+"""The table of requests that ended upstreams: time, room, clocks, others."""
+
+from collections.abc import Mapping
+
+import pytest
+
+from wardstair.decisions.suspicion import Evidence
+from wardstair.fleet.sharing import (
+    SharedState,
+    StateEncoder,
+    decode_state,
+)
+from wardstair.platform.objects import (
+    Metadata,
+    StoredObject,
+    decode_suspects,
+    encode_suspects,
+)
+from wardstair.state.suspects import (
+    HELD_SECONDS,
+    MOST_LIVES,
+    MOST_RECORDS,
+    SUSPECT_SECONDS,
+    SuspectTable,
+)
+
+START = 1_800_000_000
+
+
+class Day:
+    """A table in a time that moves by hand."""
+
+    def __init__(self) -> None:
+        self.now = float(START)
+        self.changes = 0
+        self.table = SuspectTable(lambda: self.now, on_change=self.note)
+
+    def note(self) -> None:
+        self.changes += 1
+
+    def end(self, request: str, *lives: str) -> None:
+        for life in lives:
+            self.table.note_ended((request,), life)
+
+
+def told(records: Mapping[str, Evidence]) -> dict[str, Evidence]:
+    """Return records as another host gets them."""
+    encoded = StateEncoder().encode(SharedState(suspects=records))
+    decoded = decode_state(encoded)
+    assert decoded is not None
+    return dict(decoded.suspects)
+
+
+def stored(records: Mapping[str, Evidence]) -> dict[str, Evidence]:
+    """Return records as the store gives them back."""
+    document = encode_suspects(records, 7)
+    read = StoredObject(metadata=Metadata(name='all'), spec=document['spec'])
+    decoded = decode_suspects(read)
+    assert decoded is not None
+    return decoded
+
+
+@pytest.mark.parametrize('way', [told, stored])
+def test_what_three_hosts_saw_adds_up_over_each_way(way: object) -> None:
+    assert callable(way)
+    hosts = [Day() for _ in range(3)]
+    for number, host in enumerate(hosts):
+        host.end('a', f'u{number}@1')
+        assert not host.table.held
+    for host in hosts:
+        for other in hosts:
+            host.table.take_in(way(other.table.records))
+    assert all(host.table.held == {'a'} for host in hosts)
+    assert len({host.table.digest for host in hosts}) == 1
+    # Told again it is no news, which would go round for ever.
+    assert not hosts[0].table.take_in(way(hosts[1].table.records))
+
+
+@pytest.mark.parametrize(
+    ('lives', 'seconds', 'is_kept'),
+    [
+        pytest.param(3, HELD_SECONDS - 1, True, id='comes again after minutes'),
+        pytest.param(3, HELD_SECONDS, False, id='its time is over'),
+        pytest.param(2, SUSPECT_SECONDS - 1, True, id='suspected'),
+        pytest.param(2, SUSPECT_SECONDS, False, id='no longer suspected'),
+    ],
+)
+def test_what_is_known_ends(lives: int, seconds: int, is_kept: bool) -> None:
+    day = Day()
+    day.end('a', *(f'u{number}@1' for number in range(lives)))
+    day.now += seconds
+    day.table.expire()
+    assert ('a' in day.table.records) is is_kept
+    assert bool(day.table.held) is (is_kept and lives >= 3)
+    assert bool(day.table.digest) is is_kept
+
+
+def test_an_end_renews_what_is_known() -> None:
+    day = Day()
+    day.end('a', 'u1@1', 'u2@1')
+    day.now += SUSPECT_SECONDS - 1
+    day.end('a', 'u3@1')
+    assert day.table.held == {'a'}
+    assert day.table.seconds_left('a') == HELD_SECONDS
+
+
+def test_a_clock_that_is_ahead_holds_nobody_for_longer() -> None:
+    ahead = Day()
+    ahead.now += 10 * HELD_SECONDS
+    ahead.end('a', 'u1@1', 'u2@1', 'u3@1')
+    day = Day()
+    day.table.take_in(ahead.table.records)
+    assert day.table.held == {'a'}
+    assert day.table.seconds_left('a') <= HELD_SECONDS
+    day.now += HELD_SECONDS
+    day.table.expire()
+    assert not day.table.records
+
+
+def test_a_caller_that_draws_ever_new_requests_takes_bounded_room() -> None:
+    day = Day()
+    day.end('held', 'u1@1', 'u2@1', 'u3@1')
+    for number in range(MOST_RECORDS + 50):
+        day.end(f'drawn-{number}', 'u4@1')
+    assert len(day.table.records) == MOST_RECORDS
+    # Those with the fewest lives go first.
+    assert day.table.held == {'held'}
+
+
+def test_lives_of_one_request_take_bounded_room() -> None:
+    day = Day()
+    day.end('a', *(f'u{number}@1' for number in range(MOST_LIVES * 2)))
+    for number in range(MOST_LIVES * 2):
+        day.table.note_answered('a', f'v{number}@1')
+    known = day.table.records['a']
+    assert len(known.ended) == MOST_LIVES
+    assert len(known.answered) == MOST_LIVES
+
+
+def test_an_operator_lifts_it_for_all() -> None:
+    day, other = Day(), Day()
+    day.end('a', 'u1@1', 'u2@1', 'u3@1')
+    other.table.take_in(day.table.records)
+    assert not day.table.lift('b')
+    assert day.table.lift('a')
+    assert not day.table.held
+    # A host that has not heard of it does not bring it back.
+    day.table.take_in(other.table.records)
+    assert not day.table.held
+    other.table.take_in(told(day.table.records))
+    assert not other.table.held
+    # It is held again if it goes on.
+    day.now += 1
+    day.end('a', 'u4@1', 'u5@1', 'u6@1')
+    assert day.table.held == {'a'}
+
+
+def test_one_life_of_one_request_is_not_worth_a_write() -> None:
+    day = Day()
+    day.end('a', 'u1@1')
+    assert not day.table.shared
+    day.end('a', 'u2@1')
+    assert set(day.table.shared) == {'a'}
+
+
+@pytest.mark.parametrize(
+    'spec',
+    [
+        None,
+        [],
+        {'requests': []},
+        {'requests': {'a': {'ended': ['u1']}}},
+        {'requests': {'a': {'ended': {'u1': 'soon'}}}},
+    ],
+)
+def test_an_object_that_cannot_be_read_tells_nothing(spec: object) -> None:
+    read = StoredObject(metadata=Metadata(name='all'), spec=spec)
+    assert decode_suspects(read) is None
--- /dev/null
+++ b/tests/unit/test_witness.py
@@ -0,0 +1,194 @@
+"""What proves that an upstream ended while it had a request."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+import pytest
+from lib.rig import until
+
+from wardstair.connection.probe import ProbeOutcome
+from wardstair.gateway import witness as witness_module
+from wardstair.gateway.witness import Witness
+from wardstair.state.catalog import Catalog
+from wardstair.state.entries import UpstreamEntry, UpstreamPhase
+from wardstair.state.suspects import SuspectTable
+
+REFUSED = ProbeOutcome.refused
+LISTENING = ProbeOutcome.listening
+UNKNOWN = ProbeOutcome.unknown
+ENTRY = UpstreamEntry(
+    'u1',
+    'views',
+    '127.0.0.1',
+    1,
+    'z',
+    4,
+    UpstreamPhase.ready,
+    0.0,
+    revision=5,
+    born=100,
+)
+
+
+class Case:
+    """A witness beside a catalog with one upstream."""
+
+    def __init__(self, *outcomes: ProbeOutcome) -> None:
+        self.catalog = Catalog(lambda: 1.0)
+        self.catalog.replace_all([ENTRY], 5, store_was_away=False)
+        self.table = SuspectTable()
+        self.outcomes = list(outcomes)
+        self.witness = Witness(self.table, self.newest, self.ask)
+
+    def newest(self, name: str) -> UpstreamEntry | None:
+        upstream = self.catalog.upstreams.get(name)
+        if upstream is None or upstream.gone_at is not None:
+            return None
+        return upstream.entry
+
+    async def ask(self, _host: str, _port: int) -> ProbeOutcome:
+        await asyncio.sleep(0)
+        return self.outcomes.pop(0)
+
+    def put(self, **changes: object) -> None:
+        entry = replace(ENTRY, revision=6, **changes)  # type: ignore[arg-type]
+        self.catalog.apply([entry], [], 6, store_was_away=False)
+
+    def remove(self) -> None:
+        # A request is still at it, so that its object stays.
+        self.catalog.apply([], ['u1'], 6, store_was_away=False)
+
+    def break_off(self, request: str = 'a', *, forgotten: bool = False) -> None:
+        upstream = self.catalog.upstreams['u1']
+        self.witness.note_broken(request, upstream, is_forgotten=forgotten)
+
+    @property
+    def proved(self) -> list[str]:
+        return sorted(self.table.records)
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let waits take no time."""
+    monkeypatch.setattr(witness_module, 'PROBE_PAUSE_SECONDS', 0.0)
+    monkeypatch.setattr(witness_module, 'LOOK_SECONDS', 0.001)
+    monkeypatch.setattr(witness_module, 'WORD_SECONDS', 0.05)
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async with asyncio.timeout(20):
+            await test()
+
+    asyncio.run(main())
+
+
+def nothing(_case: Case) -> None:
+    """Let nothing else be known."""
+
+
+def other_at_address(case: Case) -> None:
+    case.catalog.mark_gone('u1')
+
+
+def new_life(case: Case) -> None:
+    case.put(born=200)
+
+
+def new_word(case: Case) -> None:
+    case.put(slots=5)
+
+
+def entry_goes(case: Case) -> None:
+    case.remove()
+
+
+@pytest.mark.parametrize(
+    ('outcomes', 'then', 'is_proved'),
+    [
+        pytest.param([REFUSED, REFUSED], nothing, True, id='nobody listens'),
+        pytest.param([REFUSED, LISTENING], nothing, False, id='it was full'),
+        pytest.param([LISTENING], nothing, False, id='only a connection broke'),
+        pytest.param([LISTENING], new_life, True, id='started again already'),
+        pytest.param([LISTENING], other_at_address, True, id='address taken'),
+        pytest.param([LISTENING], new_word, False, id='its word goes on'),
+        pytest.param([LISTENING], entry_goes, False, id='leaves unannounced'),
+        pytest.param([UNKNOWN], nothing, False, id='the way is cut'),
+        pytest.param(
+            [UNKNOWN], entry_goes, True, id='cut, then its entry goes'
+        ),
+        pytest.param([UNKNOWN], new_life, True, id='cut, then a new life'),
+    ],
+)
+def test_what_proves_an_end(
+    outcomes: list[ProbeOutcome],
+    then: Callable[[Case], None],
+    is_proved: bool,
+) -> None:
+    async def test() -> None:
+        case = Case(*outcomes)
+        upstream = case.catalog.upstreams['u1']
+        case.break_off()
+        await asyncio.sleep(0.01)
+        then(case)
+        await until(lambda: case.witness.is_idle or bool(case.proved))
+        assert bool(case.proved) is is_proved
+        if is_proved:
+            assert set(case.table.records['a'].ended) == {'u1@100'}
+        assert upstream.life == 'u1@100'
+        case.witness.close()
+
+    run(test)
+
+
+def test_all_that_it_had_are_told_also_those_noticed_later() -> None:
+    async def test() -> None:
+        case = Case(REFUSED, REFUSED)
+        case.break_off('a')
+        case.break_off('b')
+        await until(lambda: bool(case.proved))
+        case.break_off('c')
+        assert case.proved == ['a', 'b', 'c']
+        # Its probes are not asked again.
+        assert not case.outcomes
+        case.witness.close()
+
+    run(test)
+
+
+def test_a_leaving_upstream_ends_by_plan() -> None:
+    async def test() -> None:
+        case = Case()
+        case.put(phase=UpstreamPhase.draining)
+        case.break_off()
+        assert case.witness.is_idle
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ('outcomes', 'forgotten', 'count'),
+    [
+        pytest.param([UNKNOWN], False, 0, id='asked, and nothing learned'),
+        pytest.param([LISTENING], False, 0, id='asked, and it lives'),
+        pytest.param([REFUSED, REFUSED], False, 1, id='proved'),
+        pytest.param([REFUSED, REFUSED], True, 1, id='proved, had rested'),
+    ],
+)
+def test_what_counts_once_it_was_asked(
+    outcomes: list[ProbeOutcome],
+    forgotten: bool,
+    count: int,
+) -> None:
+    async def test() -> None:
+        case = Case(*outcomes)
+        case.break_off(forgotten=forgotten)
+        # A resting connection breaks more often than an upstream ends.
+        assert case.witness.count('a') == (not forgotten)
+        await until(lambda: not case.outcomes)
+        await asyncio.sleep(0.02)
+        assert case.witness.count('a') == count
+        case.witness.close()
+
+    run(test)
