Take an entry that is not whole for none, wherever the store is read

Cause: anybody may write an entry. Text for a start, a cold time that is not a number, port 99999 or 1,000,000,000 slots were taken as usable, missing fields got stand-ins, and an object without a name cost its whole listing.

Change: entries are validated at the border (platform/upstream_entries.py); one that is not whole names no upstream, also one that did before, and the line upstream-unusable says which field and what was expected, once a change. Objects of a listing or a watch are read one by one; bytes that are no text cost only themselves.

The test that slots, state and cold time have stand-ins is replaced: the users' word now is that an entry with missing fields names no endpoint. The new tests ask for that of each field, missing and of five other types, and of drawn values.

--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -69,6 +69,11 @@
         'Whether this host watches the store closely',
         lambda: [(float(host.is_sentinel), {})],
     )
+    metrics.add_gauge(
+        'wardstair_upstream_entries_unusable',
+        'Entries of the store that name no upstream, as this host read them',
+        lambda: [(float(len(host.sync.unusable)), {})],
+    )
     metrics.add_gauge(
         'wardstair_requests_suspected',
         'Requests under which upstreams ended, by whether they are refused',
--- a/src/wardstair/platform/objects.py
+++ b/src/wardstair/platform/objects.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Literal
 
 from pydantic import (
     BaseModel,
@@ -15,7 +14,6 @@
 from wardstair.decisions.suspicion import Evidence
 from wardstair.errors import ConfigurationError
 from wardstair.fleet.beats import PeerName
-from wardstair.state.entries import UpstreamEntry, UpstreamPhase
 from wardstair.version.steering import (
     CallerLimits,
     Repeatability,
@@ -101,28 +99,6 @@
     limits: _Limits = Field(default_factory=_Limits)
 
 
-class _Info(_Model):
-    service: str
-    zone: str
-    # Without it one request at a time is what it surely bears.
-    slots: int = 1
-
-
-class _Status(_Model):
-    # Without it ready: a leaving upstream says so, or its entry goes.
-    state: Literal['ready', 'draining'] = 'ready'
-    # Time left, counted from when the upstream wrote the entry.
-    cold_left_ms: float = 0
-
-
-class _UpstreamSpec(_Model):
-    address: str
-    info: _Info
-    status: _Status = Field(default_factory=_Status)
-    # Unix milliseconds of its start; older upstreams do not say.
-    born: int = Field(default=0, ge=0, strict=True)
-
-
 class _HostSpec(_Model):
     zone: str
     address: str
@@ -219,47 +195,6 @@
     )
 
 
-def decode_upstream_entry(stored: StoredObject) -> UpstreamEntry | None:
-    """Decode an upstream's entry; None if it is not usable.
-
-    The entry may lie in `spec` alone or be divided between `spec` and
-    `status`; what `status` says wins.
-    """
-    merged: dict[str, object] = {}
-    if isinstance(stored.spec, Mapping):
-        merged.update(stored.spec)
-    if isinstance(stored.status, Mapping):
-        nested = stored.status.get('status', stored.status)
-        merged['status'] = nested
-        # The word of a later life stands beside that life's status.
-        born = stored.status.get('born')
-        if born is not None:
-            merged['born'] = born
-    try:
-        spec = _UpstreamSpec.model_validate(merged)
-    except ValidationError:
-        return None
-    host, _, port = spec.address.rpartition(':')
-    if not port.isdecimal():
-        return None
-    return UpstreamEntry(
-        name=stored.metadata.name,
-        service=spec.info.service,
-        host=host,
-        port=int(port),
-        zone=spec.info.zone,
-        slots=max(1, spec.info.slots),
-        phase=UpstreamPhase(spec.status.state),
-        cold_seconds=spec.status.cold_left_ms / _MILLISECONDS,
-        revision=stored.metadata.revision,
-        born=spec.born,
-        gaps=(
-            *_gaps('info', spec.info, ('slots',)),
-            *_gaps('status', spec.status, ('state', 'cold_left_ms')),
-        ),
-    )
-
-
 def decode_host(stored: StoredObject) -> RegisteredHost | None:
     """Decode an entry host's object; None if it is not usable."""
     try:
--- a/src/wardstair/platform/store.py
+++ b/src/wardstair/platform/store.py
@@ -27,6 +27,7 @@
     WatchForgotten,
 )
 from wardstair.platform.objects import StoredObject
+from wardstair.process.log import log_warning
 
 # A plain answer takes some 10 ms; a store under strain was seen to take 60
 # times as long as usual, which this leaves room for.
@@ -46,14 +47,15 @@
 
 
 class _Page(_Model):
-    items: tuple[StoredObject, ...]
+    # Each is checked on its own: one bad object does not cost the others.
+    items: tuple[object, ...]
     truncated: bool = False
     # The store's revision at which the page was read.
     as_of: int
 
 
 class _Event(_Model):
-    object: StoredObject
+    object: object
     deleted: bool = False
 
 
@@ -176,13 +178,14 @@
             if isinstance(answered, Err):
                 return answered
             try:
-                page = _Page.model_validate_json(answered.ok_value)
+                page = _Page.model_validate_json(_readable(answered.ok_value))
             except ValidationError as error:
                 return Err(PlatformUnavailable(f'unreadable list: {error}'))
-            listed.extend(page.items)
-            if not page.truncated or not page.items:
+            read = _read_objects(kind, page.items)
+            listed.extend(read)
+            if not page.truncated or not read:
                 return Ok(Listing(tuple(listed), page.as_of))
-            query = {**plain, 'after': page.items[-1].metadata.name}
+            query = {**plain, 'after': read[-1].metadata.name}
 
     async def watch_kind(
         self,
@@ -215,13 +218,15 @@
         if isinstance(answered, Err):
             return answered
         try:
-            parsed = _Events.model_validate_json(answered.ok_value)
+            parsed = _Events.model_validate_json(_readable(answered.ok_value))
         except ValidationError as error:
             return Err(PlatformUnavailable(f'unreadable events: {error}'))
-        changes = tuple(
-            Change(event.object, event.deleted) for event in parsed.events
-        )
-        return Ok(Changes(changes, parsed.as_of))
+        changes = [
+            Change(stored, event.deleted)
+            for event in parsed.events
+            for stored in _read_objects(kind, (event.object,))
+        ]
+        return Ok(Changes(tuple(changes), parsed.as_of))
 
     async def read_stale(
         self,
@@ -306,6 +311,25 @@
         return _judge(response, f'{method} {path}')
 
 
+def _readable(answer: bytes) -> bytes:
+    """Return an answer of which all bytes are text, whoever wrote some."""
+    return answer.decode(errors='replace').encode()
+
+
+def _read_objects(
+    kind: str,
+    objects: tuple[object, ...],
+) -> list[StoredObject]:
+    read = []
+    for one in objects:
+        try:
+            read.append(StoredObject.model_validate(one))
+        except ValidationError as error:
+            # Without a name nothing can be said of it.
+            log_warning('object-unreadable', kind=kind, reason=str(error))
+    return read
+
+
 def _prepare(curl: pycurl.Curl) -> None:
     curl.setopt(pycurl.PROXY, '')
     curl.setopt(pycurl.TCP_NODELAY, 1)
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -194,14 +194,15 @@
         'upstream service crowding weight before',
     ),
     _kind(
-        'upstream-incomplete',
-        'an entry in the store leaves out fields that have a stand-in',
-        'upstream missing',
+        'object-unreadable',
+        'an object in the store has no name; the others of its kind hold',
+        'kind reason',
     ),
     _kind(
-        'upstream-unreadable',
-        'an entry in the store cannot be decoded',
-        'upstream',
+        'upstream-unusable',
+        'an entry in the store is not whole and names no upstream; `field` '
+        'says where',
+        'upstream field expected',
     ),
     _kind(
         'upstreams-adopted',
--- a/src/wardstair/state/entries.py
+++ b/src/wardstair/state/entries.py
@@ -1,6 +1,6 @@
 """What the platform tells of upstreams, in the product's own terms."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 
 
@@ -28,7 +28,6 @@
         revision: Store revision at which the entry last changed.
         born: When this life of it started, Unix milliseconds; 0 if it does
             not say. Whatever was learned of it holds for this life only.
-        gaps: Fields that it left out and that have a stand-in.
     """
 
     name: str
@@ -41,4 +40,3 @@
     cold_seconds: float
     revision: int = 0
     born: int = 0
-    gaps: tuple[str, ...] = field(default=(), compare=False)
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -1,7 +1,7 @@
 """Keeps this host's belief up to date from the platform's store."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from result import Err
 
@@ -12,10 +12,13 @@
     EVACUATION_KIND,
     UPSTREAM_KIND,
     StoredObject,
-    decode_upstream_entry,
 )
 from wardstair.platform.store import Changes, Listing, Store
-from wardstair.process.log import log_event, log_warning
+from wardstair.platform.upstream_entries import (
+    UnusableEntry,
+    decode_upstream_entry,
+)
+from wardstair.process.log import log_warning
 from wardstair.state.belief import Belief
 from wardstair.state.contact import StoreContact
 from wardstair.state.entries import UpstreamEntry
@@ -55,6 +58,8 @@
         self._contact = contact
         self._belief = belief
         self.on_news: Callable[[], None] = ignore
+        # Entries of the store that name no upstream, and why.
+        self.unusable: dict[str, UnusableEntry] = {}
         self._evacuated: set[str] = set()
         self._roles = roles
         self._timing = timing
@@ -188,7 +193,13 @@
             self.on_news()
 
     def _list_upstreams(self, listing: Listing) -> None:
-        entries = _decode_all(listing.objects)
+        listed = {stored.metadata.name for stored in listing.objects}
+        self.unusable = {
+            name: fault
+            for name, fault in self.unusable.items()
+            if name in listed
+        }
+        entries = self._decode_all(listing.objects)
         self._belief.catalog.replace_all(
             entries,
             listing.revision,
@@ -206,29 +217,41 @@
         }
         kept = [one.stored for one in last.values() if not one.is_deleted]
         deleted = [name for name, one in last.items() if one.is_deleted]
+        for name in deleted:
+            self.unusable.pop(name, None)
+        entries = self._decode_all(kept)
+        # One that has become unusable names its upstream no more.
+        spoilt = [name for name in last if name in self.unusable]
         catalog.apply(
-            _decode_all(kept),
-            deleted,
+            entries,
+            [*deleted, *spoilt],
             changes.revision,
             store_was_away=self._contact.was_away_lately,
         )
         self.on_news()
 
+    def _decode_all(
+        self, objects: Iterable[StoredObject]
+    ) -> list[UpstreamEntry]:
+        """Return the entries that name an upstream; tell of the others."""
+        entries = []
+        for stored in objects:
+            name = stored.metadata.name
+            match decode_upstream_entry(stored):
+                case UpstreamEntry() as entry:
+                    self.unusable.pop(name, None)
+                    entries.append(entry)
+                case UnusableEntry() as fault:
+                    self._tell_unusable(name, fault)
+        return entries
 
-def _decode_all(
-    objects: tuple[StoredObject, ...] | list[StoredObject],
-) -> list[UpstreamEntry]:
-    entries = []
-    for stored in objects:
-        entry = decode_upstream_entry(stored)
-        if entry is None:
-            log_event('upstream-unreadable', upstream=stored.metadata.name)
-            continue
-        if entry.gaps:
-            log_warning(
-                'upstream-incomplete',
-                upstream=entry.name,
-                missing=','.join(entry.gaps),
-            )
-        entries.append(entry)
-    return entries
+    def _tell_unusable(self, name: str, fault: UnusableEntry) -> None:
+        if self.unusable.get(name) == fault:
+            return
+        self.unusable[name] = fault
+        log_warning(
+            'upstream-unusable',
+            upstream=name,
+            field=fault.field,
+            expected=fault.expected,
+        )
