Avoid lives that others found ended, as cold; send a harmful request in the soak

Found by the soak's new fault: an upstream that starts again under its name got 30 requests in a second while it was cold, where 8 are borne, until hosts had read its new entry; all its neighbours had ended too. What one host finds ended the others avoid now for 6 s, and where nobody else is left it counts as cold.

The soak: a request that ends each upstream running it, sent five times a second for eight seconds; half of the upstreams keep their name. Later than 4 s after the third end it may end three more. Gateways that keep no evidence are found.

--- a/src/wardstair/state/suspects.py
+++ b/src/wardstair/state/suspects.py
@@ -46,6 +46,7 @@
         held: Requests that are refused.
         digest: The same at hosts that know the same; 0 for nothing.
         on_change: Called when there is something new.
+        on_ended: Told each life of an upstream that is found to have ended.
     """
 
     today: Callable[[], float] = time.time
@@ -53,6 +54,7 @@
     held: frozenset[str] = frozenset()
     digest: int = 0
     on_change: Callable[[], None] = ignore
+    on_ended: Callable[[str], None] = lambda _life: None
 
     def count(self, request: str) -> int:
         """Return how many lives count against a request."""
@@ -96,6 +98,8 @@
             news = _not_ahead(_bounded(known, evidence), now)
             if now - news.last_at < SUSPECT_SECONDS or request in self.records:
                 self._put(request, merge(known, news))
+                for life in news.ended.keys() - known.ended.keys():
+                    self.on_ended(life)
         if len(self.records) > MOST_RECORDS:
             self.expire()
         self._settle()
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -23,20 +23,25 @@
     callers=6,
     gap=0.6,
     with_power=False,
+    with_harm=False,
 )
 # Hosts lose power while upstreams start cold.
 POWER = replace(SHORT, only_power=True, gap=2)
+# A request ends upstreams for eight seconds.
+HARM = replace(SHORT, only_harm=True, seconds=0.1, gap=9, upstreams=16)
 PLANS = [
     replace(SHORT, with_herds=False),
     # Kills all hosts twice; those greeted first start last.
     replace(SHORT, seed=HERD_SEED),
     POWER,
+    HARM,
     *(
         replace(
             SHORT,
             seed=one.seed,
             with_herds=one.with_herds,
             with_power=one.with_power,
+            with_harm=one.with_harm,
         )
         for one in FAILED_SEEDS
     ),
@@ -52,7 +57,9 @@
 @pytest.mark.parametrize(
     'plan',
     PLANS,
-    ids=lambda plan: f'{plan.seed}-power' if plan.only_power else plan.seed,
+    ids=lambda plan: (
+        f'{plan.seed}{"-power" * plan.only_power}{"-harm" * plan.only_harm}'
+    ),
 )
 def test_promises_hold_under_drawn_faults(plan: Plan, tmp_path: Path) -> None:
     verdict = run(plan, tmp_path)
@@ -69,6 +76,8 @@
         # Enough hosts and callers for what the upstreams bear three times.
         ('alone', replace(POWER, hosts=6, callers=12), 'in a second to cold'),
         ('tally', SHORT, 'weights are not kept'),
+        # Few others, so that cold upstreams have room for it.
+        ('harm', replace(HARM, callers=1, upstreams=24), 'ended too late'),
     ],
 )
 def test_a_break_that_was_put_in_is_found(
--- a/tests/lib/store_standin.py
+++ b/tests/lib/store_standin.py
@@ -172,9 +172,21 @@
 
     def put(self, kind: str, name: str | None) -> None:
         assert name is not None
-        self._store.put(kind, name, json.loads(self.request.body)['spec'])
+        document = json.loads(self.request.body)
+        held = self._store.kind(kind).objects.get(name)
+        revision = document.get('metadata', {}).get('revision')
+        if revision is not None and not _is_at(held, revision):
+            self.set_status(409)
+            self.finish(json.dumps(held))
+            return
+        self._store.put(kind, name, document['spec'])
         self.finish(json.dumps(self._store.kind(kind).objects[name]))
 
 
+def _is_at(held: Stored | None, revision: int) -> bool:
+    metadata = None if held is None else held['metadata']
+    return isinstance(metadata, dict) and metadata['revision'] == revision
+
+
 def _silent(_handler: RequestHandler) -> None:
     """No access log."""
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -1,12 +1,14 @@
 """Breaks that are put into a gateway on purpose, which a play has to find."""
 
+from collections.abc import Mapping
 from dataclasses import replace
 
 from wardstair.cli import gateway
 from wardstair.decisions.cold import HostView
+from wardstair.decisions.suspicion import Evidence
 from wardstair.gateway import host, refusals, splitting
 from wardstair.platform.objects import StoredObject
-from wardstair.state import belief
+from wardstair.state import belief, suspects
 from wardstair.version.steering import SteeredRoute
 
 
@@ -73,6 +75,18 @@
     splitting.Splits._begin = go_on  # type: ignore[method-assign]
 
 
+def forget_harm() -> None:
+    """Let nothing that ended under a request be known for long."""
+
+    def take_in(
+        self: suspects.SuspectTable,
+        told: Mapping[str, Evidence],
+    ) -> bool:
+        return False
+
+    suspects.SuspectTable.take_in = take_in  # type: ignore[method-assign]
+
+
 def run(kind: str) -> None:
     """Put a break in and run the program.
 
@@ -88,4 +102,6 @@
             believe_to_be_alone()
         case 'tally':
             keep_old_tallies()
+        case 'harm':
+            forget_harm()
     gateway.main()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,23 +1,30 @@
 """Faults of a play: drawn from a seed, in series and overlapping."""
 
 import asyncio
+import contextlib
 import signal
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from functools import partial
 from random import Random
 
+from lib.rig import Caller
 from lib.store_standin import StoreStandin
 
-from soak.ledger import Ledger
+from soak.ledger import Kind, Ledger
 from soak.processes import SEEDS, GatewayProcess
 from soak.proxy import Mode, Proxy
-from soak.upstreams import Habits, SoakUpstream
+from soak.upstreams import HARMFUL, Habits, SoakUpstream
 from soak.versions import marked_configuration
 
 # Longest fault; the shortest is a tenth of it.
 LONGEST_SECONDS = 4.0
 # An upstream that has said it is leaving serves on for this long.
 LEAVING_SECONDS = 4.0
+# Between two tries of a harmful request, and how long an upstream that ended
+# under it is away.
+HARMFUL_SECONDS = 0.2
+AWAY_SECONDS = 0.8
 DELAY_SECONDS = 0.3
 
 
@@ -33,6 +40,8 @@
     ledger: Ledger
     random: Random
     version: int = 1
+    harmful: int = 0
+    ends: set[asyncio.Task[None]] = field(default_factory=set)
 
     def draw_seconds(self) -> float:
         """Draw how long a fault lasts."""
@@ -184,6 +193,57 @@
     scene.register(upstream)
 
 
+async def send_harmful(scene: Scene) -> None:
+    """Send a request that ends each upstream running it, again and again."""
+    scene.harmful += 1
+    number = scene.harmful
+    target = f'/read{HARMFUL}{number}'
+    for upstream in scene.upstreams:
+        upstream.on_harm = partial(_end_under, scene)
+    end = asyncio.get_running_loop().time() + 2 * LONGEST_SECONDS
+    tries = 0
+    while asyncio.get_running_loop().time() < end:
+        tries += 1
+        gateway = scene.random.choice(scene.gateways)
+        name = f'harmful-{number}-{tries}'
+        with contextlib.suppress(OSError, TimeoutError):
+            await _try_once(scene, gateway, target, name)
+        await asyncio.sleep(HARMFUL_SECONDS)
+
+
+async def _try_once(
+    scene: Scene,
+    gateway: GatewayProcess,
+    target: str,
+    name: str,
+) -> None:
+    made = scene.ledger.begin(name, Kind.safe, gateway.name)
+    async with asyncio.timeout(LONGEST_SECONDS):
+        caller = await Caller.connect_to(gateway.callers)
+        try:
+            answer = await caller.ask(target, request_id=name)
+        finally:
+            caller.close()
+    made.status = answer.status
+    made.ended_at = asyncio.get_running_loop().time()
+
+
+def _end_under(scene: Scene, upstream: SoakUpstream) -> None:
+    task = asyncio.ensure_future(_end_and_return(scene, upstream))
+    scene.ends.add(task)
+    task.add_done_callback(scene.ends.discard)
+
+
+async def _end_and_return(scene: Scene, upstream: SoakUpstream) -> None:
+    name = upstream.name
+    keeps_name = scene.random.random() < 0.5
+    upstream.crash(keeps_name=keeps_name)
+    await upstream.proxy.refuse(AWAY_SECONDS)
+    if not keeps_name:
+        scene.deregister(name)
+    scene.register(upstream)
+
+
 async def drain_upstream(scene: Scene) -> None:
     """Let an upstream leave as planned, and the next run begin."""
     upstream = scene.random.choice(scene.upstreams)
@@ -273,6 +333,10 @@
 POWER: tuple[Fault, ...] = (lose_power, lose_power)
 
 
+# A harmful request beside one other fault, or alone.
+HARM_FAULTS: tuple[Fault, ...] = (send_harmful,)
+
+
 class Schedule:
     """Applies drawn faults until time is up, some at once."""
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -10,6 +10,13 @@
 COLD_OVERSHOOT = 1.5
 COLD_SLACK = 2.0
 MOST_COLD = int(COLD_RATE * COLD_OVERSHOOT + COLD_SLACK)
+# Name of the fault by which a caller sends such a request.
+HARM = 'send_harmful'
+# A request that has ended three upstreams may end three more later than this,
+# which is the time of contact that gateways take when nothing else is said.
+KNOWN_SECONDS = 4.0
+ENDED_BEFORE = 3
+MOST_ENDED_LATE = 3
 # Statuses by which a caller is told that its request has not run.
 PROMISES = frozenset((408, 421, 429, 503))
 
@@ -88,6 +95,7 @@
         spans: Times of faults.
         stopped: Lives of gateways that were asked to stop and nothing else.
         cold: What came to each upstream while it was cold.
+        ended: When upstreams ended under each harmful request.
     """
 
     tries: dict[str, Try] = field(default_factory=dict)
@@ -96,6 +104,7 @@
     spans: list[Span] = field(default_factory=list)
     stopped: set[str] = field(default_factory=set)
     cold: dict[str, list[ColdArrival]] = field(default_factory=dict)
+    ended: dict[str, list[float]] = field(default_factory=dict)
 
     def begin(self, request_id: str, kind: Kind, gateway: str) -> Try:
         """Note a request that is about to be sent."""
@@ -110,6 +119,10 @@
             came = ColdArrival(known.sent_at, time.monotonic())
             self.cold.setdefault(upstream, []).append(came)
 
+    def note_end_under(self, line: str) -> None:
+        """Note that an upstream ends under a harmful request."""
+        self.ended.setdefault(line, []).append(time.monotonic())
+
     def note_run(
         self,
         request_id: str,
@@ -136,6 +149,7 @@
         found = list(self.broken)
         found.extend(f'ran unasked: {name}' for name in self.unknown)
         found.extend(self._check_cold())
+        found.extend(self._check_ended())
         for one in self.tries.values():
             found.extend(_check_try(one))
             if self._is_cut_by_stop(one):
@@ -150,6 +164,26 @@
                 found.append(f'{most} requests in a second to cold {name}')
         return found
 
+    def _check_ended(self) -> list[str]:
+        found = []
+        for line, times in self.ended.items():
+            known_at = sorted(times)[:ENDED_BEFORE][-1] + KNOWN_SECONDS
+            late = [at for at in times if at > known_at and self._is_calm(at)]
+            if len(late) > MOST_ENDED_LATE:
+                found.append(
+                    f'{len(late)} upstreams ended too late under {line}, '
+                    f'{len(times)} in all',
+                )
+        return found
+
+    def _is_calm(self, at: float) -> bool:
+        """Return whether nothing else kept hosts from knowing at a time."""
+        return not any(
+            span.begin < at and span.end > at - KNOWN_SECONDS
+            for span in self.spans
+            if span.name != HARM
+        )
+
     def _is_cut_by_stop(self, one: Try) -> bool:
         if one.status != 0 or not one.runs or one.gateway not in self.stopped:
             return False
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -16,6 +16,7 @@
 
 from soak.callers import CallerTask
 from soak.faults import (
+    HARM_FAULTS,
     HERDS,
     PLANNED,
     POWER,
@@ -56,6 +57,8 @@
         with_herds: Whether hosts have to find each other anew.
         with_power: Whether hosts and upstreams lose power together.
         only_power: Whether nothing else happens.
+        with_harm: Whether requests come that end upstreams.
+        only_harm: Whether nothing else happens.
     """
 
     seed: int
@@ -69,14 +72,20 @@
     with_herds: bool = True
     with_power: bool = True
     only_power: bool = False
+    with_harm: bool = True
+    only_harm: bool = False
 
     @property
     def groups(self) -> tuple[tuple[Fault, ...], ...]:
         """Faults that are drawn from; each group is as likely."""
         if self.only_power:
             return (POWER,)
+        if self.only_harm:
+            return (HARM_FAULTS,)
         herds = HERDS * self.with_herds
-        return (PLANNED, UNPLANNED + herds + POWER * self.with_power)
+        harm = HARM_FAULTS * self.with_harm
+        power = POWER * self.with_power
+        return (PLANNED, UNPLANNED + herds + power + harm)
 
 
 @dataclass
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -40,6 +40,19 @@
         self._server = await asyncio.start_server(self._accept, ADDRESS, 0)
         self.port = int(self._server.sockets[0].getsockname()[1])
 
+    async def refuse(self, seconds: float) -> None:
+        """Have nobody listen for a while, as after the end of a process."""
+        if self._server is None or not self._server.is_serving():
+            return
+        self._server.close()
+        self.reset_all()
+        await asyncio.sleep(seconds)
+        self._server = await asyncio.start_server(
+            self._accept,
+            ADDRESS,
+            self.port,
+        )
+
     def set_mode(self, mode: Mode, delay: float = 0.0) -> None:
         """Change what happens from now on."""
         self.mode = mode
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -16,12 +16,14 @@
         cause: Why, and where it is tested.
         with_herds: Whether those faults were drawn from as well.
         with_power: The same of losses of power.
+        with_harm: The same of requests that end upstreams.
     """
 
     seed: int
     cause: str
     with_herds: bool = True
     with_power: bool = True
+    with_harm: bool = False
 
 
 FAILED_SEEDS: tuple[FailedSeed, ...] = (
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
@@ -18,12 +19,18 @@
 SLOTS = 4
 QUEUE = 8
 WORK_SECONDS = 0.02
+# Part of the path of a request under which each upstream ends.
+HARMFUL = '/harmful-'
 NOT_RUN = 'Wardstair-Not-Executed: 1\r\n'
 # Share of answers that a well upstream loses, so that each play has some.
 LOST_SHARE = 0.01
 _SEAL = 'Wardstair-Server-Seal: s.1\r\n'
 
 
+def _now_milliseconds() -> int:
+    return time.time_ns() // 1_000_000
+
+
 @dataclass
 class Habits:
     """How an upstream behaves now.
@@ -56,6 +63,9 @@
         self.lost_share = lost_share
         self.zone = zone
         self.life = 0
+        # The life that its name is of; one that starts again may keep it.
+        self._named_life = 0
+        self.born = _now_milliseconds()
         self.service = SERVICES[place % len(SERVICES)]
         self.cold_until = 0.0
         self.habits = Habits()
@@ -67,11 +77,13 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self.proxy = Proxy(0)
+        # Told when a harmful request has begun to run.
+        self.on_harm: Callable[[SoakUpstream], None] = lambda _upstream: None
 
     @property
     def name(self) -> str:
-        """Names its present life."""
-        return f'i-{self._place}-{self.life}'
+        """Its name, which its next life may keep."""
+        return f'i-{self._place}-{self._named_life}'
 
     def spec(self, **status: object) -> dict[str, object]:
         """Return the entry by which it registers itself."""
@@ -80,12 +92,13 @@
             self.cold_until = time.monotonic() + COLD_SECONDS * bool(self.life)
         left = max(0.0, self.cold_until - time.monotonic())
         status = {'cold_left_ms': int(left * 1000), **status}
-        return upstream_spec(
+        entry = upstream_spec(
             self.proxy.port,
             self.service,
             self.zone,
             **status,
         )
+        return {**entry, 'born': self.born}
 
     async def start(self) -> None:
         """Listen, behind the proxy."""
@@ -101,9 +114,16 @@
         self.crash()
         await self.proxy.stop()
 
-    def crash(self) -> None:
-        """End this life at once; the address goes to the next."""
+    def crash(self, *, keeps_name: bool = False) -> None:
+        """End this life at once; the address goes to the next.
+
+        Args:
+            keeps_name: Whether the next one has the same name.
+        """
         self.life += 1
+        if not keeps_name:
+            self._named_life = self.life
+        self.born = max(_now_milliseconds(), self.born + 1)
         self._running = 0
         self.habits = Habits()
         for writer in tuple(self._writers):
@@ -148,6 +168,10 @@
             writer.write(whole_answer(name, b'', full, NOT_RUN))
             return
         run = self._ledger.note_run(name, self.name, self.service)
+        if HARMFUL in seen.line:
+            self._ledger.note_end_under(seen.line)
+            self.on_harm(self)
+            return
         self._running += 1
         await asyncio.sleep(self._work())
         if life != self.life:
--- a/tests/unit/test_lives.py
+++ b/tests/unit/test_lives.py
@@ -93,6 +93,20 @@
     assert len(catalog.of_service('views')) == 1
 
 
+def test_a_life_that_ended_is_avoided_until_the_next_is_told() -> None:
+    catalog = catalog_with(OLD)
+    catalog.note_ended(catalog.upstreams[ENTRY.name].life, 6.0)
+    assert catalog.upstreams[ENTRY.name].is_avoided(55.9)
+    assert catalog.upstreams[ENTRY.name].is_cold(55.9)
+    # It may live after all.
+    assert not catalog.upstreams[ENTRY.name].is_avoided(56.0)
+    catalog.apply([NEW], [], 20, store_was_away=False)
+    assert not catalog.upstreams[ENTRY.name].is_avoided(50.0)
+    # Word of the life before that comes late says nothing of this one.
+    catalog.note_ended(f'{ENTRY.name}@{OLD.born}', 6.0)
+    assert not catalog.upstreams[ENTRY.name].is_avoided(50.0)
+
+
 def test_other_hosts_are_told_of_lives() -> None:
     changes = CatalogChanges(0, 9, (NEW,))
     decoded = decode_state(
--- a/tests/unit/test_suspects.py
+++ b/tests/unit/test_suspects.py
@@ -163,6 +163,18 @@
     assert day.table.held == {A}
 
 
+def test_each_life_that_ended_is_told_once() -> None:
+    day, other = Day(), Day()
+    told_lives: list[str] = []
+    other.table.on_ended = told_lives.append
+    day.end(A, 'u1@1')
+    other.table.take_in(told(day.table.records))
+    other.table.take_in(told(day.table.records))
+    day.end(A, 'u2@1')
+    other.table.take_in(told(day.table.records))
+    assert told_lives == ['u1@1', 'u2@1']
+
+
 def test_one_life_of_one_request_is_not_worth_a_write() -> None:
     day = Day()
     day.end(A, 'u1@1')
