Take whoever answers where nobody did for cold, until its entry is read

Traced: its hosts had been refused a connection, no exchange of theirs had broken, and they sent at full rate for the 0.77 s until the new life's entry came. Ruled out: the word of other hosts that the life before had ended, which came 0.18 s later still.

Change: a refused connection with no other open to that upstream (one that is only full keeps those it has) counts it as cold for 6 s, or until its new entry is read.

The test of the incident now waits until the hosts hear each other: it began while they were finding each other, when what is told reaches nobody, and 7 instead of 6 ended in the row of upstreams that start again.

--- a/src/wardstair/connection/pool.py
+++ b/src/wardstair/connection/pool.py
@@ -32,9 +32,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ConnectFailed:
-    """No connection came up; nothing was sent."""
+    """No connection came up; nothing was sent.
+
+    Attributes:
+        reason: What happened.
+        is_dead: Whether it was refused, and no other connection is open: an
+            upstream that is only full keeps those it has.
+    """
 
     reason: str
+    is_dead: bool = False
 
 
 @dataclass(slots=True)
@@ -137,12 +144,21 @@
                 )
         except (OSError, TimeoutError) as error:
             line.open_count -= 1
-            return ConnectFailed(type(error).__name__)
+            is_refused = isinstance(error, ConnectionRefusedError)
+            return ConnectFailed(
+                type(error).__name__,
+                is_refused and not line.open_count,
+            )
         except asyncio.CancelledError:
             line.open_count -= 1
             raise
         return connection
 
+    def is_connected(self, name: str) -> bool:
+        """Return whether a connection to an upstream is open, or opening."""
+        line = self._lines.get(name)
+        return line is not None and line.open_count > 0
+
     def give_back(self, name: str, connection: UpstreamConnection) -> None:
         """Keep a connection for the next request if it is clean."""
         if not (connection.is_reusable and connection.is_open):
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -37,7 +37,7 @@
     Listener,
     LiveSettings,
 )
-from wardstair.gateway.witness import CUT_SECONDS, Witness
+from wardstair.gateway.witness import Witness
 from wardstair.platform.store import Store
 from wardstair.process.log import log_event, log_warning
 from wardstair.process.metrics import Metrics
@@ -155,7 +155,7 @@
         self.witness = Witness(self.belief.suspects, self._newest_life)
         self.belief.catalog.on_life_ended = self._on_life_ended
         self.belief.suspects.on_change = self._on_suspects
-        self.belief.suspects.on_ended = self._on_ended
+        self.belief.suspects.on_ended = self.belief.catalog.note_ended
         self.suspect_sharing = SuspectSharing(
             self.store,
             self.contact,
@@ -363,10 +363,6 @@
         self.pool.drop(name)
         self.chooser.cold_sends.forget_one(name)
 
-    def _on_ended(self, life: str) -> None:
-        """Let other hosts' word spare this one's requests what has ended."""
-        self.belief.catalog.note_ended(life, CUT_SECONDS)
-
     def _on_suspects(self) -> None:
         """Have others know, and the store; ends come in series."""
         self.suspect_sharing.changed.set()
--- a/src/wardstair/gateway/learning.py
+++ b/src/wardstair/gateway/learning.py
@@ -107,8 +107,10 @@
                 upstream.note_load(load.running + load.waiting, now)
             case TurnedAway():
                 upstream.note_load(upstream.entry.slots * _FULL_FACTOR, now)
-            case NotSent(reason=reason):
+            case NotSent(reason=reason, is_dead=is_dead):
                 self._distrust(case, reason, now)
+                if is_dead:
+                    upstream.suspect_new_life(now)
             case Lost(is_forgotten=True):
                 # Whether the upstream itself is well the next send will show,
                 # which opens a connection.
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -40,9 +40,15 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """No byte of the request left this host."""
+    """No byte of the request left this host.
+
+    Attributes:
+        reason: Why.
+        is_dead: Whether nothing seems to be left of the upstream.
+    """
 
     reason: str
+    is_dead: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,7 +148,7 @@
                 is_fresh=is_fresh,
             )
             if isinstance(connection, ConnectFailed):
-                return NotSent(connection.reason)
+                return NotSent(connection.reason, connection.is_dead)
             return await self._send(inbound, upstream, connection, until)
         finally:
             upstream.running.pop(number, None)
--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -10,7 +10,7 @@
 
 from wardstair.process.log import log_event
 from wardstair.state.entries import UpstreamEntry
-from wardstair.state.upstream import Upstream
+from wardstair.state.upstream import UNTOLD_SECONDS, Upstream
 
 # Entries that vanish while the store is away are back this long after its
 # return if the upstream lives; the operators state about two seconds.
@@ -195,7 +195,7 @@
         self._forget(upstream, self.clock())
         self._index()
 
-    def note_ended(self, life: str, seconds: float) -> None:
+    def note_ended(self, life: str) -> None:
         """Avoid a life that was found to have ended, here or by another host.
 
         Its entry lapses within that time, or a later life takes its name. That
@@ -205,14 +205,14 @@
 
         Args:
             life: The life, as `Upstream.life` names it.
-            seconds: For how long; it may live after all.
         """
         upstream = self.upstreams.get(life.rpartition('@')[0])
         if upstream is None or upstream.life != life:
             return
-        end = self.clock() + seconds
+        now = self.clock()
+        end = now + UNTOLD_SECONDS
         upstream.distrusted_until = max(upstream.distrusted_until, end)
-        upstream.cold_until = max(upstream.cold_until, end)
+        upstream.suspect_new_life(now)
 
     def mark_cold(self, zone: str, seconds_of: Callable[[str], float]) -> None:
         """Treat a zone's upstreams as cold, after it was evacuated.
--- a/src/wardstair/state/upstream.py
+++ b/src/wardstair/state/upstream.py
@@ -33,6 +33,9 @@
 EJECT_ERROR_SHARE = 0.3
 # What is left of the share when it is tried again: one more failure is enough.
 KEPT_ERROR_SHARE = 0.15
+# How long an upstream that may have started again is taken for cold: the
+# longest distrust, after which it is next tried, and time for its entry.
+UNTOLD_SECONDS = 6.0
 _FIRST_DISTRUST_SECONDS = 0.5
 _LONGEST_DISTRUST_SECONDS = 4.0
 
@@ -150,6 +153,15 @@
         """Return whether its oldest request takes far longer than usual."""
         return self._waiting_ratio(now) > 0
 
+    def suspect_new_life(self, now: float) -> None:
+        """Take whoever listens there next for cold, until its entry is read.
+
+        An upstream that starts again under its name is cold, and its hosts know
+        no better than to go on: 21 requests in a second came to one that bears
+        8.
+        """
+        self.cold_until = max(self.cold_until, now + UNTOLD_SECONDS)
+
     def load(self, now: float) -> float:
         """Return the requests that are probably at it now, of all hosts."""
         age = now - self.told_at
--- a/tests/functional/test_request_ends_upstreams.py
+++ b/tests/functional/test_request_ends_upstreams.py
@@ -164,6 +164,9 @@
         await made.start_host(number, port)
     try:
         await until(lambda: all(map(knows_upstreams, made.hosts)))
+        if not is_cut:
+            # What is told before hosts have found each other reaches nobody.
+            await until(lambda: all(hears(one, size) for one in made.hosts))
         yield made
     finally:
         for host in made.hosts:
@@ -178,6 +181,10 @@
     return host.is_ready and len(known) == UPSTREAMS
 
 
+def hears(host: GatewayHost, size: int) -> bool:
+    return len(host.members.live_names()) == size
+
+
 def run(test: Callable[[], Awaitable[None]]) -> None:
     """Run a test within a bound of time."""
 
--- a/tests/lib/upstream_standin.py
+++ b/tests/lib/upstream_standin.py
@@ -59,6 +59,11 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    def refuse(self) -> None:
+        """Take no new connections; those that are open stay."""
+        assert self._server is not None
+        self._server.close()
+
     async def _serve(
         self,
         reader: asyncio.StreamReader,
--- a/tests/unit/test_lives.py
+++ b/tests/unit/test_lives.py
@@ -95,7 +95,7 @@
 
 def test_a_life_that_ended_is_avoided_until_the_next_is_told() -> None:
     catalog = catalog_with(OLD)
-    catalog.note_ended(catalog.upstreams[ENTRY.name].life, 6.0)
+    catalog.note_ended(catalog.upstreams[ENTRY.name].life)
     assert catalog.upstreams[ENTRY.name].is_avoided(55.9)
     assert catalog.upstreams[ENTRY.name].is_cold(55.9)
     # It may live after all.
@@ -103,7 +103,7 @@
     catalog.apply([NEW], [], 20, store_was_away=False)
     assert not catalog.upstreams[ENTRY.name].is_avoided(50.0)
     # Word of the life before that comes late says nothing of this one.
-    catalog.note_ended(f'{ENTRY.name}@{OLD.born}', 6.0)
+    catalog.note_ended(f'{ENTRY.name}@{OLD.born}')
     assert not catalog.upstreams[ENTRY.name].is_avoided(50.0)
 
 
