Test that sentinels keep what they know together in one object of the store

Writes against each other, a host that is no sentinel, the store away, the object spoilt or removed. No fault found.

--- /dev/null
+++ b/tests/functional/test_suspect_sharing.py
@@ -0,0 +1,176 @@
+"""Several hosts keep what they know of harmful requests in one object."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from random import Random
+
+from lib.rig import until
+from lib.specs import ADDRESS
+from lib.store_standin import StoreStandin
+
+from wardstair.platform.objects import SUSPECTS_KIND, SUSPECTS_NAME
+from wardstair.platform.store import Store
+from wardstair.state.contact import StoreContact
+from wardstair.state.roles import Roles
+from wardstair.state.suspect_sharing import SuspectSharing
+from wardstair.state.suspects import SuspectTable
+
+TODAY = 1_800_000_000.0
+ONE = f'{1:016x}'
+TWO = f'{2:016x}'
+
+
+@dataclass
+class Host:
+    """What of a host takes part, without the host.
+
+    Attributes:
+        table: What it knows.
+        sharing: Its task on the store.
+        store: Its client.
+        is_sentinel: Whether it follows and writes.
+    """
+
+    table: SuspectTable
+    sharing: SuspectSharing
+    store: Store
+    is_sentinel: bool = True
+
+    def end(self, request: str, *lives: str) -> None:
+        for life in lives:
+            self.table.note_ended((request,), life)
+
+
+@asynccontextmanager
+async def hosts(
+    amount: int,
+    standin: StoreStandin,
+) -> AsyncIterator[list[Host]]:
+    """Run sentinels that reach each other only through the store."""
+    standin.start()
+    made = [make_host(number, standin) for number in range(amount)]
+    tasks = []
+    for host in made:
+        tasks.append(asyncio.ensure_future(host.sharing.follower.run()))
+        tasks.append(asyncio.ensure_future(host.sharing.run()))
+    try:
+        yield made
+    finally:
+        for task in tasks:
+            task.cancel()
+        for host in made:
+            host.store.close()
+        await standin.stop()
+
+
+def make_host(number: int, standin: StoreStandin) -> Host:
+    random = Random(number)
+    store = Store(f'{ADDRESS}:{standin.port}')
+    contact = StoreContact(asyncio.get_running_loop().time, random)
+    table = SuspectTable(lambda: TODAY)
+    roles = Roles(lambda: True, lambda: host.is_sentinel)
+    sharing = SuspectSharing(store, contact, table, roles, random)
+    table.on_change = sharing.changed.set
+    host = Host(table, sharing, store)
+    return host
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test within a bound of time."""
+
+    async def main() -> None:
+        async with asyncio.timeout(30):
+            await test()
+
+    asyncio.run(main())
+
+
+def writes(standin: StoreStandin) -> list[str]:
+    return [one for one in standin.calls if one[:4] in {'POST', 'PUT '}]
+
+
+def test_what_each_of_three_saw_once_is_known_to_all() -> None:
+    standin = StoreStandin()
+
+    async def test() -> None:
+        async with hosts(4, standin) as (one, two, three, four):
+            # Two lives each at the same moment: they write against each other.
+            one.end(ONE, 'u1@1', 'u2@1')
+            two.end(ONE, 'u3@1', 'u4@1')
+            three.end(TWO, 'u5@1', 'u6@1')
+            await until(lambda: four.table.held == {ONE})
+            await until(lambda: four.table.count(TWO) == 2)
+            everybody = (one, two, three, four)
+            await until(lambda: len({h.table.digest for h in everybody}) == 1)
+
+    run(test)
+
+
+def test_a_life_that_only_one_host_saw_is_not_written() -> None:
+    standin = StoreStandin()
+
+    async def test() -> None:
+        async with hosts(2, standin) as (one, two):
+            one.end(ONE, 'u1@1')
+            two.end(TWO, 'u1@1')
+            await until(lambda: one.sharing.follower.has_listed)
+            two.end(TWO, 'u2@1')
+            await until(lambda: one.table.count(TWO) == 2)
+            assert two.table.count(ONE) == 0
+            assert len(writes(standin)) == 1
+
+    run(test)
+
+
+def test_a_host_that_is_no_sentinel_makes_no_call() -> None:
+    standin = StoreStandin()
+
+    async def test() -> None:
+        async with hosts(1, standin) as (one,):
+            one.is_sentinel = False
+            one.end(ONE, 'u1@1', 'u2@1', 'u3@1')
+            await asyncio.sleep(0.1)
+            assert not standin.calls
+            # It becomes one, and tells what it has known all along.
+            one.is_sentinel = True
+            await until(lambda: bool(writes(standin)))
+
+    run(test)
+
+
+def test_what_lapsed_while_the_store_was_away_is_told_after() -> None:
+    standin = StoreStandin()
+
+    async def test() -> None:
+        async with hosts(2, standin) as (one, two):
+            await until(lambda: one.sharing.follower.has_listed)
+            await until(lambda: two.sharing.follower.has_listed)
+            standin.status = 503
+            one.end(ONE, 'u1@1', 'u2@1', 'u3@1')
+            await until(lambda: bool(writes(standin)))
+            # Ends the waiting watches as well, and serves again.
+            standin.cut_watches()
+            await until(lambda: two.table.held == {ONE})
+
+    run(test)
+
+
+def test_an_object_that_was_spoilt_or_removed_is_written_anew() -> None:
+    standin = StoreStandin()
+
+    async def test() -> None:
+        async with hosts(2, standin) as (one, two):
+            objects = standin.kind(SUSPECTS_KIND).objects
+            one.end(ONE, 'u1@1', 'u2@1')
+            await until(lambda: two.table.count(ONE) == 2)
+            standin.put(SUSPECTS_KIND, SUSPECTS_NAME, {'requests': 'none'})
+            one.end(ONE, 'u3@1')
+            await until(lambda: two.table.held == {ONE})
+            standin.delete(SUSPECTS_KIND, SUSPECTS_NAME)
+            await until(lambda: SUSPECTS_NAME in objects)
+            two.end(TWO, 'u7@1', 'u8@1')
+            await until(lambda: one.table.count(TWO) == 2)
+
+    run(test)
