--- a/tests/lib/store_standin.py
+++ b/tests/lib/store_standin.py
@@ -33,6 +33,7 @@
         self.status: int | None = None
         self.silenced = 0
         self.is_stopped = False
+        self.is_cutting = False
         self.changed = asyncio.Event()
         self.port = 0
         self._server: HTTPServer | None = None
@@ -87,11 +88,13 @@
     def cut_watches(self) -> None:
         """End every waiting watch with an error."""
         self.status = 503
+        self.is_cutting = True
         self._wake()
         asyncio.get_running_loop().call_later(0.05, self._serve_again)
 
     def _serve_again(self) -> None:
         self.status = None
+        self.is_cutting = False
 
     def events(self, kind: str, after: int) -> list[Stored]:
         return [
@@ -142,7 +145,7 @@
             left = end - asyncio.get_running_loop().time()
             if left <= 0:
                 break
-            if store.is_stopped:
+            if store.is_stopped or store.is_cutting:
                 break
             changed = store.changed
             try:
