Suspect a cold new life only where cold upstreams are bounded

Found by going through what a refused connection does: where a service states no rate for cold upstreams they get nothing, so that a refused connection, or the word that an upstream had ended, took it out for 6 s. The test failed before.

--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -132,6 +132,15 @@
             self._work[route.name] = known
         return known
 
+    def suspect_new_life(self, upstream: Upstream, now: float) -> None:
+        """Take whoever listens where nobody did for cold, until it is told.
+
+        Where a service states no rate for cold upstreams they get nothing, so
+        there it would only take the upstream out.
+        """
+        if self.cold_sends.is_bounded(upstream.entry.service):
+            upstream.suspect_new_life(now)
+
     def choose(self, ask: Ask) -> Placement | None:
         """Choose an upstream for one send, or None if there is no room."""
         now = time.monotonic()
--- a/src/wardstair/gateway/cold_sends.py
+++ b/src/wardstair/gateway/cold_sends.py
@@ -53,6 +53,12 @@
             self._told[upstream.name] = rate
             self._tell(upstream, rate, now)
 
+    def is_bounded(self, service: str) -> bool:
+        """Return whether a service says what its cold upstreams bear."""
+        steering = self._belief.steering
+        known = None if steering is None else steering.services.get(service)
+        return known is not None and known.cold_rate > 0
+
     def forget(self, names: set[str]) -> None:
         """Drop what is kept for upstreams that are gone.
 
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -155,7 +155,7 @@
         self.witness = Witness(self.belief.suspects, self._newest_life)
         self.belief.catalog.on_life_ended = self._on_life_ended
         self.belief.suspects.on_change = self._on_suspects
-        self.belief.suspects.on_ended = self.belief.catalog.note_ended
+        self.belief.suspects.on_ended = self._on_ended
         self.suspect_sharing = SuspectSharing(
             self.store,
             self.contact,
@@ -363,6 +363,15 @@
         self.pool.drop(name)
         self.chooser.cold_sends.forget_one(name)
 
+    def _on_ended(self, life: str) -> None:
+        """Send nothing to an upstream that ended, and little to its next life.
+
+        A host that has nobody else sends there all the same.
+        """
+        upstream = self.belief.catalog.note_ended(life)
+        if upstream is not None:
+            self.chooser.suspect_new_life(upstream, self._clock())
+
     def _on_suspects(self) -> None:
         """Have others know, and the store; ends come in series."""
         self.suspect_sharing.changed.set()
--- a/src/wardstair/gateway/learning.py
+++ b/src/wardstair/gateway/learning.py
@@ -110,7 +110,7 @@
             case NotSent(reason=reason, is_dead=is_dead):
                 self._distrust(case, reason, now)
                 if is_dead:
-                    upstream.suspect_new_life(now)
+                    self._chooser.suspect_new_life(upstream, now)
             case Lost(is_forgotten=True):
                 # Whether the upstream itself is well the next send will show,
                 # which opens a connection.
--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -195,24 +195,25 @@
         self._forget(upstream, self.clock())
         self._index()
 
-    def note_ended(self, life: str) -> None:
+    def note_ended(self, life: str) -> Upstream | None:
         """Avoid a life that was found to have ended, here or by another host.
 
         Its entry lapses within that time, or a later life takes its name. That
         one is cold, and requests meant for this one would flood it until hosts
-        have read its entry: 30 in a second were seen where 8 are borne. So it
-        counts as cold as well, for a host that has nobody else to send to.
+        have read its entry: 30 in a second were seen where 8 are borne.
 
         Args:
             life: The life, as `Upstream.life` names it.
+
+        Returns:
+            Its upstream; None if that has another life by now.
         """
         upstream = self.upstreams.get(life.rpartition('@')[0])
         if upstream is None or upstream.life != life:
-            return
-        now = self.clock()
-        end = now + UNTOLD_SECONDS
+            return None
+        end = self.clock() + UNTOLD_SECONDS
         upstream.distrusted_until = max(upstream.distrusted_until, end)
-        upstream.suspect_new_life(now)
+        return upstream
 
     def mark_cold(self, zone: str, seconds_of: Callable[[str], float]) -> None:
         """Treat a zone's upstreams as cold, after it was evacuated.
--- a/tests/functional/test_refused_connections.py
+++ b/tests/functional/test_refused_connections.py
@@ -12,7 +12,7 @@
 
 import pytest
 from lib.rig import Caller, Rig
-from lib.specs import upstream_spec
+from lib.specs import configuration_spec, upstream_spec
 from lib.upstream_standin import UpstreamStandin
 
 Test = Callable[[Rig], Awaitable[None]]
@@ -64,3 +64,26 @@
         caller.close()
 
     run(test, one)
+
+
+def test_without_cold_starts_a_refused_connection_costs_no_more() -> None:
+    one = UpstreamStandin('i-1')
+
+    async def test(rig: Rig) -> None:
+        spec = configuration_spec(2)
+        services = spec['services']
+        assert isinstance(services, dict)
+        services['views'].pop('cold_per_s')
+        rig.store.put('config', 'main', spec)
+        belief = rig.gateway.belief
+        await rig.until(lambda: belief.versions.configuration == 2)
+        await one.stop()
+        assert (await rig.ask()).status == 503
+        known = belief.catalog.upstreams['i-1']
+        # A cold upstream would get nothing at all there.
+        assert not known.is_cold(time.monotonic())
+        belief.suspects.note_ended((f'{1:016x}',), known.life)
+        assert known.is_avoided(time.monotonic())
+        assert not known.is_cold(time.monotonic())
+
+    run(test, one)
--- a/tests/unit/test_lives.py
+++ b/tests/unit/test_lives.py
@@ -95,7 +95,9 @@
 
 def test_a_life_that_ended_is_avoided_until_the_next_is_told() -> None:
     catalog = catalog_with(OLD)
-    catalog.note_ended(catalog.upstreams[ENTRY.name].life)
+    upstream = catalog.note_ended(catalog.upstreams[ENTRY.name].life)
+    assert upstream is catalog.upstreams[ENTRY.name]
+    upstream.suspect_new_life(50.0)
     assert catalog.upstreams[ENTRY.name].is_avoided(55.9)
     assert catalog.upstreams[ENTRY.name].is_cold(55.9)
     # It may live after all.
