--- a/src/wardstair/connection/pool.py
+++ b/src/wardstair/connection/pool.py
@@ -147,7 +147,7 @@
             is_refused = isinstance(error, ConnectionRefusedError)
             return ConnectFailed(
                 type(error).__name__,
-                is_refused and not line.open_count,
+                is_refused and not self.is_connected(name),
             )
         except asyncio.CancelledError:
             line.open_count -= 1
--- a/src/wardstair/fleet/sharing.py
+++ b/src/wardstair/fleet/sharing.py
@@ -127,10 +127,12 @@
 def decode_versions(text: str) -> Versions | None:
     """Decode such a query; None if it is none."""
     try:
-        numbers = [int(number) for number in text.split('.')]
-        return Versions(*numbers)
-    except (ValueError, TypeError):
+        configuration, evacuations, upstreams, suspects = (
+            int(number) for number in text.split('.')
+        )
+    except ValueError:
         return None
+    return Versions(configuration, evacuations, upstreams, suspects)
 
 
 def _configuration(revision: int, deflated: bytes) -> SharedConfiguration:
--- a/src/wardstair/platform/store.py
+++ b/src/wardstair/platform/store.py
@@ -183,8 +183,12 @@
                 return Err(PlatformUnavailable(f'unreadable list: {error}'))
             read = _read_objects(kind, page.items)
             listed.extend(read)
-            if not page.truncated or not read:
+            if not page.truncated or not page.items:
                 return Ok(Listing(tuple(listed), page.as_of))
+            if not read:
+                # Where the next page begins is not known; without it the
+                # listing would take out whatever comes after.
+                return Err(PlatformUnavailable(f'unreadable page of {kind}'))
             query = {**plain, 'after': read[-1].metadata.name}
 
     async def watch_kind(
--- a/tests/functional/test_foreign_entries.py
+++ b/tests/functional/test_foreign_entries.py
@@ -7,7 +7,7 @@
 from lib.specs import ADDRESS, Stored, upstream_spec
 from lib.store_standin import StoreStandin
 from lib.upstream_standin import UpstreamStandin
-from result import Ok
+from result import Err, Ok
 
 from wardstair.platform.store import Store
 
@@ -22,6 +22,22 @@
     asyncio.run(main())
 
 
+async def serve_raw(raw: bytes) -> asyncio.Server:
+    """Answer every request with these bytes."""
+
+    async def answer(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(raw)}\r\n\r\n'
+        writer.write(head.encode() + raw)
+        await writer.drain()
+        writer.close()
+
+    return await asyncio.start_server(answer, ADDRESS, 0)
+
+
 def test_a_bad_entry_costs_no_other_in_a_listing_or_a_watch() -> None:
     one = UpstreamStandin('i-1')
     two = UpstreamStandin('i-2')
@@ -82,24 +98,29 @@
     run(test)
 
 
+def test_a_page_of_which_nothing_can_be_read_is_no_whole_listing() -> None:
+    raw = b'{"as_of": 4, "truncated": true, "items": [{"metadata": 7}]}'
+
+    async def test() -> None:
+        server = await serve_raw(raw)
+        port = server.sockets[0].getsockname()[1]
+        store = Store(f'{ADDRESS}:{port}')
+        # Taken for whole, it would take out all upstreams that come after it.
+        assert isinstance(await store.list_kind('servers'), Err)
+        store.close()
+        server.close()
+
+    run(test)
+
+
 def test_bytes_that_cannot_be_read_cost_no_other_object() -> None:
     raw = (
         b'{"as_of": 4, "items": [{"metadata": {"name": "i-0"}, '
         b'"spec": "\xff\xfe\x80"}, {"metadata": {"name": "i-1"}}]}'
     )
 
-    async def answer(
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        await reader.readuntil(b'\r\n\r\n')
-        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(raw)}\r\n\r\n'
-        writer.write(head.encode() + raw)
-        await writer.drain()
-        writer.close()
-
     async def test() -> None:
-        server = await asyncio.start_server(answer, ADDRESS, 0)
+        server = await serve_raw(raw)
         port = server.sockets[0].getsockname()[1]
         store = Store(f'{ADDRESS}:{port}')
         listed = await store.list_kind('servers')
