Wait in a test for the watches that it is about to cut

Traced: the test took the store away once both hosts had listed. A watch that comes after that is refused, its host finds the store away by it and does not write, and the test waits for the write for good.

Shown by holding each watch back for 0.5 s: red before each time, green now. Ruled out: the code under test, which rightly writes nothing while the store is away; it writes after, in the plays where the watch came first.

--- a/tests/functional/test_suspect_sharing.py
+++ b/tests/functional/test_suspect_sharing.py
@@ -91,6 +91,10 @@
     return [one for one in standin.calls if one[:4] in {'POST', 'PUT '}]
 
 
+def watches(standin: StoreStandin) -> int:
+    return sum('watch=' in one for one in standin.calls)
+
+
 def test_what_each_of_three_saw_once_is_known_to_all() -> None:
     standin = StoreStandin()
 
@@ -145,8 +149,9 @@
 
     async def test() -> None:
         async with hosts(2, standin) as (one, two):
-            await until(lambda: one.sharing.follower.has_listed)
-            await until(lambda: two.sharing.follower.has_listed)
+            # Before its watch waits, a host would find the store away by that,
+            # and write nothing.
+            await until(lambda: watches(standin) == 2)
             standin.status = 503
             one.end(ONE, 'u1@1', 'u2@1', 'u3@1')
             await until(lambda: bool(writes(standin)))
