Give the ends of lives a module of their own; type what operators are shown

gateway/host.py held more than its parts, tasks, start and stop: what the pool, the cold paces, the catalog and the heartbeats do when a life ends stood there as five methods. The rows of suspects were bare maps. Nothing else changes.

--- a/src/wardstair/gateway/endpoints.py
+++ b/src/wardstair/gateway/endpoints.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable
+from dataclasses import asdict
 
 from tornado.web import Application, RequestHandler
 
@@ -146,7 +147,9 @@
 
     def get(self, _request: str) -> None:
         self.set_header('Content-Type', 'application/json')
-        self.finish(json.dumps(self._suspects.rows()))
+        self.finish(
+            json.dumps([asdict(row) for row in self._suspects.listing()])
+        )
 
     def delete(self, request: str) -> None:
         if not self._suspects.lift(request):
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -30,6 +30,7 @@
 )
 from wardstair.gateway.forwarding import Forwarder
 from wardstair.gateway.gauges import add_gauges
+from wardstair.gateway.lives import LifeEnds
 from wardstair.gateway.reporting import Reporter
 from wardstair.gateway.sending import Sender
 from wardstair.gateway.settings import (
@@ -45,7 +46,6 @@
 from wardstair.state.belief import Belief
 from wardstair.state.catalog import Catalog
 from wardstair.state.contact import StoreContact
-from wardstair.state.entries import UpstreamEntry
 from wardstair.state.exchange import StateExchange
 from wardstair.state.following import Follower
 from wardstair.state.registration import Registration
@@ -67,8 +67,6 @@
 LEAST_CONNECTIONS = 4
 # A caller may rest on a connection for up to the configured time.
 IDLE_FACTOR = 1.3
-# How long a host waits for more before it tells of requests that end upstreams.
-TELL_SECONDS = 0.1
 # Left of the grace period when the process ends by itself.
 GRACE_LEFT_SECONDS = 0.5
 # What closing the sockets may take of that.
@@ -152,10 +150,6 @@
         self.pool = UpstreamPool(self._most_connections)
         self.chooser = Chooser(self.live_settings, self.belief, distances)
         reporter = Reporter(self.metrics)
-        self.witness = Witness(self.belief.suspects, self._newest_life)
-        self.belief.catalog.on_life_ended = self._on_life_ended
-        self.belief.suspects.on_change = self._on_suspects
-        self.belief.suspects.on_ended = self._on_ended
         self.suspect_sharing = SuspectSharing(
             self.store,
             self.contact,
@@ -163,7 +157,14 @@
             roles,
             random,
         )
-        self._telling: asyncio.TimerHandle | None = None
+        self._life_ends = LifeEnds(
+            self.belief,
+            self.pool,
+            self.chooser,
+            self.radio.send_beats,
+            self.suspect_sharing.changed,
+        )
+        self.witness = Witness(self.belief.suspects, self._life_ends.newest)
         self.forwarder = Forwarder(
             self.belief,
             self.chooser,
@@ -266,8 +267,7 @@
         self._is_closed = True
         await self._supervisor.stop()
         self.witness.close()
-        if self._telling is not None:
-            self._telling.cancel()
+        self._life_ends.close()
         for server in (self._caller_server, *self._servers):
             server.stop()
             await server.close_all_connections()
@@ -351,38 +351,6 @@
 
         return follow
 
-    def _newest_life(self, name: str) -> UpstreamEntry | None:
-        """Return the entry of an upstream's newest life, if it is there."""
-        upstream = self.belief.catalog.upstreams.get(name)
-        if upstream is None or upstream.gone_at is not None:
-            return None
-        return upstream.entry
-
-    def _on_life_ended(self, name: str) -> None:
-        """Let nothing that belongs to an upstream's earlier life go on."""
-        self.pool.drop(name)
-        self.chooser.cold_sends.forget_one(name)
-
-    def _on_ended(self, life: str) -> None:
-        """Send nothing to an upstream that ended, and little to its next life.
-
-        A host that has nobody else sends there all the same.
-        """
-        upstream = self.belief.catalog.note_ended(life)
-        if upstream is not None:
-            self.chooser.suspect_new_life(upstream, self._clock())
-
-    def _on_suspects(self) -> None:
-        """Have others know, and the store; ends come in series."""
-        self.suspect_sharing.changed.set()
-        if self._telling is None:
-            loop = asyncio.get_running_loop()
-            self._telling = loop.call_later(TELL_SECONDS, self._tell_suspects)
-
-    def _tell_suspects(self) -> None:
-        self._telling = None
-        self.radio.send_beats()
-
     def _tell_zone(self) -> None:
         """Tell the zone at once that this relay has learned something."""
         if self.members.is_relay:
--- a/src/wardstair/state/suspects.py
+++ b/src/wardstair/state/suspects.py
@@ -37,6 +37,25 @@
 _DIGEST_MASK = 2**48 - 1
 
 
+@dataclass(frozen=True, slots=True)
+class SuspectRow:
+    """What operators are shown of one request.
+
+    Attributes:
+        content: The request's digest.
+        held: Whether it is refused.
+        lives: Lives of upstreams that count against it, with commas between.
+        answered: How many lives answered it.
+        seconds_left: How long it stays known.
+    """
+
+    content: str
+    held: bool
+    lives: str
+    answered: int
+    seconds_left: int
+
+
 @dataclass(slots=True)
 class SuspectTable:
     """Evidence by request.
@@ -154,20 +173,20 @@
         for request in before - self.held:
             log_event('request-released', content=request)
 
-    def rows(self) -> list[dict[str, object]]:
+    def listing(self) -> list[SuspectRow]:
         """Return what is known, for operators: those with most lives first."""
         ranked = sorted(
             self.records.items(),
             key=lambda item: (-len(item[1].counted), item[0]),
         )
         return [
-            {
-                'content': request,
-                'held': request in self.held,
-                'lives': ','.join(sorted(one.counted)),
-                'answered': len(one.answered),
-                'seconds_left': round(self.seconds_left(request)),
-            }
+            SuspectRow(
+                content=request,
+                held=request in self.held,
+                lives=','.join(sorted(one.counted)),
+                answered=len(one.answered),
+                seconds_left=round(self.seconds_left(request)),
+            )
             for request, one in ranked
         ]
 
