Read the period of upstreams' entries from the settings

Cause: how long the end of an entry is waited for when the way to an upstream is cut stood as 6 s, four heartbeats of 1.5 s, which is a figure of the deployments known.

Change: heartbeat_milliseconds in the settings file, filled from the platform's field, named among the gaps without it. At 1.5 s everything is as before.

Ruled out: the time for which a life that ended is avoided; it follows the longest distrust, which is our own. Test: a period of 4 s gives 16 s, none the stand-in.

--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -164,7 +164,11 @@
             self.radio.send_beats,
             self.suspect_sharing.changed,
         )
-        self.witness = Witness(self.belief.suspects, self._life_ends.newest)
+        self.witness = Witness(
+            self.belief.suspects,
+            self._life_ends.newest,
+            lambda: self.live_settings.current.heartbeat.lapse_seconds,
+        )
         self.forwarder = Forwarder(
             self.belief,
             self.chooser,
--- a/src/wardstair/gateway/lives.py
+++ b/src/wardstair/gateway/lives.py
@@ -1,4 +1,4 @@
-"""What the parts of a host do when an upstream's life ends or the next begins."""
+"""What a host's parts do when an upstream's life ends or the next begins."""
 
 import asyncio
 from collections.abc import Callable
--- a/src/wardstair/gateway/settings.py
+++ b/src/wardstair/gateway/settings.py
@@ -75,6 +75,27 @@
     shift_share: float = 0.05
 
 
+@dataclass(frozen=True)
+class Heartbeat:
+    """How often upstreams renew their entries in the store.
+
+    Attributes:
+        upstream_seconds: The period. The stand-in is that of each deployment
+            known; where it is too short, fewer ends are proved.
+    """
+
+    upstream_seconds: float = 1.5
+
+    @property
+    def lapse_seconds(self) -> float:
+        """Time until the entry of an upstream that ended is known as gone.
+
+        An entry lapses after three periods of silence; a fourth is left for
+        the store and other hosts to tell.
+        """
+        return 4 * self.upstream_seconds
+
+
 @dataclass(frozen=True, slots=True)
 class Gap:
     """A setting that the file does not give.
@@ -116,6 +137,7 @@
         placement: By what rule upstreams are chosen.
         switched_off: Mechanisms that are not to be used.
         bounds: What the fleet is held to.
+        heartbeat: How often upstreams renew their entries.
         gaps: Settings that the file does not give, with their stand-ins.
     """
 
@@ -138,6 +160,7 @@
     placement: PlacementPolicy = DEFAULT_POLICY
     switched_off: frozenset[Mechanism] = frozenset()
     bounds: Bounds = field(default_factory=Bounds)
+    heartbeat: Heartbeat = Heartbeat()
     gaps: tuple[Gap, ...] = ()
 
     @property
--- a/src/wardstair/gateway/witness.py
+++ b/src/wardstair/gateway/witness.py
@@ -20,10 +20,9 @@
 # turn; one that ended was seen to be back after 1.2 s at the earliest.
 PROBES = 2
 PROBE_PAUSE_SECONDS = 0.15
-# How long the word of others is waited for. With the way cut it is the end of
-# the entry, which lapses after three heartbeats of 1.5 s. Where something
-# listens, only one that was back before it was asked: it registers at once.
-CUT_SECONDS = 6.0
+# How long the word of others is waited for where something listens: only of one
+# that was back before it was asked, which registers at once. With the way cut
+# it is the end of the entry, whose period is the deployment's.
 LISTENING_SECONDS = 2.0
 LOOK_SECONDS = 0.25
 # Exchanges of one end are noticed within a round trip or two of each other.
@@ -71,6 +70,7 @@
         self,
         suspects: SuspectTable,
         newest: Callable[[str], UpstreamEntry | None],
+        lapse_seconds: Callable[[], float],
         ask: Probe = probe,
     ) -> None:
         """Prepare without a case.
@@ -79,10 +79,13 @@
             suspects: Where proofs go.
             newest: Returns the entry of the newest life of a name, if it is
                 registered.
+            lapse_seconds: Returns how long the entry of an upstream that ended
+                may stay.
             ask: Finds out whether anything listens at an address.
         """
         self.suspects = suspects
         self._newest = newest
+        self._lapse_seconds = lapse_seconds
         self._probe = ask
         self._cases: dict[str, _Case] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -163,7 +166,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + LISTENING_SECONDS
         if outcome is ProbeOutcome.unknown:
-            end = loop.time() + CUT_SECONDS
+            end = loop.time() + self._lapse_seconds()
         while loop.time() < end and not case.later:
             if self._is_told(case.upstream, outcome):
                 return True
--- a/src/wardstair/platform/settings.py
+++ b/src/wardstair/platform/settings.py
@@ -12,11 +12,17 @@
 from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.placement_policies import POLICIES, PlacementPolicy
 from wardstair.errors import ConfigurationError, Fault
-from wardstair.gateway.settings import Gap, GatewaySettings, Listener
+from wardstair.gateway.settings import (
+    Gap,
+    GatewaySettings,
+    Heartbeat,
+    Listener,
+)
 from wardstair.platform.bounds import decode_bounds
 from wardstair.version.document import faults_of
 
 _MEGABYTE = 1048576
+_MILLISECONDS = 1000
 
 
 class _Model(BaseModel):
@@ -55,6 +61,7 @@
     placement: str = 'warm-home'
     switched_off: frozenset[Mechanism] = frozenset()
     limits: _Limits = Field(default_factory=_Limits)
+    heartbeat_milliseconds: float | None = Field(default=None, gt=0)
     bounds: tuple[str, ...] = ()
 
 
@@ -108,7 +115,12 @@
         placement=_placement(parsed.placement),
         switched_off=parsed.switched_off,
         bounds=decoded.bounds,
-        gaps=(*_limit_gaps(parsed.limits), *decoded.gaps),
+        heartbeat=_heartbeat(parsed.heartbeat_milliseconds),
+        gaps=(
+            *_limit_gaps(parsed.limits),
+            *_heartbeat_gaps(parsed.heartbeat_milliseconds),
+            *decoded.gaps,
+        ),
     )
 
 
@@ -133,6 +145,19 @@
     ]
 
 
+def _heartbeat(milliseconds: float | None) -> Heartbeat:
+    if milliseconds is None:
+        return Heartbeat()
+    return Heartbeat(milliseconds / _MILLISECONDS)
+
+
+def _heartbeat_gaps(milliseconds: float | None) -> tuple[Gap, ...]:
+    if milliseconds is not None:
+        return ()
+    used = Heartbeat().upstream_seconds * _MILLISECONDS
+    return (Gap('heartbeat_milliseconds', used),)
+
+
 def _limit_gaps(limits: _Limits) -> tuple[Gap, ...]:
     missing = _Limits.model_fields.keys() - limits.model_fields_set
     return tuple(
--- a/src/wardstair/platform/upstream_entries.py
+++ b/src/wardstair/platform/upstream_entries.py
@@ -24,8 +24,8 @@
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
 
 _MILLISECONDS = 1000
-# More requests at once than any upstream works on, or would stand in for a
-# whole service: the largest deployment has 9 slots each, 1,080 upstreams.
+# More requests at once than one upstream works on: one that claims more would
+# seem to have room at any load, and get all that the others cannot take.
 MOST_SLOTS = 10_000
 # Nothing is cold for longer than a day.
 MOST_COLD_MILLISECONDS = 86_400_000
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -12,6 +12,7 @@
 from wardstair.decisions.mechanisms import Mechanism
 from wardstair.errors import ConfigurationError
 from wardstair.gateway.host import GatewayHost
+from wardstair.gateway.settings import Heartbeat
 from wardstair.platform.settings import load_settings
 
 
@@ -56,6 +57,28 @@
     assert '\n' not in str(caught.value)
 
 
+@pytest.mark.parametrize(
+    ('given', 'seconds', 'missing'),
+    [
+        (4000, 4.0, []),
+        (None, Heartbeat.upstream_seconds, ['heartbeat_milliseconds']),
+    ],
+)
+def test_the_period_of_entries_is_the_deployments(
+    tmp_path: Path,
+    given: int | None,
+    seconds: float,
+    missing: list[str],
+) -> None:
+    file = tmp_path / 'gateway.toml'
+    file.write_text(filled(heartbeat_ms=given))
+    settings = load_settings(file)
+    assert settings.heartbeat.upstream_seconds == seconds
+    assert [gap.name for gap in settings.gaps] == missing
+    # Three heartbeats that did not come, and one for the word of it.
+    assert settings.heartbeat.lapse_seconds == 4 * seconds
+
+
 def test_changed_settings_are_in_force_at_once() -> None:
     before = gateway_settings(1)
     host = GatewayHost(before, Random(1))
--- a/tests/unit/test_witness.py
+++ b/tests/unit/test_witness.py
@@ -17,6 +17,7 @@
 REFUSED = ProbeOutcome.refused
 LISTENING = ProbeOutcome.listening
 UNKNOWN = ProbeOutcome.unknown
+LAPSE_SECONDS = 0.05
 ENTRY = UpstreamEntry(
     'u1',
     'views',
@@ -39,7 +40,12 @@
         self.catalog.replace_all([ENTRY], 5, store_was_away=False)
         self.table = SuspectTable()
         self.outcomes = list(outcomes)
-        self.witness = Witness(self.table, self.newest, self.ask)
+        self.witness = Witness(
+            self.table,
+            self.newest,
+            lambda: LAPSE_SECONDS,
+            self.ask,
+        )
 
     def newest(self, name: str) -> UpstreamEntry | None:
         upstream = self.catalog.upstreams.get(name)
@@ -73,7 +79,6 @@
     """Let waits take no time."""
     monkeypatch.setattr(witness_module, 'PROBE_PAUSE_SECONDS', 0.0)
     monkeypatch.setattr(witness_module, 'LOOK_SECONDS', 0.001)
-    monkeypatch.setattr(witness_module, 'CUT_SECONDS', 0.05)
     monkeypatch.setattr(witness_module, 'LISTENING_SECONDS', 0.05)
 
 
