Read the limits that upstreams name, and tell when they change

Nothing is decided by them yet: the logs could not tell when a host learned a limit.

headers: a decimal number; text, nan, signs and exponents are unreadable and leave what was named before. state/limits: what each life of an upstream named last, with its age on a clock that suspension does not stop, mergeable with what other hosts know; an answer without the header ends it. Log line upstream-limit, gauge wardstair_upstream_limits.

--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -104,6 +104,11 @@
         'Requests sent to upstreams that were cold, by service',
         lambda: _cold_sends(host),
     )
+    metrics.add_gauge(
+        'wardstair_upstream_limits',
+        'Requests a second that upstreams take from all hosts, as they name it',
+        lambda: _limits(host),
+    )
     metrics.add_count(
         'wardstair_upstream_connections_opened',
         'Connections opened to upstreams',
@@ -147,6 +152,14 @@
     ]
 
 
+def _limits(host: 'GatewayHost') -> list[Row]:
+    return [
+        (row.rate, {'upstream': name})
+        for name, row in host.belief.limits.rows.items()
+        if row.rate is not None
+    ]
+
+
 def _gaps(host: 'GatewayHost') -> list[Row]:
     gaps = host.live_settings.current.gaps
     return [(gap.used, {'setting': gap.name}) for gap in gaps]
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -172,7 +172,7 @@
         self.forwarder = Forwarder(
             self.belief,
             self.chooser,
-            Sender(self.pool, distances),
+            Sender(self.pool, distances, self.belief.limits),
             self.live_settings,
             reporter,
             self.witness,
@@ -344,6 +344,7 @@
             self.pool.sweep(self._is_wanted)
             self.chooser.cold_sends.forget(set(catalog.upstreams))
             self.belief.suspects.expire()
+            self.belief.limits.forget(catalog.upstreams)
             self.refresh_view()
 
     def _follow(self, follower: Follower) -> Callable[[], Awaitable[None]]:
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -26,6 +26,7 @@
     encode_upstream,
 )
 from wardstair.process.log import log_event
+from wardstair.state.limits import LimitTable
 from wardstair.state.upstream import RunningSend, Upstream
 
 _MISDIRECTED = 421
@@ -101,13 +102,20 @@
 class Sender:
     """Sends requests to upstreams and notes what it learns of them."""
 
-    def __init__(self, pool: UpstreamPool, distances: Distances) -> None:
+    def __init__(
+        self,
+        pool: UpstreamPool,
+        distances: Distances,
+        limits: LimitTable,
+    ) -> None:
         """Prepare without connections.
 
         Args:
             pool: The connections.
             distances: Told how long connections take to open.
+            limits: Told what upstreams name in their answers.
         """
+        self._limits = limits
         self._pool = pool
         self._distances = distances
         self._numbers = count()
@@ -204,7 +212,10 @@
                 if fields.keep_seconds is not None:
                     connection.keep_seconds = fields.keep_seconds
                 self._pool.give_back(upstream.name, connection)
-                return _judge(answer, fields, seconds)
+                outcome = _judge(answer, fields, seconds)
+                if _is_of(upstream, outcome):
+                    self._limits.note(upstream, fields.limit)
+                return outcome
 
     async def _connection(
         self,
@@ -241,6 +252,16 @@
     return Delivered(answer, fields, seconds)
 
 
+def _is_of(upstream: Upstream, outcome: SendOutcome) -> bool:
+    """Return whether an answer is one of the upstream that was meant."""
+    match outcome:
+        case TurnedAway(is_other=is_other):
+            return not is_other
+        case Lost(reason=BreakReason.malformed):
+            return False
+    return not upstream.has_ended
+
+
 def _is_own(pairs: Pairs, request_id: str) -> bool:
     return decode_upstream(pairs).request_id == request_id
 
--- a/src/wardstair/platform/headers.py
+++ b/src/wardstair/platform/headers.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import re
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
@@ -35,6 +36,8 @@
 _SET_ANEW = frozenset((TIME_LEFT.lower(), EXPECTED_RUN.lower()))
 
 Pairs = Sequence[tuple[str, str]]
+# The users write "a decimal number": no sign, no exponent, no word.
+_DECIMAL = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+', re.ASCII)
 
 
 class _Read(StrEnum):
@@ -47,6 +50,8 @@
     not_run = 'wardstair-not-executed'
     # "running,waiting,slots" of the upstream when it answered.
     load = 'wardstair-server-load'
+    # Requests a second that it takes from all hosts together, while it says so.
+    limit = 'server-limit'
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +91,18 @@
         return self.running + self.waiting < self.slots
 
 
+@dataclass(frozen=True, slots=True)
+class ToldLimit:
+    """What an upstream names as its limit in an answer.
+
+    Attributes:
+        rate: Requests a second from all hosts together, maybe infinite; None
+            if what it names cannot be read.
+    """
+
+    rate: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamFields:
     """What the head of an upstream's answer says beside the status.
@@ -95,6 +112,7 @@
         is_proven: Whether it carries the upstream's proof.
         is_not_run: Whether it says that the request has not run.
         load: The upstream's load, if told.
+        limit: What it names as its limit; None if it names none.
         keep_seconds: Seconds for which it keeps a resting connection.
         passed_on: Headers that go on to the caller.
     """
@@ -103,6 +121,7 @@
     is_proven: bool
     is_not_run: bool
     load: ToldLoad | None
+    limit: ToldLimit | None
     keep_seconds: float | None
     passed_on: tuple[tuple[str, str], ...]
 
@@ -152,6 +171,7 @@
     is_proven = False
     is_not_run = False
     load = None
+    limit = None
     keep_seconds = None
     passed_on = []
     dropped = _HOP_BY_HOP
@@ -165,6 +185,8 @@
                 is_not_run = True
             case _Read.load:
                 load = _load(text)
+            case _Read.limit:
+                limit = _limit(text)
             case 'keep-alive':
                 keep_seconds = _keep_seconds(text)
             case 'connection':
@@ -176,6 +198,7 @@
         is_proven,
         is_not_run,
         load,
+        limit,
         keep_seconds,
         kept,
     )
@@ -207,6 +230,13 @@
     return ToldLoad(running, waiting, slots)
 
 
+def _limit(text: str) -> ToldLimit:
+    figure = text.strip()
+    if _DECIMAL.fullmatch(figure) is None:
+        return ToldLimit(None)
+    return ToldLimit(float(figure))
+
+
 def _keep_seconds(text: str) -> float | None:
     for part in text.split(','):
         name, _, value = part.strip().partition('=')
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -182,6 +182,13 @@
         '`live` and `known` count hosts of its own zone',
         'upstream service zone left rate live known fleet zones',
     ),
+    _kind(
+        'upstream-limit',
+        'an upstream names how many requests a second it takes from all hosts, '
+        'another figure than before, or none any more; `source`: an answer of '
+        'it, or the host that told',
+        'upstream rate before source',
+    ),
     _kind(
         'split-changed',
         'a split route has other services or weights; `sent`: what this host '
--- a/src/wardstair/state/belief.py
+++ b/src/wardstair/state/belief.py
@@ -17,6 +17,7 @@
 from wardstair.process.log import log_event, log_warning
 from wardstair.state.catalog import Catalog, CatalogChanges
 from wardstair.state.entries import UpstreamEntry
+from wardstair.state.limits import LimitTable
 from wardstair.state.suspects import SuspectTable
 from wardstair.version.steering import Steering
 
@@ -37,6 +38,7 @@
         evacuated: Availability zones that get nothing.
         evacuations_revision: Store revision of that set.
         suspects: Requests that ended upstreams.
+        limits: Limits that upstreams name.
         on_steering: Called when a version is adopted.
     """
 
@@ -48,6 +50,7 @@
     evacuated: frozenset[str] = frozenset()
     evacuations_revision: int = 0
     suspects: SuspectTable = field(default_factory=SuspectTable)
+    limits: LimitTable = field(default_factory=LimitTable)
     on_steering: Callable[[], None] = field(default=lambda: None)
 
     @property
