--- /dev/null
+++ b/tests/lib/fleet.py
@@ -0,0 +1,144 @@
+"""Several gateways in this process, with upstreams and callers."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+from random import Random
+
+from lib.rig import Answer, Caller, free_ports, gateway_settings, until
+from lib.specs import Stored, configuration_spec, upstream_spec
+from lib.store_standin import StoreStandin
+from lib.upstream_standin import UpstreamStandin
+from wardstair.gateway.host import GatewayHost
+
+ZONES = ('north-a', 'north-b', 'south-a')
+
+
+@dataclass
+class Fleet:
+    """Gateways that hear each other, and what is around them.
+
+    Attributes:
+        store: The platform's store.
+        hosts: The gateways, in turn in each zone.
+        upstreams: The upstreams, likewise.
+    """
+
+    store: StoreStandin = field(default_factory=StoreStandin)
+    hosts: list[GatewayHost] = field(default_factory=list)
+    upstreams: list[UpstreamStandin] = field(default_factory=list)
+
+    async def start_host(self, number: int, port: int) -> GatewayHost:
+        """Start one gateway more; the first one is the others' seed."""
+        settings = gateway_settings(
+            self.store.port,
+            name=f'host-{number}',
+            fleet_port=port,
+        )
+        settings = replace(settings, zone=ZONES[number % len(ZONES)])
+        if self.hosts:
+            seed = str(self.hosts[0].settings.control)
+            settings = replace(settings, seeds=(seed,))
+        host = GatewayHost(settings, Random(number))
+        await host.start()
+        self.hosts.append(host)
+        return host
+
+    def knows_all(self) -> bool:
+        """Return whether each host knows all others and all upstreams."""
+        return all(self._is_informed(host) for host in self.hosts)
+
+    def _is_informed(self, host: GatewayHost) -> bool:
+        known = host.belief.catalog.of_service('views')
+        return (
+            host.is_ready
+            and len(known) == len(self.upstreams)
+            and len(host.members.live_names()) == len(self.hosts)
+            and host.chooser.view.is_settled
+        )
+
+
+@asynccontextmanager
+async def running_fleet(
+    size: int,
+    upstreams: list[UpstreamStandin],
+    configuration: Stored | None = None,
+) -> AsyncIterator[Fleet]:
+    """Run gateways that know each other and all upstreams.
+
+    Args:
+        size: How many gateways.
+        upstreams: The upstreams, of the service `views`, not started.
+        configuration: What is in force; by default one route of each kind.
+    """
+    fleet = Fleet(upstreams=upstreams)
+    fleet.store.start()
+    fleet.store.put('config', 'main', configuration or configuration_spec(1))
+    for number, upstream in enumerate(upstreams):
+        await upstream.start()
+        entry = upstream_spec(upstream.port, zone=ZONES[number % len(ZONES)])
+        fleet.store.put('servers', upstream.name, entry)
+    (port,) = free_ports(1)
+    for number in range(size):
+        await fleet.start_host(number, port)
+    try:
+        await until(fleet.knows_all)
+        yield fleet
+    finally:
+        for host in fleet.hosts:
+            await host.close()
+        for upstream in upstreams:
+            await upstream.stop()
+        await fleet.store.stop()
+
+
+@dataclass
+class Load:
+    """Callers that send to all hosts at a steady rate.
+
+    Attributes:
+        rate: Requests a second of all callers.
+        target: Path of their requests.
+        answers: What they got.
+    """
+
+    rate: float
+    target: str = '/read/x'
+    callers: int = 24
+    answers: list[Answer] = field(default_factory=list)
+
+    async def play(self, hosts: list[GatewayHost], seconds: float) -> None:
+        """Send for some time.
+
+        Args:
+            hosts: Where to, in turn.
+            seconds: For how long.
+        """
+        end = time.monotonic() + seconds
+        await asyncio.gather(
+            *(
+                self._call(hosts[number % len(hosts)], Random(number), end)
+                for number in range(self.callers)
+            )
+        )
+
+    async def _call(
+        self,
+        host: GatewayHost,
+        random: Random,
+        end: float,
+    ) -> None:
+        caller = await Caller.connect_to(host.settings.callers)
+        mean = self.callers / self.rate
+        while time.monotonic() < end:
+            await asyncio.sleep(random.uniform(0, 2 * mean))
+            name = f'{random.getrandbits(48):012x}'
+            key = str(random.randrange(500))
+            answer = await caller.ask(self.target, request_id=name, key=key)
+            self.answers.append(answer)
+            if not answer.status:
+                caller.close()
+                caller = await Caller.connect_to(host.settings.callers)
+        caller.close()
