Keep the sum of all hosts to the limits that upstreams name

What users saw: upstreams that named 3.6 and 4.7 requests a second got 52 and 63 in four seconds, where 27 and 33 are borne.

Cause: nobody read the figure; and it is told to one host and binds the sum of all, who share no count. Ruled out: a part each for all hosts (each has a request to spare, 1,200 of them, and one in 40 minutes each of half a request a second); tokens in the store (a call a second for each upstream, nobody sends while it is away); counts in heartbeats (a second old).

Change: what an upstream named last is told among hosts by digest and age, as requests that end upstreams are. All hosts work out the same few senders from heartbeats, which carry load now, the upstream's own zone first; parts follow the load; an allowance begins empty and saves up a request and a half. Silent hosts keep their part for 30 s and count on after. To hosts that may not send the upstream is not there; hosts that may draw keys to it. When all upstreams of a service name a limit, callers are refused at once and told each another time.

Why it holds: what is borne beside the rate says how many may send, since each adds two requests at most; played with loads that swing, hosts cut off in halves and told late.

Figures, six hosts, six upstreams, 120 requests a second, most in four seconds, before and after: one names 4: 86, 16 (29 borne); one names 0.5: 85, 2 (8); all name 4: 80 to 94, within 29.

--- a/src/wardstair/errors.py
+++ b/src/wardstair/errors.py
@@ -19,6 +19,7 @@
     outcome_unknown = 'outcome-unknown'
     overloaded = 'overloaded'
     turned_away = 'turned-away'
+    limits_reached = 'limits-reached'
     no_memory = 'no-memory'
     no_upstream = 'no-upstream'
     cap_reached = 'cap-reached'
--- a/src/wardstair/fleet/beats.py
+++ b/src/wardstair/fleet/beats.py
@@ -12,7 +12,7 @@
 
 # Two versions of the program in one fleet drop each other's datagrams
 # instead of misreading them.
-_FORMAT = 5
+_FORMAT = 6
 _UNREADABLE = (cbor2.CBORDecodeError, ValueError, TypeError, LookupError)
 # Hosts named in one answer to a newcomer, so that a datagram holds them.
 MOST_NAMED = 16
@@ -60,12 +60,27 @@
         upstreams: Store revision of its list of upstreams.
         suspects: Digest of what it knows of requests that end upstreams; not
             newer or older, but the same or another.
+        limits: Digest of what it knows of limits that upstreams name; likewise.
     """
 
     configuration: int = -1
     evacuations: int = 0
     upstreams: int = 0
     suspects: int = 0
+    limits: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneLoad:
+    """The load of an availability zone.
+
+    Attributes:
+        zone: The zone.
+        load: Requests a second of callers, of all its hosts.
+    """
+
+    zone: str
+    load: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +100,8 @@
         fleet_size: Hosts that the sender knows of in all zones.
         versions: How new its state is.
         named: Other hosts that the sender hears.
+        load: Requests a second of the sender's callers.
+        zone_loads: Load of zones, while it is needed.
     """
 
     kind: BeatKind
@@ -99,6 +116,8 @@
     fleet_size: int
     versions: Versions
     named: tuple[PeerName, ...] = ()
+    load: float = 0.0
+    zone_loads: tuple[ZoneLoad, ...] = ()
 
 
 def encode_beat(beat: Beat) -> bytes:
@@ -121,8 +140,11 @@
                 beat.versions.evacuations,
                 beat.versions.upstreams,
                 beat.versions.suspects,
+                beat.versions.limits,
             ],
             [_name_row(peer) for peer in beat.named],
+            round(beat.load, 1),
+            [[told.zone, round(told.load, 1)] for told in beat.zone_loads],
         ]
     )
 
@@ -146,6 +168,8 @@
             int(row[10]),
             Versions(*row[11]),
             tuple(PeerName(*peer) for peer in row[12]),
+            float(row[13]),
+            tuple(ZoneLoad(zone, float(load)) for zone, load in row[14]),
         )
     except _UNREADABLE:
         return None
--- a/src/wardstair/fleet/member.py
+++ b/src/wardstair/fleet/member.py
@@ -23,6 +23,7 @@
         zone_size: Hosts that it knows of in its zone.
         fleet_size: Hosts that it knows of in all zones.
         versions: How new it said its state is.
+        load: Requests a second of its callers, as it said.
         was_live: Whether it counted as live when last looked at.
     """
 
@@ -38,6 +39,7 @@
     zone_size: int = 0
     fleet_size: int = 0
     versions: Versions = field(default_factory=Versions)
+    load: float = 0.0
     was_live: bool = False
 
     def take_in(self, beat: Beat, now: float) -> None:
@@ -53,3 +55,4 @@
         self.zone_size = beat.zone_size
         self.fleet_size = beat.fleet_size
         self.versions = beat.versions
+        self.load = beat.load
--- a/src/wardstair/fleet/members.py
+++ b/src/wardstair/fleet/members.py
@@ -47,6 +47,7 @@
         replaced_seconds: Silence after which a relay is replaced.
         is_settled: Whether this host had time to hear the others.
         is_busy: Whether this host is short of processor time.
+        load: Requests a second of this host's callers.
         is_leaving: Whether this host is about to stop.
         table: Members by name.
         hinted: Relays of other zones, as a host of theirs named them.
@@ -66,6 +67,7 @@
     )
     is_settled: Callable[[], bool] = field(default=lambda: True)
     is_busy: bool = False
+    load: float = 0.0
     is_leaving: bool = False
     table: dict[str, Member] = field(default_factory=dict)
     hinted: dict[str, tuple[str, ...]] = field(default_factory=dict)
--- a/src/wardstair/fleet/radio.py
+++ b/src/wardstair/fleet/radio.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from random import Random
-from typing import cast
+from typing import Protocol, cast
 
 from wardstair.decisions.membership import RELAYS_A_ZONE
 from wardstair.fleet.beats import (
@@ -17,6 +17,7 @@
     BeatKind,
     PeerName,
     Versions,
+    ZoneLoad,
     decode_beat,
     encode_beat,
 )
@@ -46,6 +47,17 @@
 JITTER = 0.1
 
 
+class ZoneLoads(Protocol):
+    """Says what a heartbeat tells of the load of zones."""
+
+    def __call__(self, *, to_others: bool) -> tuple[ZoneLoad, ...]:
+        """Return the loads.
+
+        Args:
+            to_others: Whether the heartbeat goes to other zones.
+        """
+
+
 class Radio(asyncio.DatagramProtocol):
     """Sends this host's heartbeats and hears those of others."""
 
@@ -66,6 +78,8 @@
         """
         self.on_beat: Callable[[Beat], None] = _ignore
         self.sent = 0
+        # What heartbeats tell of the load of zones.
+        self.zone_loads: ZoneLoads = _no_loads
         # Set once a host has answered, or has had the time to.
         self.is_greeted = asyncio.Event()
         self._members = members
@@ -160,9 +174,17 @@
         """Send a heartbeat now to everybody who should have it."""
         near = self._near_addresses()
         far = self._far_now()
-        self._send_all(near, self._beat(named=self._far_names(NAMED_NEAR)))
+        beat = self._beat(
+            named=self._far_names(NAMED_NEAR),
+            zone_loads=self.zone_loads(to_others=False),
+        )
+        self._send_all(near, beat)
         if far:
-            self._send_all(far, self._beat(named=self._far_names(NAMED_FAR)))
+            beat = self._beat(
+                named=self._far_names(NAMED_FAR),
+                zone_loads=self.zone_loads(to_others=True),
+            )
+            self._send_all(far, beat)
 
     def _far_now(self) -> set[str]:
         """Return where this heartbeat goes in other zones."""
@@ -302,6 +324,7 @@
         kind: BeatKind = BeatKind.beat,
         *,
         named: tuple[PeerName, ...] = (),
+        zone_loads: tuple[ZoneLoad, ...] = (),
     ) -> Beat:
         self._number += 1
         members = self._members
@@ -318,6 +341,8 @@
             fleet_size=members.counted_size,
             versions=self._versions(),
             named=named,
+            load=members.load,
+            zone_loads=zone_loads,
         )
 
     def _send(self, address: str, beat: Beat) -> None:
@@ -329,5 +354,10 @@
             self._transport.sendto(datagram, (address, self._port))
 
 
+def _no_loads(*, to_others: bool) -> tuple[ZoneLoad, ...]:
+    """Tell nothing; the default."""
+    return ()
+
+
 def _ignore(_beat: Beat) -> None:
     """Do nothing; the default of the callback."""
--- a/src/wardstair/fleet/sharing.py
+++ b/src/wardstair/fleet/sharing.py
@@ -15,8 +15,9 @@
 from wardstair.fleet.beats import Versions
 from wardstair.state.catalog import CatalogChanges
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
+from wardstair.state.limits import SharedLimit
 
-_FORMAT = 3
+_FORMAT = 4
 UNREADABLE = (
     cbor2.CBORDecodeError,
     zlib.error,
@@ -24,6 +25,8 @@
     TypeError,
     LookupError,
 )
+# Numbers in a query.
+_VERSIONS = 5
 # Level of deflation: the fastest one; routes look alike enough for it.
 _DEFLATION = 1
 
@@ -62,6 +65,7 @@
     evacuations: SharedEvacuations | None = None
     upstreams: CatalogChanges | None = None
     suspects: Mapping[str, Evidence] = field(default_factory=dict)
+    limits: Mapping[str, SharedLimit] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -86,6 +90,10 @@
                 evacuations and [evacuations.revision, list(evacuations.zones)],
                 state.upstreams and _changes_row(state.upstreams),
                 _suspects_row(state.suspects),
+                [
+                    [name, one.born, one.rate, round(one.age, 3)]
+                    for name, one in state.limits.items()
+                ],
             ]
         )
 
@@ -108,6 +116,7 @@
             row[2] and SharedEvacuations(row[2][0], tuple(row[2][1])),
             row[3] and _changes(row[3]),
             _suspects(*row[4]),
+            _limits(row[5]),
         )
     except UNREADABLE:
         return None
@@ -120,6 +129,7 @@
         versions.evacuations,
         versions.upstreams,
         versions.suspects,
+        versions.limits,
     )
     return '.'.join(str(number) for number in numbers)
 
@@ -127,12 +137,10 @@
 def decode_versions(text: str) -> Versions | None:
     """Decode such a query; None if it is none."""
     try:
-        configuration, evacuations, upstreams, suspects = (
-            int(number) for number in text.split('.')
-        )
+        numbers = [int(number) for number in text.split('.')]
     except ValueError:
         return None
-    return Versions(configuration, evacuations, upstreams, suspects)
+    return Versions(*numbers) if len(numbers) == _VERSIONS else None
 
 
 def _configuration(revision: int, deflated: bytes) -> SharedConfiguration:
@@ -165,6 +173,17 @@
     }
 
 
+def _limits(rows: list[list[Any]]) -> dict[str, SharedLimit]:
+    return {
+        str(name): SharedLimit(
+            int(born),
+            None if rate is None else float(rate),
+            float(age),
+        )
+        for name, born, rate, age in rows
+    }
+
+
 def _changes_row(changes: CatalogChanges) -> list[object]:
     return [
         changes.since,
--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 
 from wardstair.decisions.cold import HostView
+from wardstair.decisions.fleet_rate import LoadView
 from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.placement import (
     Candidate,
@@ -21,6 +22,7 @@
 from wardstair.gateway.cold_sends import ColdSends
 from wardstair.gateway.distances import Distances
 from wardstair.gateway.homes import Haul, Homes, KeyAsk
+from wardstair.gateway.limited_sends import LimitedSends
 from wardstair.gateway.settings import LiveSettings
 from wardstair.gateway.splitting import Splits
 from wardstair.state.belief import Belief
@@ -55,6 +57,7 @@
         queue_share: Requests above its slots that an upstream may have, as a
             share of the slots.
         tried: Names of upstreams that it must not go to again.
+        seconds_left: How long its caller will wait.
     """
 
     route: SteeredRoute
@@ -64,6 +67,7 @@
     body_bytes: int
     queue_share: float
     tried: frozenset[str] = frozenset()
+    seconds_left: float = 0.0
 
     @property
     def is_large(self) -> bool:
@@ -112,6 +116,11 @@
         self._distances = distances
         self._homes = Homes(settings, belief)
         self.cold_sends = ColdSends(settings, belief, lambda: self.view)
+        self.load_view = LoadView(own.name, own.zone)
+        self.limited_sends = LimitedSends(
+            belief.limits,
+            lambda: self.load_view,
+        )
         self.splits = Splits()
         self._work: dict[str, RouteWork] = {}
 
@@ -145,12 +154,52 @@
         """Choose an upstream for one send, or None if there is no room."""
         now = time.monotonic()
         self._homes.step(now)
+        self._step_limits(now)
         for group in self._groups(ask, now):
             placed = self._choose_among(group, ask, now)
             if placed is not None:
                 return placed
         return None
 
+    def limit_wait(self, ask: Ask) -> float | None:
+        """Return when limits allow more, in seconds.
+
+        Returns:
+            The time; None if it is not limits alone that leave no room.
+        """
+        if self.limited_sends.is_idle:
+            return None
+        ranked = self.ranked(ask)
+        if not ranked or not all(map(self.limited_sends.is_limited, ranked)):
+            return None
+        return self.limited_sends.wait(
+            ranked,
+            self.view.fleet_size if self.view.is_settled else 1,
+            ask.seconds_left,
+            time.monotonic(),
+        )
+
+    def _step_limits(self, now: float) -> None:
+        if self.limited_sends.is_idle:
+            return
+        upstreams = self._belief.catalog.upstreams.values()
+        if self.limited_sends.step(upstreams, now):
+            self._homes.forget_ranks()
+
+    def _within_limits(
+        self,
+        ranked: list[Upstream],
+        ask: Ask,
+        now: float,
+    ) -> list[Upstream]:
+        """Return those that may get a request from here now."""
+        limited = self.limited_sends
+        if limited.is_idle or not ranked:
+            return ranked
+        if not ask.tried:
+            limited.note_first_choice(ranked[0])
+        return [one for one in ranked if limited.are_due(one, now)]
+
     def _groups(self, ask: Ask, now: float) -> list[list[tuple[int, Upstream]]]:
         """Return upstreams with their ranks, in groups to be looked at.
 
@@ -158,7 +207,7 @@
         """
         ranked = [
             upstream
-            for upstream in self.ranked(ask)
+            for upstream in self._within_limits(self.ranked(ask), ask, now)
             if not upstream.is_cold(now)
             or self.cold_sends.are_due(upstream, now)
         ]
@@ -224,6 +273,7 @@
         upstream = by_name[choice.candidate.name]
         if upstream.is_cold(now):
             self.cold_sends.take(upstream, now)
+        self.limited_sends.take(upstream)
         longest = choice.seconds
         if ask.route.is_sticky and not upstream.warm.has(ask.key, now):
             cold = replace(choice.candidate, is_warm=False)
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -275,16 +275,18 @@
         return max(share, LEAST_QUEUE_SHARE)
 
     def _place(self, course: Course) -> Placement | None:
-        return self._chooser.choose(
-            Ask(
-                route=course.route,
-                service=course.service,
-                key=course.key,
-                request_id=course.inbound.request_id,
-                body_bytes=len(course.inbound.body),
-                queue_share=self._queue_share(course),
-                tried=frozenset(course.trail.upstreams),
-            ),
+        return self._chooser.choose(self._ask(course))
+
+    def _ask(self, course: Course) -> Ask:
+        return Ask(
+            route=course.route,
+            service=course.service,
+            key=course.key,
+            request_id=course.inbound.request_id,
+            body_bytes=len(course.inbound.body),
+            queue_share=self._queue_share(course),
+            tried=frozenset(course.trail.upstreams),
+            seconds_left=course.until - time.monotonic(),
         )
 
     def _start(
@@ -355,6 +357,10 @@
             return self._end(course, refusals.OUTCOME_UNKNOWN)
         if course.trail.unreachable:
             return self._end(course, refusals.NO_UPSTREAM)
+        wait = self._chooser.limit_wait(self._ask(course))
+        if wait is not None:
+            ending = replace(refusals.LIMITS_REACHED, retry_after=wait)
+            return self._end(course, ending)
         if course.met_room:
             return self._end(course, refusals.TURNED_AWAY)
         return self._end(course, refusals.OVERLOADED)
--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -104,6 +104,11 @@
         'Requests sent to upstreams that were cold, by service',
         lambda: _cold_sends(host),
     )
+    metrics.add_count(
+        'wardstair_limited_sends',
+        'Requests sent to upstreams that name a limit, by service',
+        lambda: _limited_sends(host),
+    )
     metrics.add_gauge(
         'wardstair_upstream_limits',
         'Requests a second that upstreams take from all hosts, as they name it',
@@ -152,6 +157,13 @@
     ]
 
 
+def _limited_sends(host: 'GatewayHost') -> list[Row]:
+    return [
+        (float(count), {'service': service})
+        for service, count in host.chooser.limited_sends.sent.items()
+    ]
+
+
 def _limits(host: 'GatewayHost') -> list[Row]:
     return [
         (row.rate, {'upstream': name})
--- a/src/wardstair/gateway/homes.py
+++ b/src/wardstair/gateway/homes.py
@@ -124,6 +124,10 @@
         for upstreams in by_service.values():
             self._relieve(upstreams)
 
+    def forget_ranks(self) -> None:
+        """Rank keys anew: the weight of an upstream has changed."""
+        self._ranked.clear()
+
     def is_moving(self, route: str) -> bool:
         """Return whether a route's requests are moving between regions."""
         return self._offset(route) != 0
@@ -241,6 +245,7 @@
                 name,
                 upstream.entry.slots
                 * upstream.relief
+                * upstream.drawn
                 * self._factor(upstream, nearness),
             )
             for name, upstream in by_name.items()
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -14,7 +14,8 @@
 from wardstair.decisions.busyness import Busyness
 from wardstair.decisions.cold import UNSETTLED_FLEET_SIZE, HostView
 from wardstair.decisions.timing import SETTLE_SECONDS
-from wardstair.fleet.beats import PeerName
+from wardstair.fleet.beats import Beat, PeerName
+from wardstair.fleet.loads import FleetLoads
 from wardstair.fleet.members import Members
 from wardstair.fleet.radio import Radio
 from wardstair.gateway.bodies import body_room
@@ -31,6 +32,7 @@
 from wardstair.gateway.forwarding import Forwarder
 from wardstair.gateway.gauges import add_gauges
 from wardstair.gateway.lives import LifeEnds
+from wardstair.gateway.messages import Inbound, Reply
 from wardstair.gateway.reporting import Reporter
 from wardstair.gateway.sending import Sender
 from wardstair.gateway.settings import (
@@ -38,6 +40,7 @@
     Listener,
     LiveSettings,
 )
+from wardstair.gateway.telling import NewsTeller
 from wardstair.gateway.witness import Witness
 from wardstair.platform.store import Store
 from wardstair.process.log import log_event, log_warning
@@ -69,6 +72,9 @@
 IDLE_FACTOR = 1.3
 # Left of the grace period when the process ends by itself.
 GRACE_LEFT_SECONDS = 0.5
+# An upstream that names another limit in each answer would have ten heartbeats
+# sent a second to everybody; those of each second tell of it as well.
+LIMIT_NEWS_SECONDS = 1.0
 # What closing the sockets may take of that.
 CLOSE_SECONDS = 0.1
 # A stopping host takes new callers for this long: most keep look-ups for two
@@ -136,7 +142,7 @@
             settings.fleet_ports[0],
             roles,
         )
-        self.radio.on_beat = self.exchange.on_beat
+        self.radio.on_beat = self._on_beat
         self.exchange.on_news = self._tell_zone
         self.sync.on_news = self.radio.send_beats
         self.registration = Registration(
@@ -157,11 +163,23 @@
             roles,
             random,
         )
+        self.loads = FleetLoads(
+            self.members,
+            lambda: self.live_settings.current.zones,
+            lambda: not self.chooser.limited_sends.is_idle,
+        )
+        self.radio.zone_loads = self.loads.told
+        self._suspect_teller = NewsTeller(self.radio.send_beats)
+        self._limit_teller = NewsTeller(
+            self.radio.send_beats,
+            LIMIT_NEWS_SECONDS,
+        )
+        self.belief.limits.on_change = self._on_limits
         self._life_ends = LifeEnds(
             self.belief,
             self.pool,
             self.chooser,
-            self.radio.send_beats,
+            self._suspect_teller,
             self.suspect_sharing.changed,
         )
         self.witness = Witness(
@@ -179,7 +197,7 @@
         )
         self.directory = Directory(self.live_settings, own, self.members)
         self.callers = CallerListener(
-            self.forwarder.serve,
+            self._serve_caller,
             body_room(settings.memory_bytes),
             reporter.unheld,
         )
@@ -271,7 +289,8 @@
         self._is_closed = True
         await self._supervisor.stop()
         self.witness.close()
-        self._life_ends.close()
+        self._suspect_teller.close()
+        self._limit_teller.close()
         for server in (self._caller_server, *self._servers):
             server.stop()
             await server.close_all_connections()
@@ -332,6 +351,11 @@
         self.chooser.view = self._view()
         if self.chooser.view.is_settled and not before.is_settled:
             self._tell_view(self.chooser.view)
+        if not self.chooser.limited_sends.is_idle:
+            self.chooser.load_view = self.loads.view(
+                is_settled=self.chooser.view.is_settled,
+                knows_zones=self.chooser.view.knows_zones,
+            )
 
     async def _sweep(self) -> None:
         while True:
@@ -343,6 +367,8 @@
             catalog.expire_missing()
             self.pool.sweep(self._is_wanted)
             self.chooser.cold_sends.forget(set(catalog.upstreams))
+            self.chooser.limited_sends.forget(catalog.upstreams)
+            self.loads.step()
             self.belief.suspects.expire()
             self.belief.limits.forget(catalog.upstreams)
             self.refresh_view()
@@ -356,6 +382,19 @@
 
         return follow
 
+    def _on_beat(self, beat: Beat) -> None:
+        self.loads.take_in(beat)
+        self.exchange.on_beat(beat)
+
+    def _on_limits(self) -> None:
+        """Have others know of a limit, and divide it."""
+        self._limit_teller.note()
+        self.refresh_view()
+
+    async def _serve_caller(self, inbound: Inbound) -> Reply:
+        self.loads.note_request()
+        return await self.forwarder.serve(inbound)
+
     def _tell_zone(self) -> None:
         """Tell the zone at once that this relay has learned something."""
         if self.members.is_relay:
--- a/src/wardstair/gateway/lives.py
+++ b/src/wardstair/gateway/lives.py
@@ -1,31 +1,23 @@
 """What a host's parts do when an upstream's life ends or the next begins."""
 
 import asyncio
-from collections.abc import Callable
 
 from wardstair.connection.pool import UpstreamPool
 from wardstair.gateway.choosing import Chooser
+from wardstair.gateway.telling import NewsTeller
 from wardstair.state.belief import Belief
 from wardstair.state.entries import UpstreamEntry
 
-# How long a host waits for more before it tells of requests that end upstreams:
-# they are broken off together, and ends come in series.
-TELL_SECONDS = 0.1
-
 
 class LifeEnds:
-    """Passes the end of a life on to whoever keeps something of it.
-
-    Attributes:
-        tell: Has others know that this host has learned something.
-    """
+    """Passes the end of a life on to whoever keeps something of it."""
 
     def __init__(
         self,
         belief: Belief,
         pool: UpstreamPool,
         chooser: Chooser,
-        tell: Callable[[], None],
+        teller: NewsTeller,
         changed: asyncio.Event,
     ) -> None:
         """Listen to the catalog and the table of suspects.
@@ -34,15 +26,14 @@
             belief: What this host knows.
             pool: Connections to upstreams.
             chooser: Keeps what cold upstreams get.
-            tell: Sends heartbeats to everybody who should have one.
+            teller: Has others know that this host has learned something.
             changed: Set when the table of suspects has changed.
         """
-        self.tell = tell
+        self._teller = teller
         self._catalog = belief.catalog
         self._pool = pool
         self._chooser = chooser
         self._changed = changed
-        self._telling: asyncio.TimerHandle | None = None
         belief.catalog.on_life_ended = self._on_restarted
         belief.suspects.on_ended = self._on_ended
         belief.suspects.on_change = self._on_suspects
@@ -58,15 +49,11 @@
             return None
         return upstream.entry
 
-    def close(self) -> None:
-        """Tell nothing more."""
-        if self._telling is not None:
-            self._telling.cancel()
-
     def _on_restarted(self, name: str) -> None:
         """Let nothing that belongs to an upstream's earlier life go on."""
         self._pool.drop(name)
         self._chooser.cold_sends.forget_one(name)
+        self._chooser.limited_sends.forget_one(name)
 
     def _on_ended(self, life: str) -> None:
         """Send nothing to an upstream that ended, and little to its next life.
@@ -80,10 +67,4 @@
     def _on_suspects(self) -> None:
         """Have others know, and the store."""
         self._changed.set()
-        if self._telling is None:
-            loop = asyncio.get_running_loop()
-            self._telling = loop.call_later(TELL_SECONDS, self._tell)
-
-    def _tell(self) -> None:
-        self._telling = None
-        self.tell()
+        self._teller.note()
--- a/src/wardstair/gateway/refusals.py
+++ b/src/wardstair/gateway/refusals.py
@@ -88,6 +88,13 @@
     'the upstreams tried turned it away; come back at once',
     retry_after=0.05,
 )
+# All upstreams that would do name a limit, and what this host may send them is
+# used up. `retry_after` is set for each caller.
+LIMITS_REACHED = Ending(
+    503,
+    RefusalKind.limits_reached,
+    'the upstreams take no more for now; come back after the stated seconds',
+)
 # Bodies are held for about the time of an answer.
 NO_MEMORY = Ending(
     503,
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -189,6 +189,14 @@
         'it, or the host that told',
         'upstream rate before source',
     ),
+    _kind(
+        'limited-upstream-used',
+        'this host sends to an upstream that names a limit, or another part of '
+        'it than before: `rate` of `limit` requests a second; `hosts` of its '
+        'own zone and `zones` share it, `silent` is the load of those not '
+        'heard, `drawn` the factor on the weight of the upstream',
+        'upstream service zone limit rate drawn hosts zones silent',
+    ),
     _kind(
         'split-changed',
         'a split route has other services or weights; `sent`: what this host '
--- a/src/wardstair/process/story.py
+++ b/src/wardstair/process/story.py
@@ -40,6 +40,11 @@
         'it has not run: the upstreams that it was sent to turned it away '
         'though they had room; the caller was told to come back at once'
     )
+    refused_limits = (
+        'it has not run: all upstreams of its service name a limit, and this '
+        'host may send them no more for now; the caller was told when to come '
+        'back'
+    )
     refused_gone = (
         'it has not run: no connection to an upstream came up; the caller '
         'was told when to come back'
@@ -68,6 +73,7 @@
 _CAUSES = {
     ('request-refused', 'overloaded'): Cause.refused_full,
     ('request-refused', 'turned-away'): Cause.refused_shed,
+    ('request-refused', 'limits-reached'): Cause.refused_limits,
     ('request-refused', 'no-upstream'): Cause.refused_gone,
     ('request-refused', 'ends-upstreams'): Cause.refused_harmful,
     ('request-refused', 'outcome-unknown'): Cause.unknown,
--- a/src/wardstair/state/belief.py
+++ b/src/wardstair/state/belief.py
@@ -62,6 +62,7 @@
             self.evacuations_revision,
             self.catalog.revision,
             self.suspects.digest,
+            self.limits.digest,
         )
 
     def offer_configuration(self, stored: StoredObject, source: str) -> bool:
--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
 from result import Err, Ok, Result
 from tornado.httpclient import HTTPRequest
@@ -30,6 +31,7 @@
 from wardstair.state.belief import OTHER_HOST, Belief
 from wardstair.state.catalog import CatalogChanges
 from wardstair.state.contact import StoreContact
+from wardstair.state.limits import SharedLimit
 from wardstair.state.roles import Roles, ignore
 
 STATE_PATH = '/v1/state'
@@ -45,6 +47,14 @@
 _STATE_BYTES = 4194304
 
 
+@dataclass(frozen=True, slots=True)
+class _Digests:
+    """Digests of what hosts merge, which is not newer or older."""
+
+    suspects: int
+    limits: int
+
+
 class StateExchange:
     """State between entry hosts; one a process."""
 
@@ -72,7 +82,7 @@
         self._encoder = StateEncoder()
         self._ahead: Beat | None = None
         # Digests of another host and this one when they were last compared.
-        self._compared: dict[str, tuple[int, int]] = {}
+        self._compared: dict[str, tuple[_Digests, _Digests]] = {}
         self._compared_at = float('-inf')
         self._fetching: asyncio.Task[None] | None = None
         self._client = make_client(_MANY_FETCHES, _STATE_BYTES)
@@ -111,7 +121,16 @@
         suspects: Mapping[str, Evidence] = {}
         if own.suspects != theirs.suspects:
             suspects = belief.suspects.records
-        state = SharedState(configuration, evacuations, upstreams, suspects)
+        limits: Mapping[str, SharedLimit] = {}
+        if own.limits != theirs.limits:
+            limits = belief.limits.shared
+        state = SharedState(
+            configuration,
+            evacuations,
+            upstreams,
+            suspects,
+            limits,
+        )
         return self._encoder.encode(state)
 
     def on_beat(self, beat: Beat) -> None:
@@ -128,15 +147,19 @@
         return self._is_behind(beat.versions) or self._differs(beat)
 
     def _differs(self, beat: Beat) -> bool:
-        """Return whether a host may know of requests that this one does not.
+        """Return whether a host may know of what all should and this one lacks.
 
         Tables that are full or of another age differ for good; nobody is asked
         again for what brought nothing.
         """
-        theirs = beat.versions.suspects
-        own = self._belief.versions.suspects
-        known = self._compared.get(beat.sender.name)
-        return theirs not in {0, own} and known != (theirs, own)
+        theirs = _digests_of(beat.versions)
+        own = _digests_of(self._belief.versions)
+        if self._compared.get(beat.sender.name) == (theirs, own):
+            return False
+        return theirs.suspects not in {
+            0,
+            own.suspects,
+        } or theirs.limits not in {0, own.limits}
 
     def _is_behind(self, theirs: Versions) -> bool:
         own = self._belief.versions
@@ -177,8 +200,14 @@
             return
         self._take_in(fetched.ok_value, beat.sender.name)
         self._belief.suspects.take_in(fetched.ok_value.suspects)
-        own = self._belief.versions.suspects
-        self._compared[beat.sender.name] = (beat.versions.suspects, own)
+        self._belief.limits.take_in(
+            fetched.ok_value.limits,
+            beat.sender.name,
+        )
+        self._compared[beat.sender.name] = (
+            _digests_of(beat.versions),
+            _digests_of(self._belief.versions),
+        )
         self._compared_at = asyncio.get_running_loop().time()
 
     async def _fetch(self, address: str) -> Result[SharedState, str]:
@@ -239,3 +268,7 @@
             removed=len(changes.removed),
             source=source,
         )
+
+
+def _digests_of(versions: Versions) -> _Digests:
+    return _Digests(versions.suspects, versions.limits)
--- a/src/wardstair/state/upstream.py
+++ b/src/wardstair/state/upstream.py
@@ -76,6 +76,8 @@
         crowding: Told load for each slot, averaged over the last seconds.
         relief: Factor on its weight among the homes of keys; below 1 after it
             was more crowded than others.
+        drawn: Factor on that weight; above 1 where few hosts may send to it
+            and each has to have requests enough.
         slowness: Its time beside what was expected, averaged.
         distrusted_until: Monotonic time until which it is avoided.
         failures: Failures in a row.
@@ -97,6 +99,7 @@
     told_at: float = float('-inf')
     crowding: float = 0.0
     relief: float = 1.0
+    drawn: float = 1.0
     slowness: float = 1.0
     distrusted_until: float = 0.0
     failures: int = 0
--- a/tests/functional/test_named_limits.py
+++ b/tests/functional/test_named_limits.py
@@ -10,20 +10,25 @@
 and did not know the figure. Nor would it have been enough to: it is told to one
 host and binds the sum of all, who share no count of what they send.
 
-The evidence: with six hosts, six upstreams and 120 requests a second, an
-upstream that names 4 gets 35 in 4 s where 29 are borne, and 35 as well when it
-names 0.5, where 8 are; if all name 4, each gets 111.
+The evidence: from six hosts with 120 requests a second for six upstreams, one
+that named 4 got 86 in 4 s where 29 are borne, and 85 when it named 0.5, where 8
+are; when all named 4, they got 80 to 94 each. With the hosts' parts 16 and 2.
 """
 
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from random import Random
 
 import pytest
 from lib.fleet import Fleet, Load, running_fleet
+from lib.rig import Caller, until
+from lib.specs import upstream_spec
 from lib.upstream_standin import Seen, UpstreamStandin, whole_answer
 
+from wardstair.gateway.limited_sends import MOST_WAIT_SECONDS
+
 HOSTS = 6
 UPSTREAMS = 6
 # Requests a second of all callers.
@@ -35,7 +40,7 @@
 OVERSHOOT = 1.5
 SLACK = 5
 CONTACT_SECONDS = 4.0
-PLAYED_SECONDS = 11.0
+PLAYED_SECONDS = 9.5
 
 
 @dataclass
@@ -125,3 +130,94 @@
             assert all(got <= borne for got in most.values()), most
 
     run(test)
+
+
+def knows(fleet: Fleet, name: str, rate: float | None) -> bool:
+    """Return whether all hosts know what an upstream named."""
+    return all(
+        (row := host.belief.limits.rows.get(name)) is not None
+        and row.rate == rate
+        for host in fleet.hosts
+    )
+
+
+async def ask_until(
+    fleet: Fleet,
+    is_true: Callable[[], bool],
+    host: int = 0,
+) -> None:
+    """Send requests to one host until something is true."""
+    caller = await Caller.connect_to(fleet.hosts[host].settings.callers)
+    random = Random(host)
+    async with asyncio.timeout(30):
+        while not is_true():
+            name = f'{random.getrandbits(48):012x}'
+            await caller.ask(request_id=name, key=str(random.randrange(500)))
+            await asyncio.sleep(0.02)
+    caller.close()
+
+
+def test_what_one_host_was_told_all_hosts_know() -> None:
+    """Also that it names another figure, and then none, and a life's end."""
+
+    async def test() -> None:
+        scene = Scene('2', frozenset(('i-0',)))
+        async with running_fleet(HOSTS, upstreams_of(scene)) as fleet:
+            await ask_until(fleet, lambda: 'i-0' in scene.named_at)
+            await until(lambda: knows(fleet, 'i-0', 2.0))
+            scene.limit = '3.5'
+            await ask_until(fleet, lambda: knows(fleet, 'i-0', 3.5))
+            scene.limit = ''
+            await ask_until(fleet, lambda: knows(fleet, 'i-0', None))
+            # Named again, by an upstream that then starts anew.
+            scene.limit = '2'
+            await ask_until(fleet, lambda: knows(fleet, 'i-0', 2.0))
+            entry = upstream_spec(fleet.upstreams[0].port, zone='north-a')
+            entry['born'] = 7
+            fleet.store.put('servers', 'i-0', entry)
+            catalogs = [host.belief.catalog for host in fleet.hosts]
+            await until(
+                lambda: all(
+                    one.upstreams['i-0'].entry.born == 7 for one in catalogs
+                ),
+            )
+            assert not any(
+                host.chooser.limited_sends.is_limited(
+                    host.belief.catalog.upstreams['i-0'],
+                )
+                for host in fleet.hosts
+            )
+
+    run(test)
+
+
+def test_a_limit_that_ends_while_nobody_sends_is_found_to_have_ended() -> None:
+    """Only hosts of one zone have callers, and none of the upstream's own."""
+
+    async def test() -> None:
+        scene = Scene('1', frozenset(('i-0',)))
+        async with running_fleet(HOSTS, upstreams_of(scene)) as fleet:
+            await ask_until(fleet, lambda: 'i-0' in scene.named_at)
+            await until(lambda: knows(fleet, 'i-0', 1.0))
+            scene.limit = ''
+            # Of zone south-a; the upstream is in north-a.
+            assert fleet.hosts[2].settings.zone == 'south-a'
+            await ask_until(fleet, lambda: knows(fleet, 'i-0', None), host=2)
+
+    run(test)
+
+
+def test_what_all_upstreams_refuse_is_refused_at_once() -> None:
+    async def test() -> None:
+        names = frozenset(f'i-{number}' for number in range(UPSTREAMS))
+        scene = Scene('0.5', names)
+        async with running_fleet(HOSTS, upstreams_of(scene)) as fleet:
+            load = await play(fleet, seconds=4)
+            refused = [one for one in load.answers if one.status == 503]
+            assert refused
+            assert all(b'limits-reached' in one.body for one in refused)
+            waits = [float(one.headers['retry-after']) for one in refused]
+            assert all(0 < wait <= MOST_WAIT_SECONDS for wait in waits)
+            assert {one.status for one in load.answers} == {200, 503}
+
+    run(test)
--- a/tests/lib/beats.py
+++ b/tests/lib/beats.py
@@ -1,6 +1,6 @@
 """Heartbeats for tests."""
 
-from wardstair.fleet.beats import Beat, BeatKind, PeerName, Versions
+from wardstair.fleet.beats import Beat, BeatKind, PeerName, Versions, ZoneLoad
 
 
 def peer_of(name: str, zone: str = 'z') -> PeerName:
@@ -22,6 +22,8 @@
     fleet_size: int = 1,
     versions: Versions | None = None,
     named: tuple[PeerName, ...] = (),
+    load: float = 0.0,
+    zone_loads: tuple[ZoneLoad, ...] = (),
 ) -> Beat:
     """Return a heartbeat."""
     return Beat(
@@ -37,4 +39,6 @@
         fleet_size,
         versions or Versions(),
         named,
+        load,
+        zone_loads,
     )
--- /dev/null
+++ b/tests/unit/test_fleet_loads.py
@@ -0,0 +1,148 @@
+"""The load of hosts and zones, as one host comes to know it."""
+
+import pytest
+from lib.beats import beat_of, peer_of
+from lib.upstreams import Clock
+
+from wardstair.decisions.fleet_rate import LoadView
+from wardstair.fleet.beats import Beat, ZoneLoad, decode_beat, encode_beat
+from wardstair.fleet.loads import MOST_TOLD, TOLD_SECONDS, FleetLoads
+from wardstair.fleet.members import FORGOTTEN_SECONDS, Members
+
+REGIONS = {'z': 'r', 'y': 'r', 'x': 's'}
+
+
+class Fixture:
+    """A host of zone z that hears others."""
+
+    def __init__(self, *, is_needed: bool = True) -> None:
+        self.clock = Clock()
+        self.members = Members(peer_of('own'), self.clock, lambda: True)
+        self.loads = FleetLoads(
+            self.members,
+            lambda: REGIONS,
+            lambda: is_needed,
+        )
+
+    def hear(
+        self,
+        name: str,
+        zone: str = 'z',
+        load: float = 0.0,
+        *told: ZoneLoad,
+        is_leaving: bool = False,
+        number: int = 1,
+    ) -> None:
+        beat = beat_of(
+            peer_of(name, zone),
+            number,
+            is_leaving=is_leaving,
+            load=load,
+            zone_loads=told,
+        )
+        assert self.members.hear(beat)
+        self.loads.take_in(beat)
+
+    def view(self, *, knows_zones: bool = True) -> LoadView:
+        return self.loads.view(is_settled=True, knows_zones=knows_zones)
+
+
+def test_load_travels_in_heartbeats() -> None:
+    beat = beat_of(
+        peer_of('a'),
+        load=12.34,
+        zone_loads=(ZoneLoad('x', 5.0), ZoneLoad('y', 0.0)),
+    )
+    back = decode_beat(encode_beat(beat))
+    assert isinstance(back, Beat)
+    assert back.load == pytest.approx(12.3)
+    assert back.zone_loads == beat.zone_loads
+
+
+def test_own_load_follows_callers_within_seconds() -> None:
+    host = Fixture()
+    host.loads.step()
+    for _ in range(40):
+        host.clock.now += 0.5
+        for _ in range(10):
+            host.loads.note_request()
+        host.loads.step()
+    assert host.members.load == pytest.approx(20, rel=0.01)
+    for _ in range(40):
+        host.clock.now += 0.5
+        host.loads.step()
+    assert host.members.load < 0.1
+
+
+def test_hosts_of_the_zone_and_zones_that_are_heard_share() -> None:
+    host = Fixture()
+    host.members.load = 4.0
+    host.hear('b', 'z', 6.0)
+    host.hear('leaving', 'z', 6.0, is_leaving=True)
+    host.hear('far', 'y', 3.0, ZoneLoad('y', 20.0))
+    view = host.view()
+    assert view.hosts == {'own': 4.0, 'b': 6.0}
+    assert view.zones == {'z': 10.0, 'y': 20.0}
+    assert view.regions == REGIONS
+    assert view.silent == 0
+
+
+def test_a_host_that_stops_sends_nothing_any_more() -> None:
+    host = Fixture()
+    host.members.is_leaving = True
+    assert host.view().hosts == {}
+
+
+def test_what_fell_silent_keeps_its_part_for_a_while_and_counts_after() -> None:
+    host = Fixture()
+    host.members.load = 4.0
+    host.hear('b', 'z', 6.0)
+    host.hear('far', 'y', 3.0, ZoneLoad('y', 20.0))
+    host.clock.now += FORGOTTEN_SECONDS - 1
+    assert host.view().hosts == {'own': 4.0, 'b': 6.0}
+    host.clock.now += 2
+    view = host.view()
+    assert view.hosts == {'own': 4.0}
+    assert view.zones == {'z': 4.0}
+    assert view.silent == 26.0
+
+
+def test_a_zone_that_has_not_told_yet_counts_as_the_others_do() -> None:
+    host = Fixture()
+    host.members.load = 8.0
+    host.loads.step()
+    host.hear('far', 'y')
+    # It does not know of x yet, which is in the settings.
+    assert host.view(knows_zones=False).zones == dict.fromkeys('zyx', 8.0)
+    assert host.view().zones == {'z': 8.0, 'y': 8.0}
+    # By now it would have been told.
+    host.clock.now += TOLD_SECONDS + 0.1
+    assert host.view().zones == {'z': 8.0}
+
+
+def test_relays_tell_their_zone_of_the_others_and_these_of_their_own() -> None:
+    host = Fixture()
+    host.members.load = 8.0
+    host.hear('b', 'z', 2.0, ZoneLoad('x', 5.0))
+    host.hear('far', 'y', 3.0, ZoneLoad('y', 20.0))
+    assert host.loads.told(to_others=True) == (ZoneLoad('z', 10.0),)
+    # What it was told in its own zone, others there were told as well.
+    assert host.loads.told(to_others=False) == (ZoneLoad('y', 20.0),)
+    assert host.view().zones['x'] == 5.0
+    # Its own word goes before what others pass on.
+    host.hear('b', 'z', 2.0, ZoneLoad('y', 99.0), number=2)
+    assert host.view().zones['y'] == 20.0
+    assert Fixture(is_needed=False).loads.told(to_others=True) == ()
+
+
+def test_many_zones_take_turns() -> None:
+    host = Fixture()
+    names = [f'far-{number}' for number in range(62)]
+    for name in names:
+        host.hear(name, name, 1.0, ZoneLoad(name, 1.0))
+    told: list[str] = []
+    for _ in range(4):
+        loads = host.loads.told(to_others=False)
+        assert len(loads) == MOST_TOLD
+        told.extend(one.zone for one in loads)
+    assert set(told) == set(names)
