Give the views of the fleet a module, and refresh loads once for many limits

Behaviour as before but for two things found in reading: each limit that was told refreshed all views, 1,080 times in a row if all upstreams of the large deployment name one at once; and the loads of an earlier limit, hours old, would have divided the next one for up to half a second.

Tests call the new places; what they check is unchanged.

--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -12,8 +12,6 @@
 
 from wardstair.connection.pool import UpstreamPool
 from wardstair.decisions.busyness import Busyness
-from wardstair.decisions.cold import UNSETTLED_FLEET_SIZE, HostView
-from wardstair.decisions.timing import SETTLE_SECONDS
 from wardstair.fleet.beats import Beat, PeerName
 from wardstair.fleet.loads import FleetLoads
 from wardstair.fleet.members import Members
@@ -29,6 +27,7 @@
     ready_application,
     state_application,
 )
+from wardstair.gateway.fleet_views import FleetViews
 from wardstair.gateway.forwarding import Forwarder
 from wardstair.gateway.gauges import add_gauges
 from wardstair.gateway.lives import LifeEnds
@@ -58,8 +57,6 @@
 
 # How often what is past is swept out: connections, missing upstreams.
 SWEEP_SECONDS = 0.5
-# Time to hear of a host in each zone, which took 32 heartbeats with 62 zones.
-ZONES_SECONDS = 45.0
 # When the whole fleet starts for the first time, no caller waits yet: only the
 # hosts that are relays then need to read the store. A host that starts into
 # traffic waits until another has answered, 0.3 s at most: from then on it knows
@@ -105,7 +102,6 @@
             str(settings.callers),
             settings.cores,
         )
-        self._started_at = clock()
         self._busyness = Busyness()
         self._random = random
         self.belief = Belief(clock, Catalog(clock))
@@ -117,7 +113,7 @@
             clock,
             lambda: self.contact.is_held,
             lambda: self.live_settings.current.timing.replaced,
-            self._is_settled,
+            lambda: self.views.is_settled,
         )
         self.radio = Radio(
             self.members,
@@ -201,9 +197,8 @@
             body_room(settings.memory_bytes),
             reporter.unheld,
         )
-        # Time that this host takes to know the others, in seconds.
-        self.settle_seconds = SETTLE_SECONDS
-        self.refresh_view()
+        self.views = FleetViews(self.members, self.loads, self.chooser)
+        self.views.refresh()
         add_gauges(self)
         self._supervisor = Supervisor(self.metrics.task_failures.add)
         self._servers: list[HTTPServer] = []
@@ -345,18 +340,6 @@
         share = service.most_connections * CONNECTION_SHARE / hosts
         return max(LEAST_CONNECTIONS, int(share))
 
-    def refresh_view(self) -> None:
-        """Let requests be placed by whom this host knows and hears now."""
-        before = self.chooser.view
-        self.chooser.view = self._view()
-        if self.chooser.view.is_settled and not before.is_settled:
-            self._tell_view(self.chooser.view)
-        if not self.chooser.limited_sends.is_idle:
-            self.chooser.load_view = self.loads.view(
-                is_settled=self.chooser.view.is_settled,
-                knows_zones=self.chooser.view.knows_zones,
-            )
-
     async def _sweep(self) -> None:
         while True:
             due = self._clock() + SWEEP_SECONDS
@@ -371,7 +354,7 @@
             self.loads.step()
             self.belief.suspects.expire()
             self.belief.limits.forget(catalog.upstreams)
-            self.refresh_view()
+            self.views.refresh()
 
     def _follow(self, follower: Follower) -> Callable[[], Awaitable[None]]:
         async def follow() -> None:
@@ -389,7 +372,9 @@
     def _on_limits(self) -> None:
         """Have others know of a limit, and divide it."""
         self._limit_teller.note()
-        self.refresh_view()
+        if not self.chooser.load_view.is_settled:
+            # The first one; later ones wait for the next sweep.
+            self.views.refresh_loads()
 
     async def _serve_caller(self, inbound: Inbound) -> Reply:
         self.loads.note_request()
@@ -400,36 +385,6 @@
         if self.members.is_relay:
             self.radio.send_beats()
 
-    def _view(self) -> HostView:
-        members = self.members
-        is_settled = members.knows_fleet(self.settle_seconds)
-        # Others have counted the fleet for a host that only the store answers.
-        is_counted = is_settled or members.registered_size > 1
-        least = 0 if is_counted else UNSETTLED_FLEET_SIZE
-        return HostView(
-            own=self.settings.name,
-            zone=self.settings.zone,
-            live=sorted(members.live_in_zone()),
-            known=sorted(members.known_in_zone()),
-            fleet_size=max(members.fleet_size, least),
-            zones=frozenset(members.zones()),
-            is_settled=is_settled,
-            knows_zones=members.knows_fleet(ZONES_SECONDS),
-        )
-
-    def _tell_view(self, view: HostView) -> None:
-        log_event(
-            'fleet-known',
-            live=len(view.live),
-            known=len(view.known),
-            fleet=view.fleet_size,
-            zones=','.join(sorted(view.zones)),
-            after=round(self._clock() - self._started_at, 2),
-        )
-
-    def _is_settled(self) -> bool:
-        return self._clock() - self._started_at > self.settle_seconds
-
     def _is_wanted(self, name: str) -> bool:
         upstream = self.belief.catalog.upstreams.get(name)
         return upstream is not None and upstream.takes_work
--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -156,10 +156,9 @@
         own = _digests_of(self._belief.versions)
         if self._compared.get(beat.sender.name) == (theirs, own):
             return False
-        return theirs.suspects not in {
-            0,
-            own.suspects,
-        } or theirs.limits not in {0, own.limits}
+        has_suspects = theirs.suspects not in {0, own.suspects}
+        has_limits = theirs.limits not in {0, own.limits}
+        return has_suspects or has_limits
 
     def _is_behind(self, theirs: Versions) -> bool:
         own = self._belief.versions
--- a/tests/lib/rig.py
+++ b/tests/lib/rig.py
@@ -116,9 +116,9 @@
         settings = gateway_settings(self.store.port, bounds=self._bounds)
         self._gateway = GatewayHost(settings, Random(7))
         # It is alone, knows that and need not wait for others.
-        self._gateway.settle_seconds = 0
+        self._gateway.views.settle_seconds = 0
         self._gateway.members.note_registry({settings.name})
-        self._gateway.refresh_view()
+        self._gateway.views.refresh()
         await self._gateway.start()
         await self.until(lambda: self.gateway.is_ready)
         count = len(self.upstreams)
--- a/tests/unit/test_fleet_shares.py
+++ b/tests/unit/test_fleet_shares.py
@@ -274,9 +274,9 @@
     spent = host_limit(fleet, host.chooser.view.fleet_size).extra * 195
     assert spent < fleet.extra / 5
     # The wait is over, and nobody was heard in it.
-    host.settle_seconds = 0
-    host.refresh_view()
+    host.views.settle_seconds = 0
+    host.views.refresh()
     assert host.chooser.view.fleet_size == UNSETTLED_FLEET_SIZE
     host.members.note_registry({host.settings.name})
-    host.refresh_view()
+    host.views.refresh()
     assert host.chooser.view.fleet_size == 1
--- a/tests/unit/test_joining.py
+++ b/tests/unit/test_joining.py
@@ -15,7 +15,7 @@
     UNHEARD_SECONDS,
     Members,
 )
-from wardstair.gateway.host import ZONES_SECONDS
+from wardstair.gateway.fleet_views import ZONES_SECONDS
 
 SETTLED_BEATS = 12
 # 9 zones took 7; with a name less often it was 15.
