Let upstreams of the soak name limits

Checked: half more than it named and five requests in any four seconds from four seconds after, unless something else was at fault in the eight seconds around. A break that ignores limits has to be found.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -6,7 +6,15 @@
 
 import pytest
 from soak.broken import KIND_VARIABLE
-from soak.ledger import MOST_COLD, ColdArrival, Kind, Ledger, Run, Span
+from soak.ledger import (
+    MOST_COLD,
+    ColdArrival,
+    Kind,
+    Ledger,
+    Naming,
+    Run,
+    Span,
+)
 from soak.play import Plan, Verdict, play
 from soak.processes import GatewayProcess, choose_places
 from soak.seeds import FAILED_SEEDS
@@ -25,17 +33,21 @@
     gap=0.6,
     with_power=False,
     with_harm=False,
+    with_limits=False,
 )
 # Hosts lose power while upstreams start cold.
 POWER = replace(SHORT, only_power=True, gap=2)
 # A request ends upstreams for eight seconds.
 HARM = replace(SHORT, only_harm=True, seconds=0.1, gap=9, upstreams=16)
+# Upstreams name limits, one after the other and at once.
+LIMITS = replace(SHORT, only_limits=True, seconds=6, gap=3, callers=8)
 PLANS = [
     replace(SHORT, with_herds=False),
     # Kills all hosts twice; those greeted first start last.
     replace(SHORT, seed=HERD_SEED),
     POWER,
     HARM,
+    LIMITS,
     *(
         replace(
             SHORT,
@@ -43,6 +55,7 @@
             with_herds=one.with_herds,
             with_power=one.with_power,
             with_harm=one.with_harm,
+            with_limits=one.with_limits,
         )
         for one in FAILED_SEEDS
     ),
@@ -60,6 +73,7 @@
     PLANS,
     ids=lambda plan: (
         f'{plan.seed}{"-power" * plan.only_power}{"-harm" * plan.only_harm}'
+        f'{"-limits" * plan.only_limits}'
     ),
 )
 def test_promises_hold_under_drawn_faults(plan: Plan, tmp_path: Path) -> None:
@@ -78,6 +92,7 @@
         ('alone', replace(POWER, hosts=6, callers=12), 'in a second to cold'),
         ('tally', SHORT, 'weights are not kept'),
         # Few others, so that cold upstreams have room for it.
+        ('limits', replace(LIMITS, seconds=0.1), 'which had named'),
         ('harm', replace(HARM, callers=1, upstreams=24), 'ended too late'),
     ],
 )
@@ -214,3 +229,30 @@
         await gateway.end()
 
     asyncio.run(test())
+
+
+@pytest.mark.parametrize(
+    ('came', 'fault', 'is_broken'),
+    [
+        # 3 s after it named 2 a second: hosts may not know yet.
+        pytest.param([3.0] * 18, None, False, id='too soon'),
+        pytest.param([5.0] * 17, None, False, id='what it bears'),
+        pytest.param([5.0] * 18, None, True, id='one more'),
+        pytest.param([5.0] * 9 + [9.1] * 9, None, False, id='over two windows'),
+        pytest.param([5.0] * 18, Span('kill', 2, 3), False, id='killed before'),
+        pytest.param([9.0] * 18, Span('kill', 2, 3), True, id='long before'),
+        pytest.param(
+            [5.0] * 18, Span('name_limit', 0, 9), True, id='another limit'
+        ),
+    ],
+)
+def test_the_ledger_holds_hosts_to_what_upstreams_name(
+    came: list[float],
+    fault: Span | None,
+    *,
+    is_broken: bool,
+) -> None:
+    naming = Naming('i-1', 2.0, begin=0.0, came=came)
+    spans = [] if fault is None else [fault]
+    found = Ledger(named=[naming], spans=spans).check()
+    assert bool(found) is is_broken
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -6,9 +6,10 @@
 from wardstair.cli import gateway
 from wardstair.decisions.cold import HostView
 from wardstair.decisions.suspicion import Evidence
-from wardstair.gateway import host, refusals, splitting
+from wardstair.gateway import fleet_views, refusals, splitting
 from wardstair.platform.objects import StoredObject
-from wardstair.state import belief, suspects
+from wardstair.state import belief, limits, suspects
+from wardstair.state.upstream import Upstream
 from wardstair.version.steering import SteeredRoute
 
 
@@ -44,11 +45,12 @@
 def believe_to_be_alone() -> None:
     """Let each host take itself for the only one at any time."""
 
-    def view(self: host.GatewayHost) -> HostView:
-        own = (self.settings.name,)
+    def view(self: fleet_views.FleetViews) -> HostView:
+        host = self._members.own
+        own = (host.name,)
         return HostView(
-            self.settings.name,
-            self.settings.zone,
+            host.name,
+            host.zone,
             own,
             own,
             1,
@@ -56,7 +58,7 @@
             knows_zones=True,
         )
 
-    host.GatewayHost._view = view  # type: ignore[method-assign]
+    fleet_views.FleetViews._view = view  # type: ignore[method-assign]
 
 
 def keep_old_tallies() -> None:
@@ -87,6 +89,18 @@
     suspects.SuspectTable.take_in = take_in  # type: ignore[method-assign]
 
 
+def ignore_limits() -> None:
+    """Let no host know what an upstream has named."""
+
+    def rate_of(
+        self: limits.LimitTable,
+        upstream: Upstream,
+    ) -> float | None:
+        return None
+
+    limits.LimitTable.rate_of = rate_of  # type: ignore[method-assign]
+
+
 def run(kind: str) -> None:
     """Put a break in and run the program.
 
@@ -104,4 +118,6 @@
             keep_old_tallies()
         case 'harm':
             forget_harm()
+        case 'limits':
+            ignore_limits()
     gateway.main()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,7 +11,7 @@
 from lib.rig import Caller
 from lib.store_standin import StoreStandin
 
-from soak.ledger import Kind, Ledger
+from soak.ledger import Kind, Ledger, Naming
 from soak.processes import SEEDS, GatewayProcess
 from soak.proxy import Mode, Proxy
 from soak.upstreams import HARMFUL, Habits, SoakUpstream
@@ -26,6 +26,10 @@
 HARMFUL_SECONDS = 0.2
 AWAY_SECONDS = 0.8
 DELAY_SECONDS = 0.3
+# What an upstream in need names, and for how long: the time from which on it is
+# held to, a window, and some.
+LIMITS = (0.5, 1.5, 4.0)
+NAMING_SECONDS = 12.0
 
 
 @dataclass
@@ -193,6 +197,22 @@
     scene.register(upstream)
 
 
+async def name_limit(scene: Scene) -> None:
+    """Let an upstream name a limit, and another one or none after a while."""
+    upstream = scene.random.choice(scene.upstreams)
+    for _ in range(scene.random.randint(1, 2)):
+        rate = scene.random.choice(LIMITS)
+        name = upstream.name
+        naming = Naming(name, rate)
+        scene.ledger.named.append(naming)
+        upstream.naming = naming
+        await asyncio.sleep(NAMING_SECONDS)
+        if upstream.naming is not naming:
+            # It has ended meanwhile.
+            return
+    upstream.naming = None
+
+
 async def send_harmful(scene: Scene) -> None:
     """Send a request that ends each upstream running it, again and again."""
     scene.harmful += 1
@@ -337,6 +357,10 @@
 HARM_FAULTS: tuple[Fault, ...] = (send_harmful,)
 
 
+# Upstreams that name limits, alone or beside others.
+LIMIT_FAULTS: tuple[Fault, ...] = (name_limit,)
+
+
 class Schedule:
     """Applies drawn faults until time is up, some at once."""
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -17,6 +17,13 @@
 KNOWN_SECONDS = 4.0
 ENDED_BEFORE = 3
 MOST_ENDED_LATE = 3
+# Name of the fault by which an upstream names a limit, and what it bears of it:
+# half more than it names and five requests in any four seconds, from four
+# seconds after it first named it, also by what hosts do that were just started.
+LIMIT = 'name_limit'
+LIMIT_OVERSHOOT = 1.5
+LIMIT_SLACK = 5
+LIMIT_SECONDS = 4.0
 # Statuses by which a caller is told that its request has not run.
 PROMISES = frozenset((408, 421, 429, 503))
 
@@ -84,6 +91,23 @@
     end: float = float('inf')
 
 
+@dataclass
+class Naming:
+    """A time in which an upstream names a limit.
+
+    Attributes:
+        upstream: Its name.
+        rate: Requests a second.
+        begin: When it first did.
+        came: When requests came since.
+    """
+
+    upstream: str
+    rate: float
+    begin: float = field(default_factory=time.monotonic)
+    came: list[float] = field(default_factory=list)
+
+
 @dataclass
 class Ledger:
     """All tries of a play, and what was at fault meanwhile.
@@ -96,6 +120,7 @@
         stopped: Lives of gateways that were asked to stop and nothing else.
         cold: What came to each upstream while it was cold.
         ended: When upstreams ended under each harmful request.
+        named: Limits that upstreams named.
     """
 
     tries: dict[str, Try] = field(default_factory=dict)
@@ -105,6 +130,7 @@
     stopped: set[str] = field(default_factory=set)
     cold: dict[str, list[ColdArrival]] = field(default_factory=dict)
     ended: dict[str, list[float]] = field(default_factory=dict)
+    named: list[Naming] = field(default_factory=list)
 
     def begin(self, request_id: str, kind: Kind, gateway: str) -> Try:
         """Note a request that is about to be sent."""
@@ -150,6 +176,7 @@
         found.extend(f'ran unasked: {name}' for name in self.unknown)
         found.extend(self._check_cold())
         found.extend(self._check_ended())
+        found.extend(self._check_limits())
         for one in self.tries.values():
             found.extend(_check_try(one))
             if self._is_cut_by_stop(one):
@@ -168,7 +195,9 @@
         found = []
         for line, times in self.ended.items():
             known_at = sorted(times)[:ENDED_BEFORE][-1] + KNOWN_SECONDS
-            late = [at for at in times if at > known_at and self._is_calm(at)]
+            late = [
+                at for at in times if at > known_at and self._is_calm(at, HARM)
+            ]
             if len(late) > MOST_ENDED_LATE:
                 found.append(
                     f'{len(late)} upstreams ended too late under {line}, '
@@ -176,12 +205,31 @@
                 )
         return found
 
-    def _is_calm(self, at: float) -> bool:
+    def _check_limits(self) -> list[str]:
+        found = []
+        for one in self.named:
+            borne = one.rate * LIMIT_OVERSHOOT * LIMIT_SECONDS + LIMIT_SLACK
+            counts = [
+                sum(1 for at in one.came if first <= at < first + LIMIT_SECONDS)
+                for first in one.came
+                if first >= one.begin + KNOWN_SECONDS
+                and self._is_calm(first, LIMIT)
+                and self._is_calm(first + LIMIT_SECONDS, LIMIT)
+            ]
+            most = max(counts, default=0)
+            if most > borne:
+                found.append(
+                    f'{most} requests in {LIMIT_SECONDS} s came to '
+                    f'{one.upstream}, which had named {one.rate}',
+                )
+        return found
+
+    def _is_calm(self, at: float, besides: str) -> bool:
         """Return whether nothing else kept hosts from knowing at a time."""
         return not any(
             span.begin < at and span.end > at - KNOWN_SECONDS
             for span in self.spans
-            if span.name != HARM
+            if span.name != besides
         )
 
     def _is_cut_by_stop(self, one: Try) -> bool:
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -18,6 +18,7 @@
 from soak.faults import (
     HARM_FAULTS,
     HERDS,
+    LIMIT_FAULTS,
     PLANNED,
     POWER,
     UNPLANNED,
@@ -59,6 +60,8 @@
         only_power: Whether nothing else happens.
         with_harm: Whether requests come that end upstreams.
         only_harm: Whether nothing else happens.
+        with_limits: Whether upstreams name limits.
+        only_limits: Whether nothing else happens.
     """
 
     seed: int
@@ -74,6 +77,8 @@
     only_power: bool = False
     with_harm: bool = True
     only_harm: bool = False
+    with_limits: bool = True
+    only_limits: bool = False
 
     @property
     def groups(self) -> tuple[tuple[Fault, ...], ...]:
@@ -82,10 +87,13 @@
             return (POWER,)
         if self.only_harm:
             return (HARM_FAULTS,)
+        if self.only_limits:
+            return (LIMIT_FAULTS,)
         herds = HERDS * self.with_herds
         harm = HARM_FAULTS * self.with_harm
         power = POWER * self.with_power
-        return (PLANNED, UNPLANNED + herds + power + harm)
+        limits = LIMIT_FAULTS * self.with_limits
+        return (PLANNED, UNPLANNED + herds + power + harm + limits)
 
 
 @dataclass
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -17,6 +17,7 @@
         with_herds: Whether those faults were drawn from as well.
         with_power: The same of losses of power.
         with_harm: The same of requests that end upstreams.
+        with_limits: The same of upstreams that name limits.
     """
 
     seed: int
@@ -24,6 +25,7 @@
     with_herds: bool = True
     with_power: bool = True
     with_harm: bool = False
+    with_limits: bool = False
 
 
 FAILED_SEEDS: tuple[FailedSeed, ...] = (
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -9,7 +9,7 @@
 from lib.specs import ADDRESS, upstream_spec
 from lib.upstream_standin import Seen, whole_answer
 
-from soak.ledger import Ledger, Run
+from soak.ledger import Ledger, Naming, Run
 from soak.proxy import Proxy
 
 SERVICES = ('views', 'orders')
@@ -69,6 +69,8 @@
         self.service = SERVICES[place % len(SERVICES)]
         self.cold_until = 0.0
         self.habits = Habits()
+        # What it names as its limit, if anything.
+        self.naming: Naming | None = None
         self._place = place
         self._ledger = ledger
         self._random = random
@@ -126,6 +128,7 @@
         self.born = max(_now_milliseconds(), self.born + 1)
         self._running = 0
         self.habits = Habits()
+        self.naming = None
         for writer in tuple(self._writers):
             writer.transport.abort()
 
@@ -163,9 +166,12 @@
             return
         if time.monotonic() < self.cold_until:
             self._ledger.note_cold(name, self.name)
+        if self.naming is not None:
+            self.naming.came.append(time.monotonic())
         if self._running >= SLOTS + QUEUE:
             full = '503 Service Unavailable'
-            writer.write(whole_answer(name, b'', full, NOT_RUN))
+            extra = NOT_RUN + self._limit()
+            writer.write(whole_answer(name, b'', full, extra))
             return
         run = self._ledger.note_run(name, self.name, self.service)
         if HARMFUL in seen.line:
@@ -197,11 +203,16 @@
             writer.transport.abort()
             return
         body = f'{name} {self.name}'.encode()
-        writer.write(whole_answer(name, body, extra=_SEAL))
+        extra = _SEAL + self._limit()
+        writer.write(whole_answer(name, body, extra=extra))
         if self._random.random() < habits.surplus_share:
-            writer.write(whole_answer(name, body, extra=_SEAL))
+            writer.write(whole_answer(name, body, extra=extra))
         await writer.drain()
 
+    def _limit(self) -> str:
+        naming = self.naming
+        return '' if naming is None else f'Server-Limit: {naming.rate}\r\n'
+
     def _work(self) -> float:
         mean = WORK_SECONDS * self.habits.slowness
         return self._random.expovariate(1 / mean)
