--- a/src/wardstair/state/limits.py
+++ b/src/wardstair/state/limits.py
@@ -109,17 +109,13 @@
             upstream: Whose answer it is.
             told: What it names; None if it names nothing.
         """
-        known = self.rows.get(upstream.name)
         born = upstream.entry.born
-        if known is None or known.born != born:
+        known = self.rows.get(upstream.name)
+        if known is not None and known.born != born:
             known = None
-        if told is None and known is None:
+        rate = None if told is None else _rate_in(told, known)
+        if rate is None and known is None:
             return
-        rate = None
-        if told is not None:
-            rate = _readable(told, known)
-            if rate is None and known is None:
-                return
         news = NamedLimit(born, rate, self.clock())
         self._put(upstream.name, news, 'answer')
 
@@ -174,7 +170,7 @@
         self.on_change()
 
 
-def _readable(told: ToldLimit, known: NamedLimit | None) -> float | None:
+def _rate_in(told: ToldLimit, known: NamedLimit | None) -> float | None:
     """Return the rate that an answer names; None if it binds nobody.
 
     One that names something unreadable is still in need: what it named before
