--- a/tests/lib/store_standin.py
+++ b/tests/lib/store_standin.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+from copy import deepcopy
 from dataclasses import dataclass, field
 
 from tornado.httpserver import HTTPServer
@@ -23,11 +24,21 @@
     forgotten_below: int = 0
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The store as it was at a moment."""
+
+    revision: int
+    kinds: dict[str, StoredKind]
+
+
 class StoreStandin:
     """The platform's store in memory."""
 
     def __init__(self) -> None:
         self.revision = 0
+        # Rises each time that the store comes back from a copy.
+        self.era = 1
         self.kinds: dict[str, StoredKind] = {}
         self.calls: list[str] = []
         self.status: int | None = None
@@ -83,6 +94,20 @@
         self.kind(kind).forgotten_below = self.revision
         self._wake()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to come back from."""
+        return StoreCopy(self.revision, deepcopy(self.kinds))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: what was written since is gone.
+
+        Revisions go back and are given out again. Watches that wait end.
+        """
+        self.era += 1
+        self.revision = copy.revision
+        self.kinds = deepcopy(copy.kinds)
+        self.cut_watches()
+
     def silence_watches(self) -> None:
         """Let every watch that waits now hang for good."""
         self.silenced = len(self.calls)
@@ -115,6 +140,7 @@
         self._store = store
 
     def prepare(self) -> None:
+        self.set_header('Store-Era', str(self._store.era))
         self._store.calls.append(f'{self.request.method} {self.request.uri}')
         if self._store.status is not None:
             self.set_status(self._store.status)
@@ -142,6 +168,8 @@
         wait = float(self.get_argument('wait_ms', '0')) / 1000
         end = asyncio.get_running_loop().time() + wait
         while not store.events(kind, after):
+            if after > store.revision:
+                break
             if after < store.kind(kind).forgotten_below:
                 break
             left = end - asyncio.get_running_loop().time()
@@ -160,7 +188,8 @@
         if store.status is not None:
             self.set_status(store.status)
             return
-        if after < store.kind(kind).forgotten_below:
+        is_unknown = after > store.revision
+        if is_unknown or after < store.kind(kind).forgotten_below:
             self.set_status(410)
             return
         answer = {'events': store.events(kind, after), 'as_of': store.revision}
