Divide the senders to a limited upstream by what a part of the fleet hears

What callers saw: nothing yet; an upstream that names 3.6 a second would get 28 requests in four seconds where 26 are borne, one that names 20 131 where 125 are.

Found by reading: views that differ were played with 12 hosts only. With 198 hosts in ten parts that do not hear each other, limits told up to 1.5 s late and loads that swing, the new test failed in two of nine rows. Cause: each part divided the rate by what it hears, but chose as many senders as the whole fleet, and each sender adds to a window. Ruled out: three parts by zones and hosts cut off alone, which held.

Change: senders are divided as the rate is, one at least. Hosts that all hear each other choose as before.

Beside it: a comment said that LEAST_RATE is for upstreams that name nothing (it is for those that name zero), and a method that nobody called is gone.

--- a/src/wardstair/decisions/fleet_rate.py
+++ b/src/wardstair/decisions/fleet_rate.py
@@ -131,7 +131,13 @@
     """
     if not view.is_settled or view.own not in view.hosts:
         return NOTHING
-    senders = bound.senders
+    of_fleet = _load_of(view.zones, view.zones)
+    # Parts of a fleet that do not hear each other divide both the rate and the
+    # senders by what they hear. With all of the rate for each of two halves 32
+    # came in four seconds where 26 are borne, and 149 where 125 are; with all
+    # senders for each of ten parts of 198 hosts 28 and 131.
+    heard = of_fleet / (of_fleet + view.silent)
+    senders = max(1, int(bound.senders * heard))
     near = min(senders, SENDERS_A_ZONE)
     zones = _chosen_zones(upstream, zone, senders // near, view)
     if view.zone not in zones:
@@ -147,10 +153,6 @@
     of_hosts = _load_of(hosts, view.hosts)
     own = _load_of((view.own,), view.hosts)
     of_zone = _load_of((view.zone,), view.zones)
-    of_fleet = _load_of(view.zones, view.zones)
-    # Two halves of a fleet that did not hear each other would each divide all
-    # of it: 32 came in four seconds where 26 are borne, 149 where 125 are.
-    heard = of_fleet / (of_fleet + view.silent)
     rate = bound.rate * RATE_USED * heard
     rate *= (of_zone / of_zones) * (own / of_hosts)
     # What all load is to the load of those that may send.
@@ -213,12 +215,6 @@
         """Count a request that is sent."""
         self._level -= 1
 
-    def wait(self, rate: float) -> float:
-        """Return the seconds until a request may be sent."""
-        if rate <= 0:
-            return float('inf')
-        return max(0.0, 1 - self._level) / rate
-
     def _refill(self, rate: float, now: float) -> None:
         if self._at is not None:
             gained = rate * (now - self._at)
--- a/src/wardstair/gateway/limited_sends.py
+++ b/src/wardstair/gateway/limited_sends.py
@@ -21,8 +21,8 @@
 LIMIT_OVERSHOOT = 1.5
 LIMIT_SLACK = 5.0
 LIMIT_WINDOW = 4.0
-# An upstream that names nothing is taken to be asked this often all the same,
-# once in ten seconds: only its answers tell when it takes more.
+# Requests a second of all hosts to an upstream that names zero or hardly more:
+# one in ten seconds, since only its answers tell when it takes more.
 LEAST_RATE = 0.1
 # How often it is looked at whether this host has requests enough for its part.
 STEP_SECONDS = 2.0
--- a/tests/unit/test_fleet_rate.py
+++ b/tests/unit/test_fleet_rate.py
@@ -172,6 +172,46 @@
     assert most_in_window(came) <= bound_of(rate).borne
 
 
+def other_third(one: PlayedHost, other: PlayedHost) -> bool:
+    return int(one.zone[1:]) // 3 == int(other.zone[1:]) // 3
+
+
+def all_but_every_tenth(one: PlayedHost, other: PlayedHost) -> bool:
+    """Return whether a host hears another; some hear nobody, nor are heard."""
+    numbers = (one.name, other.name)
+    return one is other or not any(name.endswith('0') for name in numbers)
+
+
+@pytest.mark.parametrize('rate', [0.5, 3.6, 20.0])
+@pytest.mark.parametrize(
+    'hears',
+    [
+        pytest.param(other_third, id='three parts by zones'),
+        pytest.param(same_number, id='ten parts in each zone'),
+        pytest.param(all_but_every_tenth, id='some cut off from all'),
+    ],
+)
+def test_a_large_fleet_whose_views_differ_keeps_its_part(
+    hears: Callable[[PlayedHost, PlayedHost], bool],
+    rate: float,
+) -> None:
+    """198 hosts; each is told up to 1.5 s late, and loads swing meanwhile."""
+    fleet = PlayedFleet.of(9, 22, 4.0)
+    fleet.hears = hears
+    random = Random(1)
+    for host in fleet.hosts:
+        host.knows_at = random.uniform(0, 1.5)
+
+    def wanted(host: PlayedHost, now: float) -> float:
+        is_loaded = (int(now / 5) + int(host.zone[1:])) % 2 == 0
+        host.load += ((8.0 if is_loaded else 0.0) - host.load) * 0.02
+        return 1.0
+
+    came = fleet.play(wanted, steady(rate), SECONDS, most=1.0)
+    late = [at for at in came if at >= 4]
+    assert most_in_window(late) <= bound_of(rate).borne
+
+
 @pytest.mark.parametrize('rate', [0.5, 3.6, 10.0])
 def test_hosts_that_are_told_late_take_no_request_beside_the_others(
     rate: float,
