--- a/src/wardstair/fleet/beats.py
+++ b/src/wardstair/fleet/beats.py
@@ -5,14 +5,17 @@
 travels in them, only its versions. Who sends to whom: see `radio`.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import IntEnum
 
 import cbor2
 
+from wardstair.state.revision import NO_REVISION, Revision
+
 # Two versions of the program in one fleet drop each other's datagrams
 # instead of misreading them.
-_FORMAT = 6
+_FORMAT = 7
 _UNREADABLE = (cbor2.CBORDecodeError, ValueError, TypeError, LookupError)
 # Hosts named in one answer to a newcomer, so that a datagram holds them.
 MOST_NAMED = 16
@@ -64,11 +67,42 @@
     """
 
     configuration: int = -1
-    evacuations: int = 0
-    upstreams: int = 0
+    evacuations: Revision = NO_REVISION
+    upstreams: Revision = NO_REVISION
     suspects: int = 0
     limits: int = 0
 
+    @property
+    def numbers(self) -> list[int]:
+        """As they travel; `versions_of` is the inverse."""
+        return [
+            self.configuration,
+            self.evacuations.era,
+            self.evacuations.number,
+            self.upstreams.era,
+            self.upstreams.number,
+            self.suspects,
+            self.limits,
+        ]
+
+
+def versions_of(numbers: Iterable[int]) -> Versions:
+    """Return the versions that travelled as numbers.
+
+    Raises:
+        ValueError: There are more or fewer than `Versions.numbers` gives.
+    """
+    configuration, *rest = numbers
+    evacuations_era, evacuations, *rest = rest
+    upstreams_era, upstreams, suspects, limits = rest
+    return Versions(
+        configuration,
+        Revision(evacuations_era, evacuations),
+        Revision(upstreams_era, upstreams),
+        suspects,
+        limits,
+    )
+
 
 @dataclass(frozen=True, slots=True)
 class ZoneLoad:
@@ -135,13 +169,7 @@
             beat.is_relay,
             beat.zone_size,
             beat.fleet_size,
-            [
-                beat.versions.configuration,
-                beat.versions.evacuations,
-                beat.versions.upstreams,
-                beat.versions.suspects,
-                beat.versions.limits,
-            ],
+            beat.versions.numbers,
             [_name_row(peer) for peer in beat.named],
             round(beat.load, 1),
             [[told.zone, round(told.load, 1)] for told in beat.zone_loads],
@@ -166,7 +194,7 @@
             bool(row[8]),
             int(row[9]),
             int(row[10]),
-            Versions(*row[11]),
+            versions_of(row[11]),
             tuple(PeerName(*peer) for peer in row[12]),
             float(row[13]),
             tuple(ZoneLoad(zone, float(load)) for zone, load in row[14]),
--- a/src/wardstair/fleet/sharing.py
+++ b/src/wardstair/fleet/sharing.py
@@ -5,19 +5,20 @@
 """
 
 import zlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
 import cbor2
 
 from wardstair.decisions.suspicion import Evidence
-from wardstair.fleet.beats import Versions
+from wardstair.fleet.beats import Versions, versions_of
 from wardstair.state.catalog import CatalogChanges
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
 from wardstair.state.limits import SharedLimit
+from wardstair.state.revision import Revision
 
-_FORMAT = 4
+_FORMAT = 5
 UNREADABLE = (
     cbor2.CBORDecodeError,
     zlib.error,
@@ -25,8 +26,6 @@
     TypeError,
     LookupError,
 )
-# Numbers in a query.
-_VERSIONS = 5
 # Level of deflation: the fastest one; routes look alike enough for it.
 _DEFLATION = 1
 
@@ -40,7 +39,7 @@
         document: Its contents, to be decoded by the platform's adapter.
     """
 
-    revision: int
+    revision: Revision
     document: object
 
 
@@ -53,7 +52,7 @@
         zones: The zones.
     """
 
-    revision: int
+    revision: Revision
     zones: tuple[str, ...]
 
 
@@ -75,7 +74,7 @@
     All hosts of a zone ask for a new version within a moment.
     """
 
-    _revision: int = -1
+    _revision: Revision | None = None
     _deflated: bytes = field(default=b'')
 
     def encode(self, state: SharedState) -> bytes:
@@ -86,8 +85,15 @@
             [
                 _FORMAT,
                 configuration
-                and [configuration.revision, self._deflate(configuration)],
-                evacuations and [evacuations.revision, list(evacuations.zones)],
+                and [
+                    *_revision_row(configuration.revision),
+                    self._deflate(configuration),
+                ],
+                evacuations
+                and [
+                    *_revision_row(evacuations.revision),
+                    list(evacuations.zones),
+                ],
                 state.upstreams and _changes_row(state.upstreams),
                 _suspects_row(state.suspects),
                 [
@@ -113,7 +119,7 @@
             return None
         return SharedState(
             row[1] and _configuration(*row[1]),
-            row[2] and SharedEvacuations(row[2][0], tuple(row[2][1])),
+            row[2] and _evacuations(*row[2]),
             row[3] and _changes(row[3]),
             _suspects(*row[4]),
             _limits(row[5]),
@@ -124,28 +130,41 @@
 
 def encode_versions(versions: Versions) -> str:
     """Return the query by which a host says how far it is."""
-    numbers = (
-        versions.configuration,
-        versions.evacuations,
-        versions.upstreams,
-        versions.suspects,
-        versions.limits,
-    )
-    return '.'.join(str(number) for number in numbers)
+    return '.'.join(str(number) for number in versions.numbers)
 
 
 def decode_versions(text: str) -> Versions | None:
     """Decode such a query; None if it is none."""
     try:
-        numbers = [int(number) for number in text.split('.')]
+        return versions_of(int(number) for number in text.split('.'))
     except ValueError:
         return None
-    return Versions(*numbers) if len(numbers) == _VERSIONS else None
 
 
-def _configuration(revision: int, deflated: bytes) -> SharedConfiguration:
+def _revision_row(revision: Revision) -> list[int]:
+    return [revision.era, revision.number]
+
+
+def _revision(row: list[Any]) -> Revision:
+    era, number = row
+    return Revision(int(era), int(number))
+
+
+def _configuration(
+    era: int,
+    number: int,
+    deflated: bytes,
+) -> SharedConfiguration:
     document = cbor2.loads(zlib.decompress(deflated))
-    return SharedConfiguration(revision, document)
+    return SharedConfiguration(Revision(era, number), document)
+
+
+def _evacuations(
+    era: int,
+    number: int,
+    zones: Iterable[str],
+) -> SharedEvacuations:
+    return SharedEvacuations(Revision(era, number), tuple(zones))
 
 
 def _suspects_row(suspects: Mapping[str, Evidence]) -> list[object]:
@@ -186,8 +205,8 @@
 
 def _changes_row(changes: CatalogChanges) -> list[object]:
     return [
-        changes.since,
-        changes.revision,
+        _revision_row(changes.since),
+        _revision_row(changes.revision),
         [_entry_row(entry) for entry in changes.entries],
         list(changes.removed),
         {name: round(left, 3) for name, left in changes.missing.items()},
@@ -198,8 +217,8 @@
     since, revision, entries, *rest = row
     removed, missing = rest
     return CatalogChanges(
-        int(since),
-        int(revision),
+        _revision(since),
+        _revision(revision),
         tuple(_entry(entry) for entry in entries),
         tuple(removed),
         {name: float(left) for name, left in missing.items()},
@@ -216,7 +235,7 @@
         entry.slots,
         entry.phase.value,
         round(entry.cold_seconds, 3),
-        entry.revision,
+        *_revision_row(entry.revision),
         entry.born,
     ]
 
@@ -225,7 +244,7 @@
     name, service, *rest = row
     host, port, zone, *rest = rest
     slots, phase, *rest = rest
-    cold, revision, born = rest
+    cold, era, number, born = rest
     return UpstreamEntry(
         name=name,
         service=service,
@@ -235,6 +254,6 @@
         slots=int(slots),
         phase=UpstreamPhase(phase),
         cold_seconds=float(cold),
-        revision=int(revision),
+        revision=Revision(int(era), int(number)),
         born=int(born),
     )
--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -54,6 +54,16 @@
         'Seconds since the store last answered; -1 for never',
         lambda: [(_store_age(host), {})],
     )
+    metrics.add_gauge(
+        'wardstair_store_era',
+        'Era of the store as its answers tell it; 0 for none',
+        lambda: [(float(host.contact.era), {})],
+    )
+    metrics.add_count(
+        'wardstair_store_restores',
+        'Restores of the store from a copy that this host has noticed',
+        lambda: [(float(host.contact.restores), {})],
+    )
     metrics.add_gauge(
         'wardstair_hosts_live',
         'Entry hosts that this one hears, itself included',
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -108,6 +108,7 @@
         self.belief.on_steering = self._on_steering
         self.store = Store(settings.store)
         self.contact = StoreContact(clock, random)
+        self.store.on_era = self.contact.note_era
         self.members = Members(
             own,
             clock,
--- a/src/wardstair/platform/objects.py
+++ b/src/wardstair/platform/objects.py
@@ -16,6 +16,7 @@
 from wardstair.decisions.suspicion import Evidence
 from wardstair.errors import ConfigurationError
 from wardstair.fleet.beats import PeerName
+from wardstair.state.revision import Revision
 from wardstair.version.steering import (
     CallerLimits,
     Repeatability,
@@ -153,11 +154,25 @@
 
 
 class StoredObject(_Model):
-    """An object as the store hands it out; `spec` is its own kind's."""
+    """An object as the store hands it out; `spec` is its own kind's.
+
+    Attributes:
+        metadata: Its name and revision.
+        spec: What its writer states.
+        status: What is observed of it.
+        era: Era of the store that handed it out; the client of the store sets
+            it from the answer's header.
+    """
 
     metadata: Metadata
     spec: object = None
     status: object = None
+    era: int = 0
+
+    @property
+    def revision(self) -> Revision:
+        """When it last changed."""
+        return Revision(self.era, self.metadata.revision)
 
 
 def decode_configuration(stored: StoredObject) -> Steering:
--- a/src/wardstair/platform/store.py
+++ b/src/wardstair/platform/store.py
@@ -6,7 +6,7 @@
 
 import json
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 from urllib.parse import quote, urlencode
@@ -28,6 +28,7 @@
 )
 from wardstair.platform.objects import StoredObject
 from wardstair.process.log import log_warning
+from wardstair.state.revision import Revision
 
 # A plain answer takes some 10 ms; a store under strain was seen to take 60
 # times as long as usual, which this leaves room for.
@@ -36,6 +37,8 @@
 WATCH_SLACK_SECONDS = 1.5
 CONNECT_SECONDS = 1.0
 _MILLISECONDS = 1000
+# Rises by one each time that the store is restored from a copy.
+_ERA_HEADER = 'Store-Era'
 # Listings, proofs of contact and the registration, without watches.
 _MANY_TRANSFERS = 8
 # The store hands out at most about a megabyte in one answer.
@@ -64,6 +67,14 @@
     as_of: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """A good answer, and the era of the store that gave it."""
+
+    body: bytes
+    era: int
+
+
 @dataclass(frozen=True, slots=True)
 class Listing:
     """All objects of a kind.
@@ -74,7 +85,7 @@
     """
 
     objects: tuple[StoredObject, ...]
-    revision: int
+    revision: Revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +106,7 @@
     """
 
     changes: tuple[Change, ...]
-    revision: int
+    revision: Revision
 
 
 class CallKind(StrEnum):
@@ -128,6 +139,8 @@
 
     Attributes:
         calls: Calls made, by what they are for.
+        era: The highest era that an answer has told; 0 for none.
+        on_era: Told each era that is higher than those before.
     """
 
     def __init__(self, address: str) -> None:
@@ -137,6 +150,8 @@
             address: `ip:port` of the store.
         """
         self.calls = Counter[CallCase]()
+        self.era = 0
+        self.on_era: Callable[[int], None] = _ignore_era
         self._address = address
         self._client = make_client(_MANY_TRANSFERS, _ANSWER_BYTES)
         # A watch has a client of its own: tornado cannot end a transfer that
@@ -177,14 +192,16 @@
             answered = await self._call('GET', _path(kind, query=query))
             if isinstance(answered, Err):
                 return answered
+            answer = answered.ok_value
             try:
-                page = _Page.model_validate_json(_readable(answered.ok_value))
+                page = _Page.model_validate_json(_readable(answer.body))
             except ValidationError as error:
                 return Err(PlatformUnavailable(f'unreadable list: {error}'))
-            read = _read_objects(kind, page.items)
+            read = _read_objects(kind, page.items, answer.era)
             listed.extend(read)
             if not page.truncated or not page.items:
-                return Ok(Listing(tuple(listed), page.as_of))
+                revision = Revision(answer.era, page.as_of)
+                return Ok(Listing(tuple(listed), revision))
             if not read:
                 # Where the next page begins is not known; without it the
                 # listing would take out whatever comes after.
@@ -194,7 +211,7 @@
     async def watch_kind(
         self,
         kind: str,
-        revision: int,
+        revision: Revision,
         seconds: float,
     ) -> Result[Changes, PlatformError]:
         """Wait for changes of a kind after a revision; one watch a kind.
@@ -205,7 +222,7 @@
             seconds: Longest wait; without changes the answer is empty.
         """
         query = {
-            'watch': revision,
+            'watch': revision.number,
             'wait_ms': round(seconds * _MILLISECONDS),
         }
         self._count(CallKind.watch, kind)
@@ -221,16 +238,18 @@
         )
         if isinstance(answered, Err):
             return answered
+        answer = answered.ok_value
         try:
-            parsed = _Events.model_validate_json(_readable(answered.ok_value))
+            parsed = _Events.model_validate_json(_readable(answer.body))
         except ValidationError as error:
             return Err(PlatformUnavailable(f'unreadable events: {error}'))
         changes = [
             Change(stored, event.deleted)
             for event in parsed.events
-            for stored in _read_objects(kind, (event.object,))
+            for stored in _read_objects(kind, (event.object,), answer.era)
         ]
-        return Ok(Changes(tuple(changes), parsed.as_of))
+        revision = Revision(answer.era, parsed.as_of)
+        return Ok(Changes(tuple(changes), revision))
 
     async def read_stale(
         self,
@@ -249,7 +268,7 @@
         if isinstance(answered, Err):
             return answered
         try:
-            return Ok(StoredObject.model_validate_json(answered.ok_value))
+            return Ok(_read_object(answered.ok_value))
         except ValidationError as error:
             return Err(PlatformUnavailable(f'unreadable object: {error}'))
 
@@ -257,20 +276,30 @@
         self,
         kind: str,
         document: Mapping[str, object],
-    ) -> Result[bytes, PlatformError]:
-        """Create an object; a conflict means that it is there already."""
+    ) -> Result[StoredObject | None, PlatformError]:
+        """Create an object; a conflict means that it is there already.
+
+        Returns:
+            The object as written; None if the store did not hand it out.
+        """
         self._count(CallKind.creation, kind)
-        return await self._call('POST', _path(kind), document)
+        answered = await self._call('POST', _path(kind), document)
+        return answered.map(_read_written)
 
     async def replace(
         self,
         kind: str,
         name: str,
         document: Mapping[str, object],
-    ) -> Result[bytes, PlatformError]:
-        """Replace an object's own part."""
+    ) -> Result[StoredObject | None, PlatformError]:
+        """Replace an object's own part.
+
+        Returns:
+            The object as written; None if the store did not hand it out.
+        """
         self._count(CallKind.replacement, kind)
-        return await self._call('PUT', _path(kind, name), document)
+        answered = await self._call('PUT', _path(kind, name), document)
+        return answered.map(_read_written)
 
     async def delete(
         self,
@@ -281,7 +310,8 @@
         """Delete an object if it still has the given revision."""
         self._count(CallKind.removal, kind)
         query = {'revision': revision}
-        return await self._call('DELETE', _path(kind, name, query))
+        answered = await self._call('DELETE', _path(kind, name, query))
+        return answered.map(lambda answer: answer.body)
 
     def _count(self, call: CallKind, kind: str) -> None:
         self.calls[CallCase(call, kind)] += 1
@@ -294,7 +324,7 @@
         *,
         seconds: float = CALL_SECONDS,
         client: CurlAsyncHTTPClient | None = None,
-    ) -> Result[bytes, PlatformError]:
+    ) -> Result[_Answer, PlatformError]:
         used = client or self._client
         body = None if document is None else json.dumps(document)
         request = HTTPRequest(
@@ -312,7 +342,21 @@
             response = await used.fetch(request, raise_error=False)
         except (HTTPClientError, OSError, pycurl.error) as error:
             return Err(PlatformUnavailable(f'{method} {path}: {error}'))
-        return _judge(response, f'{method} {path}')
+        judged = _judge(response, f'{method} {path}')
+        era = self._note_era(response)
+        return judged.map(lambda body: _Answer(body, era))
+
+    def _note_era(self, response: HTTPResponse) -> int:
+        """Return the era of an answer; tell if it is a new one."""
+        told = response.headers.get(_ERA_HEADER, '')
+        if not (told.isascii() and told.isdecimal()):
+            # Answers of what stands before the store do not tell.
+            return self.era
+        era = int(told)
+        if era > self.era:
+            self.era = era
+            self.on_era(era)
+        return era
 
 
 def _readable(answer: bytes) -> bytes:
@@ -320,14 +364,33 @@
     return answer.decode(errors='replace').encode()
 
 
+def _ignore_era(_era: int) -> None:
+    """Do nothing with a new era."""
+
+
+def _read_object(answer: _Answer) -> StoredObject:
+    stored = StoredObject.model_validate_json(answer.body)
+    return stored.model_copy(update={'era': answer.era})
+
+
+def _read_written(answer: _Answer) -> StoredObject | None:
+    try:
+        return _read_object(answer)
+    except ValidationError:
+        # Stores may answer a write with less.
+        return None
+
+
 def _read_objects(
     kind: str,
     objects: tuple[object, ...],
+    era: int,
 ) -> list[StoredObject]:
     read = []
     for one in objects:
         try:
-            read.append(StoredObject.model_validate(one))
+            stored = StoredObject.model_validate(one)
+            read.append(stored.model_copy(update={'era': era}))
         except ValidationError as error:
             # Without a name nothing can be said of it.
             log_warning('object-unreadable', kind=kind, reason=str(error))
--- a/src/wardstair/platform/upstream_entries.py
+++ b/src/wardstair/platform/upstream_entries.py
@@ -107,7 +107,7 @@
         slots=spec.info.slots,
         phase=UpstreamPhase(spec.status.state),
         cold_seconds=spec.status.cold_left_ms / _MILLISECONDS,
-        revision=stored.metadata.revision,
+        revision=stored.revision,
         born=spec.born,
     )
 
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -292,6 +292,21 @@
     ),
     _kind('store-lost', 'the store does not answer as it should', 'reason'),
     _kind('store-regained', 'the store answers again', 'away'),
+    _kind(
+        'store-restored',
+        'the store was restored from a copy and issues revisions again',
+        'era before',
+    ),
+    _kind(
+        'news-ignored',
+        'news of the store are not newer than what this host knows',
+        'kind revision known source',
+    ),
+    _kind(
+        'upstream-entry-ignored',
+        'an entry of an upstream is older than the one that this host knows',
+        'upstream revision known',
+    ),
     _kind(
         'watch-forgotten',
         'the store forgot its history; everything is listed anew',
--- a/src/wardstair/state/belief.py
+++ b/src/wardstair/state/belief.py
@@ -11,6 +11,7 @@
 from wardstair.fleet.beats import Versions
 from wardstair.platform.objects import (
     CONFIGURATION_NAME,
+    EVACUATION_KIND,
     StoredObject,
     decode_configuration,
 )
@@ -18,6 +19,7 @@
 from wardstair.state.catalog import Catalog, CatalogChanges
 from wardstair.state.entries import UpstreamEntry
 from wardstair.state.limits import LimitTable
+from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.suspects import SuspectTable
 from wardstair.version.steering import Steering
 
@@ -48,7 +50,7 @@
     document: StoredObject | None = None
     adopted_at: float = 0.0
     evacuated: frozenset[str] = frozenset()
-    evacuations_revision: int = 0
+    evacuations_revision: Revision = NO_REVISION
     suspects: SuspectTable = field(default_factory=SuspectTable)
     limits: LimitTable = field(default_factory=LimitTable)
     on_steering: Callable[[], None] = field(default=lambda: None)
@@ -83,7 +85,7 @@
             log_warning(
                 'configuration-rejected',
                 source=source,
-                revision=stored.metadata.revision,
+                revision=stored.revision,
                 reason=error.message,
             )
             return False
@@ -112,7 +114,7 @@
     def set_evacuated(
         self,
         zones: Iterable[str],
-        revision: int,
+        revision: Revision,
         source: str,
     ) -> bool:
         """Take in the zones that get nothing; return whether that is news.
@@ -123,10 +125,18 @@
             source: Where it came from, for the log.
         """
         if revision < self.evacuations_revision:
+            log_event(
+                'news-ignored',
+                kind=EVACUATION_KIND,
+                revision=revision,
+                known=self.evacuations_revision,
+                source=source,
+            )
             return False
         now_evacuated = frozenset(zones)
         ended = self.evacuated - now_evacuated
-        if now_evacuated == self.evacuated and self.evacuations_revision:
+        is_known = self.evacuations_revision != NO_REVISION
+        if is_known and now_evacuated == self.evacuated:
             # The revision of the change stays, so that each reading does not
             # make this host look ahead of the others. What another host tells
             # is taken over: hosts that listed at different times agree then.
@@ -149,7 +159,7 @@
         )
         return True
 
-    def upstreams_since(self, revision: int) -> CatalogChanges:
+    def upstreams_since(self, revision: Revision) -> CatalogChanges:
         """Return what another host lacks of the upstreams.
 
         Those of a zone that is being emptied are told as cold, as they are
--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -10,6 +10,7 @@
 
 from wardstair.process.log import log_event
 from wardstair.state.entries import UpstreamEntry
+from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.upstream import UNTOLD_SECONDS, Upstream
 
 # Entries that vanish while the store is away are back this long after its
@@ -25,7 +26,8 @@
     """What has changed since a revision, for a host that is behind.
 
     Attributes:
-        since: Revision from which on it tells; 0 for the whole list.
+        since: Revision from which on it tells; `NO_REVISION` for the whole
+            list.
         revision: Revision up to which it tells.
         entries: Entries that are new or have changed.
         removed: Names of those that are gone.
@@ -33,8 +35,8 @@
             store was away to come back, by name.
     """
 
-    since: int
-    revision: int
+    since: Revision
+    revision: Revision
     entries: tuple[UpstreamEntry, ...]
     removed: tuple[str, ...] = ()
     missing: Mapping[str, float] = field(default_factory=dict)
@@ -53,7 +55,7 @@
     """
 
     clock: Callable[[], float]
-    revision: int = 0
+    revision: Revision = NO_REVISION
     upstreams: dict[str, Upstream] = field(default_factory=dict)
     generation: int = 0
     on_life_ended: Callable[[str], None] = lambda _name: None
@@ -61,17 +63,17 @@
     _by_service: dict[str, list[Upstream]] = field(default_factory=dict)
     # Names with the revision up to which they had been removed, oldest first,
     # and the revision from which on that is complete.
-    _removed: deque[tuple[int, str]] = field(default_factory=deque)
-    _removed_from: int = 0
+    _removed: deque[tuple[Revision, str]] = field(default_factory=deque)
+    _removed_from: Revision = NO_REVISION
 
     def of_service(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that take work."""
         return self._by_service.get(service, [])
 
-    def changes_since(self, revision: int) -> CatalogChanges:
+    def changes_since(self, revision: Revision) -> CatalogChanges:
         """Return what a host lacks that knows everything up to a revision."""
         now = self.clock()
-        since = revision if revision >= self._removed_from else 0
+        since = revision if revision >= self._removed_from else NO_REVISION
         changed = [
             _with_cold(upstream.entry, max(0.0, upstream.cold_until - now))
             for upstream in self.upstreams.values()
@@ -84,7 +86,7 @@
             since,
             self.revision,
             tuple(changed),
-            tuple(sorted(removed)) if since else (),
+            () if since == NO_REVISION else tuple(sorted(removed)),
             {name: end - now for name, end in self._missing.items()},
         )
 
@@ -97,16 +99,16 @@
         """
         if changes.since > self.revision:
             return False
-        if changes.since:
-            self.apply(
+        if changes.since == NO_REVISION:
+            self.replace_all(
                 changes.entries,
-                changes.removed,
                 changes.revision,
                 store_was_away=False,
             )
         else:
-            self.replace_all(
+            self.apply(
                 changes.entries,
+                changes.removed,
                 changes.revision,
                 store_was_away=False,
             )
@@ -120,7 +122,7 @@
     def replace_all(
         self,
         entries: Iterable[UpstreamEntry],
-        revision: int,
+        revision: Revision,
         *,
         store_was_away: bool,
     ) -> None:
@@ -135,7 +137,7 @@
         listed = {entry.name: entry for entry in entries}
         for entry in listed.values():
             self._put(entry)
-        if not self.revision:
+        if self.revision == NO_REVISION:
             # What was removed before is not known.
             self._removed_from = revision
         self.revision = revision
@@ -147,7 +149,7 @@
         self,
         changed: Iterable[UpstreamEntry],
         deleted: Iterable[str],
-        revision: int,
+        revision: Revision,
         *,
         store_was_away: bool,
     ) -> None:
@@ -234,6 +236,12 @@
         known = self.upstreams.get(entry.name)
         if known is not None and _is_older(entry, known.entry):
             # It arrives late, by another way, and would bring a life back.
+            log_event(
+                'upstream-entry-ignored',
+                upstream=entry.name,
+                revision=entry.revision,
+                known=known.entry.revision,
+            )
             return
         if known is not None and entry.born > known.entry.born:
             self._end_life(known, entry)
@@ -277,7 +285,7 @@
         self._removed.append((self.revision, upstream.name))
         if len(self._removed) > MOST_REMOVED:
             at, _ = self._removed.popleft()
-            self._removed_from = at + 1
+            self._removed_from = replace(at, number=at.number + 1)
         log_event(
             'upstream-gone',
             upstream=upstream.name,
--- a/src/wardstair/state/contact.py
+++ b/src/wardstair/state/contact.py
@@ -28,6 +28,9 @@
         """
         self.is_lost = False
         self.heard_at: float | None = None
+        # Era of the store as its answers tell it; 0 before the first.
+        self.era = 0
+        self.restores = 0
         self._clock = clock
         self._random = random
         self._lost_at = 0.0
@@ -75,6 +78,13 @@
             if regained is not None and not regained.done():
                 regained.set_result(None)
 
+    def note_era(self, era: int) -> None:
+        """Note that the store answered in a later era than before."""
+        if self.era:
+            self.restores += 1
+            log_warning('store-restored', era=era, before=self.era)
+        self.era = era
+
     def note_failure(self, reason: str) -> None:
         """Note that the store did not answer as it should."""
         self._failures += 1
--- a/src/wardstair/state/entries.py
+++ b/src/wardstair/state/entries.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from wardstair.state.revision import NO_REVISION, Revision
+
 
 class UpstreamPhase(StrEnum):
     """Whether an upstream takes new work."""
@@ -38,5 +40,5 @@
     slots: int
     phase: UpstreamPhase
     cold_seconds: float
-    revision: int = 0
+    revision: Revision = NO_REVISION
     born: int = 0
--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -24,6 +24,7 @@
 )
 from wardstair.platform.objects import (
     CONFIGURATION_NAME,
+    UPSTREAM_KIND,
     Metadata,
     StoredObject,
 )
@@ -106,7 +107,7 @@
             stored = belief.document
             assert stored is not None
             configuration = SharedConfiguration(
-                stored.metadata.revision,
+                stored.revision,
                 stored.spec,
             )
         evacuations = None
@@ -233,9 +234,10 @@
             stored = StoredObject(
                 metadata=Metadata(
                     name=CONFIGURATION_NAME,
-                    revision=state.configuration.revision,
+                    revision=state.configuration.revision.number,
                 ),
                 spec=state.configuration.document,
+                era=state.configuration.revision.era,
             )
             belief.offer_configuration(stored, source)
         if state.evacuations is not None:
@@ -256,6 +258,13 @@
             return
         catalog = self._belief.catalog
         if changes.revision <= catalog.revision:
+            log_event(
+                'news-ignored',
+                kind=UPSTREAM_KIND,
+                revision=changes.revision,
+                known=catalog.revision,
+                source=source,
+            )
             return
         if not catalog.take_over(changes):
             return
--- a/src/wardstair/state/following.py
+++ b/src/wardstair/state/following.py
@@ -10,6 +10,7 @@
 from wardstair.platform.store import Changes, Listing, Store
 from wardstair.process.log import log_event
 from wardstair.state.contact import StoreContact
+from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.roles import always
 
 # A waiting watch is one call; the store allows 30 s.
@@ -66,7 +67,7 @@
 
     on_listing: Callable[[Listing], None]
     on_changes: Callable[[Changes], None]
-    on_revision: Callable[[int], None]
+    on_revision: Callable[[Revision], None]
 
 
 class Follower:
@@ -87,7 +88,7 @@
             plan: What to follow.
             sinks: Where news goes.
         """
-        self.revision = 0
+        self.revision = NO_REVISION
         self._store = store
         self._contact = contact
         self._plan = plan
@@ -101,7 +102,7 @@
         """Whether it has read the whole kind and can go on from there."""
         return not self._needs_listing
 
-    def skip_to(self, revision: int) -> None:
+    def skip_to(self, revision: Revision) -> None:
         """Go on from a revision up to which another host knows everything."""
         if revision > self.revision:
             self.revision = revision
@@ -160,6 +161,14 @@
         if changes.revision > self.revision:
             self.revision = changes.revision
             self._sinks.on_changes(changes)
+        elif changes.changes:
+            log_event(
+                'news-ignored',
+                kind=self._plan.kind,
+                revision=changes.revision,
+                known=self.revision,
+                source='watch',
+            )
         self._sinks.on_revision(changes.revision)
         if changes.changes:
             await asyncio.sleep(self._plan.pause())
--- a/src/wardstair/state/suspect_sharing.py
+++ b/src/wardstair/state/suspect_sharing.py
@@ -9,7 +9,6 @@
 from collections.abc import Mapping
 from random import Random
 
-from pydantic import ValidationError
 from result import Err, Ok
 
 from wardstair.decisions.suspicion import Evidence
@@ -25,6 +24,7 @@
 from wardstair.process.log import log_event
 from wardstair.state.contact import StoreContact
 from wardstair.state.following import Follower, FollowPlan, FollowSinks
+from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.roles import Roles
 from wardstair.state.suspects import SuspectTable
 
@@ -69,10 +69,9 @@
         self._suspects = suspects
         self._roles = roles
         self._random = random
-        # What the object holds as far as this host knows, and its revision; 0
-        # while there is none.
+        # What the object holds as far as this host knows, and its revision.
         self._stored: Mapping[str, Evidence] = {}
-        self._revision = 0
+        self._revision = NO_REVISION
 
     @property
     def is_due(self) -> bool:
@@ -105,8 +104,8 @@
 
     async def _write(self) -> None:
         shared = self._suspects.shared
-        document = encode_suspects(shared, self._revision)
-        if self._revision:
+        document = encode_suspects(shared, self._revision.number)
+        if self._revision.number:
             written = await self._store.replace(
                 SUSPECTS_KIND,
                 SUSPECTS_NAME,
@@ -115,10 +114,10 @@
         else:
             written = await self._store.create(SUSPECTS_KIND, document)
         match written:
-            case Ok(answer):
+            case Ok(stored):
                 self._contact.note_success()
                 log_event('suspects-stored', count=len(shared))
-                await self._take_answer(answer)
+                await self._take_written(stored)
             case Err(VersionConflict()):
                 # Another has written; its word comes by the watch, or by a
                 # listing if the watch is behind.
@@ -128,15 +127,13 @@
                 reason = getattr(error, 'message', type(error).__name__)
                 self._contact.note_failure(f'suspects: {reason}')
 
-    async def _take_answer(self, answer: bytes) -> None:
+    async def _take_written(self, stored: StoredObject | None) -> None:
         """Take in the object as written, or read it if it was not answered."""
-        try:
-            stored = StoredObject.model_validate_json(answer)
-        except ValidationError:
-            # Stores may answer a write with less; the revision is needed.
+        if stored is None:
+            # The next write needs its revision.
             await self._list_anew()
-            return
-        self._take_in(stored)
+        else:
+            self._take_in(stored)
 
     async def _list_anew(self) -> None:
         listed = await self._store.list_kind(SUSPECTS_KIND)
@@ -150,7 +147,7 @@
     def _list(self, listing: Listing) -> None:
         if not listing.objects:
             self._stored = {}
-            self._revision = 0
+            self._revision = NO_REVISION
         for stored in listing.objects:
             self._take_in(stored)
 
@@ -158,12 +155,12 @@
         for change in changes.changes:
             if change.is_deleted:
                 self._stored = {}
-                self._revision = 0
+                self._revision = NO_REVISION
             else:
                 self._take_in(change.stored)
 
     def _take_in(self, stored: StoredObject) -> None:
-        revision = stored.metadata.revision
+        revision = stored.revision
         if stored.metadata.name != SUSPECTS_NAME or revision < self._revision:
             return
         self._revision = revision
@@ -187,5 +184,5 @@
     )
 
 
-def _pass_revision(_revision: int) -> None:
+def _pass_revision(_revision: Revision) -> None:
     """Leave the store's revision to the other followers."""
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -18,7 +18,7 @@
     UnusableEntry,
     decode_upstream_entry,
 )
-from wardstair.process.log import log_warning
+from wardstair.process.log import log_event, log_warning
 from wardstair.state.belief import Belief
 from wardstair.state.contact import StoreContact
 from wardstair.state.entries import UpstreamEntry
@@ -28,6 +28,7 @@
     FollowPlan,
     FollowSinks,
 )
+from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.roles import Roles, ignore
 
 # How long another watch may take to bring a change that the revision tells of.
@@ -140,12 +141,12 @@
     def _wants_upstreams(self) -> bool:
         if not self._roles.is_sentinel():
             return False
-        if self._belief.catalog.revision:
+        if self._belief.catalog.revision != NO_REVISION:
             # Others may have told more than this host's own watch before.
             self.upstreams.skip_to(self._belief.catalog.revision)
         return True
 
-    def _note_revision(self, revision: int) -> None:
+    def _note_revision(self, revision: Revision) -> None:
         """Renew watches that have not brought what the revision tells of."""
         behind = self._behind(revision)
         if not behind or not self._roles.is_sentinel():
@@ -153,11 +154,11 @@
         if self._checking is None or self._checking.done():
             self._checking = asyncio.ensure_future(self._check(revision))
 
-    def _behind(self, revision: int) -> list[Follower]:
+    def _behind(self, revision: Revision) -> list[Follower]:
         followers = (self.configuration, self.evacuations, self.upstreams)
         return [one for one in followers if one.revision < revision]
 
-    async def _check(self, revision: int) -> None:
+    async def _check(self, revision: Revision) -> None:
         await asyncio.sleep(LAG_SECONDS)
         for follower in self._behind(revision):
             follower.drop_watch()
@@ -188,7 +189,7 @@
                 self._evacuated.add(zone)
         self._tell_evacuated(changes.revision, 'watch')
 
-    def _tell_evacuated(self, revision: int, source: str) -> None:
+    def _tell_evacuated(self, revision: Revision, source: str) -> None:
         if self._belief.set_evacuated(self._evacuated, revision, source):
             self.on_news()
 
@@ -208,8 +209,17 @@
 
     def _change_upstreams(self, changes: Changes) -> None:
         catalog = self._belief.catalog
-        if not changes.changes or changes.revision <= catalog.revision:
-            # Nothing new: a higher revision alone would make the others fetch.
+        if not changes.changes:
+            # A higher revision alone would make the others fetch.
+            return
+        if changes.revision <= catalog.revision:
+            log_event(
+                'news-ignored',
+                kind=UPSTREAM_KIND,
+                revision=changes.revision,
+                known=catalog.revision,
+                source='watch',
+            )
             return
         # One object may change several times in one answer: the last counts.
         last = {
--- a/tests/functional/test_foreign_entries.py
+++ b/tests/functional/test_foreign_entries.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from lib.revisions import at
 from lib.rig import Rig, until
 from lib.specs import ADDRESS, Stored, upstream_spec
 from lib.store_standin import StoreStandin
@@ -82,7 +83,7 @@
         assert isinstance(listed, Ok)
         names = [one.metadata.name for one in listed.ok_value.objects]
         assert names == ['i-1']
-        waiting = asyncio.ensure_future(store.watch_kind('servers', 1, 5))
+        waiting = asyncio.ensure_future(store.watch_kind('servers', at(1), 5))
         await until(lambda: len(standin.calls) == 2)
         bad: Stored = {'metadata': 'none'}
         held = standin.kind('servers')
--- a/tests/unit/test_catalog.py
+++ b/tests/unit/test_catalog.py
@@ -7,12 +7,14 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from lib.revisions import at
 from lib.upstreams import ENTRY, Clock
 
 from wardstair.state.belief import Belief
 from wardstair.state.catalog import RETURN_SECONDS, Catalog
 from wardstair.state.contact import StoreContact
 from wardstair.state.entries import UpstreamPhase
+from wardstair.state.revision import NO_REVISION
 from wardstair.state.upstream import (
     EJECT_SECONDS,
     EJECT_SLOWNESS,
@@ -30,15 +32,15 @@
 
 def filled(clock: Clock) -> Catalog:
     catalog = Catalog(clock)
-    catalog.replace_all([ENTRY, OTHER], 5, store_was_away=False)
+    catalog.replace_all([ENTRY, OTHER], at(5), store_was_away=False)
     return catalog
 
 
 def test_a_draining_or_deleted_upstream_gets_nothing() -> None:
     catalog = filled(Clock())
-    catalog.apply([DRAINING], [], 6, store_was_away=False)
+    catalog.apply([DRAINING], [], at(6), store_was_away=False)
     assert names(catalog) == ['i-2']
-    catalog.apply([], ['i-2'], 7, store_was_away=False)
+    catalog.apply([], ['i-2'], at(7), store_was_away=False)
     assert names(catalog) == []
 
 
@@ -48,11 +50,11 @@
 ) -> None:
     clock = Clock()
     catalog = filled(clock)
-    catalog.replace_all([OTHER], 9, store_was_away=True)
+    catalog.replace_all([OTHER], at(9), store_was_away=True)
     assert names(catalog) == ['i-1', 'i-2']
     clock.now += RETURN_SECONDS / 2
     if comes_back:
-        catalog.apply([ENTRY], [], 10, store_was_away=True)
+        catalog.apply([ENTRY], [], at(10), store_was_away=True)
     clock.now += RETURN_SECONDS
     catalog.expire_missing()
     assert names(catalog) == (['i-1', 'i-2'] if comes_back else ['i-2'])
@@ -61,7 +63,7 @@
 def test_a_listing_does_not_bring_back_an_upstream_that_ended() -> None:
     catalog = filled(Clock())
     catalog.mark_gone('i-1')
-    catalog.replace_all([ENTRY, OTHER], 9, store_was_away=False)
+    catalog.replace_all([ENTRY, OTHER], at(9), store_was_away=False)
     assert names(catalog) == ['i-2']
 
 
@@ -69,14 +71,14 @@
     clock = Clock()
     catalog = filled(clock)
     cold = replace(ENTRY, cold_seconds=3.0)
-    catalog.apply([cold], [], 6, store_was_away=False)
+    catalog.apply([cold], [], at(6), store_was_away=False)
     (one,) = (up for up in catalog.of_service('views') if up.name == 'i-1')
     assert one.is_cold(clock.now + 2.9)
     assert not one.is_cold(clock.now + 3.0)
     clock.now += 1
     (told,) = (
         entry
-        for entry in catalog.changes_since(0).entries
+        for entry in catalog.changes_since(NO_REVISION).entries
         if entry.name == 'i-1'
     )
     assert told.cold_seconds == pytest.approx(2.0)
@@ -126,10 +128,10 @@
     clock = Clock()
     catalog = filled(clock)
     belief = Belief(clock, catalog)
-    assert belief.set_evacuated(['a1'], 7, 'watch')
-    assert not belief.set_evacuated([], 6, 'host:late')
+    assert belief.set_evacuated(['a1'], at(7), 'watch')
+    assert not belief.set_evacuated([], at(6), 'host:late')
     assert belief.evacuated == {'a1'}
-    assert belief.set_evacuated([], 8, 'watch')
+    assert belief.set_evacuated([], at(8), 'watch')
     # No configuration tells how long services stay cold: not at all, then.
     assert not catalog.of_service('views')[0].is_cold(clock.now)
 
--- a/tests/unit/test_catalog_changes.py
+++ b/tests/unit/test_catalog_changes.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from lib.revisions import at
 from lib.upstreams import ENTRY, Clock
 
 from wardstair.fleet.sharing import (
@@ -14,6 +15,7 @@
 )
 from wardstair.state.catalog import MOST_REMOVED, RETURN_SECONDS, Catalog
 from wardstair.state.entries import UpstreamPhase
+from wardstair.state.revision import NO_REVISION
 
 
 def facts(catalog: Catalog) -> dict[str, UpstreamPhase]:
@@ -51,9 +53,9 @@
 ) -> None:
     clock = Clock()
     source, target = Catalog(clock), Catalog(clock)
-    source.replace_all([], 1, store_was_away=False)
+    source.replace_all([], at(1), store_was_away=False)
     for revision, (number, step) in enumerate(steps, start=2):
-        entry = replace(ENTRY, name=f'i-{number}', revision=revision)
+        entry = replace(ENTRY, name=f'i-{number}', revision=at(revision))
         put = []
         deleted = []
         match step:
@@ -73,7 +75,7 @@
             case _:
                 deleted = [entry.name]
         lapses = step == 'lapse'
-        source.apply(put, deleted, revision, store_was_away=lapses)
+        source.apply(put, deleted, at(revision), store_was_away=lapses)
     hand_on(source, target)
     assert facts(target) == facts(source)
     clock.now += RETURN_SECONDS
@@ -85,39 +87,43 @@
 def test_only_what_has_changed_travels() -> None:
     source, target = Catalog(Clock()), Catalog(Clock())
     entries = [
-        replace(ENTRY, name=f'i-{n}', revision=n + 1) for n in range(300)
+        replace(ENTRY, name=f'i-{n}', revision=at(n + 1)) for n in range(300)
     ]
-    source.replace_all(entries, 300, store_was_away=False)
+    source.replace_all(entries, at(300), store_was_away=False)
     assert hand_on(source, target) == 300
-    changed = replace(entries[5], revision=301, phase=UpstreamPhase.draining)
-    source.apply([changed], ['i-7'], 301, store_was_away=False)
+    changed = replace(
+        entries[5], revision=at(301), phase=UpstreamPhase.draining
+    )
+    source.apply([changed], ['i-7'], at(301), store_was_away=False)
     assert hand_on(source, target) <= 2
     assert facts(target) == facts(source)
 
 
 def test_a_host_that_is_far_behind_gets_the_whole_list() -> None:
     source, target = Catalog(Clock()), Catalog(Clock())
-    old = replace(ENTRY, name='old', revision=1)
-    source.replace_all([old], 1, store_was_away=False)
+    old = replace(ENTRY, name='old', revision=at(1))
+    source.replace_all([old], at(1), store_was_away=False)
     hand_on(source, target)
     for number in range(MOST_REMOVED + 2):
         name = f'i-{number}'
         revision = 2 + number * 2
-        entry = replace(ENTRY, name=name, revision=revision)
-        source.apply([entry], [], revision, store_was_away=False)
-        source.apply([], [name], revision + 1, store_was_away=False)
-    source.apply([], ['old'], 5000, store_was_away=False)
-    assert source.changes_since(target.revision).since == 0
+        entry = replace(ENTRY, name=name, revision=at(revision))
+        source.apply([entry], [], at(revision), store_was_away=False)
+        source.apply([], [name], at(revision + 1), store_was_away=False)
+    source.apply([], ['old'], at(5000), store_was_away=False)
+    assert source.changes_since(target.revision).since == NO_REVISION
     hand_on(source, target)
     assert facts(target) == facts(source) == {}
 
 
 def test_changes_that_leave_a_gap_are_not_taken() -> None:
     source, target = Catalog(Clock()), Catalog(Clock())
-    source.replace_all([], 5, store_was_away=False)
-    source.apply([replace(ENTRY, revision=9)], [], 9, store_was_away=False)
-    assert not target.take_over(source.changes_since(7))
-    assert target.revision == 0
+    source.replace_all([], at(5), store_was_away=False)
+    source.apply(
+        [replace(ENTRY, revision=at(9))], [], at(9), store_was_away=False
+    )
+    assert not target.take_over(source.changes_since(at(7)))
+    assert target.revision == NO_REVISION
 
 
 def test_a_configuration_travels_deflated() -> None:
@@ -126,7 +132,7 @@
         for n in range(1400)
     }
     encoder = StateEncoder()
-    state = SharedState(configuration=SharedConfiguration(7, routes))
+    state = SharedState(configuration=SharedConfiguration(at(7), routes))
     encoded = encoder.encode(state)
     assert len(encoded) < 30000
     assert decode_state(encoded) == state
--- a/tests/unit/test_cold_after_evacuation.py
+++ b/tests/unit/test_cold_after_evacuation.py
@@ -11,6 +11,7 @@
 from random import Random
 
 import pytest
+from lib.revisions import at
 from lib.specs import configuration_spec
 from lib.upstreams import ENTRY, Clock
 
@@ -73,15 +74,15 @@
     clock = Clock()
     source, newcomer = belief_of(clock), belief_of(clock)
     other = replace(ENTRY, name='i-2', zone='b1')
-    source.catalog.replace_all([ENTRY, other], 5, store_was_away=False)
+    source.catalog.replace_all([ENTRY, other], at(5), store_was_away=False)
     if begins or ends:
-        source.set_evacuated([ZONE], 6, 'watch')
+        source.set_evacuated([ZONE], at(6), 'watch')
     newcomer.catalog.take_over(told_by(source))
     if begins:
-        newcomer.set_evacuated([ZONE], 6, 'host:a')
+        newcomer.set_evacuated([ZONE], at(6), 'host:a')
     clock.now += 1
     if ends:
-        newcomer.set_evacuated([], 7, 'host:b')
+        newcomer.set_evacuated([], at(7), 'host:b')
     upstreams = newcomer.catalog.upstreams
     assert upstreams['i-1'].is_cold(clock.now) is is_cold
     assert not upstreams['i-2'].is_cold(clock.now)
--- a/tests/unit/test_joining.py
+++ b/tests/unit/test_joining.py
@@ -6,6 +6,7 @@
 import pytest
 from lib.beats import beat_of
 from lib.logs import logged
+from lib.revisions import at
 from lib.wire import Wire, zone_hosts
 
 from wardstair.fleet.beats import Versions
@@ -153,7 +154,7 @@
         assert newcomer.is_relay
         newcomer.hear(beat_of(peers[0]))
         assert newcomer.is_relay
-        newcomer.hear(beat_of(peers[1], versions=Versions(1, 1, 1)))
+        newcomer.hear(beat_of(peers[1], versions=Versions(1, at(1), at(1))))
         assert not newcomer.is_relay
         wire.now = 106
         for number, peer in enumerate(peers[:3]):
--- a/tests/unit/test_lives.py
+++ b/tests/unit/test_lives.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from lib.revisions import at
 from lib.specs import upstream_spec
 from lib.upstreams import ENTRY, Clock
 
@@ -16,10 +17,11 @@
 )
 from wardstair.state.catalog import Catalog, CatalogChanges
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
+from wardstair.state.revision import NO_REVISION
 from wardstair.state.upstream import RunningSend
 
-OLD = replace(ENTRY, born=100, revision=5)
-NEW = replace(ENTRY, born=200, revision=7, cold_seconds=3.0)
+OLD = replace(ENTRY, born=100, revision=at(5))
+NEW = replace(ENTRY, born=200, revision=at(7), cold_seconds=3.0)
 
 
 def catalog_with(*entries: UpstreamEntry) -> Catalog:
@@ -27,7 +29,7 @@
     clock.now = 50.0
     catalog = Catalog(clock)
     for number, entry in enumerate(entries, start=10):
-        catalog.apply([entry], [], number, store_was_away=False)
+        catalog.apply([entry], [], at(number), store_was_away=False)
     return catalog
 
 
@@ -41,7 +43,7 @@
     before.running[1] = RunningSend(49.0, 0.1, 0.1)
     ended: list[str] = []
     catalog.on_life_ended = ended.append
-    catalog.apply([NEW], [], 20, store_was_away=False)
+    catalog.apply([NEW], [], at(20), store_was_away=False)
     after = catalog.upstreams[ENTRY.name]
     assert after is not before
     assert ended == [ENTRY.name]
@@ -60,9 +62,9 @@
     'late',
     [
         pytest.param(OLD, id='the life before'),
-        pytest.param(replace(OLD, revision=9), id='written late by it'),
+        pytest.param(replace(OLD, revision=at(9)), id='written late by it'),
         pytest.param(
-            replace(NEW, revision=6, phase=UpstreamPhase.draining),
+            replace(NEW, revision=at(6), phase=UpstreamPhase.draining),
             id='an older word of this life',
         ),
     ],
@@ -72,24 +74,24 @@
 ) -> None:
     catalog = catalog_with(NEW)
     known = catalog.upstreams[ENTRY.name]
-    catalog.apply([late], [], 21, store_was_away=False)
+    catalog.apply([late], [], at(21), store_was_away=False)
     assert catalog.upstreams[ENTRY.name] is known
     assert known.entry == NEW
 
 
-@given(st.permutations([OLD, NEW, replace(NEW, revision=8), OLD]))
+@given(st.permutations([OLD, NEW, replace(NEW, revision=at(8)), OLD]))
 def test_hosts_that_hear_in_any_order_end_up_the_same(
     entries: list[UpstreamEntry],
 ) -> None:
     catalog = catalog_with(*entries)
-    assert catalog.upstreams[ENTRY.name].entry == replace(NEW, revision=8)
+    assert catalog.upstreams[ENTRY.name].entry == replace(NEW, revision=at(8))
 
 
 def test_a_life_whose_address_was_taken_does_not_end_the_next() -> None:
     catalog = catalog_with(OLD)
     catalog.mark_gone(ENTRY.name)
     assert not catalog.of_service('views')
-    catalog.apply([NEW], [], 20, store_was_away=False)
+    catalog.apply([NEW], [], at(20), store_was_away=False)
     assert len(catalog.of_service('views')) == 1
 
 
@@ -102,7 +104,7 @@
     assert catalog.upstreams[ENTRY.name].is_cold(55.9)
     # It may live after all.
     assert not catalog.upstreams[ENTRY.name].is_avoided(56.0)
-    catalog.apply([NEW], [], 20, store_was_away=False)
+    catalog.apply([NEW], [], at(20), store_was_away=False)
     assert not catalog.upstreams[ENTRY.name].is_avoided(50.0)
     # Word of the life before that comes late says nothing of this one.
     catalog.note_ended(f'{ENTRY.name}@{OLD.born}')
@@ -110,7 +112,7 @@
 
 
 def test_other_hosts_are_told_of_lives() -> None:
-    changes = CatalogChanges(0, 9, (NEW,))
+    changes = CatalogChanges(NO_REVISION, at(9), (NEW,))
     decoded = decode_state(
         StateEncoder().encode(SharedState(None, None, changes))
     )
--- a/tests/unit/test_ranked_homes.py
+++ b/tests/unit/test_ranked_homes.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 import pytest
+from lib.revisions import at
 from lib.rig import gateway_settings
 from lib.upstreams import ENTRY, Clock
 
@@ -46,7 +47,7 @@
             replace(ENTRY, name=f'i-{number}', zone=ZONES[number % 4])
             for number in range(12)
         ]
-        self.belief.catalog.replace_all(entries, 1, store_was_away=False)
+        self.belief.catalog.replace_all(entries, at(1), store_was_away=False)
 
     def tell(self, load_of: Callable[[str], int], seconds: int) -> None:
         """Let all upstreams tell their load for some seconds."""
--- a/tests/unit/test_region_moves.py
+++ b/tests/unit/test_region_moves.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 
 import pytest
+from lib.revisions import at
 from lib.rig import gateway_settings
 from lib.specs import configuration_spec, route_spec
 from lib.upstreams import ENTRY, Clock
@@ -88,9 +89,9 @@
 
     def adopt(self, entries: list[UpstreamEntry]) -> None:
         """Replace what the catalog holds."""
-        revision = self.belief.catalog.revision + 1
+        revision = self.belief.catalog.revision.number + 1
         catalog = self.belief.catalog
-        catalog.replace_all(entries, revision, store_was_away=False)
+        catalog.replace_all(entries, at(revision), store_was_away=False)
 
     def shares(self) -> dict[str, float]:
         """Return the part of its requests that runs in each region."""
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from lib.beats import beat_of, peer_of
+from lib.revisions import at
 from lib.wire import Wire, zone_hosts
 
 from wardstair.decisions.relays import RelayCandidate, choose_relays
@@ -166,7 +167,7 @@
         kind=BeatKind.redirect,
         zone_size=3,
         fleet_size=40,
-        versions=Versions(3, 4, 5),
+        versions=Versions(3, at(4), at(5)),
         named=(peer_of('b'), peer_of('c')),
     )
     assert decode_beat(encode_beat(beat)) == beat
--- a/tests/unit/test_sharing.py
+++ b/tests/unit/test_sharing.py
@@ -1,13 +1,14 @@
 """What a host says it has, as another host reads it."""
 
 import pytest
+from lib.revisions import at
 
 from wardstair.fleet.beats import Versions
 from wardstair.fleet.sharing import decode_versions, encode_versions
 
 
 def test_versions_come_back_as_they_were_told() -> None:
-    told = Versions(-1, 2, 3, 2**48 - 1, 2**48 - 2)
+    told = Versions(-1, at(2), at(3), 2**48 - 1, 2**48 - 2)
     assert decode_versions(encode_versions(told)) == told
 
 
--- a/tests/unit/test_witness.py
+++ b/tests/unit/test_witness.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 import pytest
+from lib.revisions import at
 from lib.rig import until
 
 from wardstair.connection.probe import ProbeOutcome
@@ -27,7 +28,7 @@
     4,
     UpstreamPhase.ready,
     0.0,
-    revision=5,
+    revision=at(5),
     born=100,
 )
 
@@ -37,7 +38,7 @@
 
     def __init__(self, *outcomes: ProbeOutcome) -> None:
         self.catalog = Catalog(lambda: 1.0)
-        self.catalog.replace_all([ENTRY], 5, store_was_away=False)
+        self.catalog.replace_all([ENTRY], at(5), store_was_away=False)
         self.table = SuspectTable()
         self.outcomes = list(outcomes)
         self.witness = Witness(
@@ -58,12 +59,12 @@
         return self.outcomes.pop(0)
 
     def put(self, **changes: object) -> None:
-        entry = replace(ENTRY, revision=6, **changes)  # type: ignore[arg-type]
-        self.catalog.apply([entry], [], 6, store_was_away=False)
+        entry = replace(ENTRY, revision=at(6), **changes)  # type: ignore[arg-type]
+        self.catalog.apply([entry], [], at(6), store_was_away=False)
 
     def remove(self) -> None:
         # A request is still at it, so that its object stays.
-        self.catalog.apply([], ['u1'], 6, store_was_away=False)
+        self.catalog.apply([], ['u1'], at(6), store_was_away=False)
 
     def break_off(self, request: str = 'a') -> None:
         upstream = self.catalog.upstreams['u1']
