List a kind anew when the store was restored, whatever its numbers say

Cause: a watch goes on from a number. Once the restored store has issued that number again it answers the watch as usual, without what was written below it. Ruled out: configurations, which stale reads bring.

Why it holds: a follower counts as listed only for the era that it has read in; the era comes with each answer of any call, and a new one ends all waiting watches.

--- a/src/wardstair/state/contact.py
+++ b/src/wardstair/state/contact.py
@@ -54,10 +54,11 @@
         return self.heard_at is not None and not self.is_lost
 
     def next_regain(self) -> 'asyncio.Future[None]':
-        """Return a future that ends when contact is next regained.
+        """Return a future that ends when watches are to be renewed.
 
-        A watch that was waiting when contact was lost may never be answered,
-        so whoever waits for one waits for this as well.
+        That is when contact is regained, or the store was restored. A watch
+        that was waiting then may never be answered, so whoever waits for one
+        waits for this as well.
         """
         if self._regained is None:
             self._regained = asyncio.get_running_loop().create_future()
@@ -73,10 +74,7 @@
             self._back_at = self._clock()
             away = round(self._clock() - self._lost_at, 2)
             log_event('store-regained', away=away)
-            regained = self._regained
-            self._regained = None
-            if regained is not None and not regained.done():
-                regained.set_result(None)
+            self._end_watches()
 
     def note_era(self, era: int) -> None:
         """Note that the store answered in a later era than before."""
@@ -84,6 +82,14 @@
             self.restores += 1
             log_warning('store-restored', era=era, before=self.era)
         self.era = era
+        # Watches of the era before end, also those that were cut silently.
+        self._end_watches()
+
+    def _end_watches(self) -> None:
+        regained = self._regained
+        self._regained = None
+        if regained is not None and not regained.done():
+            regained.set_result(None)
 
     def note_failure(self, reason: str) -> None:
         """Note that the store did not answer as it should."""
--- a/src/wardstair/state/following.py
+++ b/src/wardstair/state/following.py
@@ -99,8 +99,13 @@
 
     @property
     def has_listed(self) -> bool:
-        """Whether it has read the whole kind and can go on from there."""
-        return not self._needs_listing
+        """Whether it has read the whole kind and can go on from there.
+
+        A watch across a restore of the store would be answered, as its number
+        is issued again, and lack what was written below that number.
+        """
+        is_before_restore = self.revision.era < self._contact.era
+        return not (self._needs_listing or is_before_restore)
 
     def skip_to(self, revision: Revision) -> None:
         """Go on from a revision up to which another host knows everything."""
@@ -127,10 +132,10 @@
                 await self._rest()
 
     async def _look(self) -> None:
-        if self._needs_listing:
-            await self._list()
-        else:
+        if self.has_listed:
             await self._watch()
+        else:
+            await self._list()
 
     async def _rest(self) -> None:
         """Wait while others follow the kind for this host."""
@@ -158,6 +163,9 @@
             return
         self._contact.note_success()
         changes = watched.ok_value
+        if changes.revision.era > self.revision.era:
+            # Listed anew before the next watch.
+            return
         if changes.revision > self.revision:
             self.revision = changes.revision
             self._sinks.on_changes(changes)
