Hand a host of an earlier era the whole list of upstreams

In the tests a host keeps an upstream for good that ended around a restore of the store, and sends to it.

Cause: changes since a revision of the era before were handed on as if they were all that differs; the log has upstreams-adopted since=1.24 revision=2.12. The host that asks may know an upstream that the restored store lacks and the other never saw. The record of removals was not begun anew with the era either. Two tests fail before, each for one.

Why it holds: within an era numbers are issued once, and removals are on record from the revision on at which the host entered it.

--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -73,7 +73,7 @@
     def changes_since(self, revision: Revision) -> CatalogChanges:
         """Return what a host lacks that knows everything up to a revision."""
         now = self.clock()
-        since = revision if revision >= self._removed_from else NO_REVISION
+        since = revision if self._covers(revision) else NO_REVISION
         changed = [
             _with_cold(upstream.entry, max(0.0, upstream.cold_until - now))
             for upstream in self.upstreams.values()
@@ -90,6 +90,15 @@
             {name: end - now for name, end in self._missing.items()},
         )
 
+    def _covers(self, revision: Revision) -> bool:
+        """Return whether all changes since a revision are known.
+
+        Those since a revision of another era are not: that host may have read
+        what the restored store lacks and this host has never seen.
+        """
+        is_of_this_era = revision.era == self.revision.era
+        return is_of_this_era and revision >= self._removed_from
+
     def take_over(self, changes: CatalogChanges) -> bool:
         """Take in what another host has told.
 
@@ -137,7 +146,7 @@
         listed = {entry.name: entry for entry in entries}
         for entry in listed.values():
             self._put(entry)
-        if self.revision == NO_REVISION:
+        if revision.era > self.revision.era or self.revision == NO_REVISION:
             # What was removed before is not known.
             self._removed_from = revision
         self.revision = revision
--- a/tests/unit/test_catalog_changes.py
+++ b/tests/unit/test_catalog_changes.py
@@ -136,3 +136,38 @@
     encoded = encoder.encode(state)
     assert len(encoded) < 30000
     assert decode_state(encoded) == state
+
+
+def test_a_host_of_an_earlier_era_gets_the_whole_list() -> None:
+    # Its number is higher, and it knows an upstream that the other never saw.
+    source, target = Catalog(Clock()), Catalog(Clock())
+    both = replace(ENTRY, name='both', revision=at(3))
+    unseen = replace(ENTRY, name='unseen', revision=at(40))
+    target.replace_all([both, unseen], at(40), store_was_away=False)
+    source.replace_all([both], at(5), store_was_away=False)
+    again = replace(both, revision=at(3, era=2))
+    source.replace_all([again], at(8, era=2), store_was_away=False)
+    assert source.changes_since(target.revision).since == NO_REVISION
+    hand_on(source, target)
+    target.clock.now += RETURN_SECONDS  # type: ignore[attr-defined]
+    target.expire_missing()
+    assert facts(target) == facts(source)
+
+
+def test_what_was_removed_before_the_restore_is_told_after_it() -> None:
+    # The source was not there when the other heard of the new era first.
+    source, target = Catalog(Clock()), Catalog(Clock())
+    gone = replace(ENTRY, name='gone', revision=at(3, era=2))
+    source.replace_all([], at(40), store_was_away=False)
+    target.replace_all([gone], at(7, era=2), store_was_away=False)
+    source.replace_all([], at(9, era=2), store_was_away=False)
+    hand_on(source, target)
+    assert facts(target) == facts(source)
+
+
+def test_configurations_of_one_number_in_two_eras_are_told_apart() -> None:
+    encoder = StateEncoder()
+    for era in (1, 2):
+        shared = SharedConfiguration(at(7, era), {'version': str(era)})
+        state = SharedState(configuration=shared)
+        assert decode_state(encoder.encode(state)) == state
