Read the object of harmful requests right before it is written

In the tests a restored store keeps its old object of requests that end upstreams, and what another host wrote to it is lost.

A write names the revision that it replaces; issued again for another host's words, the condition holds by chance.

Why it holds: the revision that a write names has been read some 10 ms before, in the store's present era. One call more a write; such writes come only when upstreams end under requests.

--- a/src/wardstair/state/suspect_sharing.py
+++ b/src/wardstair/state/suspect_sharing.py
@@ -103,6 +103,14 @@
             return
 
     async def _write(self) -> None:
+        """Write what this host knows over what the object holds now.
+
+        It is read right before: after a restore of the store the revision that
+        this host knows may have been issued again, for what others wrote.
+        """
+        await self._list_anew()
+        if not self.is_due:
+            return
         shared = self._suspects.shared
         document = encode_suspects(shared, self._revision.number)
         if self._revision.number:
