Remove a host's object only as it was read in the store's present era

Cause: the removal names a revision number. A restored store issues numbers again, and the condition holds by chance for another object of the same name. The new test fails before; its other row shows that objects of silent hosts are still removed.

Why it holds: the registry is read again right before, and what has another revision, era included, is left to the next cleaning, 15 s later. Objects that a reading does not list are forgotten, so that nothing of an older era is kept. One call more for each cleaning that removes something: a host that is gone is removed once by one relay.

--- a/src/wardstair/state/registration.py
+++ b/src/wardstair/state/registration.py
@@ -27,6 +27,7 @@
 from wardstair.platform.store import Store
 from wardstair.process.log import log_event
 from wardstair.state.contact import StoreContact
+from wardstair.state.revision import Revision
 
 Step = Callable[[], Awaitable[bool]]
 # How often a relay reads who else is there: two halves of a zone that formed
@@ -66,7 +67,8 @@
         self._contact = contact
         self._own = own
         self._members = members
-        self._revisions: dict[str, int] = {}
+        # Of the hosts' objects, as last read.
+        self._revisions: dict[str, Revision] = {}
         self._is_first_start = is_first_start
         self._is_registered = False
         # Size of the fleet that this host's object states; 0 without one.
@@ -163,6 +165,7 @@
             return False
         self._contact.note_success()
         found: list[PeerName] = []
+        self._revisions = {}
         for stored in listed.ok_value.objects:
             self._note(stored, found)
         names = {peer.name for peer in found}
@@ -188,7 +191,7 @@
         peer = host.peer
         if peer.name == self._own.name and not self._is_registered:
             self._recognise(host)
-        self._revisions[peer.name] = stored.metadata.revision
+        self._revisions[peer.name] = stored.revision
         members = self._members
         members.registered_size = max(members.registered_size, host.fleet_size)
         found.append(peer)
@@ -204,22 +207,31 @@
         """Remove hosts that are gone; one relay does it for each."""
         if not self._contact.is_held:
             return
+        known = self._revisions
+        stale = [name for name in self._members.forgotten() if name in known]
         relays = self._members.relays
-        for name in self._members.forgotten():
-            chosen = rendezvous(relays, f'clean {name}', 1)
-            if chosen != [self._own.name]:
-                continue
-            revision = self._revisions.get(name)
-            if revision is None:
-                continue
-            deleted = await self._store.delete(HOST_KIND, name, revision)
-            match deleted:
-                case Ok() | Err(ObjectMissing()) | Err(VersionConflict()):
-                    # In conflict the host has registered anew: it lives.
-                    self._revisions.pop(name, None)
-                    log_event('host-removed', host=name, outcome=str(deleted))
-                case Err(error):
-                    # Tried again at the next cleaning.
-                    reason = getattr(error, 'message', type(error).__name__)
-                    log_event('host-not-removed', host=name, reason=reason)
-                    return
+        mine = [
+            name
+            for name in stale
+            if rendezvous(relays, f'clean {name}', 1) == [self._own.name]
+        ]
+        if not mine:
+            return
+        # A restored store may have issued a number again, for a host that has
+        # registered anew and lives: only its era tells.
+        await self._until_done(self._find)
+        for name in mine:
+            if self._revisions.get(name) == known[name]:
+                await self._remove(name, known[name])
+
+    async def _remove(self, name: str, revision: Revision) -> None:
+        deleted = await self._store.delete(HOST_KIND, name, revision.number)
+        match deleted:
+            case Ok() | Err(ObjectMissing()) | Err(VersionConflict()):
+                # In conflict the host has registered anew: it lives.
+                self._revisions.pop(name, None)
+                log_event('host-removed', host=name, outcome=str(deleted))
+            case Err(error):
+                # Tried again at the next cleaning.
+                reason = getattr(error, 'message', type(error).__name__)
+                log_event('host-not-removed', host=name, reason=reason)
--- a/tests/lib/store_standin.py
+++ b/tests/lib/store_standin.py
@@ -216,6 +216,20 @@
         self._store.put(kind, name, document['spec'])
         self._finish_write(kind, name)
 
+    def delete(self, kind: str, name: str | None) -> None:
+        assert name is not None
+        held = self._store.kind(kind).objects.get(name)
+        if held is None:
+            self.set_status(404)
+            return
+        revision = self.get_argument('revision', None)
+        if revision is not None and not _is_at(held, int(revision)):
+            self.set_status(409)
+            self.finish(json.dumps(held))
+            return
+        self._store.delete(kind, name)
+        self.finish('{}')
+
     def _finish_write(self, kind: str, name: str) -> None:
         if self._store.hides_written:
             self.finish('{}')
