Keep evacuations that a restored store lacks until they can be written again

Cause: what a restored store does not list was taken for ended, and a host that starts then reads the store without it. The functional test fails on the commit before, for one restore and for two in a row. Ruled out: the order of revisions, which makes hosts follow the restored store at once.

Change: while a restore is recent (four heartbeats of an upstream, read from the settings), what was in force and is not listed is kept, and told to hosts that lack it by a digest in heartbeats. The age of the restore is told as well and the earliest notice counts, so a host that has the store back late brings nothing back.

Why it holds: a property test draws which of three hosts reads which of seven listings in three eras, and who tells whom: revisions never fall and all end up the same.

--- a/src/wardstair/fleet/beats.py
+++ b/src/wardstair/fleet/beats.py
@@ -64,6 +64,8 @@
         suspects: Digest of what it knows of requests that end upstreams; not
             newer or older, but the same or another.
         limits: Digest of what it knows of limits that upstreams name; likewise.
+        kept: Digest of the evacuations that it keeps after a restore of the
+            store; 0 for none.
     """
 
     configuration: int = -1
@@ -71,6 +73,7 @@
     upstreams: Revision = NO_REVISION
     suspects: int = 0
     limits: int = 0
+    kept: int = 0
 
     @property
     def numbers(self) -> list[int]:
@@ -83,6 +86,7 @@
             self.upstreams.number,
             self.suspects,
             self.limits,
+            self.kept,
         ]
 
 
@@ -94,13 +98,15 @@
     """
     configuration, *rest = numbers
     evacuations_era, evacuations, *rest = rest
-    upstreams_era, upstreams, suspects, limits = rest
+    upstreams_era, upstreams, *rest = rest
+    suspects, limits, kept = rest
     return Versions(
         configuration,
         Revision(evacuations_era, evacuations),
         Revision(upstreams_era, upstreams),
         suspects,
         limits,
+        kept,
     )
 
 
--- a/src/wardstair/fleet/sharing.py
+++ b/src/wardstair/fleet/sharing.py
@@ -56,6 +56,22 @@
     zones: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class SharedRestore:
+    """A restore of the store that is some seconds old.
+
+    Attributes:
+        era: The era that began with it.
+        age: Seconds since the sender knows of it.
+        zones: Availability zones that the sender keeps evacuated though the
+            store lacks them.
+    """
+
+    era: int
+    age: float
+    zones: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class SharedState:
     """The parts in which the sender is ahead; None for the others."""
@@ -65,6 +81,7 @@
     upstreams: CatalogChanges | None = None
     suspects: Mapping[str, Evidence] = field(default_factory=dict)
     limits: Mapping[str, SharedLimit] = field(default_factory=dict)
+    restore: SharedRestore | None = None
 
 
 @dataclass(slots=True)
@@ -100,6 +117,7 @@
                     [name, one.born, one.rate, round(one.age, 3)]
                     for name, one in state.limits.items()
                 ],
+                state.restore and _restore_row(state.restore),
             ]
         )
 
@@ -123,6 +141,7 @@
             row[3] and _changes(row[3]),
             _suspects(*row[4]),
             _limits(row[5]),
+            row[6] and _restore(*row[6]),
         )
     except UNREADABLE:
         return None
@@ -167,6 +186,14 @@
     return SharedEvacuations(Revision(era, number), tuple(zones))
 
 
+def _restore_row(restore: SharedRestore) -> list[object]:
+    return [restore.era, round(restore.age, 3), list(restore.zones)]
+
+
+def _restore(era: int, age: float, zones: Iterable[str]) -> SharedRestore:
+    return SharedRestore(int(era), float(age), tuple(zones))
+
+
 def _suspects_row(suspects: Mapping[str, Evidence]) -> list[object]:
     """Return lives once, and requests with numbers of lives."""
     lives: dict[str, int] = {}
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -106,6 +106,9 @@
         self._random = random
         self.belief = Belief(clock, Catalog(clock))
         self.belief.on_steering = self._on_steering
+        self.belief.restoration.period = lambda: (
+            self.live_settings.current.heartbeat.lapse_seconds
+        )
         self.store = Store(settings.store)
         self.contact = StoreContact(clock, random)
         self.store.on_era = self.contact.note_era
@@ -353,6 +356,7 @@
             self.chooser.cold_sends.forget(set(catalog.upstreams))
             self.chooser.limited_sends.forget(catalog.upstreams)
             self.loads.step()
+            self.belief.end_restore()
             self.belief.suspects.expire()
             self.belief.limits.forget(catalog.upstreams)
             self.views.refresh()
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -87,8 +87,9 @@
     ),
     _kind(
         'evacuations-changed',
-        'the set of zones that get nothing has changed',
-        'zones ended revision source',
+        'the set of zones that get nothing has changed; `kept`: those that a '
+        'restored store lacks and that may be written again',
+        'zones kept ended revision source',
     ),
     _kind(
         'upstream-changed',
--- a/src/wardstair/state/belief.py
+++ b/src/wardstair/state/belief.py
@@ -6,9 +6,11 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
+from zlib import crc32
 
 from wardstair.errors import ConfigurationError
 from wardstair.fleet.beats import Versions
+from wardstair.fleet.sharing import SharedRestore
 from wardstair.platform.objects import (
     CONFIGURATION_NAME,
     EVACUATION_KIND,
@@ -19,6 +21,7 @@
 from wardstair.state.catalog import Catalog, CatalogChanges
 from wardstair.state.entries import UpstreamEntry
 from wardstair.state.limits import LimitTable
+from wardstair.state.restoration import Restoration
 from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.suspects import SuspectTable
 from wardstair.version.steering import Steering
@@ -37,8 +40,11 @@
         steering: The configuration in force, or None.
         document: The stored object it was decoded from, for other hosts.
         adopted_at: When it was adopted.
-        evacuated: Availability zones that get nothing.
-        evacuations_revision: Store revision of that set.
+        evacuated: Availability zones that get nothing, kept ones included.
+        listed_zones: Those of them that the store lists.
+        kept_zones: Those of them that a restored store lacks and the operator
+            may write again.
+        evacuations_revision: Revision of the set that the store lists.
         suspects: Requests that ended upstreams.
         limits: Limits that upstreams name.
         on_steering: Called when a version is adopted.
@@ -50,10 +56,19 @@
     document: StoredObject | None = None
     adopted_at: float = 0.0
     evacuated: frozenset[str] = frozenset()
+    listed_zones: frozenset[str] = frozenset()
+    kept_zones: frozenset[str] = frozenset()
     evacuations_revision: Revision = NO_REVISION
     suspects: SuspectTable = field(default_factory=SuspectTable)
     limits: LimitTable = field(default_factory=LimitTable)
     on_steering: Callable[[], None] = field(default=lambda: None)
+    # Listed in this era and then not any more: ended, whoever keeps them.
+    _ended_zones: frozenset[str] = frozenset()
+
+    @property
+    def restoration(self) -> Restoration:
+        """The last restore of the store."""
+        return self.catalog.restoration
 
     @property
     def versions(self) -> Versions:
@@ -65,6 +80,7 @@
             self.catalog.revision,
             self.suspects.digest,
             self.limits.digest,
+            _digest_of(self.kept_zones),
         )
 
     def offer_configuration(self, stored: StoredObject, source: str) -> bool:
@@ -111,6 +127,15 @@
         self.on_steering()
         return True
 
+    @property
+    def shared_restore(self) -> SharedRestore | None:
+        """What other hosts should know of a restore; None if there is none."""
+        age = self.restoration.age
+        if age is None or not self.restoration.is_recent:
+            return None
+        zones = tuple(sorted(self.kept_zones))
+        return SharedRestore(self.restoration.era, age, zones)
+
     def set_evacuated(
         self,
         zones: Iterable[str],
@@ -120,7 +145,8 @@
         """Take in the zones that get nothing; return whether that is news.
 
         Args:
-            zones: All of them.
+            zones: All that the store lists. After a restore those that it
+                lacks are kept for a while.
             revision: Store revision of the set; older ones are ignored.
             source: Where it came from, for the log.
         """
@@ -133,10 +159,10 @@
                 source=source,
             )
             return False
-        now_evacuated = frozenset(zones)
-        ended = self.evacuated - now_evacuated
-        is_known = self.evacuations_revision != NO_REVISION
-        if is_known and now_evacuated == self.evacuated:
+        listed = frozenset(zones)
+        known = self.evacuations_revision
+        is_of_this_era = known != NO_REVISION and known.era == revision.era
+        if is_of_this_era and listed == self.listed_zones:
             # The revision of the change stays, so that each reading does not
             # make this host look ahead of the others. What another host tells
             # is taken over: hosts that listed at different times agree then.
@@ -144,7 +170,46 @@
                 self.evacuations_revision = revision
             return False
         self.evacuations_revision = revision
-        self.evacuated = now_evacuated
+        self.restoration.enter(revision.era)
+        if is_of_this_era:
+            self._ended_zones |= self.listed_zones - listed
+            kept = self.kept_zones - listed
+        else:
+            self._ended_zones = frozenset()
+            kept = self.evacuated - listed
+        self.listed_zones = listed
+        if not self.restoration.is_recent:
+            kept = frozenset()
+        self._evacuate(kept, source)
+        return True
+
+    def keep_evacuated(self, zones: Iterable[str], era: int) -> None:
+        """Keep zones that another host knew as evacuated before a restore.
+
+        A host that starts after the restore reads the store without them.
+
+        Args:
+            zones: What the other host keeps.
+            era: The era whose store lacks them.
+        """
+        is_of_this_era = era == self.evacuations_revision.era
+        if not (is_of_this_era and self.restoration.is_recent):
+            return
+        settled = self.listed_zones | self._ended_zones
+        kept = self.kept_zones | (frozenset(zones) - settled)
+        if kept != self.kept_zones:
+            self._evacuate(kept, OTHER_HOST)
+
+    def end_restore(self) -> None:
+        """Give up what a restored store lacks and nobody wrote again."""
+        if self.kept_zones and not self.restoration.is_recent:
+            self._evacuate(frozenset(), 'not-written-again')
+
+    def _evacuate(self, kept: frozenset[str], source: str) -> None:
+        before = self.evacuated
+        self.kept_zones = kept
+        self.evacuated = self.listed_zones | kept
+        ended = before - self.evacuated
         self.catalog.generation += 1
         for zone in ended:
             # Its upstreams may have restarted meanwhile; their own word that
@@ -152,12 +217,12 @@
             self.catalog.mark_cold(zone, self._cold_seconds)
         log_event(
             'evacuations-changed',
-            zones=','.join(sorted(now_evacuated)),
+            zones=','.join(sorted(self.evacuated)),
+            kept=','.join(sorted(kept)),
             ended=','.join(sorted(ended)),
-            revision=revision,
+            revision=self.evacuations_revision,
             source=source,
         )
-        return True
 
     def upstreams_since(self, revision: Revision) -> CatalogChanges:
         """Return what another host lacks of the upstreams.
@@ -187,3 +252,8 @@
             return 0.0
         known = self.steering.services.get(service)
         return 0.0 if known is None else known.cold_seconds
+
+
+def _digest_of(zones: frozenset[str]) -> int:
+    """Return a number that tells sets of zones apart; 0 for none."""
+    return crc32(','.join(sorted(zones)).encode()) if zones else 0
--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -10,6 +10,7 @@
 
 from wardstair.process.log import log_event
 from wardstair.state.entries import UpstreamEntry
+from wardstair.state.restoration import Restoration
 from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.upstream import UNTOLD_SECONDS, Upstream
 
@@ -52,6 +53,7 @@
         upstreams: By name; those leaving stay until they are forgotten.
         generation: Grows when the upstreams that take work change.
         on_life_ended: Told the name of an upstream that has started again.
+        restoration: The last restore of the store.
     """
 
     clock: Callable[[], float]
@@ -59,6 +61,7 @@
     upstreams: dict[str, Upstream] = field(default_factory=dict)
     generation: int = 0
     on_life_ended: Callable[[str], None] = lambda _name: None
+    restoration: Restoration = field(init=False)
     _missing: dict[str, float] = field(default_factory=dict)
     _by_service: dict[str, list[Upstream]] = field(default_factory=dict)
     # Names with the revision up to which they had been removed, oldest first,
@@ -66,6 +69,10 @@
     _removed: deque[tuple[Revision, str]] = field(default_factory=deque)
     _removed_from: Revision = NO_REVISION
 
+    def __post_init__(self) -> None:
+        """Begin without a restore."""
+        self.restoration = Restoration(self.clock)
+
     def of_service(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that take work."""
         return self._by_service.get(service, [])
--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -54,6 +54,7 @@
 
     suspects: int
     limits: int
+    kept: int
 
 
 class StateExchange:
@@ -114,7 +115,7 @@
         if own.evacuations > theirs.evacuations:
             evacuations = SharedEvacuations(
                 own.evacuations,
-                tuple(sorted(belief.evacuated)),
+                tuple(sorted(belief.listed_zones)),
             )
         upstreams = None
         if own.upstreams > theirs.upstreams:
@@ -131,6 +132,7 @@
             upstreams,
             suspects,
             limits,
+            belief.shared_restore,
         )
         return self._encoder.encode(state)
 
@@ -159,7 +161,8 @@
             return False
         has_suspects = theirs.suspects not in {0, own.suspects}
         has_limits = theirs.limits not in {0, own.limits}
-        return has_suspects or has_limits
+        has_kept = theirs.kept not in {0, own.kept}
+        return has_suspects or has_limits or has_kept
 
     def _is_behind(self, theirs: Versions) -> bool:
         own = self._belief.versions
@@ -230,6 +233,9 @@
     def _take_in(self, state: SharedState, host: str) -> None:
         source = f'{OTHER_HOST}{host}'
         belief = self._belief
+        restore = state.restore
+        if restore is not None:
+            belief.restoration.take_over(restore.era, restore.age)
         if state.configuration is not None:
             stored = StoredObject(
                 metadata=Metadata(
@@ -246,6 +252,8 @@
                 state.evacuations.revision,
                 source,
             )
+        if restore is not None:
+            belief.keep_evacuated(restore.zones, restore.era)
         self._take_in_upstreams(state.upstreams, source)
         self.on_news()
 
@@ -279,4 +287,4 @@
 
 
 def _digests_of(versions: Versions) -> _Digests:
-    return _Digests(versions.suspects, versions.limits)
+    return _Digests(versions.suspects, versions.limits, versions.kept)
