Doubt upstreams that a restored store brings back

Cause: an entry of the later era counts as newer, though what it says is older.

Change: in the first listing of an era an entry is doubted if this host knew its life to have left or to drain, until it is written again or has outlasted four heartbeats; hosts hand on what they doubt.

Why it holds: lives are told apart by name and start; an entry that nobody renews is dropped by the store within three heartbeats, and one that is renewed comes as a change.

--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -303,6 +303,11 @@
         'news of the store are not newer than what this host knows',
         'kind revision known source',
     ),
+    _kind(
+        'upstream-doubted',
+        'a restored store lists an upstream that had left; it is not used',
+        'upstream revision',
+    ),
     _kind(
         'upstream-entry-ignored',
         'an entry of an upstream is older than the one that this host knows',
--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -4,12 +4,13 @@
 entry hosts.
 """
 
-from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
 from wardstair.process.log import log_event
-from wardstair.state.entries import UpstreamEntry
+from wardstair.state.doubts import Doubts
+from wardstair.state.entries import UpstreamEntry, UpstreamPhase
+from wardstair.state.removals import Removal, RemovalLog
 from wardstair.state.restoration import Restoration
 from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.upstream import UNTOLD_SECONDS, Upstream
@@ -17,9 +18,6 @@
 # Entries that vanish while the store is away are back this long after its
 # return if the upstream lives; the operators state about two seconds.
 RETURN_SECONDS = 2.0
-# Removed upstreams that are remembered for hosts that ask what has changed; one
-# that asks from further back gets the whole list.
-MOST_REMOVED = 512
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +32,8 @@
         removed: Names of those that are gone.
         missing: Seconds that are left for entries which vanished while the
             store was away to come back, by name.
+        doubted: Entries that a restored store lists though their upstreams had
+            left, or had said that they drain.
     """
 
     since: Revision
@@ -41,6 +41,7 @@
     entries: tuple[UpstreamEntry, ...]
     removed: tuple[str, ...] = ()
     missing: Mapping[str, float] = field(default_factory=dict)
+    doubted: tuple[UpstreamEntry, ...] = ()
 
 
 @dataclass(slots=True)
@@ -64,10 +65,8 @@
     restoration: Restoration = field(init=False)
     _missing: dict[str, float] = field(default_factory=dict)
     _by_service: dict[str, list[Upstream]] = field(default_factory=dict)
-    # Names with the revision up to which they had been removed, oldest first,
-    # and the revision from which on that is complete.
-    _removed: deque[tuple[Revision, str]] = field(default_factory=deque)
-    _removed_from: Revision = NO_REVISION
+    _removals: RemovalLog = field(default_factory=RemovalLog)
+    _doubts: Doubts = field(default_factory=Doubts)
 
     def __post_init__(self) -> None:
         """Begin without a restore."""
@@ -80,7 +79,8 @@
     def changes_since(self, revision: Revision) -> CatalogChanges:
         """Return what a host lacks that knows everything up to a revision."""
         now = self.clock()
-        since = revision if self._covers(revision) else NO_REVISION
+        is_covered = self._removals.covers(revision, self.revision)
+        since = revision if is_covered else NO_REVISION
         changed = [
             _with_cold(upstream.entry, max(0.0, upstream.cold_until - now))
             for upstream in self.upstreams.values()
@@ -88,24 +88,16 @@
         ]
         present = {entry.name for entry in changed}
         # One that has come back since is told by its entry.
-        removed = {name for at, name in self._removed if at >= since} - present
+        removed = self._removals.since(since) - present
         return CatalogChanges(
             since,
             self.revision,
             tuple(changed),
             () if since == NO_REVISION else tuple(sorted(removed)),
             {name: end - now for name, end in self._missing.items()},
+            self._doubts.entries,
         )
 
-    def _covers(self, revision: Revision) -> bool:
-        """Return whether all changes since a revision are known.
-
-        Those since a revision of another era are not: that host may have read
-        what the restored store lacks and this host has never seen.
-        """
-        is_of_this_era = revision.era == self.revision.era
-        return is_of_this_era and revision >= self._removed_from
-
     def take_over(self, changes: CatalogChanges) -> bool:
         """Take in what another host has told.
 
@@ -133,8 +125,19 @@
             upstream = self.upstreams.get(name)
             if upstream is not None and upstream.gone_at is None:
                 self._missing.setdefault(name, now + seconds)
+        if changes.doubted:
+            self._share_doubts(changes)
         return True
 
+    def _share_doubts(self, changes: CatalogChanges) -> None:
+        self._doubts.share(changes.doubted)
+        told = {entry.name for entry in changes.entries}
+        for entry in changes.doubted:
+            if entry.name not in told:
+                # The other host saw it leave.
+                self.remove(entry.name, store_was_away=False)
+        self._index()
+
     def replace_all(
         self,
         entries: Iterable[UpstreamEntry],
@@ -151,11 +154,18 @@
                 their upstreams live.
         """
         listed = {entry.name: entry for entry in entries}
+        is_new_era = revision.era > self.revision.era
+        self.restoration.enter(revision.era)
+        if is_new_era and self.restoration.is_recent:
+            self._doubts.begin(listed.values(), self._had_left)
+        else:
+            self._doubts.compare(listed)
         for entry in listed.values():
-            self._put(entry)
-        if revision.era > self.revision.era or self.revision == NO_REVISION:
+            if not self._doubts.has(entry.name):
+                self._put(entry)
+        if is_new_era or self.revision == NO_REVISION:
             # What was removed before is not known.
-            self._removed_from = revision
+            self._removals.begin(revision)
         self.revision = revision
         for name in self.upstreams.keys() - listed.keys():
             self.remove(name, store_was_away=store_was_away)
@@ -172,11 +182,25 @@
         """Take in changes since the last revision."""
         self.revision = revision
         for entry in changed:
+            self._doubts.settle(entry.name)
             self._put(entry)
         for name in deleted:
+            self._doubts.settle(name)
             self.remove(name, store_was_away=store_was_away)
         self._index()
 
+    def _had_left(self, entry: UpstreamEntry) -> bool:
+        """Return whether the life that an entry names had left before."""
+        known = self.upstreams.get(entry.name)
+        if known is None:
+            removed = self._removals.lives.get(entry.name)
+            return removed is not None and entry.born <= removed
+        if entry.born != known.entry.born:
+            return False
+        was_draining = known.entry.phase is UpstreamPhase.draining
+        drains = entry.phase is UpstreamPhase.draining
+        return known.gone_at is not None or (was_draining and not drains)
+
     def remove(self, name: str, *, store_was_away: bool) -> None:
         """Note that an entry is not there any more."""
         upstream = self.upstreams.get(name)
@@ -193,6 +217,7 @@
     def expire_missing(self) -> None:
         """Take upstreams as gone that did not come back in time."""
         now = self.clock()
+        self._end_doubts()
         late = [name for name, end in self._missing.items() if end <= now]
         for name in late:
             self._forget(self.upstreams[name], now)
@@ -204,6 +229,14 @@
         if late:
             self._index()
 
+    def _end_doubts(self) -> None:
+        """Take in entries that the store still lists: their upstreams live."""
+        if self.restoration.is_recent or not self._doubts.entries:
+            return
+        for entry in self._doubts.release():
+            self._put(entry)
+        self._index()
+
     def mark_gone(self, name: str) -> None:
         """Note that another upstream has taken over an address."""
         upstream = self.upstreams.get(name)
@@ -298,10 +331,8 @@
     def _forget(self, upstream: Upstream, now: float) -> None:
         self._missing.pop(upstream.name, None)
         upstream.gone_at = now
-        self._removed.append((self.revision, upstream.name))
-        if len(self._removed) > MOST_REMOVED:
-            at, _ = self._removed.popleft()
-            self._removed_from = replace(at, number=at.number + 1)
+        entry = upstream.entry
+        self._removals.note(Removal(self.revision, entry.name, entry.born))
         log_event(
             'upstream-gone',
             upstream=upstream.name,
--- a/tests/functional/test_what_the_copy_lacks.py
+++ b/tests/functional/test_what_the_copy_lacks.py
@@ -5,8 +5,9 @@
 
 import pytest
 from lib.fleet import ZONES, Fleet, running_fleet
-from lib.restores import is_evacuated, restore, write_again
+from lib.restores import is_evacuated, is_used, restore, write_again
 from lib.rig import until
+from lib.specs import upstream_spec
 from lib.upstream_standin import UpstreamStandin
 
 HOSTS = 3
@@ -75,3 +76,38 @@
             )
 
     run(test)
+
+
+@pytest.mark.parametrize('restores', [1, 2])
+@pytest.mark.parametrize('has_left', [False, True])
+def test_an_upstream_that_leaves_is_not_used_again(
+    restores: int,
+    *,
+    has_left: bool,
+) -> None:
+    async def test() -> None:
+        upstreams = [UpstreamStandin(f'i-{number}') for number in range(HOSTS)]
+        async with running_fleet(HOSTS, upstreams) as fleet:
+            copy = fleet.store.copy()
+            store = fleet.store
+            if has_left:
+                store.delete('servers', 'i-0')
+            else:
+                spec = upstream_spec(upstreams[0].port, state='draining')
+                store.put('servers', 'i-0', spec)
+            await until(lambda: not any(is_used(fleet, 'i-0')))
+            for _ in range(restores):
+                await restore(fleet, copy)
+                assert await holds(
+                    lambda: not any(is_used(fleet, 'i-0')),
+                    SILENT_SECONDS,
+                )
+                assert has_noticed(fleet)
+            # The store notices its silence.
+            store.delete('servers', 'i-0')
+            assert await holds(
+                lambda: not any(is_used(fleet, 'i-0')),
+                SILENT_SECONDS,
+            )
+
+    run(test)
--- a/tests/unit/test_catalog_changes.py
+++ b/tests/unit/test_catalog_changes.py
@@ -13,8 +13,9 @@
     StateEncoder,
     decode_state,
 )
-from wardstair.state.catalog import MOST_REMOVED, RETURN_SECONDS, Catalog
+from wardstair.state.catalog import RETURN_SECONDS, Catalog
 from wardstair.state.entries import UpstreamPhase
+from wardstair.state.removals import MOST_REMOVED
 from wardstair.state.revision import NO_REVISION
 
 
