Use living upstreams that a restored store lacks until they can be back

Why it holds: the first listing of an era counts like one after an outage, by the age of the restore that the fleet knows, so a late host drops what the others have given up.

--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -167,8 +167,9 @@
             # What was removed before is not known.
             self._removals.begin(revision)
         self.revision = revision
+        may_return = store_was_away or (is_new_era and self._is_just_restored)
         for name in self.upstreams.keys() - listed.keys():
-            self.remove(name, store_was_away=store_was_away)
+            self.remove(name, store_was_away=may_return)
         self._index()
 
     def apply(
@@ -189,6 +190,12 @@
             self.remove(name, store_was_away=store_was_away)
         self._index()
 
+    @property
+    def _is_just_restored(self) -> bool:
+        """Whether upstreams that the store lacks may be registering again."""
+        age = self.restoration.age
+        return age is not None and age < RETURN_SECONDS
+
     def _had_left(self, entry: UpstreamEntry) -> bool:
         """Return whether the life that an entry names had left before."""
         known = self.upstreams.get(entry.name)
--- a/tests/functional/test_what_the_copy_lacks.py
+++ b/tests/functional/test_what_the_copy_lacks.py
@@ -10,6 +10,8 @@
 from lib.specs import upstream_spec
 from lib.upstream_standin import UpstreamStandin
 
+from wardstair.state.catalog import RETURN_SECONDS
+
 HOSTS = 3
 # Until the operator and the upstreams have written again.
 SILENT_SECONDS = 1.0
@@ -111,3 +113,24 @@
             )
 
     run(test)
+
+
+def test_an_upstream_that_the_copy_lacks_is_used_until_it_is_back() -> None:
+    async def test() -> None:
+        upstreams = [UpstreamStandin(f'i-{number}') for number in range(HOSTS)]
+        async with running_fleet(HOSTS, upstreams) as fleet:
+            copy = fleet.store.copy()
+            fleet.store.put('servers', 'i-new', upstream_spec(9))
+            await until(lambda: all(is_used(fleet, 'i-new')))
+            await restore(fleet, copy)
+            assert await holds(
+                lambda: all(is_used(fleet, 'i-new')),
+                SILENT_SECONDS,
+            )
+            fleet.store.put('servers', 'i-new', upstream_spec(9))
+            assert await holds(
+                lambda: all(is_used(fleet, 'i-new')),
+                RETURN_SECONDS + SILENT_SECONDS,
+            )
+
+    run(test)
--- a/tests/unit/test_upstreams_after_restore.py
+++ b/tests/unit/test_upstreams_after_restore.py
@@ -11,7 +11,7 @@
 from lib.upstreams import ENTRY, Clock
 
 from wardstair.fleet.sharing import SharedState, StateEncoder, decode_state
-from wardstair.state.catalog import Catalog
+from wardstair.state.catalog import RETURN_SECONDS, Catalog
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
 
 PERIOD = 6.0
@@ -153,3 +153,22 @@
     other.wait(0)
     assert informed.used
     assert other.used
+
+
+def test_one_that_the_copy_lacks_is_used_until_it_should_be_back() -> None:
+    host = host_of('ready')
+    host.list_copy()
+    assert host.used
+    host.wait(RETURN_SECONDS)
+    assert not host.used
+    host.catalog.apply([AGAIN], [], at(9, era=2), store_was_away=False)
+    assert host.used
+
+
+def test_one_that_the_copy_lacks_is_not_kept_by_a_host_that_is_late() -> None:
+    clock = Clock()
+    early, late = host_of('ready', clock), host_of('ready', clock)
+    early.list_copy()
+    early.wait(RETURN_SECONDS)
+    hand_on(early.catalog, late.catalog)
+    assert not late.used
