Test a host that is in an older era of the store than the others

What callers saw: nothing; this only adds a test. A fourth host's way to the store is cut (reset, or silent) while the store is restored, once or twice in a row, from a copy older than what all know. It hears of the new era from the others only, acts on the new evacuation, configuration and upstream, and overrules nobody when it has the store back; an end of each reaches it as well.

--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -30,10 +30,21 @@
     hosts: list[GatewayHost] = field(default_factory=list)
     upstreams: list[UpstreamStandin] = field(default_factory=list)
 
-    async def start_host(self, number: int, port: int) -> GatewayHost:
-        """Start one gateway more; the first one is the others' seed."""
+    async def start_host(
+        self,
+        number: int,
+        port: int,
+        store_port: int | None = None,
+    ) -> GatewayHost:
+        """Start one gateway more; the first one is the others' seed.
+
+        Args:
+            number: Gives its name and zone.
+            port: Port of all hosts for each other.
+            store_port: Where it finds the store, if not directly.
+        """
         settings = gateway_settings(
-            self.store.port,
+            store_port or self.store.port,
             name=f'host-{number}',
             fleet_port=port,
         )
