Take in no listing of an era before, nor one of two eras

A listing of upstreams that was answered before a restore and comes late replaced what another host had told since, and the revision went back an era; pages from before and after a restore passed for one listing.

Why it holds: a listing is compared by its era, which comes with each page. A listing of the same era may still be behind what others told, as before: the watch that follows it brings the rest.

Beside it: a follower that gets changes of a later era lists even if nobody tells it the era; lives that were removed are worked out once a listing instead of once an entry; a cleaning of the registry ends with the first removal that fails, as it did.

--- a/src/wardstair/platform/store.py
+++ b/src/wardstair/platform/store.py
@@ -193,6 +193,9 @@
             if isinstance(answered, Err):
                 return answered
             answer = answered.ok_value
+            if listed and listed[0].era != answer.era:
+                # Pages of two eras are no listing of either.
+                return Err(PlatformUnavailable(f'restored amid {kind}'))
             try:
                 page = _Page.model_validate_json(_readable(answer.body))
             except ValidationError as error:
--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -157,7 +157,11 @@
         is_new_era = revision.era > self.revision.era
         self.restoration.enter(revision.era)
         if is_new_era and self.restoration.is_recent:
-            self._doubts.begin(listed.values(), self._had_left)
+            removed = self._removals.lives
+            self._doubts.begin(
+                listed.values(),
+                lambda entry: self._had_left(entry, removed.get(entry.name)),
+            )
         else:
             self._doubts.compare(listed)
         for entry in listed.values():
@@ -196,11 +200,15 @@
         age = self.restoration.age
         return age is not None and age < RETURN_SECONDS
 
-    def _had_left(self, entry: UpstreamEntry) -> bool:
-        """Return whether the life that an entry names had left before."""
+    def _had_left(self, entry: UpstreamEntry, removed: int | None) -> bool:
+        """Return whether the life that an entry names had left before.
+
+        Args:
+            entry: An entry of a restored store.
+            removed: The life of that name which was taken out last, if any.
+        """
         known = self.upstreams.get(entry.name)
         if known is None:
-            removed = self._removals.lives.get(entry.name)
             return removed is not None and entry.born <= removed
         if entry.born != known.entry.born:
             return False
--- a/src/wardstair/state/following.py
+++ b/src/wardstair/state/following.py
@@ -164,7 +164,7 @@
         self._contact.note_success()
         changes = watched.ok_value
         if changes.revision.era > self.revision.era:
-            # Listed anew before the next watch.
+            self._needs_listing = True
             return
         if changes.revision > self.revision:
             self.revision = changes.revision
--- a/src/wardstair/state/registration.py
+++ b/src/wardstair/state/registration.py
@@ -221,17 +221,20 @@
         # registered anew and lives: only its era tells.
         await self._until_done(self._find)
         for name in mine:
-            if self._revisions.get(name) == known[name]:
-                await self._remove(name, known[name])
+            is_as_judged = self._revisions.get(name) == known[name]
+            if is_as_judged and not await self._remove(name, known[name]):
+                return
 
-    async def _remove(self, name: str, revision: Revision) -> None:
+    async def _remove(self, name: str, revision: Revision) -> bool:
         deleted = await self._store.delete(HOST_KIND, name, revision.number)
         match deleted:
             case Ok() | Err(ObjectMissing()) | Err(VersionConflict()):
                 # In conflict the host has registered anew: it lives.
                 self._revisions.pop(name, None)
                 log_event('host-removed', host=name, outcome=str(deleted))
+                return True
             case Err(error):
                 # Tried again at the next cleaning.
                 reason = getattr(error, 'message', type(error).__name__)
                 log_event('host-not-removed', host=name, reason=reason)
+                return False
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -194,6 +194,11 @@
             self.on_news()
 
     def _list_upstreams(self, listing: Listing) -> None:
+        catalog = self._belief.catalog
+        if listing.revision.era < catalog.revision.era:
+            # Answered late; other hosts have told of the restore since.
+            self._ignore_upstreams(listing.revision, 'listing')
+            return
         listed = {stored.metadata.name for stored in listing.objects}
         self.unusable = {
             name: fault
@@ -201,7 +206,7 @@
             if name in listed
         }
         entries = self._decode_all(listing.objects)
-        self._belief.catalog.replace_all(
+        catalog.replace_all(
             entries,
             listing.revision,
             store_was_away=self._contact.was_away_lately,
@@ -213,13 +218,7 @@
             # A higher revision alone would make the others fetch.
             return
         if changes.revision <= catalog.revision:
-            log_event(
-                'news-ignored',
-                kind=UPSTREAM_KIND,
-                revision=changes.revision,
-                known=catalog.revision,
-                source='watch',
-            )
+            self._ignore_upstreams(changes.revision, 'watch')
             return
         # One object may change several times in one answer: the last counts.
         last = {
@@ -240,6 +239,15 @@
         )
         self.on_news()
 
+    def _ignore_upstreams(self, revision: Revision, source: str) -> None:
+        log_event(
+            'news-ignored',
+            kind=UPSTREAM_KIND,
+            revision=revision,
+            known=self._belief.catalog.revision,
+            source=source,
+        )
+
     def _decode_all(
         self, objects: Iterable[StoredObject]
     ) -> list[UpstreamEntry]:
--- /dev/null
+++ b/tests/functional/test_late_listing.py
@@ -0,0 +1,124 @@
+"""Listings that are answered across a restore of the store.
+
+Without the guards a late one takes the place of what other hosts have told of
+the restored store meanwhile, and pages of two eras pass for one listing.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import pytest
+from lib.revisions import at
+from lib.rig import until
+from lib.specs import ADDRESS
+from lib.upstreams import ENTRY, Clock
+from result import Err, Ok, Result
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from wardstair.decisions.timing import timing_for
+from wardstair.platform.store import Listing, Store
+from wardstair.state.belief import Belief
+from wardstair.state.catalog import Catalog
+from wardstair.state.contact import StoreContact
+from wardstair.state.roles import Roles
+from wardstair.state.sync import StoreSync
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test within a bound of time."""
+
+    async def main() -> None:
+        async with asyncio.timeout(30):
+            await test()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ('listed_era', 'is_taken'),
+    [
+        pytest.param(1, False, id='of the era before'),
+        pytest.param(2, True, id='of this era'),
+    ],
+)
+def test_a_listing_of_the_era_before_changes_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+    listed_era: int,
+    *,
+    is_taken: bool,
+) -> None:
+    listings = 0
+    is_told = asyncio.Event()
+    is_watching = asyncio.Event()
+
+    async def list_kind(_kind: str) -> Result[Listing, str]:
+        nonlocal listings
+        listings += 1
+        await is_told.wait()
+        return Ok(Listing((), at(40, listed_era)))
+
+    async def watch_kind(*_arguments: object) -> None:
+        is_watching.set()
+        await asyncio.Event().wait()
+
+    async def test() -> None:
+        store = Store(f'{ADDRESS}:1')
+        monkeypatch.setattr(store, 'list_kind', list_kind)
+        monkeypatch.setattr(store, 'watch_kind', watch_kind)
+        clock = Clock()
+        belief = Belief(clock, Catalog(clock))
+        roles = Roles()
+        timing = timing_for(2.5, 4.0)
+        contact = StoreContact(clock, Random(1))
+        sync = StoreSync(store, contact, belief, roles, lambda: timing)
+        task = asyncio.ensure_future(sync.upstreams.run())
+        await until(lambda: listings == 1)
+        # Another host tells of the restored store before the answer comes.
+        belief.catalog.replace_all([ENTRY], at(9, 2), store_was_away=False)
+        is_told.set()
+        await is_watching.wait()
+        known = belief.catalog.revision
+        assert known == (at(40, 2) if is_taken else at(9, 2))
+        assert bool(belief.catalog.of_service('views')) is not is_taken
+        task.cancel()
+        store.close()
+
+    run(test)
+
+
+class _Pages(RequestHandler):
+    """The first page comes from one era, the second from another."""
+
+    def initialize(self, second_era: str) -> None:
+        self._second_era = second_era
+
+    def get(self) -> None:
+        is_first = self.get_argument('after', None) is None
+        self.set_header('Store-Era', '1' if is_first else self._second_era)
+        name = 'i-1' if is_first else 'i-2'
+        self.finish(
+            {
+                'items': [{'metadata': {'name': name, 'revision': 3}}],
+                'truncated': is_first,
+                'as_of': 9,
+            }
+        )
+
+
+@pytest.mark.parametrize('second_era', ['1', '2'])
+def test_pages_of_two_eras_are_no_listing(second_era: str) -> None:
+    async def test() -> None:
+        sockets = bind_sockets(0, ADDRESS)
+        handler = ('/objects/servers', _Pages, {'second_era': second_era})
+        server = HTTPServer(Application([handler]))
+        server.add_sockets(sockets)
+        store = Store(f'{ADDRESS}:{sockets[0].getsockname()[1]}')
+        listed = await store.list_kind('servers')
+        assert isinstance(listed, Err) is (second_era == '2')
+        store.close()
+        server.stop()
+
+    run(test)
