Restore the store from copies in the soak, and look at an evacuation after it

What callers saw: nothing; tests only. A drawn fault takes a copy of the store, lets 40 changes and an evacuation pass, and brings the store back from the copy, once or twice in a row, beside hosts that are killed, cut off or suspended. The operator and the upstreams write again what the copy lacks, silent entries lapse after 4.5 s. At the end a zone is evacuated in quiet and its upstreams must get nothing later than 5 s after.

The first form of the fault broke weights: overlapping restores of the soak itself wrote evacuations again that its operator had ended, seen from evacuations-changed kept="" for two of three zones at all hosts. Its operator now keeps what it wants, and restores follow one another.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -34,6 +34,7 @@
     with_power=False,
     with_harm=False,
     with_limits=False,
+    with_restores=False,
 )
 # Hosts lose power while upstreams start cold.
 POWER = replace(SHORT, only_power=True, gap=2)
@@ -41,6 +42,14 @@
 HARM = replace(SHORT, only_harm=True, seconds=0.1, gap=9, upstreams=16)
 # Upstreams name limits, one after the other and at once.
 LIMITS = replace(SHORT, only_limits=True, seconds=6, gap=3, callers=8)
+# The store comes back from a copy, once or twice in a row.
+RESTORES = replace(
+    SHORT,
+    with_restores=True,
+    only_restores=True,
+    seconds=2,
+    gap=2,
+)
 PLANS = [
     replace(SHORT, with_herds=False),
     # Kills all hosts twice; those greeted first start last.
@@ -48,6 +57,7 @@
     POWER,
     HARM,
     LIMITS,
+    RESTORES,
     *(
         replace(
             SHORT,
@@ -56,6 +66,7 @@
             with_power=one.with_power,
             with_harm=one.with_harm,
             with_limits=one.with_limits,
+            with_restores=one.with_restores,
         )
         for one in FAILED_SEEDS
     ),
@@ -73,7 +84,7 @@
     PLANS,
     ids=lambda plan: (
         f'{plan.seed}{"-power" * plan.only_power}{"-harm" * plan.only_harm}'
-        f'{"-limits" * plan.only_limits}'
+        f'{"-limits" * plan.only_limits}{"-restores" * plan.only_restores}'
     ),
 )
 def test_promises_hold_under_drawn_faults(plan: Plan, tmp_path: Path) -> None:
@@ -93,6 +104,7 @@
         ('tally', SHORT, 'weights are not kept'),
         # Few others, so that cold upstreams have room for it.
         ('limits', replace(LIMITS, seconds=0.1), 'which had named'),
+        ('eras', replace(RESTORES, seconds=0.1), 'after its evacuation'),
         ('harm', replace(HARM, callers=1, upstreams=24), 'ended too late'),
     ],
 )
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -3,10 +3,13 @@
 from collections.abc import Mapping
 from dataclasses import replace
 
+from tornado.httpclient import HTTPResponse
+
 from wardstair.cli import gateway
 from wardstair.decisions.cold import HostView
 from wardstair.decisions.suspicion import Evidence
 from wardstair.gateway import fleet_views, refusals, splitting
+from wardstair.platform import store
 from wardstair.platform.objects import StoredObject
 from wardstair.state import belief, limits, suspects
 from wardstair.state.upstream import Upstream
@@ -101,6 +104,15 @@
     limits.LimitTable.rate_of = rate_of  # type: ignore[method-assign]
 
 
+def ignore_eras() -> None:
+    """Let revisions of a restored store count as those of before."""
+
+    def note_era(self: store.Store, response: HTTPResponse) -> int:
+        return 0
+
+    store.Store._note_era = note_era  # type: ignore[method-assign]
+
+
 def run(kind: str) -> None:
     """Put a break in and run the program.
 
@@ -120,4 +132,6 @@
             forget_harm()
         case 'limits':
             ignore_limits()
+        case 'eras':
+            ignore_eras()
     gateway.main()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -46,6 +46,9 @@
     version: int = 1
     harmful: int = 0
     ends: set[asyncio.Task[None]] = field(default_factory=set)
+    # What the operator wants now, whatever the store holds.
+    evacuated: set[str] = field(default_factory=set)
+    restoring: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def draw_seconds(self) -> float:
         """Draw how long a fault lasts."""
@@ -60,6 +63,17 @@
         )
         self.version += 1
 
+    def evacuate(self, zone: str) -> None:
+        """Have a zone emptied, as the operator does."""
+        self.evacuated.add(zone)
+        self.store.put('evacuations', zone, {})
+
+    def end_evacuation(self, zone: str) -> None:
+        """Take a zone back, as the operator does."""
+        self.evacuated.discard(zone)
+        if zone in self.store.kind('evacuations').objects:
+            self.store.delete('evacuations', zone)
+
     def register(self, upstream: SoakUpstream, **status: object) -> None:
         """Write an upstream's entry, as the upstream does."""
         self.store.put('servers', upstream.name, upstream.spec(**status))
@@ -302,11 +316,11 @@
 async def evacuate(scene: Scene) -> None:
     """Have a zone emptied for a while."""
     zone = scene.random.choice(scene.zones)
-    if zone in scene.store.kind('evacuations').objects:
+    if zone in scene.evacuated:
         return
-    scene.store.put('evacuations', zone, {})
+    scene.evacuate(zone)
     await asyncio.sleep(scene.draw_seconds())
-    scene.store.delete('evacuations', zone)
+    scene.end_evacuation(zone)
 
 
 async def stop_gateway(scene: Scene) -> None:
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -29,12 +29,15 @@
 from soak.ledger import Kind, Ledger
 from soak.processes import GatewayProcess, choose_places
 from soak.proxy import Proxy
+from soak.restores import check_evacuation, restore_store
 from soak.upstreams import LOST_SHARE, SoakUpstream
 from soak.versions import VersionProbe, marked_configuration, weights_of
 from soak.weights import Scale
 
 GATEWAY = 'wardstair.cli.gateway'
 ZONES = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
+# The store comes back from a copy, alone or beside others.
+RESTORE_FAULTS: tuple[Fault, ...] = (restore_store,)
 # Everything has to be well again this long after the last fault. The bounds
 # of the promises are a tenth of it; this only ends a play that has failed.
 RECOVERY_SECONDS = 60.0
@@ -62,6 +65,8 @@
         only_harm: Whether nothing else happens.
         with_limits: Whether upstreams name limits.
         only_limits: Whether nothing else happens.
+        with_restores: Whether the store comes back from copies.
+        only_restores: Whether nothing else happens.
     """
 
     seed: int
@@ -79,6 +84,8 @@
     only_harm: bool = False
     with_limits: bool = True
     only_limits: bool = False
+    with_restores: bool = True
+    only_restores: bool = False
 
     @property
     def groups(self) -> tuple[tuple[Fault, ...], ...]:
@@ -89,11 +96,15 @@
             return (HARM_FAULTS,)
         if self.only_limits:
             return (LIMIT_FAULTS,)
+        if self.only_restores:
+            return (RESTORE_FAULTS,)
         herds = HERDS * self.with_herds
         harm = HARM_FAULTS * self.with_harm
         power = POWER * self.with_power
         limits = LIMIT_FAULTS * self.with_limits
-        return (PLANNED, UNPLANNED + herds + power + harm + limits)
+        restores = RESTORE_FAULTS * self.with_restores
+        drawn = herds + power + harm + limits + restores
+        return (PLANNED, UNPLANNED + drawn)
 
 
 @dataclass
@@ -202,6 +213,8 @@
         if not self.ledger.check():
             # What is broken already needs no quiet time to show.
             await self._weigh(scene, probes)
+        if self._plan.with_restores and not self.ledger.check():
+            await check_evacuation(scene, self._upstreams, self.ledger)
         self._is_over = True
         await asked
         tries = self.ledger.tries.values()
