Wait in a test for the attempt to write, as strictly as before

What callers saw: nothing; a test only. Since a write of requests that end upstreams begins with a reading, the test of an outage waited for any call. A renewed watch would have passed for the attempt; now the call must be one that is no watch.

--- a/tests/functional/test_suspect_sharing.py
+++ b/tests/functional/test_suspect_sharing.py
@@ -162,7 +162,12 @@
             standin.status = 503
             before = len(standin.calls)
             one.end(ONE, 'u1@1', 'u2@1', 'u3@1')
-            await until(lambda: len(standin.calls) > before)
+            # The attempt to write, not a watch: it begins with a reading.
+            await until(
+                lambda: any(
+                    'watch=' not in one for one in standin.calls[before:]
+                ),
+            )
             # Ends the waiting watches as well, and serves again.
             standin.cut_watches()
             await until(lambda: two.table.held == {ONE})
