Log what upstreams say of further requests in their answers

Server-Leaving and Retry-After are decoded in platform/ and kept for the life of the upstream in a table of the host; nothing heeds them yet. New lines upstream-leaving and upstream-paused, and sent-after-notice with the way of the send; counters wardstair_upstream_notices and wardstair_sends_after_notice.

The table keeps notices of an upstream whose entry has vanished for ten minutes, as a restored store may list it again.

--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -11,6 +11,7 @@
 from wardstair.decisions.answer_times import hedge_after
 from wardstair.decisions.homes import NO_REGION, regions_of
 from wardstair.decisions.mechanisms import Mechanism
+from wardstair.decisions.notices import Standing
 from wardstair.decisions.queueing import queue_share
 from wardstair.decisions.resends import (
     ResendBudget,
@@ -35,6 +36,7 @@
 from wardstair.gateway.settings import LiveSettings
 from wardstair.gateway.witness import Witness
 from wardstair.state.belief import Belief
+from wardstair.state.upstream import Upstream
 from wardstair.version.organisations import Organisation
 from wardstair.version.steering import SteeredRoute, Steering
 
@@ -45,6 +47,8 @@
 # Connections that may fail before the request is given up; nothing has been
 # sent by then, so this costs only time.
 MOST_UNREACHABLE = 4
+# The way of a request's first send in logs and metrics.
+FIRST_SEND = 'first'
 
 
 class Forwarder:
@@ -310,6 +314,7 @@
             self._budget(course).note_first(time.monotonic())
         if reason is not None:
             self._reporter.sent_again(course.trail, reason, placement)
+        self._tell_notice(course, placement.upstream, reason)
         course.sends += 1
         course.trail.sends += 1
         course.trail.upstreams.append(placement.upstream.name)
@@ -324,6 +329,22 @@
         )
         course.running[task] = placement
 
+    def _tell_notice(
+        self,
+        course: Course,
+        upstream: Upstream,
+        reason: ResendReason | None,
+    ) -> None:
+        notices = self._belief.notices
+        if notices.is_idle:
+            return
+        standing = notices.standing(upstream)
+        if standing is not Standing.open:
+            way = reason or FIRST_SEND
+            self._reporter.sent_after_notice(
+                course.trail, upstream, standing, way
+            )
+
     def _take_resend(self, course: Course) -> bool:
         bounds = self._settings.current.bounds
         fleet = ResendLimit(
--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -124,6 +124,11 @@
         'Requests a second that upstreams take from all hosts, as they name it',
         lambda: _limits(host),
     )
+    metrics.add_count(
+        'wardstair_upstream_notices',
+        'Answers by which an upstream says that it leaves or asks for a pause',
+        lambda: _notices(host),
+    )
     metrics.add_count(
         'wardstair_upstream_connections_opened',
         'Connections opened to upstreams',
@@ -182,6 +187,13 @@
     ]
 
 
+def _notices(host: 'GatewayHost') -> list[Row]:
+    return [
+        (float(count), {'notice': notice.value})
+        for notice, count in host.belief.notices.told.items()
+    ]
+
+
 def _gaps(host: 'GatewayHost') -> list[Row]:
     gaps = host.live_settings.current.gaps
     return [(gap.used, {'setting': gap.name}) for gap in gaps]
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -225,7 +225,12 @@
         self.forwarder = Forwarder(
             self.belief,
             self.chooser,
-            Sender(self.pool, distances, self.belief.limits),
+            Sender(
+                self.pool,
+                distances,
+                self.belief.limits,
+                self.belief.notices,
+            ),
             self.live_settings,
             reporter,
             self.witness,
@@ -404,6 +409,7 @@
             self.belief.end_restore()
             self.belief.suspects.expire()
             self.belief.limits.forget(catalog.upstreams)
+            self.belief.notices.forget(catalog.upstreams)
             self.views.refresh()
             self._freshness.refresh()
 
--- a/src/wardstair/gateway/reporting.py
+++ b/src/wardstair/gateway/reporting.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from wardstair.decisions.authorisation import ApiKeyFault
+from wardstair.decisions.notices import Standing
 from wardstair.decisions.ranking import unit_hash
 from wardstair.errors import RefusalKind
 from wardstair.gateway.choosing import Placement
@@ -17,6 +18,7 @@
 from wardstair.gateway.sending import Delivered
 from wardstair.process.log import log_event
 from wardstair.process.metrics import Metrics
+from wardstair.state.upstream import Upstream
 from wardstair.version.steering import SteeredRoute
 
 # Good requests a second on one host up to which each gets a line.
@@ -174,6 +176,32 @@
             sends=trail.sends,
         )
 
+    def sent_after_notice(
+        self,
+        trail: Trail,
+        upstream: Upstream,
+        notice: Standing,
+        way: str,
+    ) -> None:
+        """Tell of a send to an upstream that wants no further requests.
+
+        Args:
+            trail: The request.
+            upstream: Where it goes.
+            notice: What the upstream has said.
+            way: `first`, or why the request is sent again.
+        """
+        self._metrics.sends_after_notice.add(notice, way)
+        if not self._keeps_other(trail):
+            return
+        log_event(
+            'sent-after-notice',
+            request=trail.inbound.request_id,
+            upstream=upstream.name,
+            notice=notice,
+            way=way,
+        )
+
     def withheld(self, trail: Trail, verdict: str) -> None:
         """Tell of a second send that was not made."""
         self._metrics.retries_withheld.add(verdict, trail.route.name)
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -27,6 +27,7 @@
 )
 from wardstair.process.log import log_event
 from wardstair.state.limits import LimitTable
+from wardstair.state.notices import NoticeTable
 from wardstair.state.upstream import RunningSend, Upstream
 
 _MISDIRECTED = 421
@@ -35,6 +36,8 @@
 _LEAST_EXPECTED_SECONDS = 0.05
 # How an exchange ends on a connection that its upstream has forgotten.
 _FORGOTTEN = frozenset((BreakReason.reset, BreakReason.closed))
+# Statuses with which an upstream may ask for a pause.
+_PAUSING = frozenset((429, 503))
 # Statuses by which a caller takes a request for not run.
 _PROMISES = frozenset((408, 429, 503))
 
@@ -107,6 +110,7 @@
         pool: UpstreamPool,
         distances: Distances,
         limits: LimitTable,
+        notices: NoticeTable,
     ) -> None:
         """Prepare without connections.
 
@@ -114,8 +118,10 @@
             pool: The connections.
             distances: Told how long connections take to open.
             limits: Told what upstreams name in their answers.
+            notices: Told what they say there of further requests.
         """
         self._limits = limits
+        self._notices = notices
         self._pool = pool
         self._distances = distances
         self._numbers = count()
@@ -214,9 +220,22 @@
                 self._pool.give_back(upstream.name, connection)
                 outcome = _judge(answer, fields, seconds)
                 if _is_of(upstream, outcome):
-                    self._limits.note(upstream, fields.limit)
+                    self._note_told(upstream, answer.status, fields)
                 return outcome
 
+    def _note_told(
+        self,
+        upstream: Upstream,
+        status: int,
+        fields: UpstreamFields,
+    ) -> None:
+        """Note what an upstream says of itself in an answer."""
+        self._limits.note(upstream, fields.limit)
+        if fields.is_leaving:
+            self._notices.note_leaving(upstream)
+        if status in _PAUSING and fields.retry_after is not None:
+            self._notices.note_pause(upstream, fields.retry_after)
+
     async def _connection(
         self,
         upstream: Upstream,
--- a/src/wardstair/platform/headers.py
+++ b/src/wardstair/platform/headers.py
@@ -43,6 +43,8 @@
 )
 
 Pairs = Sequence[tuple[str, str]]
+# An upstream that is to end soon says so with this value.
+_IS_LEAVING = '1'
 # The users write "a decimal number": no sign, no exponent, no word.
 _DECIMAL = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+', re.ASCII)
 
@@ -60,6 +62,9 @@
     load = 'wardstair-server-load'
     # Requests a second that it takes from all hosts together, while it says so.
     limit = 'server-limit'
+    leaving = 'server-leaving'
+    # Seconds, never a date.
+    retry_after = 'retry-after'
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +128,9 @@
         is_not_run: Whether it says that the request has not run.
         load: The upstream's load, if told.
         limit: What it names as its limit; None if it names none.
+        is_leaving: Whether it says that it will end soon.
+        retry_after: Seconds after which it may be asked again; None if it
+            names no time that can be read.
         keep_seconds: Seconds for which it keeps a resting connection.
         passed_on: Headers that go on to the caller.
     """
@@ -132,6 +140,8 @@
     is_not_run: bool
     load: ToldLoad | None
     limit: ToldLimit | None
+    is_leaving: bool
+    retry_after: float | None
     keep_seconds: float | None
     passed_on: tuple[tuple[str, str], ...]
 
@@ -218,6 +228,8 @@
         is_not_run,
         load,
         limit,
+        _IS_LEAVING in _values(pairs, _Read.leaving),
+        _longest_seconds(_values(pairs, _Read.retry_after)),
         keep_seconds,
         kept,
     )
@@ -256,6 +268,21 @@
     return ToldLimit(float(figure))
 
 
+def _values(pairs: Pairs, header: str) -> list[str]:
+    """Return all values of a header that may be there more than once."""
+    return [
+        value.strip()
+        for name, text in pairs
+        if name.lower() == header
+        for value in text.split(',')
+    ]
+
+
+def _longest_seconds(values: list[str]) -> float | None:
+    figures = [float(value) for value in values if _DECIMAL.fullmatch(value)]
+    return max(figures, default=None)
+
+
 def _keep_seconds(text: str) -> float | None:
     for part in text.split(','):
         name, _, value = part.strip().partition('=')
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -209,6 +209,24 @@
         'it, or the host that told',
         'upstream rate before source',
     ),
+    _kind(
+        'upstream-leaving',
+        'an answer of an upstream says for the first time that it will end '
+        'soon; `in_flight`: requests of this host at it',
+        'upstream service in_flight',
+    ),
+    _kind(
+        'upstream-paused',
+        'an upstream asked for no requests from this host for `seconds`; '
+        '`in_flight`: requests of this host at it',
+        'upstream service seconds in_flight',
+    ),
+    _kind(
+        'sent-after-notice',
+        'a request goes to an upstream that leaves or has asked for a pause; '
+        '`way`: `first`, or why it is sent again',
+        'request upstream notice way',
+    ),
     _kind(
         'limited-upstream-used',
         'this host sends to an upstream that names a limit, or another part of '
--- a/src/wardstair/process/metrics.py
+++ b/src/wardstair/process/metrics.py
@@ -106,6 +106,12 @@
             'verdict',
             'workload',
         )
+        self.sends_after_notice = self._tally(
+            'sends_after_notice',
+            'Requests sent to upstreams that leave or have asked for a pause',
+            'notice',
+            'way',
+        )
         self.platform_calls = self._tally(
             'platform_calls',
             'Calls on the platform',
--- a/src/wardstair/state/belief.py
+++ b/src/wardstair/state/belief.py
@@ -21,6 +21,7 @@
 from wardstair.state.catalog import Catalog, CatalogChanges
 from wardstair.state.entries import UpstreamEntry
 from wardstair.state.limits import LimitTable
+from wardstair.state.notices import NoticeTable
 from wardstair.state.restoration import Restoration
 from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.suspects import SuspectTable
@@ -47,6 +48,7 @@
         evacuations_revision: Revision of the set that the store lists.
         suspects: Requests that ended upstreams.
         limits: Limits that upstreams name.
+        notices: What upstreams have said of further requests.
         on_steering: Called when a version is adopted.
     """
 
@@ -61,6 +63,7 @@
     evacuations_revision: Revision = NO_REVISION
     suspects: SuspectTable = field(default_factory=SuspectTable)
     limits: LimitTable = field(default_factory=LimitTable)
+    notices: NoticeTable = field(default_factory=NoticeTable)
     on_steering: Callable[[], None] = field(default=lambda: None)
     # Listed in this era and then not any more: ended, whoever keeps them.
     _ended_zones: frozenset[str] = frozenset()
--- /dev/null
+++ b/src/wardstair/state/notices.py
@@ -0,0 +1,142 @@
+"""What upstreams have said of further requests in answers to this host.
+
+A notice binds this host alone and holds for the life of the upstream. It is
+kept apart from the catalog, whose entry of a life may vanish and come back.
+"""
+
+import time
+from collections import Counter
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+
+from wardstair.decisions.notices import Notice, Standing, standing_of
+from wardstair.process.log import log_event
+from wardstair.state.upstream import Upstream
+
+# Nothing is paused for longer than a day, whatever an answer names.
+MOST_PAUSE_SECONDS = 86_400.0
+# How long the notices of upstreams without an entry are kept. A store that was
+# restored from a copy may list such an upstream again.
+REMEMBERED_SECONDS = 600.0
+
+
+@dataclass(slots=True)
+class _Row:
+    """Notices of one life.
+
+    Attributes:
+        born: The life, as in its entry.
+        notice: What it has said.
+        noted_at: When it last said something.
+    """
+
+    born: int
+    notice: Notice
+    noted_at: float
+
+
+@dataclass(slots=True)
+class NoticeTable:
+    """Notices by name of the upstream; of its newest life that gave any.
+
+    Attributes:
+        clock: Monotonic time in seconds.
+        told: Answers with a notice, by its kind.
+    """
+
+    clock: Callable[[], float] = time.monotonic
+    told: Counter[Standing] = field(default_factory=Counter)
+    _rows: dict[str, _Row] = field(default_factory=dict)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no upstream has given a notice."""
+        return not self._rows
+
+    def notice_of(self, upstream: Upstream) -> Notice:
+        """Return what a life of an upstream has said.
+
+        Args:
+            upstream: One life of an upstream.
+        """
+        row = self._rows.get(upstream.name)
+        if row is None or row.born != upstream.entry.born:
+            return Notice()
+        return row.notice
+
+    def standing(self, upstream: Upstream) -> Standing:
+        """Return what a life of an upstream takes from this host now.
+
+        Args:
+            upstream: One life of an upstream.
+        """
+        return standing_of(self.notice_of(upstream), self.clock())
+
+    def note_leaving(self, upstream: Upstream) -> None:
+        """Note that an answer of an upstream says that it will end soon.
+
+        Args:
+            upstream: The life whose answer it is.
+        """
+        self.told[Standing.leaving] += 1
+        row = self._row_of(upstream)
+        if row is None or row.notice.leaving_since is not None:
+            return
+        row.notice.leaving_since = row.noted_at
+        log_event(
+            'upstream-leaving',
+            upstream=upstream.name,
+            service=upstream.entry.service,
+            in_flight=upstream.own,
+        )
+
+    def note_pause(self, upstream: Upstream, seconds: float) -> None:
+        """Note that an upstream wants no request from this host for a time.
+
+        A later answer may extend the time and does not shorten it.
+
+        Args:
+            upstream: The life whose answer it is.
+            seconds: How long, from now.
+        """
+        self.told[Standing.paused] += 1
+        row = self._row_of(upstream)
+        if row is None or seconds <= 0:
+            return
+        notice = row.notice
+        if row.noted_at >= notice.paused_until:
+            log_event(
+                'upstream-paused',
+                upstream=upstream.name,
+                service=upstream.entry.service,
+                seconds=seconds,
+                in_flight=upstream.own,
+            )
+        end = row.noted_at + min(seconds, MOST_PAUSE_SECONDS)
+        notice.paused_until = max(notice.paused_until, end)
+
+    def forget(self, names: Collection[str]) -> None:
+        """Drop what nobody needs to know any more.
+
+        Args:
+            names: Names of the upstreams that are there.
+        """
+        end = self.clock() - REMEMBERED_SECONDS
+        self._rows = {
+            name: row
+            for name, row in self._rows.items()
+            if name in names or row.noted_at >= end
+        }
+
+    def _row_of(self, upstream: Upstream) -> _Row | None:
+        """Return where to note of a life; None if a later one has spoken."""
+        now = self.clock()
+        born = upstream.entry.born
+        row = self._rows.get(upstream.name)
+        if row is None or row.born < born:
+            row = _Row(born, Notice(), now)
+            self._rows[upstream.name] = row
+        if row.born > born:
+            return None
+        row.noted_at = now
+        return row
--- /dev/null
+++ b/tests/unit/test_notices.py
@@ -0,0 +1,147 @@
+"""What upstreams say of further requests, as a host reads and keeps it."""
+
+from dataclasses import replace
+
+import pytest
+from lib.upstreams import ENTRY, Clock
+
+from wardstair.decisions.notices import Notice, Standing
+from wardstair.platform.headers import decode_upstream
+from wardstair.state.notices import (
+    MOST_PAUSE_SECONDS,
+    REMEMBERED_SECONDS,
+    NoticeTable,
+)
+from wardstair.state.upstream import Upstream
+
+
+def upstream_of(born: int = 1) -> Upstream:
+    return Upstream(replace(ENTRY, born=born))
+
+
+@pytest.mark.parametrize(
+    ('texts', 'is_leaving'),
+    [
+        (['1'], True),
+        ([' 1 '], True),
+        (['1', '0'], True),
+        (['0', '1'], True),
+        (['0, 1'], True),
+        ([], False),
+        (['0'], False),
+        ([''], False),
+        (['11'], False),
+        (['true'], False),
+        (['\u0661'], False),
+    ],
+)
+def test_an_upstream_leaves_if_any_value_says_so(
+    texts: list[str],
+    *,
+    is_leaving: bool,
+) -> None:
+    pairs = [('server-LEAVING', text) for text in texts]
+    fields = decode_upstream(pairs)
+    assert fields.is_leaving is is_leaving
+    # The caller's side gets it as the upstream wrote it.
+    assert fields.passed_on == tuple(pairs)
+
+
+@pytest.mark.parametrize(
+    ('texts', 'seconds'),
+    [
+        (['3'], 3.0),
+        ([' 0.5 '], 0.5),
+        (['3', '1'], 3.0),
+        (['1, 3'], 3.0),
+        (['soon', '2'], 2.0),
+        (['9' * 400], float('inf')),
+        (['0'], 0.0),
+        ([], None),
+        ([''], None),
+        (['-3'], None),
+        (['1e3'], None),
+        (['nan'], None),
+        (['Thu, 03 Dec 2026 12:00:00 GMT'], None),
+    ],
+)
+def test_the_longest_time_that_can_be_read_is_meant(
+    texts: list[str],
+    seconds: float | None,
+) -> None:
+    pairs = [('RETRY-after', text) for text in texts]
+    assert decode_upstream(pairs).retry_after == seconds
+
+
+@pytest.mark.parametrize(
+    ('pauses', 'at', 'standing'),
+    [
+        pytest.param([(0.0, 3.0)], 2.9, Standing.paused, id='within'),
+        pytest.param([(0.0, 3.0)], 3.0, Standing.open, id='over'),
+        pytest.param([(0.0, 3.0), (0.5, 1.0)], 2.9, Standing.paused, id='less'),
+        pytest.param([(0.0, 3.0), (2.0, 3.0)], 4.9, Standing.paused, id='more'),
+        pytest.param([(0.0, 0.0)], 0.0, Standing.open, id='none'),
+        pytest.param(
+            [(0.0, float('inf'))],
+            MOST_PAUSE_SECONDS - 1,
+            Standing.paused,
+            id='huge',
+        ),
+        pytest.param(
+            [(0.0, float('inf'))],
+            MOST_PAUSE_SECONDS,
+            Standing.open,
+            id='bounded',
+        ),
+    ],
+)
+def test_a_pause_lasts_as_long_as_the_longest_that_was_asked_for(
+    pauses: list[tuple[float, float]],
+    at: float,
+    standing: Standing,
+) -> None:
+    clock = Clock()
+    began = clock.now
+    table = NoticeTable(clock)
+    for asked_at, seconds in pauses:
+        clock.now = began + asked_at
+        table.note_pause(upstream_of(), seconds)
+    clock.now = began + at
+    assert table.standing(upstream_of()) is standing
+
+
+def test_a_life_that_leaves_does_so_until_the_next_begins() -> None:
+    clock = Clock()
+    table = NoticeTable(clock)
+    table.note_leaving(upstream_of())
+    first = table.notice_of(upstream_of()).leaving_since
+    clock.now += 100
+    table.note_leaving(upstream_of())
+    table.note_pause(upstream_of(), 1)
+    assert table.notice_of(upstream_of()).leaving_since == first
+    clock.now += 2
+    assert table.standing(upstream_of()) is Standing.leaving
+    assert table.standing(upstream_of(born=2)) is Standing.open
+
+
+def test_a_late_answer_of_an_earlier_life_says_nothing_of_the_next() -> None:
+    table = NoticeTable(Clock())
+    table.note_pause(upstream_of(born=2), 3)
+    table.note_leaving(upstream_of(born=1))
+    table.note_pause(upstream_of(born=1), 9)
+    assert table.notice_of(upstream_of(born=1)) == Notice()
+    assert table.notice_of(upstream_of(born=2)).leaving_since is None
+
+
+def test_a_notice_outlasts_the_entry_for_a_while() -> None:
+    clock = Clock()
+    table = NoticeTable(clock)
+    table.note_leaving(upstream_of())
+    clock.now += REMEMBERED_SECONDS - 1
+    table.forget(())
+    assert table.standing(upstream_of()) is Standing.leaving
+    clock.now += 2
+    table.forget([ENTRY.name])
+    assert table.standing(upstream_of()) is Standing.leaving
+    table.forget(())
+    assert table.is_idle
