--- /dev/null
+++ b/tests/functional/test_upstream_notices.py
@@ -0,0 +1,167 @@
+"""Upstreams that leave, or ask for no requests for a time, in their answers."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import pytest
+from lib.rig import Rig
+from lib.upstream_standin import (
+    Script,
+    Seen,
+    UpstreamStandin,
+    answer_full,
+    answer_never,
+    answer_ok,
+    whole_answer,
+)
+
+from wardstair.gateway.settings import Bounds
+
+SEAL = 'Wardstair-Server-Seal: s.1\r\n'
+NOT_RUN = 'Wardstair-Not-Executed: 1\r\n'
+ROOM = 'Wardstair-Server-Load: 0,0,4\r\n'
+PAUSE_SECONDS = 30
+# By the users' rules: what may still come after a pause was asked for, from
+# this long after it.
+SLACK = 2
+SLACK_SECONDS = 0.5
+DRAIN_SECONDS = 0.5
+REQUESTS = 12
+
+
+@dataclass
+class Notifier:
+    """An upstream's script that gives a notice in each answer.
+
+    Attributes:
+        status: Status line of its answers.
+        extra: Their headers.
+        told_at: When the first was written.
+        came: When requests came.
+    """
+
+    status: str
+    extra: str
+    told_at: float | None = None
+    came: list[float] = field(default_factory=list)
+
+    async def answer(
+        self,
+        upstream: UpstreamStandin,
+        seen: Seen,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.came.append(time.monotonic())
+        writer.write(
+            whole_answer(
+                seen.request_id,
+                upstream.name.encode(),
+                self.status,
+                self.extra,
+            )
+        )
+        await writer.drain()
+        if self.told_at is None:
+            self.told_at = time.monotonic()
+
+    def came_after(self, seconds: float) -> int:
+        """Count what came from so long after the first notice."""
+        assert self.told_at is not None
+        return sum(at > self.told_at + seconds for at in self.came)
+
+
+def leaver() -> Notifier:
+    return Notifier('200 OK', f'{SEAL}Server-Leaving: 1\r\n')
+
+
+def pauser() -> Notifier:
+    pause = f'Retry-After: {PAUSE_SECONDS}\r\n'
+    return Notifier('503 Service Unavailable', f'{NOT_RUN}{ROOM}{pause}')
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test within a bound of time."""
+
+    async def main() -> None:
+        async with asyncio.timeout(30):
+            await test()
+
+    asyncio.run(main())
+
+
+async def answer_failure(
+    _upstream: UpstreamStandin,
+    seen: Seen,
+    writer: asyncio.StreamWriter,
+) -> None:
+    writer.write(whole_answer(seen.request_id, status='500 Oh'))
+    await writer.drain()
+
+
+async def ask_many(rig: Rig, target: str, keys: str = 'a') -> None:
+    """Send requests for many keys, so that each upstream is the home of some.
+
+    Each is resent or hedged where the other upstream does not answer it.
+
+    Args:
+        rig: Where to.
+        target: Their target.
+        keys: Begin of the keys; no upstream remembers new ones.
+    """
+    await asyncio.gather(
+        *(
+            rig.ask(target, request_id=f'r{number}', key=f'{keys}{number}')
+            for number in range(REQUESTS)
+        )
+    )
+
+
+# What the other upstream does meanwhile, and how a request may then come.
+WAYS = [
+    pytest.param(answer_ok, id='first choice'),
+    pytest.param(answer_full, id='resend after a rejection'),
+    pytest.param(answer_failure, id='resend after a failure'),
+    pytest.param(answer_never, id='hedge'),
+]
+
+
+@pytest.mark.parametrize('other', WAYS)
+def test_an_upstream_that_leaves_gets_no_request_after_the_drain_time(
+    other: Script,
+) -> None:
+    async def test() -> None:
+        notifier = leaver()
+        upstreams = (
+            UpstreamStandin('i-1', notifier.answer),
+            UpstreamStandin('i-2', other),
+        )
+        bounds = Bounds(drain_seconds=DRAIN_SECONDS)
+        async with Rig(*upstreams, bounds=bounds) as rig:
+            while notifier.told_at is None:
+                await ask_many(rig, '/read/x')
+            await asyncio.sleep(DRAIN_SECONDS)
+            sent_at = time.monotonic()
+            await ask_many(rig, '/read/x', 'b')
+            assert not notifier.came_after(sent_at - notifier.told_at)
+
+    run(test)
+
+
+@pytest.mark.parametrize('other', WAYS)
+def test_an_upstream_that_asks_for_a_pause_gets_one(other: Script) -> None:
+    async def test() -> None:
+        notifier = pauser()
+        upstreams = (
+            UpstreamStandin('i-1', notifier.answer),
+            UpstreamStandin('i-2', other),
+        )
+        async with Rig(*upstreams) as rig:
+            while notifier.told_at is None:
+                await ask_many(rig, '/read/x')
+            await asyncio.sleep(SLACK_SECONDS)
+            await ask_many(rig, '/read/x', 'b')
+            assert notifier.came_after(SLACK_SECONDS) <= SLACK
+
+    run(test)
