Heed an upstream that asks for a pause

What callers saw: seven of 24 upstreams answered every request 503 with Retry-After: 3 and told room; a host sent 9 and 12 requests to one of them within that time, where two are borne.

Ruled out by the red test: ways that do not heed it, and an early end of the pause.

A request that waited for a connection meanwhile goes elsewhere (withheld). If nothing else leaves a service without upstreams, callers are refused at once and told when the first pause ends (upstreams-paused). Pauses are not told to other hosts: each is asked of one host.

The test of requests that wait for a connection: all twelve are served by the other upstream.

--- a/src/wardstair/decisions/notices.py
+++ b/src/wardstair/decisions/notices.py
@@ -1,6 +1,6 @@
 """What an upstream takes from a host, by what its answers have said."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import TypeVar
@@ -67,8 +67,25 @@
     Args:
         upstreams: Upstreams with what each takes.
     """
-    for wanted in ((Standing.open, Standing.paused), (Standing.leaving,)):
-        found = [one for one, standing in upstreams if standing in wanted]
+    for wanted in (Standing.open, Standing.leaving):
+        found = [one for one, standing in upstreams if standing is wanted]
         if found:
             return found
     return []
+
+
+def shortest_pause(notices: Iterable[Notice], now: float) -> float | None:
+    """Return when the first of some paused upstreams takes requests again.
+
+    Args:
+        notices: What each has said; those that leave are not waited for.
+        now: Monotonic time in seconds.
+
+    Returns:
+        Seconds from now; None if one is not paused, or all leave.
+    """
+    staying = [one for one in notices if one.leaving_since is None]
+    if not staying:
+        return None
+    left = min(one.paused_until for one in staying) - now
+    return left if left > 0 else None
--- a/src/wardstair/errors.py
+++ b/src/wardstair/errors.py
@@ -35,6 +35,7 @@
     over_quota = 'over-quota'
     no_home = 'no-home'
     upstreams_leaving = 'upstreams-leaving'
+    upstreams_paused = 'upstreams-paused'
     ends_upstreams = 'ends-upstreams'
     internal_fault = 'internal-fault'
 
--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -6,7 +6,7 @@
 from wardstair.decisions.cold import HostView
 from wardstair.decisions.fleet_rate import LoadView
 from wardstair.decisions.mechanisms import Mechanism
-from wardstair.decisions.notices import Standing, willing
+from wardstair.decisions.notices import Standing, shortest_pause, willing
 from wardstair.decisions.placement import (
     Candidate,
     Choice,
@@ -23,7 +23,7 @@
 from wardstair.gateway.cold_sends import ColdSends
 from wardstair.gateway.distances import Distances
 from wardstair.gateway.homes import Haul, Homes, KeyAsk
-from wardstair.gateway.limited_sends import LimitedSends
+from wardstair.gateway.limited_sends import MOST_WAIT_SECONDS, LimitedSends
 from wardstair.gateway.settings import LiveSettings
 from wardstair.gateway.splitting import Splits
 from wardstair.state.belief import Belief
@@ -248,6 +248,19 @@
             notices.standing(one) is Standing.closed for one in ranked
         )
 
+    def pause_left(self, ask: Ask) -> float | None:
+        """Return when an upstream for a request takes more, in seconds.
+
+        Returns:
+            The time; None if it is not pauses alone that leave no upstream.
+        """
+        notices = self._belief.notices
+        if notices.is_idle or self.ranked(ask):
+            return None
+        ranked = self._homes.ranked(self._key_ask(ask))
+        left = shortest_pause(map(notices.notice_of, ranked), time.monotonic())
+        return None if left is None else min(left, MOST_WAIT_SECONDS)
+
     def _key_ask(self, ask: Ask) -> KeyAsk:
         name = ask.route.name
         return KeyAsk(
--- a/src/wardstair/gateway/course.py
+++ b/src/wardstair/gateway/course.py
@@ -18,6 +18,8 @@
 
     unreachable = 'unreachable'
     turned_away = 'turned-away'
+    # The upstream wanted no more while the request waited for a connection.
+    withheld = 'withheld'
     lost = 'lost'
     # The upstream answered that it failed.
     failed = 'failed'
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -32,6 +32,7 @@
     Sender,
     SendOutcome,
     TurnedAway,
+    Withheld,
 )
 from wardstair.gateway.settings import LiveSettings
 from wardstair.gateway.witness import Witness
@@ -227,6 +228,9 @@
                     course.trail.unreachable += 1
                     course.sends -= 1
                     reason = ResendReason.unreachable
+                case Withheld():
+                    course.sends -= 1
+                    reason = ResendReason.withheld
                 case TurnedAway(load=load):
                     course.met_room = load is not None and load.has_room
                     reason = ResendReason.turned_away
@@ -396,6 +400,9 @@
         ask = self._ask(course)
         if self._chooser.have_all_left(ask):
             return refusals.UPSTREAMS_LEAVING
+        pause = self._chooser.pause_left(ask)
+        if pause is not None:
+            return replace(refusals.UPSTREAMS_PAUSED, retry_after=pause)
         wait = self._chooser.limit_wait(ask)
         if wait is not None:
             return replace(refusals.LIMITS_REACHED, retry_after=wait)
--- a/src/wardstair/gateway/refusals.py
+++ b/src/wardstair/gateway/refusals.py
@@ -150,6 +150,12 @@
     'all upstreams are about to end; come back after the stated seconds',
     retry_after=1.0,
 )
+# `retry_after` is set for each caller.
+UPSTREAMS_PAUSED = Ending(
+    503,
+    RefusalKind.upstreams_paused,
+    'all upstreams have asked for a pause; come back after the stated seconds',
+)
 # Upstreams ended under it. It stays refused until the stated time, or until an
 # operator lifts it; `retry_after` is set for each.
 ENDS_UPSTREAMS = Ending(
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -16,6 +16,7 @@
     RawAnswer,
     UpstreamConnection,
 )
+from wardstair.decisions.notices import Standing
 from wardstair.gateway.choosing import Placement
 from wardstair.gateway.distances import Distances
 from wardstair.gateway.messages import Inbound
@@ -36,6 +37,7 @@
 _LEAST_EXPECTED_SECONDS = 0.05
 # How an exchange ends on a connection that its upstream has forgotten.
 _FORGOTTEN = frozenset((BreakReason.reset, BreakReason.closed))
+_TAKE_NOTHING = frozenset((Standing.paused, Standing.closed))
 # Statuses with which an upstream may ask for a pause.
 _PAUSING = frozenset((429, 503))
 # Statuses by which a caller takes a request for not run.
@@ -55,6 +57,11 @@
     is_dead: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Withheld:
+    """The upstream wanted no more before the request left this host."""
+
+
 @dataclass(frozen=True, slots=True)
 class TurnedAway:
     """The upstream said that it has not run the request.
@@ -99,7 +106,7 @@
     seconds: float
 
 
-SendOutcome = NotSent | TurnedAway | Lost | Delivered
+SendOutcome = NotSent | Withheld | TurnedAway | Lost | Delivered
 
 
 class Sender:
@@ -179,6 +186,10 @@
         if started >= until:
             self._pool.give_back(upstream.name, connection)
             return NotSent('time is up')
+        # An answer may have said so while the connection was opened.
+        if self._notices.standing(upstream) in _TAKE_NOTHING:
+            self._pool.give_back(upstream.name, connection)
+            return Withheld()
         head = _encode_head(inbound, upstream, until - started)
         sent = connection.send(
             head,
--- a/tests/functional/test_upstream_notices.py
+++ b/tests/functional/test_upstream_notices.py
@@ -18,6 +18,8 @@
     whole_answer,
 )
 
+from wardstair.connection.pool import ConnectFailed
+from wardstair.connection.upstream import UpstreamConnection
 from wardstair.decisions.notices import Standing
 from wardstair.gateway.settings import Bounds
 
@@ -228,3 +230,62 @@
             assert notifier.came_after(SLACK_SECONDS) <= SLACK
 
     run(test)
+
+
+def test_callers_are_refused_at_once_while_all_upstreams_pause() -> None:
+    async def test() -> None:
+        notifier = pauser()
+        upstreams = (
+            UpstreamStandin('i-1', notifier.answer),
+            UpstreamStandin('i-2', notifier.answer),
+        )
+        async with Rig(*upstreams) as rig:
+            await ask_many(rig, '/read/x')
+            came = len(notifier.came)
+            refused = await rig.ask('/order/x', 'POST', b'1')
+            assert refused.status == 503
+            assert b'upstreams-paused' in refused.body
+            assert 0 < float(refused.headers['retry-after']) <= PAUSE_SECONDS
+            assert len(notifier.came) == came
+
+    run(test)
+
+
+def test_a_request_that_waits_for_a_connection_heeds_a_pause(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        notifier = pauser()
+        paused = UpstreamStandin('i-1', notifier.answer)
+        async with Rig(paused, UpstreamStandin('i-2')) as rig:
+            pool = rig.gateway.pool
+            connect = pool.connect
+            may_connect = asyncio.Event()
+            waiting: list[str] = []
+
+            async def connect_late(
+                name: str,
+                host: str,
+                port: int,
+            ) -> UpstreamConnection | ConnectFailed:
+                waiting.append(name)
+                await may_connect.wait()
+                return await connect(name, host, port)
+
+            monkeypatch.setattr(pool, 'connect', connect_late)
+            asked = asyncio.gather(
+                *(
+                    rig.ask(request_id=f'r{number}', key=str(number))
+                    for number in range(REQUESTS)
+                )
+            )
+            await rig.until(lambda: len(waiting) == REQUESTS)
+            upstream = rig.gateway.belief.catalog.upstreams['i-1']
+            assert paused.name in waiting
+            rig.gateway.belief.notices.note_pause(upstream, PAUSE_SECONDS)
+            may_connect.set()
+            answers = await asked
+            assert {answer.status for answer in answers} == {200}
+            assert not notifier.came
+
+    run(test)
--- a/tests/unit/test_notices.py
+++ b/tests/unit/test_notices.py
@@ -5,7 +5,13 @@
 import pytest
 from lib.upstreams import ENTRY, Clock
 
-from wardstair.decisions.notices import Notice, Standing, standing_of
+from wardstair.decisions.notices import (
+    Notice,
+    Standing,
+    shortest_pause,
+    standing_of,
+    willing,
+)
 from wardstair.platform.headers import decode_upstream
 from wardstair.state.notices import (
     MOST_PAUSE_SECONDS,
@@ -97,6 +103,39 @@
     assert standing_of(notice, 10.0, DRAIN_SECONDS) is standing
 
 
+@pytest.mark.parametrize(
+    ('standings', 'chosen'),
+    [
+        ([Standing.open, Standing.leaving, Standing.open], [0, 2]),
+        ([Standing.paused, Standing.leaving, Standing.closed], [1]),
+        ([Standing.paused, Standing.closed], []),
+        ([], []),
+    ],
+)
+def test_leaving_upstreams_are_kept_for_a_service_without_others(
+    standings: list[Standing],
+    chosen: list[int],
+) -> None:
+    assert willing(list(enumerate(standings))) == chosen
+
+
+@pytest.mark.parametrize(
+    ('notices', 'seconds'),
+    [
+        ([Notice(paused_until=13.0), Notice(paused_until=11.0)], 1.0),
+        ([Notice(paused_until=13.0), Notice(9.0, 11.0)], 3.0),
+        ([Notice(paused_until=13.0), Notice()], None),
+        ([Notice(9.0, 11.0)], None),
+        ([], None),
+    ],
+)
+def test_a_caller_is_told_when_the_first_pause_ends(
+    notices: list[Notice],
+    seconds: float | None,
+) -> None:
+    assert shortest_pause(notices, 10.0) == seconds
+
+
 @pytest.mark.parametrize(
     ('pauses', 'at', 'standing'),
     [
