Hold hosts to leaving notices and pauses in the soak

Two new faults: an upstream that says in its answers alone that it leaves, and one, or all of a service at once, that rejects everything for a while with Retry-After. An upstream that drains says so in its answers as well.

Checked for each life of a host: what its caller sent later than the drain time after the host had passed on a leaving answer, and what comes to a pausing upstream from half a second after its 503 on. A freeze excuses the first, a freeze or a harmed way to an upstream the second; a restart is another life.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -14,6 +14,14 @@
     Naming,
     Run,
     Span,
+    Try,
+)
+from soak.notices import (
+    DRAIN_SECONDS,
+    MOST_IN_PAUSE,
+    Arrival,
+    Leaving,
+    Pausing,
 )
 from soak.play import Plan, Verdict, play
 from soak.processes import GatewayProcess, choose_places
@@ -34,6 +42,7 @@
     with_power=False,
     with_harm=False,
     with_limits=False,
+    with_notices=False,
     with_restores=False,
 )
 # Hosts lose power while upstreams start cold.
@@ -42,6 +51,8 @@
 HARM = replace(SHORT, only_harm=True, seconds=0.1, gap=9, upstreams=16)
 # Upstreams name limits, one after the other and at once.
 LIMITS = replace(SHORT, only_limits=True, seconds=6, gap=3, callers=8)
+# Upstreams leave, or ask for pauses, in their answers.
+NOTICES = replace(SHORT, only_notices=True, seconds=6, gap=1.5)
 # The store comes back from a copy, once or twice in a row.
 RESTORES = replace(
     SHORT,
@@ -57,6 +68,7 @@
     POWER,
     HARM,
     LIMITS,
+    NOTICES,
     RESTORES,
     *(
         replace(
@@ -66,6 +78,7 @@
             with_power=one.with_power,
             with_harm=one.with_harm,
             with_limits=one.with_limits,
+            with_notices=one.with_notices,
             with_restores=one.with_restores,
         )
         for one in FAILED_SEEDS
@@ -84,7 +97,8 @@
     PLANS,
     ids=lambda plan: (
         f'{plan.seed}{"-power" * plan.only_power}{"-harm" * plan.only_harm}'
-        f'{"-limits" * plan.only_limits}{"-restores" * plan.only_restores}'
+        f'{"-limits" * plan.only_limits}{"-notices" * plan.only_notices}'
+        f'{"-restores" * plan.only_restores}'
     ),
 )
 def test_promises_hold_under_drawn_faults(plan: Plan, tmp_path: Path) -> None:
@@ -104,6 +118,8 @@
         ('tally', SHORT, 'weights are not kept'),
         # Few others, so that cold upstreams have room for it.
         ('limits', replace(LIMITS, seconds=0.1), 'which had named'),
+        ('leaving', NOTICES, 'had said that it leaves'),
+        ('pauses', NOTICES, 'in its pause'),
         ('eras', replace(RESTORES, seconds=0.1), 'after its evacuation'),
         ('harm', replace(HARM, callers=1, upstreams=24), 'ended too late'),
     ],
@@ -268,3 +284,64 @@
     spans = [] if fault is None else [fault]
     found = Ledger(named=[naming], spans=spans).check()
     assert bool(found) is is_broken
+
+
+def tries_at(*sent_at: float) -> list[Arrival]:
+    """Return requests to one gateway that come at once to an upstream."""
+    return [
+        Arrival(Try(f'r{number}', Kind.safe, 'host/1', at), at)
+        for number, at in enumerate(sent_at)
+    ]
+
+
+@pytest.mark.parametrize(
+    ('sent_at', 'gateway', 'fault', 'is_broken'),
+    [
+        pytest.param(DRAIN_SECONDS, 'host/1', None, False, id='in time'),
+        pytest.param(DRAIN_SECONDS + 0.1, 'host/1', None, True, id='late'),
+        pytest.param(DRAIN_SECONDS + 0.1, 'host/2', None, False, id='not told'),
+        pytest.param(
+            DRAIN_SECONDS + 0.1, 'host/1', 'pause_gateway', False, id='frozen'
+        ),
+        pytest.param(
+            DRAIN_SECONDS + 0.1, 'host/1', 'store_down', True, id='store down'
+        ),
+    ],
+)
+def test_the_ledger_holds_hosts_to_what_leaving_upstreams_say(
+    sent_at: float,
+    gateway: str,
+    fault: str | None,
+    *,
+    is_broken: bool,
+) -> None:
+    answered = Try('r0', Kind.safe, gateway, status=200)
+    came = tries_at(sent_at)
+    spans = [] if fault is None else [Span(fault, 0.1, 0.2)]
+    leaving = Leaving('i-1', came, [answered])
+    found = Ledger(notices=[leaving], spans=spans).check()
+    assert bool(found) is is_broken
+
+
+@pytest.mark.parametrize(
+    ('came', 'fault', 'is_broken'),
+    [
+        pytest.param([0.5] * 9, None, False, id='under way'),
+        pytest.param([0.6] * MOST_IN_PAUSE, None, False, id='what is borne'),
+        pytest.param([0.6] * (MOST_IN_PAUSE + 1), None, True, id='one more'),
+        pytest.param([3.0] * 9, None, False, id='afterwards'),
+        pytest.param([1.0] * 9, 'cut_upstream', False, id='cut'),
+        pytest.param([1.0] * 9, 'store_down', True, id='store down'),
+    ],
+)
+def test_the_ledger_holds_hosts_to_pauses(
+    came: list[float],
+    fault: str | None,
+    *,
+    is_broken: bool,
+) -> None:
+    rejected = tries_at(0.0)
+    spans = [] if fault is None else [Span(fault, 0.1, 0.2)]
+    pausing = Pausing('i-1', 3.0, tries_at(*came), rejected)
+    found = Ledger(notices=[pausing], spans=spans).check()
+    assert bool(found) is is_broken
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -11,7 +11,7 @@
 from wardstair.gateway import fleet_views, refusals, splitting
 from wardstair.platform import store
 from wardstair.platform.objects import StoredObject
-from wardstair.state import belief, limits, suspects
+from wardstair.state import belief, limits, notices, suspects
 from wardstair.state.upstream import Upstream
 from wardstair.version.steering import SteeredRoute
 
@@ -104,6 +104,28 @@
     limits.LimitTable.rate_of = rate_of  # type: ignore[method-assign]
 
 
+def ignore_leaving() -> None:
+    """Let no host know that an upstream has said that it leaves."""
+
+    def note_leaving(self: notices.NoticeTable, upstream: Upstream) -> None:
+        """Forget it at once."""
+
+    notices.NoticeTable.note_leaving = note_leaving  # type: ignore[method-assign]
+
+
+def ignore_pauses() -> None:
+    """Let no host know that an upstream has asked for a pause."""
+
+    def note_pause(
+        self: notices.NoticeTable,
+        upstream: Upstream,
+        seconds: float,
+    ) -> None:
+        """Forget it at once."""
+
+    notices.NoticeTable.note_pause = note_pause  # type: ignore[method-assign]
+
+
 def ignore_eras() -> None:
     """Let revisions of a restored store count as those of before."""
 
@@ -132,6 +154,10 @@
             forget_harm()
         case 'limits':
             ignore_limits()
+        case 'leaving':
+            ignore_leaving()
+        case 'pauses':
+            ignore_pauses()
         case 'eras':
             ignore_eras()
     gateway.main()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,7 @@
 from lib.store_standin import StoreStandin
 
 from soak.ledger import Kind, Ledger, Naming
+from soak.notices import Leaving, Pausing
 from soak.processes import SEEDS, GatewayProcess
 from soak.proxy import Mode, Proxy
 from soak.upstreams import HARMFUL, Habits, SoakUpstream
@@ -30,6 +31,10 @@
 # held to, a window, and some.
 LIMITS = (0.5, 1.5, 4.0)
 NAMING_SECONDS = 12.0
+# Shortest and longest pause that an upstream asks for, and how often all of its
+# service do so at once.
+PAUSES = (1.5, 4.0)
+WHOLE_SERVICE_SHARE = 0.3
 
 
 @dataclass
@@ -283,14 +288,52 @@
     upstream = scene.random.choice(scene.upstreams)
     name = upstream.name
     scene.register(upstream, state='draining')
+    await _leave(scene, upstream, name)
+
+
+async def leave_unregistered(scene: Scene) -> None:
+    """Let an upstream leave that says so in its answers alone."""
+    upstream = scene.random.choice(scene.upstreams)
+    await _leave(scene, upstream, upstream.name)
+
+
+async def _leave(scene: Scene, upstream: SoakUpstream, name: str) -> None:
+    life = upstream.life
+    if upstream.leaving is None:
+        upstream.leaving = Leaving(name)
+        scene.ledger.notices.append(upstream.leaving)
     await asyncio.sleep(LEAVING_SECONDS)
-    if upstream.name != name:
+    if upstream.life != life:
         return
     upstream.crash()
     scene.deregister(name)
     scene.register(upstream)
 
 
+async def ask_pause(scene: Scene) -> None:
+    """Let one upstream, or all of its service, ask for a pause for a while."""
+    first = scene.random.choice(scene.upstreams)
+    is_whole_service = scene.random.random() < WHOLE_SERVICE_SHARE
+    seconds = scene.random.uniform(*PAUSES)
+    began = []
+    for upstream in scene.upstreams:
+        is_meant = upstream is first or (
+            is_whole_service and upstream.service == first.service
+        )
+        if is_meant and upstream.pausing is None:
+            upstream.pausing = Pausing(upstream.name, seconds)
+            scene.ledger.notices.append(upstream.pausing)
+            began.append((upstream, upstream.pausing))
+    await asyncio.sleep(scene.draw_seconds())
+    for _, pausing in began:
+        pausing.is_rejecting = False
+    # What it asked for last is over then.
+    await asyncio.sleep(seconds)
+    for upstream, pausing in began:
+        if upstream.pausing is pausing:
+            upstream.pausing = None
+
+
 async def ail_upstream(scene: Scene) -> None:
     """Let an upstream be slow, lose answers or send surplus ones."""
     upstream = scene.random.choice(scene.upstreams)
@@ -371,6 +414,10 @@
 HARM_FAULTS: tuple[Fault, ...] = (send_harmful,)
 
 
+# Upstreams that leave, or want no requests for a time, and say so in answers.
+NOTICE_FAULTS: tuple[Fault, ...] = (leave_unregistered, ask_pause)
+
+
 # Upstreams that name limits, alone or beside others.
 LIMIT_FAULTS: tuple[Fault, ...] = (name_limit,)
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from soak.notices import Arrival, Leaving, Pausing
+
 # Requests that a cold upstream bears in a second: four, by half more, and two.
 # Hosts that keep to it send half of that; few callers are enough to exceed it.
 COLD_RATE = 4.0
@@ -121,6 +123,7 @@
         cold: What came to each upstream while it was cold.
         ended: When upstreams ended under each harmful request.
         named: Limits that upstreams named.
+        notices: Upstreams that said in answers what they take.
     """
 
     tries: dict[str, Try] = field(default_factory=dict)
@@ -131,6 +134,7 @@
     cold: dict[str, list[ColdArrival]] = field(default_factory=dict)
     ended: dict[str, list[float]] = field(default_factory=dict)
     named: list[Naming] = field(default_factory=list)
+    notices: list[Leaving | Pausing] = field(default_factory=list)
 
     def begin(self, request_id: str, kind: Kind, gateway: str) -> Try:
         """Note a request that is about to be sent."""
@@ -138,6 +142,11 @@
         self.tries[request_id] = made
         return made
 
+    def arrival(self, request_id: str) -> Arrival | None:
+        """Return that a request comes to an upstream now, if it is known."""
+        known = self.tries.get(request_id)
+        return None if known is None else Arrival(known, time.monotonic())
+
     def note_cold(self, request_id: str, upstream: str) -> None:
         """Note that a request has come to a cold upstream."""
         known = self.tries.get(request_id)
@@ -177,6 +186,8 @@
         found.extend(self._check_cold())
         found.extend(self._check_ended())
         found.extend(self._check_limits())
+        for notice in self.notices:
+            found.extend(notice.check(self.spans))
         for one in self.tries.values():
             found.extend(_check_try(one))
             if self._is_cut_by_stop(one):
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -19,6 +19,7 @@
     HARM_FAULTS,
     HERDS,
     LIMIT_FAULTS,
+    NOTICE_FAULTS,
     PLANNED,
     POWER,
     UNPLANNED,
@@ -65,6 +66,8 @@
         only_harm: Whether nothing else happens.
         with_limits: Whether upstreams name limits.
         only_limits: Whether nothing else happens.
+        with_notices: Whether upstreams leave or ask for pauses in answers.
+        only_notices: Whether nothing else happens.
         with_restores: Whether the store comes back from copies.
         only_restores: Whether nothing else happens.
     """
@@ -84,6 +87,8 @@
     only_harm: bool = False
     with_limits: bool = True
     only_limits: bool = False
+    with_notices: bool = True
+    only_notices: bool = False
     with_restores: bool = True
     only_restores: bool = False
 
@@ -96,14 +101,17 @@
             return (HARM_FAULTS,)
         if self.only_limits:
             return (LIMIT_FAULTS,)
+        if self.only_notices:
+            return (NOTICE_FAULTS,)
         if self.only_restores:
             return (RESTORE_FAULTS,)
         herds = HERDS * self.with_herds
         harm = HARM_FAULTS * self.with_harm
         power = POWER * self.with_power
         limits = LIMIT_FAULTS * self.with_limits
+        notices = NOTICE_FAULTS * self.with_notices
         restores = RESTORE_FAULTS * self.with_restores
-        drawn = herds + power + harm + limits + restores
+        drawn = herds + power + harm + limits + notices + restores
         return (PLANNED, UNPLANNED + drawn)
 
 
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -18,6 +18,7 @@
         with_power: The same of losses of power.
         with_harm: The same of requests that end upstreams.
         with_limits: The same of upstreams that name limits.
+        with_notices: The same of upstreams that leave or ask for pauses.
         with_restores: The same of restores of the store.
     """
 
@@ -27,6 +28,7 @@
     with_power: bool = True
     with_harm: bool = False
     with_limits: bool = False
+    with_notices: bool = False
     with_restores: bool = False
 
 
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -10,6 +10,7 @@
 from lib.upstream_standin import Seen, whole_answer
 
 from soak.ledger import Ledger, Naming, Run
+from soak.notices import Arrival, Leaving, Pausing
 from soak.proxy import Proxy
 
 SERVICES = ('views', 'orders')
@@ -71,6 +72,9 @@
         self.habits = Habits()
         # What it names as its limit, if anything.
         self.naming: Naming | None = None
+        # What it says of further requests.
+        self.leaving: Leaving | None = None
+        self.pausing: Pausing | None = None
         self._place = place
         self._ledger = ledger
         self._random = random
@@ -129,6 +133,8 @@
         self._running = 0
         self.habits = Habits()
         self.naming = None
+        self.leaving = None
+        self.pausing = None
         for writer in tuple(self._writers):
             writer.transport.abort()
 
@@ -168,6 +174,11 @@
             self._ledger.note_cold(name, self.name)
         if self.naming is not None:
             self.naming.came.append(time.monotonic())
+        arrival = self._note_arrival(name)
+        pausing = self.pausing
+        if arrival and pausing and pausing.is_rejecting:
+            self._ask_pause(arrival, pausing, writer)
+            return
         if self._running >= SLOTS + QUEUE:
             full = '503 Service Unavailable'
             extra = NOT_RUN + self._limit()
@@ -203,12 +214,38 @@
             writer.transport.abort()
             return
         body = f'{name} {self.name}'.encode()
-        extra = _SEAL + self._limit()
+        extra = _SEAL + self._limit() + self._say_leaving(name)
         writer.write(whole_answer(name, body, extra=extra))
         if self._random.random() < habits.surplus_share:
             writer.write(whole_answer(name, body, extra=extra))
         await writer.drain()
 
+    def _note_arrival(self, name: str) -> Arrival | None:
+        arrival = self._ledger.arrival(name)
+        for notice in (self.leaving, self.pausing):
+            if arrival is not None and notice is not None:
+                notice.came.append(arrival)
+        return arrival
+
+    def _ask_pause(
+        self,
+        arrival: Arrival,
+        pausing: Pausing,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        name = arrival.request.request_id
+        extra = f'{NOT_RUN}Retry-After: {pausing.seconds:.1f}\r\n'
+        unavailable = '503 Service Unavailable'
+        writer.write(whole_answer(name, b'', unavailable, extra))
+        pausing.rejected.append(arrival)
+
+    def _say_leaving(self, name: str) -> str:
+        known = self._ledger.tries.get(name)
+        if self.leaving is None or known is None:
+            return ''
+        self.leaving.answered.append(known)
+        return 'Server-Leaving: 1\r\n'
+
     def _limit(self) -> str:
         naming = self.naming
         return '' if naming is None else f'Server-Limit: {naming.rate}\r\n'
