Take a removal for one where another host had the store throughout

Cause: for two seconds after its own way to the store is back a host takes what vanishes for lapsed and keeps it for two more. The host had been cut off alone for 8 s, watched the store for others 1.2 s after its return, and they took over its wait.

Change: heartbeats carry the age of the sender's uninterrupted contact and of its last proof. If another host's contact covers the outage, up to the time for which the store may be away without any entry lapsing, a removal is one.

The format number rises, so hosts of two versions do not hear each other.

--- a/src/wardstair/fleet/beats.py
+++ b/src/wardstair/fleet/beats.py
@@ -15,7 +15,7 @@
 
 # Two versions of the program in one fleet drop each other's datagrams
 # instead of misreading them.
-_FORMAT = 7
+_FORMAT = 8
 _UNREADABLE = (cbor2.CBORDecodeError, ValueError, TypeError, LookupError)
 # Hosts named in one answer to a newcomer, so that a datagram holds them.
 MOST_NAMED = 16
@@ -123,6 +123,19 @@
     load: float
 
 
+@dataclass(frozen=True, slots=True)
+class ContactAge:
+    """How long ago a host's contact with the store began and was proved.
+
+    Attributes:
+        begin: Seconds since it began; it was not interrupted.
+        proof: Seconds since the store last answered.
+    """
+
+    begin: float
+    proof: float
+
+
 @dataclass(frozen=True, slots=True)
 class Beat:
     """One heartbeat.
@@ -142,6 +155,8 @@
         named: Other hosts that the sender hears.
         load: Requests a second of the sender's callers.
         zone_loads: Load of zones, while it is needed.
+        contact: Age of the sender's contact with the store; None if it has
+            none.
     """
 
     kind: BeatKind
@@ -158,6 +173,7 @@
     named: tuple[PeerName, ...] = ()
     load: float = 0.0
     zone_loads: tuple[ZoneLoad, ...] = ()
+    contact: ContactAge | None = None
 
 
 def encode_beat(beat: Beat) -> bytes:
@@ -179,6 +195,7 @@
             [_name_row(peer) for peer in beat.named],
             round(beat.load, 1),
             [[told.zone, round(told.load, 1)] for told in beat.zone_loads],
+            _contact_row(beat.contact),
         ]
     )
 
@@ -204,10 +221,17 @@
             tuple(PeerName(*peer) for peer in row[12]),
             float(row[13]),
             tuple(ZoneLoad(zone, float(load)) for zone, load in row[14]),
+            ContactAge(*map(float, row[15])) if row[15] else None,
         )
     except _UNREADABLE:
         return None
 
 
+def _contact_row(contact: ContactAge | None) -> list[float]:
+    if contact is None:
+        return []
+    return [round(contact.begin, 1), round(contact.proof, 1)]
+
+
 def _name_row(peer: PeerName) -> list[object]:
     return [peer.name, peer.zone, peer.address, peer.front, peer.size]
--- a/src/wardstair/fleet/member.py
+++ b/src/wardstair/fleet/member.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from wardstair.decisions.lapses import ContactSpan
 from wardstair.fleet.beats import Beat, PeerName, Versions
 
 
@@ -24,6 +25,8 @@
         fleet_size: Hosts that it knows of in all zones.
         versions: How new it said its state is.
         load: Requests a second of its callers, as it said.
+        contact: Its contact with the store, in this host's time; None if it
+            said that it has none.
         was_live: Whether it counted as live when last looked at.
     """
 
@@ -40,6 +43,7 @@
     fleet_size: int = 0
     versions: Versions = field(default_factory=Versions)
     load: float = 0.0
+    contact: ContactSpan | None = None
     was_live: bool = False
 
     def take_in(self, beat: Beat, now: float) -> None:
@@ -56,3 +60,7 @@
         self.fleet_size = beat.fleet_size
         self.versions = beat.versions
         self.load = beat.load
+        self.contact = None
+        if beat.contact is not None:
+            age = beat.contact
+            self.contact = ContactSpan(now - age.begin, now - age.proof)
--- a/src/wardstair/fleet/members.py
+++ b/src/wardstair/fleet/members.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
+from wardstair.decisions.lapses import ContactSpan
 from wardstair.decisions.relays import RelayCandidate, choose_relays
 from wardstair.decisions.sentinels import Watcher, choose_sentinels
 from wardstair.decisions.timing import LEAST_REPLACED_SECONDS
-from wardstair.fleet.beats import Beat, PeerName
+from wardstair.fleet.beats import Beat, ContactAge, PeerName
 from wardstair.fleet.member import Member
 from wardstair.process.log import log_event
 
@@ -47,6 +48,8 @@
         replaced_seconds: Silence after which a relay is replaced.
         is_settled: Whether this host had time to hear the others.
         is_busy: Whether this host is short of processor time.
+        own_contact: Returns this host's contact with the store; None if there
+            is none.
         load: Requests a second of this host's callers.
         is_leaving: Whether this host is about to stop.
         table: Members by name.
@@ -67,6 +70,9 @@
     )
     is_settled: Callable[[], bool] = field(default=lambda: True)
     is_busy: bool = False
+    own_contact: Callable[[], ContactSpan | None] = field(
+        default=lambda: None,
+    )
     load: float = 0.0
     is_leaving: bool = False
     table: dict[str, Member] = field(default_factory=dict)
@@ -271,6 +277,19 @@
         """Return the members heard lately, those leaving included."""
         return [one for one in self.table.values() if self.is_live(one)]
 
+    @property
+    def contact_age(self) -> ContactAge | None:
+        """Age of this host's contact with the store, if there is any."""
+        contact = self.own_contact()
+        if contact is None:
+            return None
+        now = self.clock()
+        return ContactAge(now - contact.begin, now - contact.end)
+
+    def contacts(self) -> list[ContactSpan]:
+        """Return the contact of live hosts with the store."""
+        return [one.contact for one in self.live() if one.contact is not None]
+
     def live_names(self) -> set[str]:
         """Return names of heard hosts that serve, this one included."""
         names = {one.peer.name for one in self.live() if not one.is_leaving}
--- a/src/wardstair/fleet/radio.py
+++ b/src/wardstair/fleet/radio.py
@@ -348,6 +348,7 @@
             named=named,
             load=members.load,
             zone_loads=zone_loads,
+            contact=members.contact_age,
         )
 
     def _send(self, address: str, beat: Beat) -> None:
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -126,6 +126,9 @@
         self.store = Store(settings.store)
         self.contact = StoreContact(clock, random)
         self.store.on_era = self.contact.note_era
+        self.contact.harmless_seconds = lambda: (
+            self.live_settings.current.heartbeat.harmless_seconds
+        )
         self.members = Members(
             own,
             clock,
@@ -133,6 +136,8 @@
             lambda: self.live_settings.current.timing.replaced,
             lambda: self.views.is_settled,
         )
+        self.members.own_contact = lambda: self.contact.span
+        self.contact.others = self.members.contacts
         self.radio = Radio(
             self.members,
             settings.fleet_ports[0],
--- a/src/wardstair/gateway/settings.py
+++ b/src/wardstair/gateway/settings.py
@@ -116,6 +116,14 @@
         """
         return 4 * self.upstream_seconds
 
+    @property
+    def harmless_seconds(self) -> float:
+        """Time for which the store may be away without an entry lapsing.
+
+        Its upstream may have written it up to one period before.
+        """
+        return 2 * self.upstream_seconds
+
 
 @dataclass(frozen=True, slots=True)
 class Gap:
--- a/src/wardstair/state/contact.py
+++ b/src/wardstair/state/contact.py
@@ -6,9 +6,10 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 
+from wardstair.decisions.lapses import ContactSpan, was_store_up
 from wardstair.process.log import log_event, log_warning
 from wardstair.state.catalog import RETURN_SECONDS
 
@@ -31,10 +32,15 @@
         # Era of the store as its answers tell it; 0 before the first.
         self.era = 0
         self.restores = 0
+        # Contact of other hosts, as they told it.
+        self.others: Callable[[], Iterable[ContactSpan]] = tuple
+        # Returns for how long the store may be away without an entry lapsing.
+        self.harmless_seconds: Callable[[], float] = lambda: 0.0
         self._clock = clock
         self._random = random
         self._lost_at = 0.0
-        self._back_at: float | None = None
+        self._held_since = 0.0
+        self._outage: ContactSpan | None = None
         self._failures = 0
         self._is_asked = False
         self._changed = asyncio.Event()
@@ -46,8 +52,25 @@
         """Whether entries may have lapsed though their upstreams live."""
         if self.is_lost:
             return True
-        back_at = self._back_at
-        return back_at is not None and self._clock() - back_at < RETURN_SECONDS
+        outage = self._outage
+        if outage is None or self._clock() - outage.end >= RETURN_SECONDS:
+            return False
+        return not was_store_up(
+            outage,
+            self.others(),
+            self.harmless_seconds(),
+        )
+
+    @property
+    def span(self) -> ContactSpan | None:
+        """Time of uninterrupted contact up to the last answer, if there is any.
+
+        Answers too far apart interrupt it: nobody knows what was between.
+        """
+        heard_at = self.heard_at
+        if heard_at is None or self.is_lost:
+            return None
+        return ContactSpan(self._held_since, heard_at)
 
     @property
     def is_held(self) -> bool:
@@ -71,14 +94,20 @@
 
     def note_success(self) -> None:
         """Note that the store answered."""
-        self.heard_at = self._clock()
+        now = self._clock()
+        before = self.heard_at
+        is_gap = before is None or now - before > self.harmless_seconds()
+        if is_gap or self.is_lost:
+            self._held_since = now
+        self.heard_at = now
         self._answered.set()
         self._failures = 0
         self.pass_turn()
         if self.is_lost:
             self.is_lost = False
-            self._back_at = self._clock()
-            away = round(self._clock() - self._lost_at, 2)
+            begin = self._lost_at if before is None else before
+            self._outage = ContactSpan(begin, now)
+            away = round(now - self._lost_at, 2)
             log_event('store-regained', away=away)
             self._end_watches()
 
--- a/tests/lib/beats.py
+++ b/tests/lib/beats.py
@@ -1,6 +1,13 @@
 """Heartbeats for tests."""
 
-from wardstair.fleet.beats import Beat, BeatKind, PeerName, Versions, ZoneLoad
+from wardstair.fleet.beats import (
+    Beat,
+    BeatKind,
+    ContactAge,
+    PeerName,
+    Versions,
+    ZoneLoad,
+)
 
 
 def peer_of(name: str, zone: str = 'z') -> PeerName:
@@ -24,6 +31,7 @@
     named: tuple[PeerName, ...] = (),
     load: float = 0.0,
     zone_loads: tuple[ZoneLoad, ...] = (),
+    contact: ContactAge | None = None,
 ) -> Beat:
     """Return a heartbeat."""
     return Beat(
@@ -41,4 +49,5 @@
         named,
         load,
         zone_loads,
+        contact,
     )
