Forget pauses that are over

Found while reading the change: the row of a pause stayed for the life of its upstream, and each request then paid for a look at all upstreams of its service.

--- a/src/wardstair/decisions/lapses.py
+++ b/src/wardstair/decisions/lapses.py
@@ -27,7 +27,7 @@
     contacts: Iterable[ContactSpan],
     harmless_seconds: float,
 ) -> bool:
-    """Return whether others had contact while this host had none.
+    """Return whether another host had contact while this one had none.
 
     Args:
         outage: From this host's last answer of the store before to the first
--- a/src/wardstair/state/notices.py
+++ b/src/wardstair/state/notices.py
@@ -53,7 +53,7 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no upstream has given a notice."""
+        """Whether no notice is in force."""
         return not self._rows
 
     def notice_of(self, upstream: Upstream) -> Notice:
@@ -62,10 +62,7 @@
         Args:
             upstream: One life of an upstream.
         """
-        row = self._rows.get(upstream.name)
-        if row is None or row.born != upstream.entry.born:
-            return Notice()
-        return row.notice
+        return self._known(upstream) or Notice()
 
     def standing(self, upstream: Upstream) -> Standing:
         """Return what a life of an upstream takes from this host now.
@@ -73,11 +70,10 @@
         Args:
             upstream: One life of an upstream.
         """
-        return standing_of(
-            self.notice_of(upstream),
-            self.clock(),
-            self.drain_seconds(),
-        )
+        notice = self._known(upstream)
+        if notice is None:
+            return Standing.open
+        return standing_of(notice, self.clock(), self.drain_seconds())
 
     def note_leaving(self, upstream: Upstream) -> None:
         """Note that an answer of an upstream says that it will end soon.
@@ -123,18 +119,24 @@
         notice.paused_until = max(notice.paused_until, end)
 
     def forget(self, names: Collection[str]) -> None:
-        """Drop what nobody needs to know any more.
+        """Drop pauses that are over, and upstreams that left long ago.
 
         Args:
             names: Names of the upstreams that are there.
         """
-        end = self.clock() - REMEMBERED_SECONDS
+        now = self.clock()
         self._rows = {
             name: row
             for name, row in self._rows.items()
-            if name in names or row.noted_at >= end
+            if _is_needed(row, now, is_listed=name in names)
         }
 
+    def _known(self, upstream: Upstream) -> Notice | None:
+        row = self._rows.get(upstream.name)
+        if row is None or row.born != upstream.entry.born:
+            return None
+        return row.notice
+
     def _row_of(self, upstream: Upstream) -> _Row | None:
         """Return where to note of a life; None if a later one has spoken."""
         now = self.clock()
@@ -147,3 +149,9 @@
             return None
         row.noted_at = now
         return row
+
+
+def _is_needed(row: _Row, now: float, *, is_listed: bool) -> bool:
+    if row.notice.leaving_since is None:
+        return now < row.notice.paused_until
+    return is_listed or now - row.noted_at <= REMEMBERED_SECONDS
--- a/tests/unit/test_notices.py
+++ b/tests/unit/test_notices.py
@@ -196,6 +196,18 @@
     assert table.notice_of(upstream_of(born=2)).leaving_since is None
 
 
+def test_a_pause_that_is_over_is_forgotten() -> None:
+    clock = Clock()
+    table = NoticeTable(clock)
+    table.note_pause(upstream_of(), 3)
+    clock.now += 2
+    table.forget(())
+    assert table.standing(upstream_of()) is Standing.paused
+    clock.now += 1
+    table.forget([ENTRY.name])
+    assert table.is_idle
+
+
 def test_a_notice_outlasts_the_entry_for_a_while() -> None:
     clock = Clock()
     table = NoticeTable(clock)
