Name pauses unrounded in the soak

The upstream had rounded the time that it named to tenths, and the ledger held hosts to the unrounded one. The check stays as it is; the upstream now names what the ledger goes by.

--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -52,4 +52,13 @@
         with_limits=True,
         with_restores=True,
     ),
+    FailedSeed(
+        1421903497,
+        'the soak held hosts to a pause that was longer than the one its '
+        'upstream had named; the upstream names it unrounded',
+        with_harm=True,
+        with_limits=True,
+        with_notices=True,
+        with_restores=True,
+    ),
 )
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -234,7 +234,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         name = arrival.request.request_id
-        extra = f'{NOT_RUN}Retry-After: {pausing.seconds:.1f}\r\n'
+        extra = f'{NOT_RUN}Retry-After: {pausing.seconds!r}\r\n'
         unavailable = '503 Service Unavailable'
         writer.write(whole_answer(name, b'', unavailable, extra))
         pausing.rejected.append(arrival)
