--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -143,7 +143,7 @@
         return made
 
     def arrival(self, request_id: str) -> Arrival | None:
-        """Return that a request comes to an upstream now, if it is known."""
+        """Return the arrival of a request now; None if no caller sent it."""
         known = self.tries.get(request_id)
         return None if known is None else Arrival(known, time.monotonic())
 
--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -34,7 +34,7 @@
 
 @dataclass
 class Leaving:
-    """A life of an upstream that says in its answers that it leaves.
+    """One life of an upstream that announces its end in its answers.
 
     Attributes:
         upstream: Its name.
@@ -47,7 +47,7 @@
     answered: list['Try'] = field(default_factory=list)
 
     def check(self, spans: list['Span']) -> list[str]:
-        """Return what came though the answer had been passed on, in words."""
+        """Return requests that came too late after a notice, in words."""
         told: dict[str, float] = {}
         for one in self.answered:
             if one.status == 200:
@@ -81,7 +81,7 @@
     is_rejecting: bool = True
 
     def check(self, spans: list['Span']) -> list[str]:
-        """Return pauses that were not kept, in words."""
+        """Return how often gateways sent more than a pause bears, in words."""
         most: dict[str, int] = {}
         for asked in self.rejected:
             begin = asked.at + SLACK_SECONDS
