Count an absence from the moment at which the fleet has the store back

Contact of another host that covers the whole outage is more than is needed: entries of upstreams that live are back two seconds after the store is.

Now a host takes what vanishes for removed if another has had uninterrupted contact for these two seconds, proved within the time in which no entry can lapse.

--- a/src/wardstair/decisions/lapses.py
+++ b/src/wardstair/decisions/lapses.py
@@ -1,8 +1,9 @@
 """Whether entries may have lapsed in the store though their upstreams live.
 
 An entry lapses when its upstream is silent for some periods, so also while
-nobody reaches the store. A host that had no contact cannot tell by itself
-whether that was so or it alone was cut off; the contact of others tells.
+nobody reaches the store; it is back soon after the store is. A host that has
+just got its way to the store back cannot tell by itself whether the store was
+away or it alone was cut off; the contact of others tells.
 """
 
 from collections.abc import Iterable
@@ -11,33 +12,46 @@
 
 @dataclass(frozen=True, slots=True)
 class ContactSpan:
-    """A time in which a host had contact with the store throughout, or none.
+    """A time in which a host had contact with the store throughout.
 
     Attributes:
-        begin: Monotonic time of its begin, in seconds.
-        end: Monotonic time of its end.
+        begin: Monotonic time of its first answer, in seconds.
+        end: Monotonic time of the last answer that is known.
     """
 
     begin: float
     end: float
 
 
-def was_store_up(
-    outage: ContactSpan,
+@dataclass(frozen=True, slots=True)
+class LapseTimes:
+    """How long entries take to lapse and to return.
+
+    Attributes:
+        harmless_seconds: Time for which the store may be away without any
+            entry lapsing.
+        return_seconds: Time after the store's return within which the entries
+            of upstreams that live are back.
+    """
+
+    harmless_seconds: float
+    return_seconds: float
+
+
+def are_entries_back(
     contacts: Iterable[ContactSpan],
-    harmless_seconds: float,
+    times: LapseTimes,
+    now: float,
 ) -> bool:
-    """Return whether another host had contact while this one had none.
+    """Return whether one host's contact shows that no entry is lapsed now.
 
     Args:
-        outage: From this host's last answer of the store before to the first
-            one after.
-        contacts: Contact of other hosts, to the last answer that is known.
-        harmless_seconds: Time for which the store may be away without any
-            entry lapsing.
+        contacts: Contact of hosts with the store.
+        times: How long entries take to lapse and to return.
+        now: Monotonic time in seconds.
     """
     return any(
-        contact.begin <= outage.begin
-        and contact.end >= outage.end - harmless_seconds
+        contact.begin <= now - times.return_seconds
+        and contact.end >= now - times.harmless_seconds
         for contact in contacts
     )
--- a/src/wardstair/state/contact.py
+++ b/src/wardstair/state/contact.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
-from wardstair.decisions.lapses import ContactSpan, was_store_up
+from wardstair.decisions.lapses import ContactSpan, LapseTimes, are_entries_back
 from wardstair.process.log import log_event, log_warning
 from wardstair.state.catalog import RETURN_SECONDS
 
@@ -40,7 +40,7 @@
         self._random = random
         self._lost_at = 0.0
         self._held_since = 0.0
-        self._outage: ContactSpan | None = None
+        self._back_at: float | None = None
         self._failures = 0
         self._is_asked = False
         self._changed = asyncio.Event()
@@ -52,14 +52,12 @@
         """Whether entries may have lapsed though their upstreams live."""
         if self.is_lost:
             return True
-        outage = self._outage
-        if outage is None or self._clock() - outage.end >= RETURN_SECONDS:
+        now = self._clock()
+        back_at = self._back_at
+        if back_at is None or now - back_at >= RETURN_SECONDS:
             return False
-        return not was_store_up(
-            outage,
-            self.others(),
-            self.harmless_seconds(),
-        )
+        times = LapseTimes(self.harmless_seconds(), RETURN_SECONDS)
+        return not are_entries_back(self.others(), times, now)
 
     @property
     def span(self) -> ContactSpan | None:
@@ -105,8 +103,7 @@
         self.pass_turn()
         if self.is_lost:
             self.is_lost = False
-            begin = self._lost_at if before is None else before
-            self._outage = ContactSpan(begin, now)
+            self._back_at = now
             away = round(now - self._lost_at, 2)
             log_event('store-regained', away=away)
             self._end_watches()
--- a/tests/functional/test_lapse_or_removal.py
+++ b/tests/functional/test_lapse_or_removal.py
@@ -9,6 +9,7 @@
 from lib.upstream_standin import UpstreamStandin
 from soak.proxy import Mode, Proxy
 
+from wardstair.fleet.radio import BEAT_SECONDS
 from wardstair.gateway.host import GatewayHost
 from wardstair.state.catalog import RETURN_SECONDS
 
@@ -57,6 +58,35 @@
     run(test)
 
 
+def test_a_removal_is_no_lapse_where_another_host_had_the_store_back() -> None:
+    async def test() -> None:
+        upstreams = [UpstreamStandin('i-1'), UpstreamStandin('i-2')]
+        async with running_fleet(1, upstreams) as fleet:
+            proxy = Proxy(fleet.store.port)
+            await proxy.start()
+            port = fleet.hosts[0].settings.fleet_ports[0]
+            late = await fleet.start_host(1, port, proxy.port)
+            await until(fleet.knows_all)
+            await until(lambda: late.is_sentinel)
+            proxy.set_mode(Mode.reset)
+            fleet.store.status = 503
+            first = fleet.hosts[0].contact
+            await until(lambda: late.contact.is_lost and first.is_lost)
+            fleet.store.status = None
+            await until(lambda: first.is_held)
+            # Long enough for entries to be back, and to tell of it.
+            await asyncio.sleep(RETURN_SECONDS + BEAT_SECONDS)
+            proxy.set_mode(Mode.carry)
+            await until(lambda: late.contact.is_held and late.is_sentinel)
+            fleet.store.delete('servers', 'i-2')
+            revision = fleet.store.revision
+            await until(lambda: late.belief.catalog.revision.number >= revision)
+            assert not uses(late, 'i-2')
+            await proxy.stop()
+
+    run(test)
+
+
 def test_what_vanishes_after_the_store_was_away_for_all_is_kept() -> None:
     async def test() -> None:
         upstreams = [UpstreamStandin('i-1'), UpstreamStandin('i-2')]
--- a/tests/unit/test_lapses.py
+++ b/tests/unit/test_lapses.py
@@ -6,42 +6,48 @@
 from lib.beats import beat_of, peer_of
 from lib.upstreams import Clock
 
-from wardstair.decisions.lapses import ContactSpan, was_store_up
+from wardstair.decisions.lapses import (
+    ContactSpan,
+    LapseTimes,
+    are_entries_back,
+)
 from wardstair.fleet.beats import ContactAge, decode_beat, encode_beat
 from wardstair.fleet.members import Members
 from wardstair.state.catalog import RETURN_SECONDS
 from wardstair.state.contact import StoreContact
 
 HARMLESS_SECONDS = 3.0
-OUTAGE = ContactSpan(100.0, 108.0)
+TIMES = LapseTimes(HARMLESS_SECONDS, RETURN_SECONDS)
+NOW = 108.0
 
 
 @pytest.mark.parametrize(
-    ('contacts', 'is_up'),
+    ('contacts', 'are_back'),
     [
-        pytest.param([ContactSpan(90.0, 108.5)], True, id='throughout'),
+        pytest.param([ContactSpan(90.0, 108.0)], True, id='throughout'),
+        pytest.param([ContactSpan(106.0, 107.0)], True, id='back before'),
+        pytest.param([ContactSpan(106.1, 108.0)], False, id='just back'),
         pytest.param([ContactSpan(90.0, 105.0)], True, id='proved lately'),
         pytest.param([ContactSpan(90.0, 104.9)], False, id='proved long ago'),
-        pytest.param([ContactSpan(100.1, 109.0)], False, id='begun within'),
         pytest.param(
-            [ContactSpan(107.0, 109.0), ContactSpan(90.0, 107.0)],
+            [ContactSpan(107.0, 108.0), ContactSpan(90.0, 107.0)],
             True,
             id='one of two',
         ),
         pytest.param(
-            [ContactSpan(90.0, 104.0), ContactSpan(104.0, 109.0)],
+            [ContactSpan(90.0, 104.0), ContactSpan(107.0, 108.0)],
             False,
             id='in turn',
         ),
         pytest.param([], False, id='nobody is heard'),
     ],
 )
-def test_one_host_with_contact_throughout_shows_that_the_store_was_up(
+def test_one_host_with_contact_for_long_enough_shows_that_entries_are_back(
     contacts: list[ContactSpan],
     *,
-    is_up: bool,
+    are_back: bool,
 ) -> None:
-    assert was_store_up(OUTAGE, contacts, HARMLESS_SECONDS) is is_up
+    assert are_entries_back(contacts, TIMES, NOW) is are_back
 
 
 def contact_at(clock: Clock) -> StoreContact:
