Keep upstreams cold for longer in the play that finds hosts alone

Upstreams are cold for 6 s, so the hosts that each take themselves for the only one did not send at the same time.

The plan goes back to 12 callers and 6 s, and its upstreams are cold for 20 s. Check and bound are as they were.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -113,11 +113,11 @@
     [
         ('lie', LOSING, 'told that it has not run'),
         ('revert', LOSING, 'went back'),
-        # Enough hosts, callers and time for what the upstreams bear three
-        # times, also on a busy machine.
+        # Enough hosts and callers for what the upstreams bear three times, and
+        # cold for long enough that hosts which start slowly are up by then.
         (
             'alone',
-            replace(POWER, hosts=6, callers=24, seconds=12),
+            replace(POWER, hosts=6, callers=12, cold_seconds=20),
             'in a second to cold',
         ),
         ('tally', SHORT, 'weights are not kept'),
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -31,7 +31,7 @@
 from soak.processes import GatewayProcess, choose_places
 from soak.proxy import Proxy
 from soak.restores import check_evacuation, restore_store
-from soak.upstreams import LOST_SHARE, SoakUpstream
+from soak.upstreams import COLD_SECONDS, LOST_SHARE, SoakUpstream
 from soak.versions import VersionProbe, marked_configuration, weights_of
 from soak.weights import Scale
 
@@ -58,6 +58,7 @@
         callers: How many callers.
         gap: Mean seconds between the begins of faults.
         lost_share: Share of answers that a well upstream loses.
+        cold_seconds: How long an upstream that starts is cold.
         module: Program that is run as a gateway.
         with_herds: Whether hosts have to find each other anew.
         with_power: Whether hosts and upstreams lose power together.
@@ -79,6 +80,7 @@
     callers: int = 8
     gap: float = 1.0
     lost_share: float = LOST_SHARE
+    cold_seconds: float = COLD_SECONDS
     module: str = GATEWAY
     with_herds: bool = True
     with_power: bool = True
@@ -156,6 +158,7 @@
                 self.ledger,
                 Random(plan.seed * 1000 + number),
                 plan.lost_share,
+                plan.cold_seconds,
             )
             for number in range(plan.upstreams)
         ]
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -59,8 +59,10 @@
         ledger: Ledger,
         random: Random,
         lost_share: float = LOST_SHARE,
+        cold_seconds: float = COLD_SECONDS,
     ) -> None:
         """Prepare without a socket."""
+        self._cold_seconds = cold_seconds
         self.lost_share = lost_share
         self.zone = zone
         self.life = 0
@@ -95,7 +97,8 @@
         """Return the entry by which it registers itself."""
         if self._registered_life != self.life:
             self._registered_life = self.life
-            self.cold_until = time.monotonic() + COLD_SECONDS * bool(self.life)
+            seconds = self._cold_seconds if self.life else 0.0
+            self.cold_until = time.monotonic() + seconds
         left = max(0.0, self.cold_until - time.monotonic())
         status = {'cold_left_ms': int(left * 1000), **status}
         entry = upstream_spec(
