Share the UDP socket of heartbeats and reports of demand

fleet/demand_radio.py repeated the socket handling of fleet/radio.py (25 lines). It is now DatagramSocket in fleet/datagrams.py. No behaviour changes: functional tests of the fleet and of organisations and unit tests of quotas pass.

--- a/src/wardstair/fleet/demand_radio.py
+++ b/src/wardstair/fleet/demand_radio.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from random import Random
-from typing import cast
 
+from wardstair.fleet.datagrams import DatagramSocket
 from wardstair.fleet.demand import (
     DemandReport,
     DemandTable,
@@ -20,7 +20,7 @@
 JITTER = 0.2
 
 
-class DemandRadio(asyncio.DatagramProtocol):
+class DemandRadio(DatagramSocket):
     """Sends this host's reports of demand and receives those of others."""
 
     def __init__(
@@ -40,36 +40,15 @@
             is_needed: Returns whether any organisation has a quota.
             random: Source of jitter.
         """
+        super().__init__(port)
         # Returns the recipients of reports to other zones.
         self.far_addresses: Callable[[], Iterable[str]] = tuple
         self.on_reported: Callable[[], None] = _ignore
-        self.sent = 0
         self._members = members
         self._table = table
-        self._port = port
         self._is_needed = is_needed
         self._random = random
         self._has_reported = False
-        self._transport: asyncio.DatagramTransport | None = None
-
-    async def start(self, address: str) -> None:
-        """Open the socket."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self,
-            local_addr=(address, self._port),
-        )
-
-    def stop(self) -> None:
-        """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport."""
-        # asyncio's own datagram transport is not a subclass of the type that
-        # it documents, so an isinstance check would fail here.
-        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Store a received report."""
@@ -79,9 +58,6 @@
             return
         self._table.take_in(report)
 
-    def error_received(self, exc: Exception) -> None:
-        """Ignore a failed delivery; later reports replace the lost one."""
-
     async def run(self) -> None:
         """Send reports until cancelled."""
         while True:
@@ -121,12 +97,9 @@
         ]
 
     def _send_all(self, addresses: Iterable[str], report: DemandReport) -> None:
-        if self._transport is None or self._transport.is_closing():
-            return
         datagram = encode_report(report)
         for address in addresses:
-            self.sent += 1
-            self._transport.sendto(datagram, (address, self._port))
+            self._send_bytes(address, datagram)
 
 
 def _ignore() -> None:
--- a/src/wardstair/fleet/radio.py
+++ b/src/wardstair/fleet/radio.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from random import Random
-from typing import Protocol, cast
+from typing import Protocol
 
 from wardstair.decisions.membership import RELAYS_A_ZONE
 from wardstair.fleet.beats import (
@@ -21,6 +21,7 @@
     decode_beat,
     encode_beat,
 )
+from wardstair.fleet.datagrams import DatagramSocket
 from wardstair.fleet.member import Member
 from wardstair.fleet.members import OWN_PAUSE_SECONDS, Members
 from wardstair.process.log import log_warning
@@ -58,7 +59,7 @@
         """
 
 
-class Radio(asyncio.DatagramProtocol):
+class Radio(DatagramSocket):
     """Sends this host's heartbeats and hears those of others."""
 
     def __init__(
@@ -76,14 +77,13 @@
             versions: How new this host's state is.
             random: Source of jitter and of the run's name.
         """
+        super().__init__(port)
         self.on_beat: Callable[[Beat], None] = _ignore
-        self.sent = 0
         # What heartbeats tell of the load of zones.
         self.zone_loads: ZoneLoads = _no_loads
         # Set once a host has answered, or has had the time to.
         self.is_greeted = asyncio.Event()
         self._members = members
-        self._port = port
         self._versions = versions
         self._random = random
         # Where heartbeats to other zones last went.
@@ -92,32 +92,12 @@
         self._number = 0
         # Whose turn it is among the other zones to be named.
         self._turn = random.randrange(ZONES_AT_MOST)
-        self._transport: asyncio.DatagramTransport | None = None
 
     @property
     def far_addresses(self) -> frozenset[str]:
         """Addresses in other zones that last received heartbeats."""
         return frozenset(self._far)
 
-    async def start(self, address: str) -> None:
-        """Open the socket."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self,
-            local_addr=(address, self._port),
-        )
-
-    def stop(self) -> None:
-        """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Take the transport."""
-        # asyncio's own datagram transport is not a subclass of the type that
-        # it documents, so an isinstance check would fail here.
-        self._transport = cast(asyncio.DatagramTransport, transport)
-
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take in a heartbeat."""
         beat = decode_beat(data)
@@ -141,9 +121,6 @@
             case BeatKind.beat if self._is_misdirected(beat):
                 self._redirect(beat)
 
-    def error_received(self, exc: Exception) -> None:
-        """Note that a datagram could not be delivered; the next may be."""
-
     async def run(self, seeds: tuple[str, ...]) -> None:
         """Beat until cancelled.
 
@@ -354,11 +331,6 @@
     def _send(self, address: str, beat: Beat) -> None:
         self._send_bytes(address, encode_beat(beat))
 
-    def _send_bytes(self, address: str, datagram: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self.sent += 1
-            self._transport.sendto(datagram, (address, self._port))
-
 
 def _no_loads(*, to_others: bool) -> tuple[ZoneLoad, ...]:
     """Tell nothing; the default."""
