Let callers come back at different times after a pause

What callers saw: while all upstreams of a service pause, each caller is refused at once and told the time left, so all refused in the last second come back at the end of the pause together, and many are refused once more.

Cause: the time left was told as it is. Callers are now told a quarter more, so that those refused last come back first and the others over a quarter of a second (of each second waited).

The test plays four loads both ways.

--- a/src/wardstair/decisions/notices.py
+++ b/src/wardstair/decisions/notices.py
@@ -8,6 +8,8 @@
 # Part of the drain time, from the answer that first said so, in which an
 # upstream that leaves gets requests that no other upstream takes.
 LAST_RESORT_SHARE = 0.5
+# Part of the time left of a pause that is added to what callers are told.
+RETURN_SPREAD = 0.25
 
 _One = TypeVar('_One')
 
@@ -89,3 +91,15 @@
         return None
     left = min(one.paused_until for one in staying) - now
     return left if left > 0 else None
+
+
+def return_after(pause_left: float) -> float:
+    """Return when a caller that meets a pause should come back, in seconds.
+
+    Callers refused at different times would all come back at the end of the
+    pause, and be refused again. Those refused last come back first.
+
+    Args:
+        pause_left: Seconds until an upstream takes requests again.
+    """
+    return pause_left * (1 + RETURN_SPREAD)
--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -6,7 +6,12 @@
 from wardstair.decisions.cold import HostView
 from wardstair.decisions.fleet_rate import LoadView
 from wardstair.decisions.mechanisms import Mechanism
-from wardstair.decisions.notices import Standing, shortest_pause, willing
+from wardstair.decisions.notices import (
+    Standing,
+    return_after,
+    shortest_pause,
+    willing,
+)
 from wardstair.decisions.placement import (
     Candidate,
     Choice,
@@ -248,8 +253,8 @@
             notices.standing(one) is Standing.closed for one in ranked
         )
 
-    def pause_left(self, ask: Ask) -> float | None:
-        """Return when an upstream for a request takes more, in seconds.
+    def pause_wait(self, ask: Ask) -> float | None:
+        """Return when a caller should come back after pauses, in seconds.
 
         Returns:
             The time; None if it is not pauses alone that leave no upstream.
@@ -259,7 +264,9 @@
             return None
         ranked = self._homes.ranked(self._key_ask(ask))
         left = shortest_pause(map(notices.notice_of, ranked), time.monotonic())
-        return None if left is None else min(left, MOST_WAIT_SECONDS)
+        if left is None:
+            return None
+        return min(return_after(left), MOST_WAIT_SECONDS)
 
     def _key_ask(self, ask: Ask) -> KeyAsk:
         name = ask.route.name
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -400,9 +400,9 @@
         ask = self._ask(course)
         if self._chooser.have_all_left(ask):
             return refusals.UPSTREAMS_LEAVING
-        pause = self._chooser.pause_left(ask)
-        if pause is not None:
-            return replace(refusals.UPSTREAMS_PAUSED, retry_after=pause)
+        wait = self._chooser.pause_wait(ask)
+        if wait is not None:
+            return replace(refusals.UPSTREAMS_PAUSED, retry_after=wait)
         wait = self._chooser.limit_wait(ask)
         if wait is not None:
             return replace(refusals.LIMITS_REACHED, retry_after=wait)
--- a/tests/unit/test_notices.py
+++ b/tests/unit/test_notices.py
@@ -1,13 +1,16 @@
 """What upstreams say of further requests, as a host reads and keeps it."""
 
+from collections.abc import Callable
 from dataclasses import replace
 
 import pytest
+from lib.paused_service import Outcome, PausedService
 from lib.upstreams import ENTRY, Clock
 
 from wardstair.decisions.notices import (
     Notice,
     Standing,
+    return_after,
     shortest_pause,
     standing_of,
     willing,
@@ -136,6 +139,50 @@
     assert shortest_pause(notices, 10.0) == seconds
 
 
+def at_the_end(pause_left: float) -> float:
+    """Let all callers come back at the end of a pause."""
+    return pause_left
+
+
+def played(
+    rate: float,
+    slots: int,
+    work: float,
+    pause: float,
+    told: Callable[[float], float],
+) -> Outcome:
+    """Return what callers get in several plays of a load."""
+    total = Outcome()
+    for seed in range(6):
+        one = PausedService(rate, slots, work, pause, seed).play(told)
+        total.in_aim += one.in_aim
+        total.late += one.late
+        total.lost += one.lost
+    return total
+
+
+@pytest.mark.parametrize(
+    ('rate', 'slots', 'work', 'pause'),
+    [
+        pytest.param(300, 120, 0.25, 3.0, id='two thirds of the slots used'),
+        pytest.param(300, 120, 0.35, 3.0, id='nine tenths'),
+        pytest.param(300, 120, 0.35, 0.6, id='nine tenths, short'),
+        pytest.param(60, 36, 0.4, 2.0, id='small'),
+    ],
+)
+def test_callers_that_meet_a_pause_do_not_all_come_back_at_its_end(
+    rate: float,
+    slots: int,
+    work: float,
+    pause: float,
+) -> None:
+    spread = played(rate, slots, work, pause, return_after)
+    same = played(rate, slots, work, pause, at_the_end)
+    assert spread.all == same.all
+    assert spread.lost < same.lost
+    assert spread.in_aim > same.in_aim
+
+
 @pytest.mark.parametrize(
     ('pauses', 'at', 'standing'),
     [
