Move the listeners of a gateway out of its host

What opens, bounds and closes the TCP listeners is Listeners in gateway/listeners.py now; the backlog of 512 has a name. No behaviour changes: functional tests of processes, requests and connections pass.

--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -6,10 +6,6 @@
 from dataclasses import fields
 from random import Random
 
-from tornado.http1connection import HTTP1ConnectionParameters
-from tornado.httpserver import HTTPServer
-from tornado.web import Application
-
 from wardstair.connection.pool import UpstreamPool
 from wardstair.decisions.authorisation import Freshness
 from wardstair.decisions.busyness import Busyness
@@ -37,6 +33,7 @@
 from wardstair.gateway.fleet_views import FleetViews
 from wardstair.gateway.forwarding import Forwarder
 from wardstair.gateway.gauges import add_gauges
+from wardstair.gateway.listeners import Listeners
 from wardstair.gateway.lives import LifeEnds
 from wardstair.gateway.messages import Inbound, Reply
 from wardstair.gateway.quotas import Quotas
@@ -74,8 +71,6 @@
 # Part of an upstream's connections that the fleet uses.
 CONNECTION_SHARE = 0.8
 LEAST_CONNECTIONS = 4
-# A caller may rest on a connection for up to the configured time.
-IDLE_FACTOR = 1.3
 # Left of the grace period when the process ends by itself.
 GRACE_LEFT_SECONDS = 0.5
 # An upstream that names another limit in each answer would have ten heartbeats
@@ -260,8 +255,7 @@
         self.views.refresh()
         add_gauges(self)
         self._supervisor = Supervisor(self.metrics.task_failures.add)
-        self._servers: list[HTTPServer] = []
-        self._caller_server = HTTPServer(self.callers)
+        self._listeners = Listeners(self.callers)
         self._is_stopping = False
         self._is_closed = False
 
@@ -281,13 +275,15 @@
     async def start(self) -> None:
         """Open the listeners and start the tasks."""
         settings = self.settings
-        self._listen(self._caller_server, settings.callers)
-        self._serve(ready_application(lambda: self.is_ready), settings.ready)
-        self._serve(lookup_application(self.directory), settings.lookups)
-        self._serve(metrics_application(self.metrics.render), settings.metrics)
+        listeners = self._listeners
+        listeners.open_callers(settings.callers)
+        listeners.open(ready_application(lambda: self.is_ready), settings.ready)
+        listeners.open(lookup_application(self.directory), settings.lookups)
+        metrics = metrics_application(self.metrics.render)
+        listeners.open(metrics, settings.metrics)
         await self.radio.start(settings.address)
         await self.demand_radio.start(settings.address)
-        self._serve(
+        listeners.open(
             state_application(self.exchange, self.belief.suspects),
             Listener(settings.address, settings.fleet_ports[0]),
         )
@@ -324,7 +320,7 @@
         self.radio.send_beats()
         log_event('host-stopping', open=self.callers.open_count)
         await asyncio.sleep(LINGER_SECONDS)
-        self._caller_server.stop()
+        self._listeners.stop_callers()
         self.callers.close_resting()
         grace = self.live_settings.current.bounds.grace_seconds
         end = began + grace - GRACE_LEFT_SECONDS
@@ -347,9 +343,7 @@
         self.witness.close()
         self._suspect_teller.close()
         self._limit_teller.close()
-        for server in (self._caller_server, *self._servers):
-            server.stop()
-            await server.close_all_connections()
+        await self._listeners.close()
         self.radio.stop()
         self.demand_radio.stop()
         self.pool.close()
@@ -370,26 +364,12 @@
             if getattr(settings, setting.name) != getattr(before, setting.name)
         ]
 
-    def _serve(self, application: Application, listener: Listener) -> None:
-        server = HTTPServer(application)
-        self._servers.append(server)
-        self._listen(server, listener)
-
-    def _listen(self, server: HTTPServer, listener: Listener) -> None:
-        server.listen(listener.port, listener.host, backlog=512)
-
     def _on_steering(self) -> None:
         steering = self.belief.steering
         assert steering is not None
         self.chooser.splits.follow(steering.routes)
         self.quotas.forget(steering.organisations.by_name)
-        limits = steering.limits
-        # Connections accepted from now on; older ones keep their limits.
-        self._caller_server.conn_params = HTTP1ConnectionParameters(
-            header_timeout=limits.idle_seconds * IDLE_FACTOR,
-            max_header_size=limits.header_bytes,
-            max_body_size=limits.body_bytes,
-        )
+        self._listeners.limit_callers(steering.limits)
 
     def _most_connections(self, name: str) -> int:
         steering = self.belief.steering
