Hold hosts to the API keys of their version in the soak

Each version of the soak's configuration now drops the key that the one before it had added, and keeps one for good. In all plays: a process that serves by a version takes no key that it dropped and refuses none that all hold, and upstreams see no key and the organisation that holds it.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -45,6 +45,8 @@
     with_notices=False,
     with_restores=False,
 )
+# No faults, only the changes of the configuration that end each play.
+QUIET = replace(SHORT, seconds=0)
 # Hosts lose power while upstreams start cold.
 POWER = replace(SHORT, only_power=True, gap=2)
 # A request ends upstreams for eight seconds.
@@ -127,6 +129,8 @@
         ('pauses', NOTICES, 'in its pause'),
         ('eras', replace(RESTORES, seconds=0.1), 'after its evacuation'),
         ('harm', replace(HARM, callers=1, upstreams=24), 'ended too late'),
+        ('keys', QUIET, 'shows its API key'),
+        ('dropped', QUIET, 'has dropped'),
     ],
 )
 def test_a_break_that_was_put_in_is_found(
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -9,10 +9,11 @@
 from wardstair.decisions.cold import HostView
 from wardstair.decisions.suspicion import Evidence
 from wardstair.gateway import fleet_views, refusals, splitting
-from wardstair.platform import store
+from wardstair.platform import headers, store
 from wardstair.platform.objects import StoredObject
 from wardstair.state import belief, limits, notices, suspects
 from wardstair.state.upstream import Upstream
+from wardstair.version import organisations
 from wardstair.version.steering import SteeredRoute
 
 
@@ -135,6 +136,27 @@
     store.Store._note_era = note_era  # type: ignore[method-assign]
 
 
+def pass_keys_on() -> None:
+    """Let API keys go on to upstreams."""
+    api_key = headers.API_KEY.lower()
+    headers._SET_ANEW = headers._SET_ANEW - {api_key}
+
+
+def keep_dropped_keys() -> None:
+    """Let an API key be good for ever once a version held it."""
+    held: dict[bytes, organisations.Organisation] = {}
+
+    def owner_of(
+        self: organisations.OrganisationTable,
+        api_key: str,
+    ) -> organisations.Organisation | None:
+        held.update(self.by_digest)
+        return held.get(organisations.digest_of(api_key))
+
+    table = organisations.OrganisationTable
+    table.owner_of = owner_of  # type: ignore[method-assign]
+
+
 def run(kind: str) -> None:
     """Put a break in and run the program.
 
@@ -160,4 +182,8 @@
             ignore_pauses()
         case 'eras':
             ignore_eras()
+        case 'keys':
+            pass_keys_on()
+        case 'dropped':
+            keep_dropped_keys()
     gateway.main()
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -9,6 +9,7 @@
 from lib.specs import ADDRESS, upstream_spec
 from lib.upstream_standin import Seen, whole_answer
 
+from soak.keys import ORGANISATION, PRIVATE
 from soak.ledger import Ledger, Naming, Run
 from soak.notices import Arrival, Leaving, Pausing
 from soak.proxy import Proxy
@@ -173,6 +174,7 @@
             misdirected = '421 Misdirected Request'
             writer.write(whole_answer(name, b'', misdirected, ''))
             return
+        self._check_organisation(seen)
         if time.monotonic() < self.cold_until:
             self._ledger.note_cold(name, self.name)
         if self.naming is not None:
@@ -223,6 +225,16 @@
             writer.write(whole_answer(name, body, extra=extra))
         await writer.drain()
 
+    def _check_organisation(self, seen: Seen) -> None:
+        if seen.header('Wardstair-Credential') is not None:
+            self._ledger.broken.append(f'{seen.request_id} shows its API key')
+        told = seen.header('Wardstair-Tenant')
+        wanted = ORGANISATION if PRIVATE in seen.line else None
+        if told != wanted:
+            self._ledger.broken.append(
+                f'{seen.request_id} is of {told}, not of {wanted}',
+            )
+
     def _note_arrival(self, name: str) -> Arrival | None:
         arrival = self._ledger.arrival(name)
         for notice in (self.leaving, self.pausing):
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -1,7 +1,8 @@
 """Whether the versions of the configuration take hold, and never go back.
 
 Each version keeps the marking routes of the ones before it, so that a gateway
-which answered for a marking route once must always find it in that life.
+which answered for a marking route once must always find it in that life. Each
+drops the API key that the one before it had added.
 """
 
 import asyncio
@@ -9,8 +10,9 @@
 from itertools import count
 
 from lib.rig import Caller
-from lib.specs import configuration_spec, route_spec
+from lib.specs import Stored, configuration_spec, route_spec
 
+from soak.keys import ORGANISATION, PRIVATE, STANDING_KEY, key_of
 from soak.ledger import COLD_RATE, Kind, Ledger
 from soak.processes import GatewayProcess
 from soak.upstreams import SERVICES
@@ -19,6 +21,7 @@
 PROBE_SECONDS = 0.25
 PATIENCE_SECONDS = 3.0
 NOT_FOUND = 404
+UNAUTHORISED = 401
 
 
 def weights_of(version: int) -> dict[str, float]:
@@ -27,20 +30,20 @@
     return {views: 1, orders: 1 if version % 2 == 0 else 1 / 19}
 
 
-def marked_configuration(version: int) -> dict[str, object]:
+def marked_configuration(version: int) -> Stored:
     """Return a configuration with a marking route for each version."""
     begin = max(1, version - MARKS)
     marks = {
-        f'mark-{one}': route_spec(f'/mark-{one}/', 'safe', timeout_ms=1500)
+        f'mark-{one}': _public_route(f'/mark-{one}/', timeout_ms=1500)
         for one in range(begin, version + 1)
     }
     document = configuration_spec(
         version,
-        read=route_spec('/read/', 'safe'),
-        order=route_spec('/order/', 'unsafe'),
-        split=route_spec(
+        read=_public_route('/read/'),
+        order=_public_route('/order/', 'unsafe'),
+        private=route_spec(PRIVATE, 'safe', timeout_ms=1500),
+        split=_public_route(
             '/split/',
-            'safe',
             service=None,
             backends=[
                 {'service': service, 'weight': weight}
@@ -49,6 +52,8 @@
         ),
         **marks,
     )
+    api_keys = [STANDING_KEY, key_of(version)]
+    document['tenants'] = {ORGANISATION: {'api_keys': api_keys}}
     services = document['services']
     assert isinstance(services, dict)
     for service in services.values():
@@ -56,6 +61,10 @@
     return document
 
 
+def _public_route(prefix: str, kind: str = 'safe', **fields: object) -> Stored:
+    return route_spec(prefix, kind, public=True, **fields)
+
+
 class VersionProbe:
     """Asks one gateway which version is in force."""
 
@@ -93,24 +102,52 @@
             self.in_force = 0
         newest = self.newest()
         if await self._status(newest) == 200 and life == self._gateway.name:
-            self.in_force = max(self.in_force, newest)
+            if newest > self.in_force:
+                self.in_force = newest
+                await self._check_keys(life, newest)
             return
         known = self.in_force
         if not known or await self._status(known) != NOT_FOUND:
             return
+        self._blame(life, f'went back from {known}')
+
+    async def _check_keys(self, life: str, version: int) -> None:
+        """Look whether the API keys of a version, and no others, are in force.
+
+        Args:
+            life: The gateway's life, which has this version or a later one.
+            version: The version.
+        """
+        dropped = key_of(version - 1)
+        if await self._status_of(PRIVATE, dropped) == 200:
+            self._blame(life, f'took a key that version {version} has dropped')
+        if await self._status_of(PRIVATE, STANDING_KEY) == UNAUTHORISED:
+            self._blame(life, 'refused a key that all versions hold')
+
+    def _blame(self, life: str, deed: str) -> None:
         # A new process may have answered in the place of the old one.
         if self._gateway.name == life and self._gateway.is_running:
-            self._ledger.broken.append(f'{life} went back from {known}')
+            self._ledger.broken.append(f'{life} {deed}')
 
     async def _status(self, version: int) -> int:
+        return await self._status_of(f'/mark-{version}/')
+
+    async def _status_of(self, prefix: str, api_key: str | None = None) -> int:
         name = f'{self._life}-probe-{next(self._numbers)}'
         self._ledger.begin(name, Kind.probe, self._life)
         caller = None
         try:
             async with asyncio.timeout(PATIENCE_SECONDS):
                 caller = await Caller.connect_to(self._gateway.callers)
-                target = f'/mark-{version}/x'
-                answer = await caller.ask(target, request_id=name)
+                target = f'{prefix}x'
+                if api_key is None:
+                    answer = await caller.ask(target, request_id=name)
+                else:
+                    answer = await caller.ask(
+                        target,
+                        request_id=name,
+                        Wardstair_Credential=api_key,
+                    )
         except (OSError, TimeoutError):
             return 0
         finally:
