Read answers of the store in a module of their own

platform/store.py had 438 lines, of which a third read answers. That is platform/store_answers.py now; the client keeps calls, connections and eras. What an unreadable page, event or object means is decided as before: 52 functional tests of the store, its restores and foreign entries pass unchanged but for an import.

--- a/src/wardstair/platform/store.py
+++ b/src/wardstair/platform/store.py
@@ -12,22 +12,24 @@
 from urllib.parse import quote, urlencode
 
 import pycurl
-from pydantic import BaseModel, ConfigDict, ValidationError
 from result import Err, Ok, Result
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
 from wardstair.connection.client import close_client, make_client
 from wardstair.connection.silence import notice_silence_of
-from wardstair.errors import (
-    ObjectMissing,
-    PlatformError,
-    PlatformUnavailable,
-    VersionConflict,
-    WatchForgotten,
-)
+from wardstair.errors import PlatformError, PlatformUnavailable
 from wardstair.platform.objects import StoredObject
-from wardstair.process.log import log_warning
+from wardstair.platform.store_answers import (
+    Answer,
+    Changes,
+    Listing,
+    judge,
+    read_changes,
+    read_object,
+    read_page,
+    read_written,
+)
 from wardstair.state.revision import Revision
 
 # A plain answer takes some 10 ms; a store under strain was seen to take 60
@@ -45,70 +47,6 @@
 _ANSWER_BYTES = 4194304
 
 
-class _Model(BaseModel):
-    model_config = ConfigDict(extra='ignore', frozen=True)
-
-
-class _Page(_Model):
-    # Each is checked on its own: one bad object does not cost the others.
-    items: tuple[object, ...]
-    truncated: bool = False
-    # The store's revision at which the page was read.
-    as_of: int
-
-
-class _Event(_Model):
-    object: object
-    deleted: bool = False
-
-
-class _Events(_Model):
-    events: tuple[_Event, ...]
-    as_of: int
-
-
-@dataclass(frozen=True, slots=True)
-class _Answer:
-    """A good answer, and the era of the store that gave it."""
-
-    body: bytes
-    era: int
-
-
-@dataclass(frozen=True, slots=True)
-class Listing:
-    """All objects of a kind.
-
-    Attributes:
-        objects: The objects.
-        revision: Where a watch goes on from.
-    """
-
-    objects: tuple[StoredObject, ...]
-    revision: Revision
-
-
-@dataclass(frozen=True, slots=True)
-class Change:
-    """One change of an object."""
-
-    stored: StoredObject
-    is_deleted: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Changes:
-    """Changes of a kind since a revision.
-
-    Attributes:
-        changes: In order.
-        revision: Where the next watch goes on from.
-    """
-
-    changes: tuple[Change, ...]
-    revision: Revision
-
-
 class CallKind(StrEnum):
     """What a call on the store is for; each is priced."""
 
@@ -196,20 +134,13 @@
             if listed and listed[0].era != answer.era:
                 # Pages of two eras are no listing of either.
                 return Err(PlatformUnavailable(f'restored amid {kind}'))
-            try:
-                page = _Page.model_validate_json(_readable(answer.body))
-            except ValidationError as error:
-                return Err(PlatformUnavailable(f'unreadable list: {error}'))
-            read = _read_objects(kind, page.items, answer.era)
-            listed.extend(read)
-            if not page.truncated or not page.items:
-                revision = Revision(answer.era, page.as_of)
-                return Ok(Listing(tuple(listed), revision))
-            if not read:
-                # Where the next page begins is not known; without it the
-                # listing would take out whatever comes after.
-                return Err(PlatformUnavailable(f'unreadable page of {kind}'))
-            query = {**plain, 'after': read[-1].metadata.name}
+            page = read_page(kind, answer)
+            if isinstance(page, Err):
+                return page
+            listed.extend(page.ok_value.objects)
+            if page.ok_value.is_last:
+                return Ok(Listing(tuple(listed), page.ok_value.revision))
+            query = {**plain, 'after': listed[-1].metadata.name}
 
     async def watch_kind(
         self,
@@ -239,20 +170,7 @@
             seconds=seconds + WATCH_SLACK_SECONDS,
             client=client,
         )
-        if isinstance(answered, Err):
-            return answered
-        answer = answered.ok_value
-        try:
-            parsed = _Events.model_validate_json(_readable(answer.body))
-        except ValidationError as error:
-            return Err(PlatformUnavailable(f'unreadable events: {error}'))
-        changes = [
-            Change(stored, event.deleted)
-            for event in parsed.events
-            for stored in _read_objects(kind, (event.object,), answer.era)
-        ]
-        revision = Revision(answer.era, parsed.as_of)
-        return Ok(Changes(tuple(changes), revision))
+        return answered.and_then(lambda answer: read_changes(kind, answer))
 
     async def read_stale(
         self,
@@ -268,12 +186,7 @@
         self._count(CallKind.stale_read, kind)
         path = _path(kind, name, {'stale_ok': 1})
         answered = await self._call('GET', path)
-        if isinstance(answered, Err):
-            return answered
-        try:
-            return Ok(_read_object(answered.ok_value))
-        except ValidationError as error:
-            return Err(PlatformUnavailable(f'unreadable object: {error}'))
+        return answered.and_then(read_object)
 
     async def create(
         self,
@@ -287,7 +200,7 @@
         """
         self._count(CallKind.creation, kind)
         answered = await self._call('POST', _path(kind), document)
-        return answered.map(_read_written)
+        return answered.map(read_written)
 
     async def replace(
         self,
@@ -302,7 +215,7 @@
         """
         self._count(CallKind.replacement, kind)
         answered = await self._call('PUT', _path(kind, name), document)
-        return answered.map(_read_written)
+        return answered.map(read_written)
 
     async def delete(
         self,
@@ -327,7 +240,7 @@
         *,
         seconds: float = CALL_SECONDS,
         client: CurlAsyncHTTPClient | None = None,
-    ) -> Result[_Answer, PlatformError]:
+    ) -> Result[Answer, PlatformError]:
         used = client or self._client
         body = None if document is None else json.dumps(document)
         request = HTTPRequest(
@@ -345,9 +258,9 @@
             response = await used.fetch(request, raise_error=False)
         except (HTTPClientError, OSError, pycurl.error) as error:
             return Err(PlatformUnavailable(f'{method} {path}: {error}'))
-        judged = _judge(response, f'{method} {path}')
+        judged = judge(response, f'{method} {path}')
         era = self._note_era(response)
-        return judged.map(lambda body: _Answer(body, era))
+        return judged.map(lambda body: Answer(body, era))
 
     def _note_era(self, response: HTTPResponse) -> int:
         """Return the era of an answer; tell if it is a new one."""
@@ -362,44 +275,10 @@
         return era
 
 
-def _readable(answer: bytes) -> bytes:
-    """Return an answer of which all bytes are text, whoever wrote some."""
-    return answer.decode(errors='replace').encode()
-
-
 def _ignore_era(_era: int) -> None:
     """Do nothing with a new era."""
 
 
-def _read_object(answer: _Answer) -> StoredObject:
-    stored = StoredObject.model_validate_json(answer.body)
-    return stored.model_copy(update={'era': answer.era})
-
-
-def _read_written(answer: _Answer) -> StoredObject | None:
-    try:
-        return _read_object(answer)
-    except ValidationError:
-        # Stores may answer a write with less.
-        return None
-
-
-def _read_objects(
-    kind: str,
-    objects: tuple[object, ...],
-    era: int,
-) -> list[StoredObject]:
-    read = []
-    for one in objects:
-        try:
-            stored = StoredObject.model_validate(one)
-            read.append(stored.model_copy(update={'era': era}))
-        except ValidationError as error:
-            # Without a name nothing can be said of it.
-            log_warning('object-unreadable', kind=kind, reason=str(error))
-    return read
-
-
 def _prepare(curl: pycurl.Curl) -> None:
     curl.setopt(pycurl.PROXY, '')
     curl.setopt(pycurl.TCP_NODELAY, 1)
@@ -412,21 +291,6 @@
     return int(pycurl.SOCKOPT_OK)
 
 
-def _judge(response: HTTPResponse, call: str) -> Result[bytes, PlatformError]:
-    match response.code:
-        case 200 | 201:
-            return Ok(response.body or b'')
-        case 404:
-            return Err(ObjectMissing(call))
-        case 409:
-            return Err(VersionConflict(call))
-        case 410:
-            return Err(WatchForgotten(0))
-        case _:
-            reason = response.error or response.code
-            return Err(PlatformUnavailable(f'{call}: {reason}'))
-
-
 def _path(
     kind: str,
     name: str = '',
--- a/src/wardstair/state/following.py
+++ b/src/wardstair/state/following.py
@@ -7,7 +7,8 @@
 from result import Err, Result
 
 from wardstair.errors import PlatformError, WatchForgotten
-from wardstair.platform.store import Changes, Listing, Store
+from wardstair.platform.store import Store
+from wardstair.platform.store_answers import Changes, Listing
 from wardstair.process.log import log_event
 from wardstair.state.contact import StoreContact
 from wardstair.state.revision import NO_REVISION, Revision
--- a/src/wardstair/state/suspect_sharing.py
+++ b/src/wardstair/state/suspect_sharing.py
@@ -20,7 +20,8 @@
     decode_suspects,
     encode_suspects,
 )
-from wardstair.platform.store import Changes, Listing, Store
+from wardstair.platform.store import Store
+from wardstair.platform.store_answers import Changes, Listing
 from wardstair.process.log import log_event
 from wardstair.state.contact import StoreContact
 from wardstair.state.following import Follower, FollowPlan, FollowSinks
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -13,7 +13,8 @@
     UPSTREAM_KIND,
     StoredObject,
 )
-from wardstair.platform.store import Changes, Listing, Store
+from wardstair.platform.store import Store
+from wardstair.platform.store_answers import Changes, Listing
 from wardstair.platform.upstream_entries import (
     UnusableEntry,
     decode_upstream_entry,
--- a/tests/functional/test_late_listing.py
+++ b/tests/functional/test_late_listing.py
@@ -19,7 +19,8 @@
 from tornado.web import Application, RequestHandler
 
 from wardstair.decisions.timing import timing_for
-from wardstair.platform.store import Listing, Store
+from wardstair.platform.store import Store
+from wardstair.platform.store_answers import Listing
 from wardstair.state.belief import Belief
 from wardstair.state.catalog import Catalog
 from wardstair.state.contact import StoreContact
