Send reports of demand in datagrams that can be sent

What callers would see: with 62 zones and 79 organisations a relay's report to its zone is 40 KB, and 117 KB when all zones refuse requests and reserve parts for silent hosts (by encoding them). UDP carries 65,507 bytes: a send of 117,204 on loopback fails with "Message too long", and error_received ignores it, so the hosts of the zone would take all other zones for silent. Not seen on any deployment: today's have nine zones at most. No fleet of that size was run.

A report goes in parts of whole zones with 2,000 counts at most (16 KB for 40), and receivers add up zones as before. With up to eight zones of 79 organisations it stays one datagram, so nothing changes there. The test takes in all parts of reports of 61 zones, each below what UDP carries. The bytes themselves are still too many at that size (docs/CAPACITY.md).

--- a/src/wardstair/fleet/demand.py
+++ b/src/wardstair/fleet/demand.py
@@ -6,8 +6,8 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Collection, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Callable, Collection, Iterator, Mapping
+from dataclasses import dataclass, field, replace
 from typing import Any
 from zlib import crc32
 
@@ -25,6 +25,9 @@
 # Time for which the share of a silent host or zone stays reserved. Regions can
 # be disconnected from each other for an hour.
 GONE_SECONDS = 7200.0
+# Counts in one datagram, at 5 to 8 bytes each; a datagram of over 64 KB cannot
+# be sent.
+MOST_COUNTS = 2000
 # Fractions of a quota are encoded as integers, scaled by this factor.
 _SCALE = 1000
 _FORMAT = 1
@@ -55,6 +58,11 @@
     refused: Counts = field(default_factory=dict)
     reserved: Counts = field(default_factory=dict)
 
+    @property
+    def size(self) -> int:
+        """Number of counts that it holds."""
+        return len(self.counts) + len(self.refused) + len(self.reserved)
+
 
 @dataclass(frozen=True, slots=True)
 class DemandReport:
@@ -75,6 +83,20 @@
     refused: Counts = field(default_factory=dict)
     zones: tuple[ZoneDemand, ...] = ()
 
+    def parts(self) -> Iterator['DemandReport']:
+        """Return reports of some zones each, which fit into a datagram."""
+        own_size = len(self.counts) + len(self.refused)
+        held: list[ZoneDemand] = []
+        size = own_size
+        for demand in self.zones:
+            if held and size + demand.size > MOST_COUNTS:
+                yield replace(self, zones=tuple(held))
+                held = []
+                size = own_size
+            held.append(demand)
+            size += demand.size
+        yield replace(self, zones=tuple(held))
+
 
 def encode_report(report: DemandReport) -> bytes:
     """Encode a report as one datagram."""
--- a/src/wardstair/fleet/demand_radio.py
+++ b/src/wardstair/fleet/demand_radio.py
@@ -97,9 +97,10 @@
         ]
 
     def _send_all(self, addresses: Iterable[str], report: DemandReport) -> None:
-        datagram = encode_report(report)
+        datagrams = [encode_report(part) for part in report.parts()]
         for address in addresses:
-            self._send_bytes(address, datagram)
+            for datagram in datagrams:
+                self._send_bytes(address, datagram)
 
 
 def _ignore() -> None:
--- a/tests/unit/test_quota.py
+++ b/tests/unit/test_quota.py
@@ -30,6 +30,8 @@
 NORMAL = 1 / 1.6
 OVERLOAD = 7.5 * NORMAL
 SEEDS = (1, 2)
+# What UDP over IPv4 carries at most.
+MOST_DATAGRAM_BYTES = 65507
 
 
 def check_limit(fleet: SimulatedFleet) -> None:
@@ -203,6 +205,34 @@
     assert decode_report(encode_report(report)) == report
 
 
+@pytest.mark.parametrize(
+    ('zones', 'organisations', 'datagrams'),
+    [(0, 79, 1), (5, 79, 1), (61, 79, 8), (61, 400, 61)],
+)
+def test_reports_of_many_zones_travel_in_several_datagrams(
+    zones: int,
+    organisations: int,
+    datagrams: int,
+) -> None:
+    counts = {2**31 + number: 999 for number in range(organisations)}
+    demands = tuple(
+        ZoneDemand(f'zone-{number}', counts, counts, counts)
+        for number in range(zones)
+    )
+    whole = DemandReport('host-1', 'zone-own', counts, zones=demands)
+    parts = [encode_report(part) for part in whole.parts()]
+    assert len(parts) == datagrams
+    assert max(map(len, parts)) < MOST_DATAGRAM_BYTES
+    table = fleet_of(SMALL).hosts[0].table
+    for datagram in parts:
+        report = decode_report(datagram)
+        assert report is not None
+        table.take_in(report)
+    table.refresh()
+    asked = zones * 999
+    assert all(table.others.get(number, 0) == asked for number in counts)
+
+
 @pytest.mark.parametrize('datagram', [b'', b'\x80', b'nonsense', b'\x85\x00'])
 def test_foreign_datagrams_are_no_reports(datagram: bytes) -> None:
     assert decode_report(datagram) is None
