--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -129,7 +129,7 @@
         ('pauses', NOTICES, 'in its pause'),
         ('eras', replace(RESTORES, seconds=0.1), 'after its evacuation'),
         ('harm', replace(HARM, callers=1, upstreams=24), 'ended too late'),
-        ('keys', QUIET, 'shows its API key'),
+        ('keys', QUIET, 'carries its API key'),
         ('dropped', QUIET, 'has dropped'),
     ],
 )
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -137,13 +137,13 @@
 
 
 def pass_keys_on() -> None:
-    """Let API keys go on to upstreams."""
+    """Let hosts send API keys to upstreams."""
     api_key = headers.API_KEY.lower()
     headers._SET_ANEW = headers._SET_ANEW - {api_key}
 
 
 def keep_dropped_keys() -> None:
-    """Let an API key be good for ever once a version held it."""
+    """Let hosts accept an API key after a version has dropped it."""
     held: dict[bytes, organisations.Organisation] = {}
 
     def owner_of(
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -227,7 +227,7 @@
 
     def _check_organisation(self, seen: Seen) -> None:
         if seen.header('Wardstair-Credential') is not None:
-            self._ledger.broken.append(f'{seen.request_id} shows its API key')
+            self._ledger.broken.append(f'{seen.request_id} carries its API key')
         told = seen.header('Wardstair-Tenant')
         wanted = ORGANISATION if PRIVATE in seen.line else None
         if told != wanted:
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -109,7 +109,7 @@
         known = self.in_force
         if not known or await self._status(known) != NOT_FOUND:
             return
-        self._blame(life, f'went back from {known}')
+        self._note_broken(life, f'went back from {known}')
 
     async def _check_keys(self, life: str, version: int) -> None:
         """Look whether the API keys of a version, and no others, are in force.
@@ -120,14 +120,16 @@
         """
         dropped = key_of(version - 1)
         if await self._status_of(PRIVATE, dropped) == 200:
-            self._blame(life, f'took a key that version {version} has dropped')
+            self._note_broken(
+                life, f'took a key that version {version} has dropped'
+            )
         if await self._status_of(PRIVATE, STANDING_KEY) == UNAUTHORISED:
-            self._blame(life, 'refused a key that all versions hold')
+            self._note_broken(life, 'refused a key that all versions hold')
 
-    def _blame(self, life: str, deed: str) -> None:
+    def _note_broken(self, life: str, what: str) -> None:
         # A new process may have answered in the place of the old one.
         if self._gateway.name == life and self._gateway.is_running:
-            self._ledger.broken.append(f'{life} {deed}')
+            self._ledger.broken.append(f'{life} {what}')
 
     async def _status(self, version: int) -> int:
         return await self._status_of(f'/mark-{version}/')
