Follow the store from the start after all hosts have started

What callers would see: after all hosts lost power, changes of the configuration, evacuations and upstreams that leave are known up to 3 s late. Found in the logs of a soak, in which no host read an evacuation that stood for 1 s.

Cause: a host that has just started leaves it to others to be relays as soon as it hears one that has a configuration. The one that had read the store first heard the second, which had it from the first, and stepped down as well; then nobody was a relay until fleet-known, 2.5 to 3 s after the start.

A host that was in contact with the store before it heard a configured one stays a candidate. Hosts that join a running fleet hear others first, so they still make no call. Tried first: any host in contact stays one. Then hosts whose rare proof of contact comes before they are settled became third relays of a zone, and test_news_reaches_hosts_that_watch_nothing_also_without_their_relays failed, three runs of three side by side; it passes now, three of three.

--- a/src/wardstair/fleet/members.py
+++ b/src/wardstair/fleet/members.py
@@ -81,6 +81,7 @@
     registered_size: int = 0
     heard_since: float | None = None
     has_heard_configured: bool = False
+    _has_read_first: bool = False
     _asked_for: int = 0
     _asked: int = 0
 
@@ -247,7 +248,9 @@
             return False
         member.take_in(beat, now)
         self._note_heard()
-        self.has_heard_configured |= beat.versions.configuration >= 0
+        if beat.versions.configuration >= 0 and not self.has_heard_configured:
+            self.has_heard_configured = True
+            self._has_read_first = self.hears_store()
         if self._has_stepped_down(beat):
             # It lives, but will not be heard from now on.
             member.run = 0
@@ -385,11 +388,14 @@
         One that has just started hears few, and would take itself for a relay
         and read everything from the store: 4 calls for one that joins four
         others, none this way. It leaves that to others as long as one of them
-        has what it needs.
+        has what it needs, unless it had read the store before it heard one:
+        after a start of all hosts each would leave it to the others.
         """
         if self.is_leaving and others:
             return False
-        return self.is_settled() or not self.has_heard_configured
+        if self.is_settled() or self._has_read_first:
+            return True
+        return not self.has_heard_configured
 
     def _note_heard(self) -> None:
         if self.heard_since is None:
