Log changes of roles, given-up watches and unanswered fetches

When a host sends to an upstream that has left, the logs could not tell whether the hosts that watch the store were blind, or whether this host alone was not told. Roles were a gauge scraped each 5 s; a watch given up left no trace; a fetch from another host that timed out raised out of its task, as tornado raises for a time-out whatever raise_error says, so state-not-fetched was never written for it.

Adds roles-changed, upstreams-read and watch-renewed, counts of renewed watches and of failed fetches by reason, and takes a fetch without an answer as a failed one.

--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -141,6 +141,16 @@
         'Fetches of state from other entry hosts',
         lambda: [(float(host.exchange.fetches), {})],
     )
+    metrics.add_count(
+        'wardstair_state_fetch_failures',
+        'Fetches of state from other entry hosts that failed, by reason',
+        lambda: _fetch_failures(host),
+    )
+    metrics.add_count(
+        'wardstair_watches_renewed',
+        'Waiting watches of the store that were given up, by kind and reason',
+        lambda: _renewals(host),
+    )
     metrics.add_count(
         'wardstair_directory_answers',
         'Look-ups answered',
@@ -167,6 +177,21 @@
     ]
 
 
+def _fetch_failures(host: 'GatewayHost') -> list[Row]:
+    return [
+        (float(count), {'reason': failure.value})
+        for failure, count in host.exchange.failures.items()
+    ]
+
+
+def _renewals(host: 'GatewayHost') -> list[Row]:
+    return [
+        (float(count), {'kind': follower.kind, 'reason': reason.value})
+        for follower in host.sync.followers
+        for reason, count in follower.renewals.items()
+    ]
+
+
 def _cold_sends(host: 'GatewayHost') -> list[Row]:
     return [
         (float(count), {'service': service})
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -57,7 +57,7 @@
 from wardstair.state.following import Follower
 from wardstair.state.freshness import ConfigurationFreshness
 from wardstair.state.registration import Registration
-from wardstair.state.roles import Roles
+from wardstair.state.roles import RoleLog, Roles
 from wardstair.state.suspect_sharing import SuspectSharing
 from wardstair.state.sync import StoreSync
 
@@ -143,6 +143,7 @@
             lambda: self.members.is_relay,
             lambda: self.is_sentinel,
         )
+        self._role_log = RoleLog(roles)
         self.sync = StoreSync(
             self.store,
             self.contact,
@@ -400,6 +401,7 @@
             self.belief.limits.forget(catalog.upstreams)
             self.belief.notices.forget(catalog.upstreams)
             self.views.refresh()
+            self._role_log.refresh()
             self._freshness.refresh()
 
     def _assumed_hosts(self) -> int:
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -267,6 +267,17 @@
         'changes of upstreams came from another host; `since=0`: all of them',
         'since revision count removed source',
     ),
+    _kind(
+        'upstreams-read',
+        "changes of upstreams came by this host's own watch of the store",
+        'revision count removed',
+    ),
+    _kind(
+        'roles-changed',
+        'this host speaks for its zone (`relay`), or watches the store closely '
+        'for all (`sentinel`), or no longer does',
+        'relay sentinel',
+    ),
     _kind('host-joined', 'another entry host is heard', 'host zone'),
     _kind('host-leaving', 'another entry host is stopping', 'host zone'),
     _kind(
@@ -362,10 +373,17 @@
         'the store forgot its history; everything is listed anew',
         'kind revision',
     ),
+    _kind(
+        'watch-renewed',
+        'a waiting watch was given up for a new one: `behind` another answer, '
+        'or contact was `regained`',
+        'kind reason revision waited',
+    ),
     _kind(
         'state-not-fetched',
-        'another host could not be asked for its state',
-        'host reason',
+        'another host could not be asked for its state: `unanswered`, '
+        '`rejected` or `unreadable`',
+        'host reason detail',
     ),
     _kind(
         'beat-unreadable',
--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -5,11 +5,14 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from enum import StrEnum
 
+import pycurl
 from result import Err, Ok, Result
-from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPClientError, HTTPRequest
 
 from wardstair.connection.client import close_client, make_client
 from wardstair.decisions.suspicion import Evidence
@@ -48,6 +51,33 @@
 _STATE_BYTES = 4194304
 
 
+class FetchFailure(StrEnum):
+    """Why a fetch from another host brought nothing.
+
+    Attributes:
+        unanswered: No whole answer came in time, or the connection broke.
+        rejected: The host answered with an error.
+        unreadable: The answer is not of the format of this program.
+    """
+
+    unanswered = 'unanswered'
+    rejected = 'rejected'
+    unreadable = 'unreadable'
+
+
+@dataclass(frozen=True, slots=True)
+class _FailedFetch:
+    """A fetch that brought nothing.
+
+    Attributes:
+        failure: Its class, for the counter.
+        detail: What is known of it, for the log.
+    """
+
+    failure: FetchFailure
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class _Digests:
     """Digests of what hosts merge, which is not newer or older."""
@@ -58,7 +88,13 @@
 
 
 class StateExchange:
-    """State between entry hosts; one a process."""
+    """State between entry hosts; one a process.
+
+    Attributes:
+        fetches: Fetches begun.
+        failures: Fetches that brought nothing, by reason.
+        on_news: Called when a fetch has brought something.
+    """
 
     def __init__(
         self,
@@ -76,6 +112,7 @@
             roles: What this host does for others.
         """
         self.fetches = 0
+        self.failures = Counter[FetchFailure]()
         self.on_news: Callable[[], None] = ignore
         self._belief = belief
         self._contact = contact
@@ -195,10 +232,13 @@
     async def _fetch_from(self, beat: Beat) -> None:
         fetched = await self._fetch(beat.sender.address)
         if isinstance(fetched, Err):
+            failed = fetched.err_value
+            self.failures[failed.failure] += 1
             log_warning(
                 'state-not-fetched',
                 host=beat.sender.name,
-                reason=fetched.err_value,
+                reason=failed.failure.value,
+                detail=failed.detail,
             )
             return
         self._take_in(fetched.ok_value, beat.sender.name)
@@ -213,7 +253,7 @@
         )
         self._compared_at = asyncio.get_running_loop().time()
 
-    async def _fetch(self, address: str) -> Result[SharedState, str]:
+    async def _fetch(self, address: str) -> Result[SharedState, _FailedFetch]:
         self.fetches += 1
         own = encode_versions(self._belief.versions)
         request = HTTPRequest(
@@ -222,12 +262,17 @@
             request_timeout=FETCH_SECONDS,
             follow_redirects=False,
         )
-        response = await self._client.fetch(request, raise_error=False)
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (HTTPClientError, OSError, pycurl.error) as error:
+            return Err(_FailedFetch(FetchFailure.unanswered, str(error)))
         if response.code != 200:
-            return Err(str(response.error))
+            detail = str(response.error)
+            return Err(_FailedFetch(FetchFailure.rejected, detail))
         state = decode_state(response.body)
         if state is None:
-            return Err('unreadable')
+            size = len(response.body)
+            return Err(_FailedFetch(FetchFailure.unreadable, f'{size} bytes'))
         return Ok(state)
 
     def _take_in(self, state: SharedState, host: str) -> None:
--- a/src/wardstair/state/following.py
+++ b/src/wardstair/state/following.py
@@ -1,8 +1,10 @@
 """Follows one kind of objects of the store: a listing, then watches."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import StrEnum
 
 from result import Err, Result
 
@@ -25,6 +27,18 @@
 YOUNG_SECONDS = 0.3
 
 
+class RenewalReason(StrEnum):
+    """Why a waiting watch is given up and begun anew.
+
+    Attributes:
+        behind: Another answer of the store tells of a change that it missed.
+        regained: The store answers again, or was restored.
+    """
+
+    behind = 'behind'
+    regained = 'regained'
+
+
 def watch_long() -> float:
     """Return the longest wait of a watch, in seconds."""
     return WATCH_SECONDS
@@ -72,7 +86,12 @@
 
 
 class Follower:
-    """Keeps one kind up to date; a task of its own runs it."""
+    """Keeps one kind up to date; a task of its own runs it.
+
+    Attributes:
+        revision: Revision up to which everything of the kind is known.
+        renewals: Waiting watches that were given up, by reason.
+    """
 
     def __init__(
         self,
@@ -90,6 +109,7 @@
             sinks: Where news goes.
         """
         self.revision = NO_REVISION
+        self.renewals = Counter[RenewalReason]()
         self._store = store
         self._contact = contact
         self._plan = plan
@@ -98,6 +118,11 @@
         self._watching_since: float | None = None
         self._dropped = asyncio.Event()
 
+    @property
+    def kind(self) -> str:
+        """The kind of objects that it follows."""
+        return self._plan.kind
+
     @property
     def has_listed(self) -> bool:
         """Whether it has read the whole kind and can go on from there.
@@ -192,7 +217,8 @@
         )
         self._dropped.clear()
         dropped = asyncio.ensure_future(self._dropped.wait())
-        self._watching_since = asyncio.get_running_loop().time()
+        began_at = asyncio.get_running_loop().time()
+        self._watching_since = began_at
         try:
             await asyncio.wait(
                 (watching, dropped, self._contact.next_regain()),
@@ -201,10 +227,27 @@
         finally:
             self._watching_since = None
             dropped.cancel()
-            if not watching.done():
+            is_answered = watching.done()
+            if not is_answered:
                 watching.cancel()
                 self._store.drop_watch(self._plan.kind)
-        return watching.result() if watching.done() else None
+        if is_answered:
+            return watching.result()
+        self._note_renewal(began_at)
+        return None
+
+    def _note_renewal(self, began_at: float) -> None:
+        is_behind = self._dropped.is_set()
+        reason = RenewalReason.behind if is_behind else RenewalReason.regained
+        self.renewals[reason] += 1
+        waited = asyncio.get_running_loop().time() - began_at
+        log_event(
+            'watch-renewed',
+            kind=self._plan.kind,
+            reason=reason.value,
+            revision=self.revision,
+            waited=round(waited, 3),
+        )
 
     def _fail(self, error: PlatformError) -> None:
         match error:
--- a/src/wardstair/state/roles.py
+++ b/src/wardstair/state/roles.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from wardstair.process.log import log_event
+
 
 def always() -> bool:
     """Return True; the default of a condition."""
@@ -24,3 +26,24 @@
 
     is_relay: Callable[[], bool] = always
     is_sentinel: Callable[[], bool] = always
+
+
+@dataclass(slots=True)
+class RoleLog:
+    """Logs when the roles of this host change.
+
+    Attributes:
+        roles: The roles of this host.
+    """
+
+    roles: Roles
+    _before: tuple[bool, bool] = (False, False)
+
+    def refresh(self) -> None:
+        """Log the roles if they have changed since the last call."""
+        roles = (self.roles.is_relay(), self.roles.is_sentinel())
+        if roles == self._before:
+            return
+        self._before = roles
+        is_relay, is_sentinel = roles
+        log_event('roles-changed', relay=is_relay, sentinel=is_sentinel)
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -106,6 +106,11 @@
             ),
         )
 
+    @property
+    def followers(self) -> tuple[Follower, ...]:
+        """Those of the three kinds that steer."""
+        return self.configuration, self.evacuations, self.upstreams
+
     async def prove_contact(self) -> None:
         """Prove contact by cheap reads until cancelled.
 
@@ -156,8 +161,7 @@
             self._checking = asyncio.ensure_future(self._check(revision))
 
     def _behind(self, revision: Revision) -> list[Follower]:
-        followers = (self.configuration, self.evacuations, self.upstreams)
-        return [one for one in followers if one.revision < revision]
+        return [one for one in self.followers if one.revision < revision]
 
     async def _check(self, revision: Revision) -> None:
         await asyncio.sleep(LAG_SECONDS)
@@ -238,6 +242,12 @@
             changes.revision,
             store_was_away=self._contact.was_away_lately,
         )
+        log_event(
+            'upstreams-read',
+            revision=changes.revision,
+            count=len(entries),
+            removed=len(deleted),
+        )
         self.on_news()
 
     def _ignore_upstreams(self, revision: Revision, source: str) -> None:
