--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -6,13 +6,17 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 
 import pycurl
 from result import Err, Ok, Result
-from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.httpclient import (
+    HTTPClientError,
+    HTTPRequest,
+    HTTPResponse,
+)
 
 from wardstair.connection.client import close_client, make_client
 from wardstair.decisions.suspicion import Evidence
@@ -114,6 +118,8 @@
         self.fetches = 0
         self.failures = Counter[FetchFailure]()
         self.on_news: Callable[[], None] = ignore
+        # Sends a request to another host.
+        self.ask: Callable[[HTTPRequest], Awaitable[HTTPResponse]] = self._ask
         self._belief = belief
         self._contact = contact
         self._port = port
@@ -253,6 +259,9 @@
         )
         self._compared_at = asyncio.get_running_loop().time()
 
+    def _ask(self, request: HTTPRequest) -> Awaitable[HTTPResponse]:
+        return self._client.fetch(request, raise_error=False)
+
     async def _fetch(self, address: str) -> Result[SharedState, _FailedFetch]:
         self.fetches += 1
         own = encode_versions(self._belief.versions)
@@ -263,7 +272,7 @@
             follow_redirects=False,
         )
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            response = await self.ask(request)
         except (HTTPClientError, OSError, pycurl.error) as error:
             return Err(_FailedFetch(FetchFailure.unanswered, str(error)))
         if response.code != 200:
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -12,6 +12,7 @@
 from lib.store_standin import StoreStandin
 from lib.upstream_standin import UpstreamStandin
 from wardstair.gateway.host import GatewayHost
+from wardstair.gateway.settings import Bounds
 
 ZONES = ('north-a', 'north-b', 'south-a')
 
@@ -22,11 +23,13 @@
 
     Attributes:
         store: The platform's store.
+        bounds: What the gateways are held to, if not to the defaults.
         hosts: The gateways, in turn in each zone.
         upstreams: The upstreams, likewise.
     """
 
     store: StoreStandin = field(default_factory=StoreStandin)
+    bounds: Bounds | None = None
     hosts: list[GatewayHost] = field(default_factory=list)
     upstreams: list[UpstreamStandin] = field(default_factory=list)
 
@@ -47,6 +50,7 @@
             store_port or self.store.port,
             name=f'host-{number}',
             fleet_port=port,
+            bounds=self.bounds,
         )
         settings = replace(settings, zone=ZONES[number % len(ZONES)])
         if self.hosts:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -32,6 +32,9 @@
         self.port = 0
         self._target = target
         self._server: asyncio.Server | None = None
+        # Connections accepted so far, and how many of them carry nothing.
+        self._accepted = 0
+        self._silenced = 0
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -60,6 +63,10 @@
         if mode is Mode.reset:
             self.reset_all()
 
+    def silence_open(self) -> None:
+        """Have open connections carry nothing more; new ones work."""
+        self._silenced = self._accepted
+
     def reset_all(self) -> None:
         """Reset all connections."""
         for writer in tuple(self._writers):
@@ -78,6 +85,8 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        self._accepted += 1
+        number = self._accepted
         self._writers.add(writer)
         if self.mode is Mode.reset:
             writer.transport.abort()
@@ -89,8 +98,8 @@
             return
         far_reader, far_writer = far
         self._writers.add(far_writer)
-        self._spawn(self._carry(reader, far_writer, is_answer=False))
-        self._spawn(self._carry(far_reader, writer, is_answer=True))
+        self._spawn(self._carry(reader, far_writer, number, is_answer=False))
+        self._spawn(self._carry(far_reader, writer, number, is_answer=True))
 
     def _spawn(self, carrying: 'asyncio.Future[None] | object') -> None:
         task: asyncio.Task[None] = asyncio.ensure_future(
@@ -103,6 +112,7 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        number: int,
         *,
         is_answer: bool,
     ) -> None:
@@ -110,7 +120,7 @@
             while chunk := await reader.read(CHUNK):
                 if self.mode is Mode.delay:
                     await asyncio.sleep(self.delay)
-                if self._swallows(is_answer=is_answer):
+                if self._swallows(number, is_answer=is_answer):
                     continue
                 writer.write(chunk)
                 await writer.drain()
@@ -118,10 +128,10 @@
             writer.transport.abort()
         finally:
             self._writers.discard(writer)
-            if not self._swallows(is_answer=is_answer):
+            if not self._swallows(number, is_answer=is_answer):
                 writer.close()
 
-    def _swallows(self, *, is_answer: bool) -> bool:
-        if self.mode is Mode.silence:
+    def _swallows(self, number: int, *, is_answer: bool) -> bool:
+        if self.mode is Mode.silence or number <= self._silenced:
             return True
         return self.mode is Mode.cut_answers and is_answer
