Let sentinels take upstreams from other hosts

What callers saw: a host that watches the store for the others used an upstream for up to 2.5 s longer than those did, as it took nothing from them while it held contact with the store.

Cause: whoever watches was taken to know. Its watch may hear nothing though contact is held: that is what a silent way looks like until it is noticed.

Change: a sentinel that is behind gives its own watch the usual grace and fetches then. Its next watch goes on from what it was told. Other relays, which do not watch upstreams, no longer wait for a watch that they do not have.

--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -213,11 +213,7 @@
             return True
         if theirs.evacuations > own.evacuations:
             return True
-        return theirs.upstreams > own.upstreams and not self._follows_itself
-
-    @property
-    def _follows_itself(self) -> bool:
-        return self._contact.is_held and self._roles.is_sentinel()
+        return theirs.upstreams > own.upstreams
 
     async def _catch_up(self) -> None:
         while self._ahead is not None:
@@ -232,8 +228,18 @@
         loop = asyncio.get_running_loop()
         if not self._is_behind(beat.versions):
             return max(0.0, self._compared_at + COMPARE_SECONDS - loop.time())
-        has_watch = self._contact.is_held and self._roles.is_relay()
-        return GRACE_SECONDS if has_watch else 0.0
+        return GRACE_SECONDS if self._has_watch_for(beat.versions) else 0.0
+
+    def _has_watch_for(self, theirs: Versions) -> bool:
+        """Return whether a watch of this host may bring what another has."""
+        if not self._contact.is_held:
+            return False
+        own = self._belief.versions
+        if theirs.configuration > own.configuration:
+            return self._roles.is_relay()
+        if theirs.evacuations > own.evacuations:
+            return self._roles.is_relay()
+        return self._roles.is_sentinel()
 
     async def _fetch_from(self, beat: Beat) -> None:
         fetched = await self._fetch(beat.sender.address)
@@ -316,7 +322,7 @@
         changes: CatalogChanges | None,
         source: str,
     ) -> None:
-        if changes is None or self._follows_itself:
+        if changes is None:
             return
         catalog = self._belief.catalog
         if changes.revision <= catalog.revision:
--- a/tests/functional/test_leaving_in_time.py
+++ b/tests/functional/test_leaving_in_time.py
@@ -5,6 +5,7 @@
 
 import pytest
 from lib.news import NewsFleet, bounds_of, running_news_fleet, seconds_until
+from soak.proxy import Mode
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
 
@@ -30,6 +31,12 @@
         proxy.silence_open()
 
 
+def cut_off_sentinels(fleet: NewsFleet) -> None:
+    """Have nothing arrive any more on the ways of both sentinels."""
+    for proxy in fleet.proxies_of(fleet.sentinels):
+        proxy.set_mode(Mode.silence)
+
+
 @pytest.mark.parametrize('bound', [1.5, 2.5])
 def test_a_leaving_upstream_is_known_in_time_when_all_watches_fall_silent(
     bound: float,
@@ -42,6 +49,11 @@
     assert run(lambda: _seconds_to_leave(silence_one_sentinel, bound)) < bound
 
 
+def test_sentinels_that_lose_their_way_to_the_store_learn_from_others() -> None:
+    bound = 2.5
+    assert run(lambda: _seconds_to_leave(cut_off_sentinels, bound)) < bound
+
+
 async def _seconds_to_leave(
     harm: Callable[[NewsFleet], None],
     bound: float,
