Ask a second host when one does not answer a fetch of state

What callers saw: nothing by itself; beside lost heartbeats a host that is behind waited for up to a second for one that does not answer, twice in a row 1.3 s in total of 2.5.

Cause: one fetch at a time, and the only way out was its own time limit, fixed at 1.0 s whatever the bound on news is.

What answers first counts; the other is not given up, so that its failure is counted and logged. All hosts that are ahead are remembered, not the last one alone. A fetch may take 2.0 s, as a large configuration on a slow link needs more than one.

--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -167,6 +167,8 @@
             self.contact,
             settings.fleet_ports[0],
             roles,
+            settings.zone,
+            lambda: self.live_settings.current.timing,
         )
         self.radio.on_beat = self._on_beat
         self.exchange.on_news = self._tell_zone
--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -20,6 +20,7 @@
 
 from wardstair.connection.client import close_client, make_client
 from wardstair.decisions.suspicion import Evidence
+from wardstair.decisions.timing import Timing
 from wardstair.fleet.beats import Beat, Versions
 from wardstair.fleet.sharing import (
     SharedConfiguration,
@@ -45,12 +46,14 @@
 STATE_PATH = '/v1/state'
 # How long this host's own watch may take to bring what another has already.
 GRACE_SECONDS = 0.15
-FETCH_SECONDS = 1.0
+# Longest time of one fetch; others are asked meanwhile.
+FETCH_SECONDS = 2.0
 # Least time from one fetch of requests that end upstreams to the next: when
 # many upstreams crash at once all hosts have something to tell.
 COMPARE_SECONDS = 0.25
-CONNECT_SECONDS = 0.4
-_MANY_FETCHES = 4
+CONNECT_SECONDS = 1.0
+# One that is not answered takes its place until its time is over.
+_MANY_FETCHES = 8
 # A configuration is at most a megabyte, 1,000 upstreams are a tenth of one.
 _STATE_BYTES = 4194304
 
@@ -106,6 +109,8 @@
         contact: StoreContact,
         port: int,
         roles: Roles,
+        zone: str,
+        timing: Callable[[], Timing],
     ) -> None:
         """Prepare without a connection.
 
@@ -114,6 +119,8 @@
             contact: Contact with the store.
             port: Port of all hosts for state.
             roles: What this host does for others.
+            zone: Availability zone of this host.
+            timing: How soon it asks another host, by the bounds in force.
         """
         self.fetches = 0
         self.failures = Counter[FetchFailure]()
@@ -124,18 +131,25 @@
         self._contact = contact
         self._port = port
         self._roles = roles
+        self._zone = zone
+        self._timing = timing
         self._encoder = StateEncoder()
-        self._ahead: Beat | None = None
+        # The last heartbeat of each host that may know more, oldest first.
+        self._ahead: dict[str, Beat] = {}
         # Digests of another host and this one when they were last compared.
         self._compared: dict[str, tuple[_Digests, _Digests]] = {}
         self._compared_at = float('-inf')
         self._fetching: asyncio.Task[None] | None = None
+        # Fetches that have not ended, those that nobody waits for included.
+        self._fetches: set[asyncio.Task[bool]] = set()
         self._client = make_client(_MANY_FETCHES, _STATE_BYTES)
 
     def close(self) -> None:
         """End a fetch and drop connections."""
         if self._fetching is not None:
             self._fetching.cancel()
+        for fetch in self._fetches:
+            fetch.cancel()
         close_client(self._client)
 
     def answer(self, theirs: Versions) -> bytes:
@@ -184,7 +198,8 @@
         if not self._is_wanted(beat):
             return
         # Looked at again when the fetch ends: what it brings may be older.
-        self._ahead = beat
+        self._ahead.pop(beat.sender.name, None)
+        self._ahead[beat.sender.name] = beat
         if self._fetching is not None and not self._fetching.done():
             return
         self._fetching = asyncio.ensure_future(self._catch_up())
@@ -216,12 +231,21 @@
         return theirs.upstreams > own.upstreams
 
     async def _catch_up(self) -> None:
-        while self._ahead is not None:
-            beat = self._ahead
-            self._ahead = None
+        while self._ahead:
+            _, beat = self._ahead.popitem()
             await asyncio.sleep(self._pause_before(beat))
             if self._is_wanted(beat):
-                await self._fetch_from(beat)
+                await self._fetch_first(beat)
+            self._drop_known()
+
+    def _drop_known(self) -> None:
+        """Keep the hosts that are ahead still, or the last one to differ."""
+        last = dict([self._ahead.popitem()]) if self._ahead else {}
+        self._ahead = {
+            name: beat
+            for name, beat in self._ahead.items()
+            if self._is_behind(beat.versions)
+        } | last
 
     def _pause_before(self, beat: Beat) -> float:
         """Return how long to wait before a fetch, in seconds."""
@@ -241,7 +265,33 @@
             return self._roles.is_relay()
         return self._roles.is_sentinel()
 
-    async def _fetch_from(self, beat: Beat) -> None:
+    async def _fetch_first(self, beat: Beat) -> None:
+        """Fetch from a host, and from another if it does not answer soon.
+
+        The one that does not answer is not given up: its failure is counted.
+        """
+        fetches = [self._begin_fetch(beat)]
+        await asyncio.wait(fetches, timeout=self._hedge_seconds(beat))
+        if not fetches[0].done():
+            other = self._ahead.popitem()[1] if self._ahead else beat
+            fetches.append(self._begin_fetch(other))
+        for ended in asyncio.as_completed(fetches):
+            if await ended:
+                return
+
+    def _begin_fetch(self, beat: Beat) -> asyncio.Task[bool]:
+        fetch = asyncio.ensure_future(self._fetch_from(beat))
+        self._fetches.add(fetch)
+        fetch.add_done_callback(self._fetches.discard)
+        return fetch
+
+    def _hedge_seconds(self, beat: Beat) -> float:
+        is_near = beat.sender.zone == self._zone
+        timing = self._timing()
+        return timing.near_hedge if is_near else timing.far_hedge
+
+    async def _fetch_from(self, beat: Beat) -> bool:
+        """Fetch from a host; return whether it answered."""
         fetched = await self._fetch(beat.sender.address)
         if isinstance(fetched, Err):
             failed = fetched.err_value
@@ -252,7 +302,7 @@
                 reason=failed.failure.value,
                 detail=failed.detail,
             )
-            return
+            return False
         self._take_in(fetched.ok_value, beat.sender.name)
         self._belief.suspects.take_in(fetched.ok_value.suspects)
         self._belief.limits.take_in(
@@ -264,6 +314,7 @@
             _digests_of(self._belief.versions),
         )
         self._compared_at = asyncio.get_running_loop().time()
+        return True
 
     def _ask(self, request: HTTPRequest) -> Awaitable[HTTPResponse]:
         return self._client.fetch(request, raise_error=False)
--- a/tests/unit/test_cold_after_evacuation.py
+++ b/tests/unit/test_cold_after_evacuation.py
@@ -15,6 +15,7 @@
 from lib.specs import configuration_spec
 from lib.upstreams import ENTRY, Clock
 
+from wardstair.decisions.timing import timing_for
 from wardstair.fleet.beats import Versions
 from wardstair.fleet.sharing import decode_state
 from wardstair.platform.objects import Metadata, StoredObject
@@ -45,7 +46,15 @@
     async def ask() -> bytes:
         contact = StoreContact(belief.clock, Random(1))
         roles = Roles(lambda: False, lambda: False)
-        exchange = StateExchange(belief, contact, 1, roles)
+        timing = timing_for(2.5, 4.0)
+        exchange = StateExchange(
+            belief,
+            contact,
+            1,
+            roles,
+            'z',
+            lambda: timing,
+        )
         answer = exchange.answer(Versions())
         exchange.close()
         return answer
