Play connections that fall silent for good in the soak

A kind of its own (--only_silence): what is open to the store carries nothing more while new connections work, and an upstream says half a second later at most that it drains. Hosts are held to the bounds of the deployments (2.5 s, 3 s of contact); a request that is sent later to the upstream breaks the promise. A silence comes when the one before is over, as bounds hold some time after each.

A first form that drew silences at any time did not find them, as each silence renewed what bounds are counted from, and one that broke the clocks alone did not either, since proofs of contact notice the silence as well.

Connections between hosts are not silenced: the soak's processes reach each other without a proxy.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -63,7 +63,9 @@
     seconds=2,
     gap=2,
 )
+SILENCE = replace(SHORT, only_silence=True, seconds=1, gap=0.5)
 PLANS = [
+    SILENCE,
     replace(SHORT, with_herds=False),
     # Kills all hosts twice; those greeted first start last.
     replace(SHORT, seed=HERD_SEED),
@@ -101,6 +103,7 @@
         f'{plan.seed}{"-power" * plan.only_power}{"-harm" * plan.only_harm}'
         f'{"-limits" * plan.only_limits}{"-notices" * plan.only_notices}'
         f'{"-restores" * plan.only_restores}'
+        f'{"-silence" * plan.only_silence}'
     ),
 )
 def test_promises_hold_under_drawn_faults(plan: Plan, tmp_path: Path) -> None:
@@ -125,6 +128,7 @@
         ('tally', SHORT, 'weights are not kept'),
         # Few others, so that cold upstreams have room for it.
         ('limits', replace(LIMITS, seconds=0.1), 'which had named'),
+        ('silence', SILENCE, 'after its entry had said'),
         ('leaving', NOTICES, 'had said that it leaves'),
         ('pauses', NOTICES, 'in its pause'),
         ('eras', replace(RESTORES, seconds=0.1), 'after its evacuation'),
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -20,6 +20,8 @@
     seconds: float = 20.0,
     hosts: int = 5,
     gap: float = 1.0,
+    *,
+    only_silence: bool = False,
 ) -> None:
     """Play seeds one after another; exit with 1 if a promise was broken.
 
@@ -29,6 +31,8 @@
         seconds: How long faults begin, each time.
         hosts: Gateways; upstreams and callers grow with them.
         gap: Mean seconds between the begins of faults.
+        only_silence: Whether connections to the store fall silent, and nothing
+            else happens.
     """
     drawn = SystemRandom()
     chosen = [int(one) for one in str(seeds).strip('()').split(',') if one]
@@ -42,6 +46,7 @@
             upstreams=hosts + 1,
             callers=hosts * 2,
             gap=gap,
+            only_silence=only_silence,
         )
         folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
         began = time.monotonic()
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -11,7 +11,15 @@
 from wardstair.gateway import fleet_views, refusals, splitting
 from wardstair.platform import headers, store
 from wardstair.platform.objects import StoredObject
-from wardstair.state import belief, limits, notices, suspects
+from wardstair.state import (
+    belief,
+    contact,
+    following,
+    limits,
+    notices,
+    suspects,
+    sync,
+)
 from wardstair.state.upstream import Upstream
 from wardstair.version import organisations
 from wardstair.version.steering import SteeredRoute
@@ -136,6 +144,23 @@
     store.Store._note_era = note_era  # type: ignore[method-assign]
 
 
+def trust_silent_watches() -> None:
+    """Let hosts wait for watches that are never answered."""
+
+    def wait(self: sync.StoreSync) -> float:
+        return following.WATCH_SECONDS
+
+    def slack(self: sync.StoreSync) -> float | None:
+        return None
+
+    def note_failure(self: contact.StoreContact, reason: str) -> None:
+        self.pass_turn()
+
+    contact.StoreContact.note_failure = note_failure  # type: ignore[method-assign]
+    sync.StoreSync._evacuation_wait = wait  # type: ignore[method-assign]
+    sync.StoreSync._evacuation_slack = slack  # type: ignore[method-assign]
+
+
 def pass_keys_on() -> None:
     """Let hosts send API keys to upstreams."""
     api_key = headers.API_KEY.lower()
@@ -182,6 +207,8 @@
             ignore_pauses()
         case 'eras':
             ignore_eras()
+        case 'silence':
+            trust_silent_watches()
         case 'keys':
             pass_keys_on()
         case 'dropped':
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,7 +12,7 @@
 from lib.store_standin import StoreStandin
 
 from soak.ledger import Kind, Ledger, Naming
-from soak.notices import Leaving, Pausing
+from soak.notices import Departure, Leaving, Pausing
 from soak.processes import SEEDS, GatewayProcess
 from soak.proxy import Mode, Proxy
 from soak.upstreams import HARMFUL, Habits, SoakUpstream
@@ -22,6 +22,10 @@
 LONGEST_SECONDS = 4.0
 # An upstream that has said it is leaving serves on for this long.
 LEAVING_SECONDS = 4.0
+# The same of one that leaves while connections are silent, and how long they
+# may have been so before.
+DEPARTING_SECONDS = 6.0
+SILENT_FOR_SECONDS = 0.5
 # Between two tries of a harmful request, and how long an upstream that ended
 # under it is away.
 HARMFUL_SECONDS = 0.2
@@ -54,6 +58,7 @@
     # What the operator wants now, whatever the store holds.
     evacuated: set[str] = field(default_factory=set)
     restoring: asyncio.Lock = field(default_factory=asyncio.Lock)
+    silencing: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def draw_seconds(self) -> float:
         """Draw how long a fault lasts."""
@@ -291,6 +296,31 @@
     await _leave(scene, upstream, name)
 
 
+async def silence_connections(scene: Scene) -> None:
+    """Silence what is open to the store for good; an upstream leaves then."""
+    async with scene.silencing:
+        # Bounds hold some time after each silence, so one comes at a time.
+        await _silence_and_leave(scene, scene.random.choice(scene.upstreams))
+
+
+async def _silence_and_leave(scene: Scene, upstream: SoakUpstream) -> None:
+    loop = asyncio.get_running_loop()
+    for proxy in scene.store_proxies:
+        proxy.silence_open()
+    silenced_at = loop.time()
+    await asyncio.sleep(scene.random.random() * SILENT_FOR_SECONDS)
+    life = upstream.life
+    name = upstream.name
+    scene.register(upstream, state='draining')
+    upstream.departure = Departure(name, silenced_at, loop.time())
+    scene.ledger.notices.append(upstream.departure)
+    await asyncio.sleep(DEPARTING_SECONDS)
+    if upstream.life == life:
+        upstream.crash()
+        scene.deregister(name)
+        scene.register(upstream)
+
+
 async def leave_unregistered(scene: Scene) -> None:
     """Let an upstream leave that says so in its answers alone."""
     upstream = scene.random.choice(scene.upstreams)
@@ -422,6 +452,10 @@
 LIMIT_FAULTS: tuple[Fault, ...] = (name_limit,)
 
 
+# Open connections to the store that carry nothing more while new ones work.
+SILENCE_FAULTS: tuple[Fault, ...] = (silence_connections,)
+
+
 class Schedule:
     """Applies drawn faults until time is up, some at once."""
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from soak.notices import Arrival, Leaving, Pausing
+from soak.notices import Arrival, Departure, Leaving, Pausing
 
 # Requests that a cold upstream bears in a second: four, by half more, and two.
 # Hosts that keep to it send half of that; few callers are enough to exceed it.
@@ -123,7 +123,7 @@
         cold: What came to each upstream while it was cold.
         ended: When upstreams ended under each harmful request.
         named: Limits that upstreams named.
-        notices: Upstreams that said in answers what they take.
+        notices: Upstreams that said what they take.
     """
 
     tries: dict[str, Try] = field(default_factory=dict)
@@ -134,7 +134,7 @@
     cold: dict[str, list[ColdArrival]] = field(default_factory=dict)
     ended: dict[str, list[float]] = field(default_factory=dict)
     named: list[Naming] = field(default_factory=list)
-    notices: list[Leaving | Pausing] = field(default_factory=list)
+    notices: list[Leaving | Pausing | Departure] = field(default_factory=list)
 
     def begin(self, request_id: str, kind: Kind, gateway: str) -> Try:
         """Note a request that is about to be sent."""
--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -11,6 +11,13 @@
 
 # What gateways take when nothing else is said.
 DRAIN_SECONDS = Bounds().drain_seconds
+# What gateways are held to where connections fall silent.
+NEWS_BOUNDS = Bounds(
+    drain_seconds=2.5,
+    apply_seconds=2.5,
+    evacuate_seconds=2.5,
+    contact_seconds=3.0,
+)
 # What may come during a pause, from this long after it was asked for.
 MOST_IN_PAUSE = 2
 SLACK_SECONDS = 0.5
@@ -103,6 +110,38 @@
         ]
 
 
+@dataclass
+class Departure:
+    """An upstream that drains by its entry while connections fall silent.
+
+    Attributes:
+        upstream: Its name.
+        silenced_at: When open connections to the store fell silent.
+        written_at: When its entry said that it drains.
+        came: What came since.
+    """
+
+    upstream: str
+    silenced_at: float
+    written_at: float
+    came: list[Arrival] = field(default_factory=list)
+
+    def check(self, spans: list['Span']) -> list[str]:
+        """Return requests that came too late after the entry, in words."""
+        due = max(
+            self.written_at + NEWS_BOUNDS.drain_seconds,
+            self.silenced_at + NEWS_BOUNDS.contact_seconds,
+        )
+        return [
+            f'{arrival.request} came to {self.upstream} '
+            f'{arrival.request.sent_at - self.written_at:.2f} s after its '
+            'entry had said that it drains'
+            for arrival in self.came
+            if arrival.request.sent_at > due
+            and not _is_excused(self.silenced_at, arrival.at, spans, FREEZE)
+        ]
+
+
 def _late(arrival: Arrival, told: Mapping[str, float]) -> float:
     """Return how long after the gateway was told a request was sent."""
     request = arrival.request
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -22,12 +22,14 @@
     NOTICE_FAULTS,
     PLANNED,
     POWER,
+    SILENCE_FAULTS,
     UNPLANNED,
     Fault,
     Scene,
     Schedule,
 )
 from soak.ledger import Kind, Ledger
+from soak.notices import NEWS_BOUNDS
 from soak.processes import GatewayProcess, choose_places
 from soak.proxy import Proxy
 from soak.restores import check_evacuation, restore_store
@@ -71,6 +73,8 @@
         only_notices: Whether nothing else happens.
         with_restores: Whether the store comes back from copies.
         only_restores: Whether nothing else happens.
+        only_silence: Whether open connections to the store fall silent, and
+            nothing else happens.
     """
 
     seed: int
@@ -93,6 +97,7 @@
     only_notices: bool = False
     with_restores: bool = True
     only_restores: bool = False
+    only_silence: bool = False
 
     @property
     def groups(self) -> tuple[tuple[Fault, ...], ...]:
@@ -107,6 +112,8 @@
             return (NOTICE_FAULTS,)
         if self.only_restores:
             return (RESTORE_FAULTS,)
+        if self.only_silence:
+            return (SILENCE_FAULTS,)
         herds = HERDS * self.with_herds
         harm = HARM_FAULTS * self.with_harm
         power = POWER * self.with_power
@@ -175,7 +182,14 @@
             await proxy.start()
             self._store_proxies.append(proxy)
         ports = [proxy.port for proxy in self._store_proxies]
-        places = choose_places(ZONES, self._plan.hosts, ports, self._folder)
+        bounds = NEWS_BOUNDS if self._plan.only_silence else None
+        places = choose_places(
+            ZONES,
+            self._plan.hosts,
+            ports,
+            self._folder,
+            bounds,
+        )
         self._gateways = [
             GatewayProcess(place, self._plan.module) for place in places
         ]
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -13,7 +13,7 @@
 from lib.specs import ADDRESS
 
 from soak.ledger import COLD_OVERSHOOT, COLD_SLACK
-from wardstair.gateway.settings import Listener
+from wardstair.gateway.settings import Bounds, Listener
 
 TESTS = Path(__file__).parents[1]
 NAMES = ('callers', 'ready', 'control', 'lookups', 'metrics')
@@ -22,6 +22,7 @@
 GRACE_SECONDS = 5
 # Time of a process to end by a signal, or to be ready for the next one.
 HUNG_UP_SECONDS = 0.3
+MILLISECONDS = 1000
 
 
 @dataclass
@@ -151,8 +152,20 @@
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
 
 
-def settings_text(place: Place, zones: dict[str, str], seeds: str) -> str:
-    """Return the settings file of a gateway."""
+def settings_text(
+    place: Place,
+    zones: dict[str, str],
+    seeds: str,
+    held_to: Bounds | None = None,
+) -> str:
+    """Return the settings file of a gateway.
+
+    Args:
+        place: Where it runs.
+        zones: Region of each zone.
+        seeds: Whom it greets first.
+        held_to: Bounds on news and contact, if not the defaults.
+    """
     listen = '\n'.join(
         f'{name} = "{place.address}:{port}"'
         for name, port in zip(NAMES, place.ports, strict=False)
@@ -163,6 +176,8 @@
         f'"grace_s={GRACE_SECONDS}", "cold_overshoot={COLD_OVERSHOOT}", '
         f'"cold_slack={COLD_SLACK}"'
     )
+    if held_to is not None:
+        bounds = f'{bounds}, {_news_bounds(held_to)}'
     return (
         f'name = "{place.name}"\naddress = "{place.address}"\n'
         f'zone = "{place.zone}"\nfleet_ports = [{port}, {port}]\n'
@@ -172,11 +187,25 @@
     )
 
 
+def _news_bounds(bounds: Bounds) -> str:
+    named = {
+        'drain_ms': bounds.drain_seconds,
+        'config_apply_ms': bounds.apply_seconds,
+        'evacuate_ms': bounds.evacuate_seconds,
+        'contact_ms': bounds.contact_seconds,
+    }
+    return ', '.join(
+        f'"{name}={round(seconds * MILLISECONDS)}"'
+        for name, seconds in named.items()
+    )
+
+
 def choose_places(
     zones: dict[str, str],
     hosts: int,
     stores: list[int],
     folder: Path,
+    held_to: Bounds | None = None,
 ) -> list[Place]:
     """Choose addresses and ports, and write the settings files.
 
@@ -185,6 +214,7 @@
         hosts: How many gateways.
         stores: Port by which each of them reaches the store.
         folder: Where settings and logs go.
+        held_to: Bounds on news and contact, if not the defaults.
     """
     ports = free_ports(len(NAMES) + 1)
     names = sorted(zones)
@@ -202,5 +232,5 @@
     ]
     seeds = ', '.join(f'"{one.address}:{ports[2]}"' for one in places[:SEEDS])
     for place in places:
-        place.settings.write_text(settings_text(place, zones, seeds))
+        place.settings.write_text(settings_text(place, zones, seeds, held_to))
     return places
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -11,7 +11,7 @@
 
 from soak.keys import ORGANISATION, PRIVATE
 from soak.ledger import Ledger, Naming, Run
-from soak.notices import Arrival, Leaving, Pausing
+from soak.notices import Arrival, Departure, Leaving, Pausing
 from soak.proxy import Proxy
 
 SERVICES = ('views', 'orders')
@@ -78,6 +78,8 @@
         # What it says of further requests.
         self.leaving: Leaving | None = None
         self.pausing: Pausing | None = None
+        # That it drains by its entry while connections are silent.
+        self.departure: Departure | None = None
         self._place = place
         self._ledger = ledger
         self._random = random
@@ -138,6 +140,7 @@
         self.habits = Habits()
         self.naming = None
         self.leaving = None
+        self.departure = None
         self.pausing = None
         for writer in tuple(self._writers):
             writer.transport.abort()
@@ -237,7 +240,7 @@
 
     def _note_arrival(self, name: str) -> Arrival | None:
         arrival = self._ledger.arrival(name)
-        for notice in (self.leaving, self.pausing):
+        for notice in (self.leaving, self.pausing, self.departure):
             if arrival is not None and notice is not None:
                 notice.came.append(arrival)
         return arrival
