Go on from the first page of a listing that has several

What callers would see: with more than 500 upstreams (1,080 on the large deployment) a change of one on an earlier page, written while a later page is read, is never heard of: the host goes on from the revision of the last page. An upstream that drains in that moment is used until its entry changes again.

Change: a listing is of the revision of its first page. What was listed later comes again with the watch, which changes nothing.

The test was red before: revision 12 for pages read at 9 and 12.

--- a/src/wardstair/platform/store.py
+++ b/src/wardstair/platform/store.py
@@ -126,6 +126,9 @@
                 price.
         """
         listed: list[StoredObject] = []
+        # What changes on a page that is read already comes with the watch that
+        # goes on from the first one.
+        first_revision: Revision | None = None
         plain: dict[str, object] = {'stale_ok': 1} if is_stale else {}
         query = plain
         call = CallKind.stale_listing if is_stale else CallKind.listing
@@ -142,8 +145,9 @@
             if isinstance(page, Err):
                 return page
             listed.extend(page.ok_value.objects)
+            first_revision = first_revision or page.ok_value.revision
             if page.ok_value.is_last:
-                return Ok(Listing(tuple(listed), page.ok_value.revision))
+                return Ok(Listing(tuple(listed), first_revision))
             query = {**plain, 'after': listed[-1].metadata.name}
 
     async def watch_kind(
--- a/tests/functional/test_late_listing.py
+++ b/tests/functional/test_late_listing.py
@@ -19,6 +19,7 @@
 from tornado.web import Application, RequestHandler
 
 from wardstair.decisions.timing import timing_for
+from wardstair.errors import PlatformError
 from wardstair.platform.store import Store
 from wardstair.platform.store_answers import Listing
 from wardstair.state.belief import Belief
@@ -91,10 +92,11 @@
 
 
 class _Pages(RequestHandler):
-    """The first page comes from one era, the second from another."""
+    """The second page may come from another era, or from later."""
 
-    def initialize(self, second_era: str) -> None:
+    def initialize(self, second_era: str, second_revision: int = 9) -> None:
         self._second_era = second_era
+        self._second_revision = second_revision
 
     def get(self) -> None:
         is_first = self.get_argument('after', None) is None
@@ -104,22 +106,36 @@
             {
                 'items': [{'metadata': {'name': name, 'revision': 3}}],
                 'truncated': is_first,
-                'as_of': 9,
+                'as_of': 9 if is_first else self._second_revision,
             }
         )
 
 
+async def list_pages(**second: object) -> Result[Listing, PlatformError]:
+    """List a kind that comes in two pages."""
+    sockets = bind_sockets(0, ADDRESS)
+    handler = ('/objects/servers', _Pages, second)
+    server = HTTPServer(Application([handler]))
+    server.add_sockets(sockets)
+    store = Store(f'{ADDRESS}:{sockets[0].getsockname()[1]}')
+    listed = await store.list_kind('servers')
+    store.close()
+    server.stop()
+    return listed
+
+
 @pytest.mark.parametrize('second_era', ['1', '2'])
 def test_pages_of_two_eras_are_no_listing(second_era: str) -> None:
     async def test() -> None:
-        sockets = bind_sockets(0, ADDRESS)
-        handler = ('/objects/servers', _Pages, {'second_era': second_era})
-        server = HTTPServer(Application([handler]))
-        server.add_sockets(sockets)
-        store = Store(f'{ADDRESS}:{sockets[0].getsockname()[1]}')
-        listed = await store.list_kind('servers')
+        listed = await list_pages(second_era=second_era)
         assert isinstance(listed, Err) is (second_era == '2')
-        store.close()
-        server.stop()
+
+    run(test)
+
+
+def test_a_change_of_the_first_page_beside_the_second_is_not_missed() -> None:
+    async def test() -> None:
+        listed = await list_pages(second_era='1', second_revision=12)
+        assert listed.unwrap().revision == at(9)
 
     run(test)
