Test that news is in force in time while parts of its way fail

Leaving, evacuations and configurations, each beside watches that fall silent, sentinels that stand still, a third of all datagrams lost, and a store that withholds events for a second and then forgets its history.

--- a/tests/functional/test_leaving_in_time.py
+++ b/tests/functional/test_leaving_in_time.py
@@ -2,12 +2,23 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from random import Random
 
 import pytest
-from lib.news import NewsFleet, bounds_of, running_news_fleet, seconds_until
+from lib.news import (
+    NewsFleet,
+    bounds_of,
+    lose_share,
+    running_news_fleet,
+    seconds_until,
+    uses,
+)
+from lib.specs import configuration_spec
 from soak.proxy import Mode
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
+from wardstair.gateway.host import GatewayHost
+
 
 def run(measure: Callable[[], Awaitable[float]]) -> float:
     """Return what a test measures within a bound of time."""
@@ -63,7 +74,7 @@
         harm(fleet)
         fleet.let_leave('i-1')
         return await seconds_until(
-            lambda: not any(fleet.uses(one, 'i-1') for one in fleet.hosts)
+            lambda: not any(uses(one, 'i-1') for one in fleet.hosts)
         )
 
 
@@ -81,8 +92,90 @@
 
             late.exchange.ask = ask
             fleet.let_leave('i-1')
-            seconds = await seconds_until(lambda: not fleet.uses(late, 'i-1'))
+            seconds = await seconds_until(lambda: not uses(late, 'i-1'))
             assert not silent.done()
             return seconds
 
     run(measure)
+
+
+def stand_still(fleet: NewsFleet) -> None:
+    """Have nothing come from both sentinels any more."""
+    for host in fleet.sentinels:
+        host.radio.stop()
+    cut_off_sentinels(fleet)
+
+
+def lose_datagrams(fleet: NewsFleet) -> None:
+    """Lose a third of all datagrams."""
+    for number, host in enumerate(fleet.hosts):
+        lose_share(host.radio, Random(number), 1 / 3)
+
+
+def forget_history(fleet: NewsFleet) -> None:
+    """Have watches hear nothing for a second, and end then."""
+    fleet.store.silence_watches()
+    asyncio.get_running_loop().call_later(1.0, _end_watches, fleet)
+
+
+def _end_watches(fleet: NewsFleet) -> None:
+    for kind in tuple(fleet.store.kinds):
+        fleet.store.compact(kind)
+    for proxy in fleet.proxies:
+        proxy.reset_all()
+
+
+def leave(fleet: NewsFleet) -> None:
+    fleet.let_leave('i-1')
+
+
+def evacuate(fleet: NewsFleet) -> None:
+    fleet.store.put('evacuations', 'north-b', {})
+
+
+def configure(fleet: NewsFleet) -> None:
+    fleet.store.put('config', 'main', configuration_spec(2))
+
+
+@pytest.mark.parametrize(
+    ('harm', 'write', 'is_known'),
+    [
+        pytest.param(harm, write, is_known, id=f'{failure}, {news}')
+        for failure, harm in (
+            ('silent watches', silence_all),
+            ('sentinels that stand still', stand_still),
+            ('lost datagrams', lose_datagrams),
+            ('a store that forgets', forget_history),
+        )
+        for news, write, is_known in (
+            ('leaving', leave, lambda host: not uses(host, 'i-1')),
+            (
+                'evacuation',
+                evacuate,
+                lambda host: 'north-b' in host.belief.evacuated,
+            ),
+            (
+                'configuration',
+                configure,
+                lambda host: host.belief.versions.configuration == 2,
+            ),
+        )
+    ],
+)
+def test_news_is_known_in_time_though_a_part_of_its_way_fails(
+    harm: Callable[[NewsFleet], None],
+    write: Callable[[NewsFleet], None],
+    is_known: Callable[[GatewayHost], bool],
+) -> None:
+    bound = 2.5
+
+    async def measure() -> float:
+        async with running_news_fleet(bounds_of(bound)) as fleet:
+            await fleet.begin_watches()
+            excused = fleet.sentinels if harm is stand_still else []
+            harm(fleet)
+            write(fleet)
+            held = [one for one in fleet.hosts if one not in excused]
+            return await seconds_until(lambda: all(map(is_known, held)))
+
+    assert run(measure) < bound
--- a/tests/lib/news.py
+++ b/tests/lib/news.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from random import Random
 
 from soak.proxy import Proxy
 
@@ -12,6 +13,7 @@
 from lib.rig import free_ports, until
 from lib.specs import configuration_spec, upstream_spec
 from lib.upstream_standin import UpstreamStandin
+from wardstair.fleet.radio import Radio
 from wardstair.gateway.host import GatewayHost
 from wardstair.gateway.settings import Bounds
 from wardstair.state.sync import LAG_SECONDS
@@ -86,10 +88,28 @@
         known = self.store.kind('servers').objects[name]
         self.store.put('servers', name, _as_draining(known['spec']))
 
-    def uses(self, host: GatewayHost, name: str) -> bool:
-        """Return whether a gateway would send to an upstream."""
-        known = host.belief.catalog.of_service('views')
-        return any(upstream.name == name for upstream in known)
+
+def uses(host: GatewayHost, name: str) -> bool:
+    """Return whether a gateway would send to an upstream."""
+    known = host.belief.catalog.of_service('views')
+    return any(upstream.name == name for upstream in known)
+
+
+def lose_share(radio: Radio, random: Random, share: float) -> None:
+    """Have datagrams of a gateway lost.
+
+    Args:
+        radio: What sends them.
+        random: Draws which are lost.
+        share: How many of them.
+    """
+    send = radio._send_bytes
+
+    def send_some(address: str, datagram: bytes) -> None:
+        if random.random() >= share:
+            send(address, datagram)
+
+    radio._send_bytes = send_some  # type: ignore[method-assign]
 
 
 def _as_draining(spec: object) -> dict[str, object]:
