--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -61,6 +61,28 @@
         self.hosts.append(host)
         return host
 
+    async def start_store(self, configuration: Stored) -> None:
+        """Start the store and the upstreams, and write what they hold.
+
+        Args:
+            configuration: What is in force.
+        """
+        self.store.start()
+        self.store.put('config', 'main', configuration)
+        for number, upstream in enumerate(self.upstreams):
+            await upstream.start()
+            zone = ZONES[number % len(ZONES)]
+            entry = upstream_spec(upstream.port, zone=zone)
+            self.store.put('servers', upstream.name, entry)
+
+    async def stop(self) -> None:
+        """Close everything that was started."""
+        for host in self.hosts:
+            await host.close()
+        for upstream in self.upstreams:
+            await upstream.stop()
+        await self.store.stop()
+
     def knows_all(self) -> bool:
         """Return whether each host knows all others and all upstreams."""
         return all(self._is_informed(host) for host in self.hosts)
@@ -89,12 +111,7 @@
         configuration: What is in force; by default one route of each kind.
     """
     fleet = Fleet(upstreams=upstreams)
-    fleet.store.start()
-    fleet.store.put('config', 'main', configuration or configuration_spec(1))
-    for number, upstream in enumerate(upstreams):
-        await upstream.start()
-        entry = upstream_spec(upstream.port, zone=ZONES[number % len(ZONES)])
-        fleet.store.put('servers', upstream.name, entry)
+    await fleet.start_store(configuration or configuration_spec(1))
     (port,) = free_ports(1)
     for number in range(size):
         await fleet.start_host(number, port)
@@ -102,11 +119,7 @@
         await until(fleet.knows_all)
         yield fleet
     finally:
-        for host in fleet.hosts:
-            await host.close()
-        for upstream in upstreams:
-            await upstream.stop()
-        await fleet.store.stop()
+        await fleet.stop()
 
 
 @dataclass
--- a/tests/lib/news.py
+++ b/tests/lib/news.py
@@ -9,9 +9,9 @@
 
 from soak.proxy import Proxy
 
-from lib.fleet import ZONES, Fleet
+from lib.fleet import Fleet
 from lib.rig import free_ports, until
-from lib.specs import configuration_spec, upstream_spec
+from lib.specs import configuration_spec
 from lib.upstream_standin import UpstreamStandin
 from wardstair.fleet.radio import Radio
 from wardstair.gateway.host import GatewayHost
@@ -137,12 +137,7 @@
     """
     upstreams = [UpstreamStandin(f'i-{number}') for number in range(UPSTREAMS)]
     fleet = NewsFleet(bounds=bounds, upstreams=upstreams)
-    fleet.store.start()
-    fleet.store.put('config', 'main', configuration_spec(1))
-    for number, upstream in enumerate(upstreams):
-        await upstream.start()
-        entry = upstream_spec(upstream.port, zone=ZONES[number % len(ZONES)])
-        fleet.store.put('servers', upstream.name, entry)
+    await fleet.start_store(configuration_spec(1))
     (port,) = free_ports(1)
     for number in range(size):
         proxy = Proxy(fleet.store.port)
@@ -153,10 +148,6 @@
         await until(fleet.knows_all)
         yield fleet
     finally:
-        for host in fleet.hosts:
-            await host.close()
+        await fleet.stop()
         for proxy in fleet.proxies:
             await proxy.stop()
-        for upstream in upstreams:
-            await upstream.stop()
-        await fleet.store.stop()
