Do not renew watches again for a revision that was looked at

What callers saw: nothing; calls on the store. Each clock of a sentinel renewed its other watches as long as their kinds had an older last change than the store: six renewals in 3.3 s without any change of upstreams.

Change: a follower remembers the store's revision at which its watch was last renewed. What changed up to there would have been answered at once.

--- a/src/wardstair/state/following.py
+++ b/src/wardstair/state/following.py
@@ -135,6 +135,9 @@
         self._needs_listing = True
         self._watching_since: float | None = None
         self._dropped = asyncio.Event()
+        # Revision of the store that was known when the watch was last renewed:
+        # what changed up to it would be answered at once.
+        self._renewed_at = NO_REVISION
 
     @property
     def kind(self) -> str:
@@ -157,13 +160,26 @@
             self.revision = revision
             self._needs_listing = False
 
-    def drop_watch(self) -> None:
-        """Renew a waiting watch, which has missed a change."""
+    def may_lack(self, revision: Revision) -> bool:
+        """Return whether a change up to a revision may have been missed.
+
+        Args:
+            revision: The store's revision by another answer.
+        """
+        return max(self.revision, self._renewed_at) < revision
+
+    def drop_watch(self, revision: Revision) -> None:
+        """Renew a waiting watch, which may have missed a change.
+
+        Args:
+            revision: The store's revision by another answer.
+        """
         since = self._watching_since
         if since is None:
             return
         if asyncio.get_running_loop().time() - since >= YOUNG_SECONDS:
             self._dropped.set()
+            self._renewed_at = revision
 
     async def run(self) -> None:
         """Follow until cancelled."""
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -173,12 +173,12 @@
             self._checking = asyncio.ensure_future(self._check(revision))
 
     def _behind(self, revision: Revision) -> list[Follower]:
-        return [one for one in self.followers if one.revision < revision]
+        return [one for one in self.followers if one.may_lack(revision)]
 
     async def _check(self, revision: Revision) -> None:
         await asyncio.sleep(LAG_SECONDS)
         for follower in self._behind(revision):
-            follower.drop_watch()
+            follower.drop_watch(revision)
 
     def _list_configuration(self, listing: Listing) -> None:
         for stored in listing.objects:
--- a/tests/functional/test_leaving_in_time.py
+++ b/tests/functional/test_leaving_in_time.py
@@ -17,6 +17,7 @@
 from soak.proxy import Mode
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
+from wardstair.decisions.timing import timing_for
 from wardstair.gateway.host import GatewayHost
 
 
@@ -179,3 +180,22 @@
             return await seconds_until(lambda: all(map(is_known, held)))
 
     assert run(measure) < bound
+
+
+def test_clocks_renew_no_watch_in_whose_kind_nothing_changes() -> None:
+    async def measure() -> float:
+        async with running_news_fleet(bounds_of(1.5)) as fleet:
+            await fleet.begin_watches()
+            period = timing_for(1.5, 2.0).second_watch
+            # A watch that is young is renewed by the clock after.
+            await asyncio.sleep(2 * period)
+            begun = watches_of(fleet, 'servers')
+            await asyncio.sleep(4 * period)
+            return watches_of(fleet, 'servers') - begun
+
+    assert not run(measure)
+
+
+def watches_of(fleet: NewsFleet, kind: str) -> int:
+    """Return how many watches of a kind have begun."""
+    return sum(f'{kind}?watch' in call for call in fleet.store.calls)
