--- a/tests/unit/test_lapses.py
+++ b/tests/unit/test_lapses.py
@@ -110,3 +110,24 @@
     assert contact.was_away_lately is not is_heard
     clock.now += RETURN_SECONDS
     assert not contact.was_away_lately
+
+
+@pytest.mark.parametrize(
+    ('away_seconds', 'may_have_lapsed'),
+    [
+        pytest.param(0.5, False, id='a reset'),
+        pytest.param(HARMLESS_SECONDS + 0.1, True, id='an outage'),
+    ],
+)
+def test_a_removal_after_a_short_reset_is_no_lapse(
+    away_seconds: float,
+    *,
+    may_have_lapsed: bool,
+) -> None:
+    clock = Clock()
+    contact = contact_at(clock)
+    contact.note_success()
+    contact.note_failure('reset')
+    clock.now += away_seconds
+    contact.note_success()
+    assert contact.was_away_lately is may_have_lapsed
