Tell by which way upstreams come to be taken for cold

A line and a counter tell each upstream that is taken for cold without its entry saying so, by reason; a line tells by which host requests that end upstreams became known. The page leaves out the labels and begins with refusals and resends. No decision changes.

--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -1,7 +1,9 @@
 """Finds the upstream for a request from what this host knows now."""
 
 import time
+from collections import Counter
 from dataclasses import dataclass, replace
+from enum import StrEnum
 
 from wardstair.decisions.cold import HostView
 from wardstair.decisions.fleet_rate import LoadView
@@ -31,6 +33,7 @@
 from wardstair.gateway.limited_sends import MOST_WAIT_SECONDS, LimitedSends
 from wardstair.gateway.settings import LiveSettings
 from wardstair.gateway.splitting import Splits
+from wardstair.process.log import log_event
 from wardstair.state.belief import Belief
 from wardstair.state.upstream import Upstream
 from wardstair.version.steering import SteeredRoute
@@ -50,6 +53,15 @@
 COLD_SLOWNESS = 2.0
 
 
+class ColdReason(StrEnum):
+    """Why an upstream is taken for cold though its entry does not say so."""
+
+    # It refused a connection of this host, and no other is open.
+    refused = 'refused'
+    # This host or another found that it has ended.
+    ended = 'ended'
+
+
 @dataclass(frozen=True, slots=True)
 class Ask:
     """What an upstream is wanted for.
@@ -130,6 +142,7 @@
             lambda: self.load_view,
         )
         self.splits = Splits()
+        self.assumed_cold = Counter[ColdReason]()
         self._work: dict[str, RouteWork] = {}
 
     @property
@@ -149,14 +162,28 @@
             self._work[route.name] = known
         return known
 
-    def suspect_new_life(self, upstream: Upstream, now: float) -> None:
+    def suspect_new_life(
+        self,
+        upstream: Upstream,
+        reason: ColdReason,
+        now: float,
+    ) -> None:
         """Take whoever listens where nobody did for cold, until it is told.
 
         Where a service states no rate for cold upstreams they get nothing, so
         there it would only take the upstream out.
         """
-        if self.cold_sends.is_bounded(upstream.entry.service):
-            upstream.suspect_new_life(now)
+        if not self.cold_sends.is_bounded(upstream.entry.service):
+            return
+        if not upstream.is_cold(now):
+            self.assumed_cold[reason] += 1
+            log_event(
+                'upstream-assumed-cold',
+                upstream=upstream.name,
+                service=upstream.entry.service,
+                reason=reason,
+            )
+        upstream.suspect_new_life(now)
 
     def choose(self, ask: Ask) -> Placement | None:
         """Choose an upstream for one send, or None if there is no room."""
--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -116,6 +116,14 @@
         'Requests sent to upstreams that were cold, by service',
         lambda: _cold_sends(host),
     )
+    metrics.add_count(
+        'wardstair_upstreams_assumed_cold',
+        'Upstreams taken for cold though their entries do not say so',
+        lambda: [
+            (float(count), {'reason': reason.value})
+            for reason, count in host.chooser.assumed_cold.items()
+        ],
+    )
     metrics.add_count(
         'wardstair_limited_sends',
         'Requests sent to upstreams that name a limit, by service',
--- a/src/wardstair/gateway/learning.py
+++ b/src/wardstair/gateway/learning.py
@@ -7,7 +7,7 @@
 from wardstair.decisions.answer_times import slowness_shown
 from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.placement import expected_seconds
-from wardstair.gateway.choosing import Chooser, Placement
+from wardstair.gateway.choosing import Chooser, ColdReason, Placement
 from wardstair.gateway.reporting import Trail
 from wardstair.gateway.sending import (
     Delivered,
@@ -110,7 +110,11 @@
             case NotSent(reason=reason, is_dead=is_dead):
                 self._distrust(case, reason, now)
                 if is_dead:
-                    self._chooser.suspect_new_life(upstream, now)
+                    self._chooser.suspect_new_life(
+                        upstream,
+                        ColdReason.refused,
+                        now,
+                    )
             case Lost(is_forgotten=True):
                 # Whether the upstream itself is well the next send will show,
                 # which opens a connection.
--- a/src/wardstair/gateway/lives.py
+++ b/src/wardstair/gateway/lives.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from wardstair.connection.pool import UpstreamPool
-from wardstair.gateway.choosing import Chooser
+from wardstair.gateway.choosing import Chooser, ColdReason
 from wardstair.gateway.telling import NewsTeller
 from wardstair.state.belief import Belief
 from wardstair.state.entries import UpstreamEntry
@@ -62,7 +62,11 @@
         """
         upstream = self._catalog.note_ended(life)
         if upstream is not None:
-            self._chooser.suspect_new_life(upstream, self._catalog.clock())
+            self._chooser.suspect_new_life(
+                upstream,
+                ColdReason.ended,
+                self._catalog.clock(),
+            )
 
     def _on_suspects(self) -> None:
         """Have others know, and the store."""
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -130,6 +130,13 @@
         'a connection or an exchange failed; it is avoided for a while',
         'request upstream reason seconds',
     ),
+    _kind(
+        'upstream-assumed-cold',
+        'an upstream is taken for cold though its entry does not say so: it '
+        '`refused` a connection and no other is open, or some host found that '
+        'it `ended`',
+        'upstream service reason',
+    ),
     _kind(
         'exchange-broken',
         'an exchange ended without an answer; `content` is the same for each '
@@ -170,6 +177,12 @@
         'an operator set aside what is known of a request; it is served again',
         'content by',
     ),
+    _kind(
+        'suspects-adopted',
+        'another host told of requests that end upstreams, and some of it was '
+        'new; `count`: requests that it told of',
+        'count source',
+    ),
     _kind(
         'suspects-stored',
         'requests that end upstreams were written to the store',
--- a/src/wardstair/process/metrics.py
+++ b/src/wardstair/process/metrics.py
@@ -11,12 +11,32 @@
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import CollectorRegistry, Histogram, generate_latest
+from prometheus_client.metrics_core import Metric
+from prometheus_client.registry import Collector
 
 # Seconds; from an answer of a warm upstream nearby to the longest deadline.
 LATENCY_BUCKETS = (0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 1.5, 2.0, 4.0, 8.0)
 Rows = Callable[[], Iterable[tuple[float, dict[str, str]]]]
 
 
+# How requests end and what is done about it comes first on a page: collectors
+# that keep only the first kilobytes of it keep that.
+_FIRST_FAMILIES = ('wardstair_refusals', 'wardstair_retries')
+
+
+class _Page(Collector):
+    """The metrics of a registry in the order of the page."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self._registry = registry
+
+    def collect(self) -> Iterable[Metric]:
+        return sorted(
+            self._registry.collect(),
+            key=lambda family: not family.name.startswith(_FIRST_FAMILIES),
+        )
+
+
 class Tally:
     """Counts by label values, cheap enough for every request.
 
@@ -58,6 +78,7 @@
         self._reader = PrometheusMetricReader(
             registry=self._registry,
             disable_target_info=True,
+            scope_info_enabled=False,
         )
         self._provider = MeterProvider(metric_readers=[self._reader])
         meter = self._provider.get_meter('wardstair')
@@ -202,7 +223,7 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return generate_latest(self._registry)
+        return generate_latest(_Page(self._registry))
 
     def close(self) -> None:
         """Release the instruments."""
--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -374,7 +374,12 @@
             )
             return False
         self._take_in(fetched.ok_value, beat.sender.name)
-        self._belief.suspects.take_in(fetched.ok_value.suspects)
+        if self._belief.suspects.take_in(fetched.ok_value.suspects):
+            log_event(
+                'suspects-adopted',
+                count=len(fetched.ok_value.suspects),
+                source=beat.sender.name,
+            )
         self._belief.limits.take_in(
             fetched.ok_value.limits,
             beat.sender.name,
