Bring about hosts that reach no upstream, as known red tests

A host whose connections are refused while requests run tells the others that the upstreams have ended.

The pool of connections opens them by a function that tests can replace; no decision changes.

--- a/src/wardstair/connection/pool.py
+++ b/src/wardstair/connection/pool.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from wardstair.connection.upstream import UpstreamConnection
 
@@ -79,8 +80,47 @@
     open_count: int = 0
 
 
+class Dial(Protocol):
+    """Opens a connection."""
+
+    async def __call__(
+        self,
+        on_closed: Callable[[UpstreamConnection], None],
+        host: str,
+        port: int,
+    ) -> UpstreamConnection:
+        """Open a connection.
+
+        Args:
+            on_closed: Called once when it is closed.
+            host: IP address.
+            port: Port.
+
+        Raises:
+            OSError: It could not be opened.
+        """
+
+
+async def dial_tcp(
+    on_closed: Callable[[UpstreamConnection], None],
+    host: str,
+    port: int,
+) -> UpstreamConnection:
+    """Open a connection over TCP."""
+    _, connection = await asyncio.get_running_loop().create_connection(
+        lambda: UpstreamConnection(on_closed),
+        host,
+        port,
+    )
+    return connection
+
+
 class UpstreamPool:
-    """The connections of one process, by name of the upstream's run."""
+    """The connections of one process, by name of the upstream's run.
+
+    Attributes:
+        dial: Opens connections.
+    """
 
     def __init__(self, most: Callable[[str], int]) -> None:
         """Start without connections.
@@ -89,6 +129,7 @@
             most: Connections that this host may have to an upstream.
         """
         self.opened = 0
+        self.dial: Dial = dial_tcp
         self.forgetfulness = Forgetfulness()
         self._most = most
         self._lines: dict[str, _Line] = {}
@@ -130,18 +171,13 @@
             return ConnectFailed('limit')
         line.open_count += 1
         self.opened += 1
-        loop = asyncio.get_running_loop()
 
         def on_closed(connection: UpstreamConnection) -> None:
             self._drop(name, connection)
 
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
-                _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(on_closed),
-                    host,
-                    port,
-                )
+                connection = await self.dial(on_closed, host, port)
         except (OSError, TimeoutError) as error:
             line.open_count -= 1
             is_refused = isinstance(error, ConnectionRefusedError)
--- /dev/null
+++ b/tests/functional/test_cut_off_hosts.py
@@ -0,0 +1,151 @@
+"""Hosts that reach no upstream, while callers and other hosts reach them."""
+
+import asyncio
+import json
+import time
+from collections.abc import Awaitable, Callable
+
+import pytest
+from lib.cut_fleet import NORTH, Cut, CutFleet, CutLoad, running_cut_fleet
+from lib.rig import Caller, until
+from lib.upstream_standin import Seen, UpstreamStandin, answer_ok
+
+from wardstair.gateway.host import GatewayHost
+from wardstair.gateway.settings import Bounds
+
+BOUNDS = Bounds(
+    contact_seconds=4.0,
+    lookup_seconds=5.0,
+    drain_seconds=2.5,
+    apply_seconds=2.5,
+    evacuate_seconds=5.0,
+    retry_ratio=0.2,
+    retry_extra=64,
+    cold_overshoot=1.5,
+    cold_slack=5,
+)
+CALM_SECONDS = 1.0
+CUT_SECONDS = 6.0
+# For what was in force during the cut to be over.
+BACK_SECONDS = 2.0
+# Least share of first tries that are served, beside those at other hosts, and
+# of all right after the cut.
+LEAST_SHARE = 0.95
+
+Chosen = Callable[[CutFleet], list[GatewayHost]]
+
+
+def run(test: Callable[[CutFleet], Awaitable[None]]) -> None:
+    """Run a test on a fleet within a bound of time."""
+
+    async def main() -> None:
+        async with running_cut_fleet(BOUNDS) as fleet, asyncio.timeout(60):
+            await test(fleet)
+
+    asyncio.run(main())
+
+
+def two_hosts(fleet: CutFleet) -> list[GatewayHost]:
+    return fleet.hosts[:2]
+
+
+def a_zone(fleet: CutFleet) -> list[GatewayHost]:
+    return fleet.hosts_of('north-a')
+
+
+def a_region(fleet: CutFleet) -> list[GatewayHost]:
+    return fleet.hosts_of(*NORTH)
+
+
+def named(fleet: CutFleet) -> set[str]:
+    """Return what look-ups of all hosts name."""
+    return {
+        address
+        for host in fleet.hosts
+        for address in json.loads(
+            host.directory.answer(
+                f'name=music.example&zone={host.settings.zone}'
+                f'&region={host.settings.region}',
+            )
+        )['addresses']
+    }
+
+
+def share(counts: tuple[int, int]) -> float:
+    served, sent = counts
+    return served / sent if sent else 1.0
+
+
+@pytest.mark.parametrize(
+    ('chosen', 'how'),
+    [
+        (two_hosts, Cut.hang),
+        (two_hosts, Cut.reset),
+        (a_zone, Cut.refuse),
+        (a_zone, Cut.reset),
+        (a_region, Cut.hang),
+        (a_region, Cut.refuse),
+    ],
+)
+def test_callers_of_cut_off_hosts_are_served(chosen: Chosen, how: Cut) -> None:
+    async def test(fleet: CutFleet) -> None:
+        load = CutLoad(fleet)
+        seconds = CALM_SECONDS + CUT_SECONDS + 2 * BACK_SECONDS
+        playing = asyncio.ensure_future(load.play(seconds))
+        await asyncio.sleep(CALM_SECONDS)
+        cut = chosen(fleet)
+        others = [host for host in fleet.hosts if host not in cut]
+        began = time.monotonic()
+        fleet.cut(cut, how)
+        await asyncio.sleep(CUT_SECONDS)
+        ended = time.monotonic()
+        fleet.mend()
+        await asyncio.sleep(BACK_SECONDS)
+        all_named = named(fleet)
+        await playing
+        bound = began + BOUNDS.contact_seconds
+        at_others = share(load.share(bound, ended, others))
+        at_cut = share(load.share(bound, ended, cut))
+        assert at_cut >= LEAST_SHARE * at_others
+        assert share(load.share(began, bound, fleet.hosts)) >= LEAST_SHARE
+        assert not load.ran_twice()
+        assert len(all_named) == len(fleet.hosts)
+        back = load.share(ended + BACK_SECONDS, time.monotonic(), fleet.hosts)
+        assert share(back) == 1.0
+
+    run(test)
+
+
+async def _work_for_long(
+    upstream: UpstreamStandin,
+    seen: Seen,
+    writer: asyncio.StreamWriter,
+) -> None:
+    await asyncio.sleep(1.0)
+    await answer_ok(upstream, seen, writer)
+
+
+def test_ends_that_a_cut_off_host_assumes_stay_at_home() -> None:
+    async def test(fleet: CutFleet) -> None:
+        for upstream in fleet.upstreams:
+            upstream.script = _work_for_long
+        cut, *others = fleet.hosts
+        callers = [
+            await Caller.connect_to(cut.settings.callers) for _ in range(16)
+        ]
+        for number, caller in enumerate(callers):
+            name = f'r{number}'
+            await caller.send('/read/x', request_id=name, key=str(number))
+        await until(lambda: all(one.seen for one in fleet.upstreams))
+        fleet.cut([cut], Cut.refuse)
+        await asyncio.gather(*(caller.answer() for caller in callers))
+        # Two probes, and two heartbeats that would tell of what they show.
+        await asyncio.sleep(2.5)
+        now = time.monotonic()
+        assert not any(host.belief.suspects.records for host in others)
+        for host in others:
+            upstreams = host.belief.catalog.upstreams.values()
+            assert not any(one.is_cold(now) for one in upstreams)
+            assert not any(one.is_avoided(now) for one in upstreams)
+
+    run(test)
--- a/tests/unit/test_metrics_page.py
+++ b/tests/unit/test_metrics_page.py
@@ -1,4 +1,4 @@
-"""What collectors that keep only the first kilobytes of a page of metrics get."""
+"""What a page of metrics begins with: some collectors keep only that."""
 
 from wardstair.process.metrics import Metrics
 
