--- a/src/wardstair/decisions/controls.py
+++ b/src/wardstair/decisions/controls.py
@@ -1,8 +1,8 @@
 """Which upstreams show that it is not this host's way that has failed.
 
 A refused connection says that an upstream has ended only if others near it are
-reached: a host that is cut off from a zone, from a service or from all upstreams
-is refused by all of them.
+reached: a host that is cut off from a zone, a service or all upstreams is
+refused by all of them.
 """
 
 from collections.abc import Iterable, Sequence
