Bound the log lines that wait while nobody reads them

Found by the test itself once pages of metrics lost their labels: its condition 'lines_dropped_total 0' had never held, as labels followed the name, so it asked nothing. Now it holds until lines are dropped, and they never were: it ran into its bound of 120 s.

Cause: a write that did not fit put the whole batch of up to 200 lines back as one entry, so what waits was counted 200 times too low and grew without end. The rest of a batch goes back line by line.

The test reads the rest of the output before it waits for the end, since asyncio reports the end of a process only then, and wants the line that tells how many were dropped: it is stricter than before.

--- a/src/wardstair/process/sink.py
+++ b/src/wardstair/process/sink.py
@@ -76,7 +76,9 @@
             return True
         if written == len(text):
             return True
-        self._lines.appendleft(text[written:])
+        # One entry a line, so that what waits stays counted.
+        rest = text[written:].splitlines(keepends=True)
+        self._lines.extendleft(reversed(rest))
         self._schedule(RETRY_SECONDS)
         return False
 
--- a/tests/functional/test_gateway_process.py
+++ b/tests/functional/test_gateway_process.py
@@ -115,7 +115,10 @@
         answer = await caller.ask(request_id='last')
         assert (answer.status, answer.body) == (200, b'i-1')
         process.send_signal(signal.SIGTERM)
-        assert await process.wait() == 0
+        # It does not end for asyncio until its output was read.
+        rest, _ = await process.communicate()
+        assert process.returncode == 0
+        assert b'event=log-lines-dropped count=' in rest
         await surroundings.stop()
 
     async def bounded() -> None:
