--- a/src/wardstair/connection/pool.py
+++ b/src/wardstair/connection/pool.py
@@ -11,6 +11,8 @@
 # A connection within a zone opens in a few milliseconds, between regions in
 # some hundred; an upstream that takes longer is silent or its queue is full.
 CONNECT_SECONDS = 0.5
+# Why no connection is opened to an upstream that has its share of them.
+CONNECTION_LIMIT = 'limit'
 # Rest after which a connection is not used again, when the upstream names no
 # time. Upstreams were seen to close theirs after 10 s.
 REST_SECONDS = 6.0
@@ -168,7 +170,7 @@
         """
         line = self._lines.setdefault(name, _Line())
         if line.open_count >= self._most(name):
-            return ConnectFailed('limit')
+            return ConnectFailed(CONNECTION_LIMIT)
         line.open_count += 1
         self.opened += 1
 
--- a/src/wardstair/errors.py
+++ b/src/wardstair/errors.py
@@ -22,6 +22,7 @@
     limits_reached = 'limits-reached'
     no_memory = 'no-memory'
     no_upstream = 'no-upstream'
+    unreached = 'unreached'
     cap_reached = 'cap-reached'
     deadline_passed = 'deadline-passed'
     body_too_large = 'body-too-large'
--- a/src/wardstair/fleet/beats.py
+++ b/src/wardstair/fleet/beats.py
@@ -15,7 +15,7 @@
 
 # Two versions of the program in one fleet drop each other's datagrams
 # instead of misreading them.
-_FORMAT = 9
+_FORMAT = 10
 _UNREADABLE = (cbor2.CBORDecodeError, ValueError, TypeError, LookupError)
 # Hosts named in one answer to a newcomer, so that a datagram holds them.
 MOST_NAMED = 16
@@ -159,6 +159,7 @@
             none.
         is_sentinel: Whether the sender watches the store closely for all.
         is_doubting: Whether a watch of the sender is late.
+        lost: Groups of upstreams that the sender does not reach.
     """
 
     kind: BeatKind
@@ -178,6 +179,7 @@
     contact: ContactAge | None = None
     is_sentinel: bool = False
     is_doubting: bool = False
+    lost: tuple[str, ...] = ()
 
 
 def encode_beat(beat: Beat) -> bytes:
@@ -202,6 +204,7 @@
             _contact_row(beat.contact),
             beat.is_sentinel,
             beat.is_doubting,
+            beat.lost,
         ]
     )
 
@@ -230,6 +233,7 @@
             ContactAge(*map(float, row[15])) if row[15] else None,
             bool(row[16]),
             bool(row[17]),
+            tuple(str(group) for group in row[18]),
         )
     except _UNREADABLE:
         return None
--- a/src/wardstair/fleet/member.py
+++ b/src/wardstair/fleet/member.py
@@ -30,6 +30,7 @@
         contact: Its contact with the store, in this host's time; None if it
             said that it has none.
         was_live: Whether it counted as live when last looked at.
+        lost: Groups of upstreams that it said it does not reach.
     """
 
     peer: PeerName
@@ -49,6 +50,7 @@
     load: float = 0.0
     contact: ContactSpan | None = None
     was_live: bool = False
+    lost: frozenset[str] = frozenset()
 
     def take_in(self, beat: Beat, now: float) -> None:
         """Note what a heartbeat says."""
@@ -66,6 +68,7 @@
         self.fleet_size = beat.fleet_size
         self.versions = beat.versions
         self.load = beat.load
+        self.lost = frozenset(beat.lost)
         self.contact = None
         if beat.contact is not None:
             age = beat.contact
--- a/src/wardstair/fleet/members.py
+++ b/src/wardstair/fleet/members.py
@@ -55,6 +55,7 @@
         own_contact: Returns this host's contact with the store; None if there
             is none.
         load: Requests a second of this host's callers.
+        lost: Groups of upstreams that this host does not reach.
         is_leaving: Whether this host is about to stop.
         table: Members by name.
         hinted: Relays of other zones, as a host of theirs named them.
@@ -84,6 +85,7 @@
         default=lambda: None,
     )
     load: float = 0.0
+    lost: frozenset[str] = frozenset()
     is_leaving: bool = False
     table: dict[str, Member] = field(default_factory=dict)
     hinted: dict[str, tuple[str, ...]] = field(default_factory=dict)
@@ -300,6 +302,13 @@
         """Return whether a host was heard lately."""
         return self.is_heard(member, SILENT_SECONDS)
 
+    def may_serve(self, member: Member) -> bool:
+        """Return whether a host may be there, heard or named by others."""
+        if self.is_live(member):
+            return True
+        end = self.clock() - FORGOTTEN_SECONDS
+        return not member.run and member.confirmed_at > end
+
     def live(self) -> list[Member]:
         """Return the members heard lately, those leaving included."""
         return [one for one in self.table.values() if self.is_live(one)]
--- a/src/wardstair/fleet/radio.py
+++ b/src/wardstair/fleet/radio.py
@@ -358,6 +358,7 @@
             contact=members.contact_age,
             is_sentinel=members.is_sentinel(),
             is_doubting=members.is_doubting(),
+            lost=tuple(sorted(members.lost)),
         )
 
     def _send(self, address: str, beat: Beat) -> None:
--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -183,7 +183,11 @@
                 service=upstream.entry.service,
                 reason=reason,
             )
-        upstream.suspect_new_life(now)
+        match reason:
+            case ColdReason.refused:
+                upstream.suspect_restart(now)
+            case ColdReason.ended:
+                upstream.suspect_new_life(now)
 
     def choose(self, ask: Ask) -> Placement | None:
         """Choose an upstream for one send, or None if there is no room."""
@@ -246,6 +250,7 @@
             if not upstream.is_cold(now)
             or self.cold_sends.are_due(upstream, now)
         ]
+        ranked = self._within_reach(ranked)
         usable = [one for one in ranked if not self._avoids(one, now)]
         if len(usable) < len(ranked) * LEAST_USABLE_SHARE:
             # So many cannot all be worse than the others.
@@ -263,6 +268,25 @@
             case _:
                 return [numbered]
 
+    def _within_reach(self, ranked: list[Upstream]) -> list[Upstream]:
+        """Leave out zones of which no upstream is reached, unless all are."""
+        reach = self._belief.reach
+        if reach.is_sound:
+            return ranked
+        reached = [
+            one for one in ranked if not reach.is_zone_lost(one.entry.zone)
+        ]
+        return reached or ranked
+
+    def is_within_reach(self, ask: Ask) -> bool:
+        """Return whether any upstream for a request may be within reach."""
+        reach = self._belief.reach
+        if reach.is_sound:
+            return True
+        return reach.may_reach(ask.service) and not all(
+            reach.is_zone_lost(one.entry.zone) for one in self.ranked(ask)
+        )
+
     def _avoids(self, upstream: Upstream, now: float) -> bool:
         if self._settings.current.uses(Mechanism.ejection):
             return upstream.is_avoided(now)
--- a/src/wardstair/gateway/cold_sends.py
+++ b/src/wardstair/gateway/cold_sends.py
@@ -85,7 +85,7 @@
             upstream=upstream.name,
             service=upstream.entry.service,
             zone=upstream.entry.zone,
-            left=round(upstream.cold_until - now, 2),
+            left=round(upstream.cold_end - now, 2),
             rate=round(rate, 2),
             live=len(view.live),
             known=len(view.known),
--- a/src/wardstair/gateway/course.py
+++ b/src/wardstair/gateway/course.py
@@ -3,8 +3,10 @@
 import asyncio
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Any
 
 from wardstair.gateway.choosing import Placement
+from wardstair.gateway.handing_on import HopOutcome
 from wardstair.gateway.learning import SendCase
 from wardstair.gateway.messages import Inbound
 from wardstair.gateway.reporting import Trail
@@ -24,9 +26,11 @@
     # The upstream answered that it failed.
     failed = 'failed'
     silent = 'silent'
+    # This host reaches no upstream; another one may.
+    cut_off = 'cut-off'
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Course:
     """What has happened to one request so far.
 
@@ -46,6 +50,11 @@
         failure: A failure that an upstream answered; the answer if nobody
             does better.
         running: Sends without an outcome.
+        hop: The hop to another entry host, if it is on its way.
+        hops: How often it has been handed on to another host.
+        is_relayed: Whether another entry host has handed it on to this one.
+        doubt: Done once what it waits for may be out of reach; None for one
+            that no other host can be asked for.
     """
 
     inbound: Inbound
@@ -64,6 +73,28 @@
     running: 'dict[asyncio.Task[SendOutcome], Placement]' = field(
         default_factory=dict,
     )
+    hop: 'asyncio.Task[HopOutcome] | None' = None
+    hops: int = 0
+    is_relayed: bool = False
+    doubt: 'asyncio.Future[None] | None' = None
+
+    @property
+    def awaited(self) -> 'set[asyncio.Future[Any]]':
+        """Everything after which there may be something to do."""
+        futures: set[asyncio.Future[Any]] = set(self.running)
+        if self.hop is not None:
+            futures.add(self.hop)
+        if self.doubt is not None:
+            futures.add(self.doubt)
+        return futures
+
+    @property
+    def open_tasks(self) -> 'set[asyncio.Task[Any]]':
+        """Everything that may bring its answer."""
+        tasks: set[asyncio.Task[Any]] = set(self.running)
+        if self.hop is not None:
+            tasks.add(self.hop)
+        return tasks
 
     def case_of(self, placement: Placement) -> SendCase:
         """Return what the learner has to know of one of its sends."""
--- a/src/wardstair/gateway/endpoints.py
+++ b/src/wardstair/gateway/endpoints.py
@@ -6,10 +6,13 @@
 
 from tornado.web import Application, RequestHandler
 
+from wardstair.decisions.reach import ALL
 from wardstair.fleet.beats import PeerName
 from wardstair.fleet.members import Members
 from wardstair.fleet.naming import NamedHost, name_hosts
 from wardstair.fleet.sharing import decode_versions
+from wardstair.gateway.handing_on import RELAY_PATH
+from wardstair.gateway.relay_server import RelayHandler, RelayServer
 from wardstair.gateway.settings import LiveSettings
 from wardstair.platform.lookups import (
     LOOKUP_PATH,
@@ -75,6 +78,7 @@
             self.is_leaving,
             self._own.size,
             self._members.is_busy,
+            ALL in self._members.lost,
         )
         others = [
             NamedHost(
@@ -83,6 +87,7 @@
                 one.is_leaving,
                 one.peer.size,
                 one.is_busy,
+                ALL in one.lost,
             )
             for one in self._members.live()
         ]
@@ -183,17 +188,20 @@
 def state_application(
     exchange: StateExchange,
     suspects: SuspectTable,
+    relays: RelayServer,
 ) -> Application:
     """Return the endpoint for other entry hosts, and for operators.
 
     Args:
         exchange: Hands out what this host knows.
         suspects: Requests that ended upstreams; operators see and lift them.
+        relays: Takes requests that other hosts hand on.
     """
     return Application(
         [
             (STATE_PATH, _StateHandler, {'exchange': exchange}),
             (SUSPECTS_PATH, _SuspectsHandler, {'suspects': suspects}),
+            (RELAY_PATH, RelayHandler, {'server': relays}),
         ],
         log_function=_no_log,
     )
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -6,31 +6,41 @@
 
 import asyncio
 import time
-from dataclasses import replace
+from dataclasses import dataclass, replace
+from typing import Any
 
 from wardstair.decisions.answer_times import hedge_after
 from wardstair.decisions.homes import NO_REGION, regions_of
 from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.notices import Standing
 from wardstair.decisions.queueing import queue_share
+from wardstair.decisions.reach import ALL, service_group
 from wardstair.decisions.resends import (
     ResendBudget,
     ResendLimit,
     host_limit,
 )
+from wardstair.fleet.relaying import RelayedAnswer, RelayedRequest
 from wardstair.gateway import refusals
 from wardstair.gateway.admission import Admission
 from wardstair.gateway.choosing import Ask, Chooser, Placement
 from wardstair.gateway.course import Course, ResendReason
+from wardstair.gateway.handing_on import Handover, HopEnd, HopOutcome
 from wardstair.gateway.learning import Learner, is_failure
 from wardstair.gateway.messages import Inbound, Reply
+from wardstair.gateway.relayed import (
+    answer_of,
+    inbound_of,
+    refusal_of,
+    relayed_of,
+    reply_of,
+)
 from wardstair.gateway.reporting import Reporter, Trail
 from wardstair.gateway.sending import (
     Delivered,
     Lost,
     NotSent,
     Sender,
-    SendOutcome,
     TurnedAway,
     Withheld,
 )
@@ -48,10 +58,30 @@
 # Connections that may fail before the request is given up; nothing has been
 # sent by then, so this costs only time.
 MOST_UNREACHABLE = 4
+# From so many on another host is asked, as this one may be cut off.
+UNREACHABLE_TO_HAND_ON = 2
+# Times that a request is handed on, each to one host: once more if a hop broke
+# and it may run again.
+MOST_HOPS = 2
+# Told of a host that lacks what a relayed request needs.
+EVERYTHING = frozenset((ALL,))
 # The way of a request's first send in logs and metrics.
 FIRST_SEND = 'first'
 
 
+@dataclass(frozen=True, slots=True)
+class WaysOut:
+    """Where requests leave this host.
+
+    Attributes:
+        sender: Sends them to upstreams.
+        handover: Hands them on to other entry hosts.
+    """
+
+    sender: Sender
+    handover: Handover
+
+
 class Forwarder:
     """Carries requests; one a process."""
 
@@ -59,7 +89,7 @@
         self,
         belief: Belief,
         chooser: Chooser,
-        sender: Sender,
+        ways: WaysOut,
         settings: LiveSettings,
         reporter: Reporter,
         witness: Witness,
@@ -70,12 +100,15 @@
         Args:
             belief: What this host knows.
             chooser: Chooses upstreams.
-            sender: Sends to them.
+            ways: Where requests leave this host.
             settings: Settings, with the fleet's limit of resends.
             reporter: Tells of each request.
             witness: Knows which requests end upstreams.
             admission: Checks the API keys and quotas of requests.
         """
+        self._handover = ways.handover
+        # Requests that another host may be asked for as well.
+        self._waiting: set[Course] = set()
         self._witness = witness
         self._admission = admission
         self._belief = belief
@@ -85,8 +118,9 @@
             chooser,
             settings,
             witness,
+            belief.reach,
         )
-        self._sender = sender
+        self._sender = ways.sender
         self._settings = settings
         self._reporter = reporter
         self._budgets: dict[str, ResendBudget] = {}
@@ -107,24 +141,78 @@
             return self._end(course, refusals.NO_HOME)
         if self._is_held(inbound):
             return self._hold(course)
+        return await self._carry(course)
+
+    async def serve_relayed(self, relayed: RelayedRequest) -> RelayedAnswer:
+        """Carry a request that another host has handed on.
+
+        That host has authorised it and counted it against the quota. It is not
+        handed on once more.
+        """
+        course = self._begin_relayed(relayed)
+        if course is None:
+            return refusal_of(refusals.STARTING, relayed, EVERYTHING)
+        reach = self._belief.reach
+        if reach.looks_silent():
+            reach.begin_doubt('silent')
+        if not self._is_within_reach(course):
+            lost = reach.lost or EVERYTHING
+            return refusal_of(refusals.UNREACHED, relayed, lost)
+        reply = await self._carry(course)
+        if course.trail.unreachable:
+            # It may be cut off, and not know yet.
+            unreached = frozenset((service_group(course.service),))
+            return answer_of(reply, reach.lost | unreached)
+        return answer_of(reply, reach.lost)
+
+    def hand_on_waiting(self) -> None:
+        """Have other hosts asked for what may wait here in vain."""
+        for course in self._waiting:
+            if course.doubt is not None and not course.doubt.done():
+                course.doubt.set_result(None)
+
+    async def _carry(self, course: Course) -> Reply:
+        if course.route.is_repeatable and not course.is_relayed:
+            course.doubt = asyncio.get_running_loop().create_future()
+            self._waiting.add(course)
         try:
             return await self._run(course)
         finally:
-            for task in course.running:
+            self._waiting.discard(course)
+            for task in course.open_tasks:
                 task.cancel()
             if not course.is_ended:
                 self._reporter.caller_left(course.trail)
 
+    def _begin_relayed(self, relayed: RelayedRequest) -> Course | None:
+        """Begin a request of another host; None if this one lacks its state."""
+        steering = self._belief.steering
+        if steering is None or steering.version < relayed.version:
+            return None
+        inbound = inbound_of(relayed)
+        route = steering.find_route(inbound.host, inbound.path)
+        organisation = steering.organisations.by_name.get(relayed.organisation)
+        if route is None or (relayed.organisation and organisation is None):
+            return None
+        is_served = relayed.service in {one.service for one in route.shares}
+        chosen = relayed.service if is_served else ''
+        course = self._begin(inbound, route, steering, organisation, chosen)
+        course.is_relayed = True
+        course.sends = relayed.sends
+        course.trail.upstreams.extend(relayed.tried)
+        return course
+
     def _begin(
         self,
         inbound: Inbound,
         route: SteeredRoute,
         steering: Steering,
         organisation: Organisation | None,
+        chosen: str = '',
     ) -> Course:
         key = inbound.key or inbound.request_id
-        service = self._chooser.service_of(route, key)
-        if len(route.shares) > 1:
+        service = chosen or self._chooser.service_of(route, key)
+        if len(route.shares) > 1 and not chosen:
             self._reporter.divided(route, service)
         seconds = min(inbound.seconds, route.timeout)
         return Course(
@@ -164,11 +252,15 @@
         reply = self._send_next(course)
         while reply is None:
             done, _ = await asyncio.wait(
-                course.running,
+                course.awaited,
                 timeout=self._patience(course),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if done:
+            if course.doubt in done:
+                self._hand_on_waiting(course)
+            elif course.hop in done:
+                reply = self._settle_hop(course)
+            elif done:
                 reply = self._settle(course, done)
             elif time.monotonic() >= course.until:
                 reply = self._time_out(course)
@@ -191,6 +283,7 @@
             self._settings.current.uses(Mechanism.hedging)
             and course.route.is_repeatable
             and len(course.running) == 1
+            and course.hop is None
             and course.sends < course.route.most_attempts
             and not self._is_suspect(course)
         )
@@ -198,6 +291,9 @@
     def _hedge(self, course: Course) -> None:
         if not self._may_hedge(course):
             return
+        if self._needs_help(course) and self._take_resend(course):
+            self._hand_on(course)
+            return
         placement = self._place(course)
         if placement is None or not self._take_resend(course):
             # Not asked again: the first send is what there is.
@@ -208,11 +304,12 @@
     def _settle(
         self,
         course: Course,
-        done: 'set[asyncio.Task[SendOutcome]]',
+        done: 'set[asyncio.Future[Any]]',
     ) -> Reply | None:
         """Take in sends that have ended; None while there is hope."""
         reason = ResendReason.lost
-        for task in done:
+        ended = [one for one in course.running if one in done]
+        for task in ended:
             placement = course.running.pop(task)
             outcome = self._learner.learn(
                 course.case_of(placement), task.result()
@@ -236,7 +333,7 @@
                     reason = ResendReason.turned_away
                 case Lost():
                     course.may_have_run = True
-        if course.running:
+        if course.running or course.hop is not None:
             return None
         return self._send_again(course, reason)
 
@@ -267,6 +364,8 @@
             return self._give_up(course)
         if course.trail.unreachable > MOST_UNREACHABLE:
             return self._give_up(course)
+        if course.is_relayed and self._is_for_others(course):
+            return self._give_up(course)
         if course.sends >= course.route.most_attempts:
             return self._give_up(course)
         return self._send_next(course, reason)
@@ -279,14 +378,103 @@
         """Send to the next upstream; return the answer if there is none."""
         if course.until - time.monotonic() < LEAST_SEND_SECONDS:
             return self._give_up(course)
-        placement = self._place(course)
+        if self._needs_help(course):
+            return self._ask_for_help(course)
+        placement = None if self._is_hopeless(course) else self._place(course)
         if placement is None:
+            if self._belief.reach.has_failures and self._may_hand_on(course):
+                # What leaves no upstream may be failures of the way.
+                return self._ask_for_help(course)
             return self._give_up(course)
         if course.sends and not self._take_resend(course):
             return self._give_up(course)
         self._start(course, placement, reason)
         return None
 
+    def _is_within_reach(self, course: Course) -> bool:
+        return self._belief.reach.is_sound or self._chooser.is_within_reach(
+            self._ask(course),
+        )
+
+    def _is_for_others(self, course: Course) -> bool:
+        """Return whether another host would rather reach an upstream."""
+        if course.trail.unreachable >= UNREACHABLE_TO_HAND_ON:
+            return True
+        return not self._is_within_reach(course)
+
+    def _is_hopeless(self, course: Course) -> bool:
+        """Return whether neither this host nor another reaches an upstream.
+
+        Upstreams that come back are noticed by probes.
+        """
+        reach = self._belief.reach
+        if not reach.lost or self._is_within_reach(course):
+            return False
+        course.trail.unreachable += 1
+        return True
+
+    def _needs_help(self, course: Course) -> bool:
+        """Return whether another host may send it, and this one may not."""
+        return self._is_for_others(course) and self._may_hand_on(course)
+
+    def _may_hand_on(self, course: Course) -> bool:
+        if course.is_relayed or course.hops >= MOST_HOPS:
+            return False
+        found = self._handover.find(course.service, course.regions)
+        return found is not None
+
+    def _ask_for_help(self, course: Course) -> Reply | None:
+        """Hand a request on; return the answer if it may not be sent again."""
+        if course.may_have_run and not self._take_resend(course):
+            return self._give_up(course)
+        self._hand_on(course)
+        return None
+
+    def _hand_on(self, course: Course) -> None:
+        course.hops += 1
+        course.hop = asyncio.ensure_future(
+            self._handover.send(lambda: relayed_of(course), course.regions),
+        )
+
+    def _hand_on_waiting(self, course: Course) -> None:
+        course.doubt = None
+        may_send = course.sends < course.route.most_attempts
+        if not (may_send and course.running and self._needs_help(course)):
+            return
+        if not self._is_suspect(course) and self._take_resend(course):
+            self._hand_on(course)
+
+    def _settle_hop(self, course: Course) -> Reply | None:
+        """Take in the outcome of a hop; None while there is hope."""
+        assert course.hop is not None
+        outcome = course.hop.result()
+        course.hop = None
+        self._reporter.handed_on(course.trail, outcome)
+        match outcome:
+            case HopOutcome(end=HopEnd.answered, answer=RelayedAnswer() as had):
+                course.is_ended = True
+                return reply_of(had)
+            case HopOutcome(end=HopEnd.lost | HopEnd.unknown):
+                course.may_have_run = True
+                course.sends += 1
+        return None if course.running else self._after_hop(course, outcome)
+
+    def _after_hop(self, course: Course, outcome: HopOutcome) -> Reply | None:
+        """Go on after a hop that brought no answer of an upstream."""
+        match outcome:
+            case HopOutcome(end=HopEnd.unsent):
+                return self._send_again(course, ResendReason.cut_off)
+            case HopOutcome(end=HopEnd.lost):
+                return self._send_again(course, ResendReason.lost)
+            case HopOutcome(end=HopEnd.refused) if course.may_have_run:
+                return self._give_up(course)
+            case HopOutcome(end=end, answer=RelayedAnswer() as refusal):
+                course.is_ended = True
+                if end is HopEnd.refused:
+                    self._admission.give_back(course.organisation)
+                return reply_of(refusal)
+        return self._give_up(course)
+
     def _queue_share(self, course: Course) -> float:
         organisation = course.organisation
         priority = None if organisation is None else organisation.priority
@@ -410,7 +598,7 @@
 
     def _end(self, course: Course, ending: refusals.Ending) -> Reply:
         course.is_ended = True
-        if ending.status == refusals.NOT_RUN:
+        if ending.status == refusals.NOT_RUN and not course.is_relayed:
             self._admission.give_back(course.organisation)
         known = len(self._belief.catalog.of_service(course.service))
         left = course.until - time.monotonic()
--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -159,6 +159,26 @@
         'Waiting watches of the store that were given up, by kind and reason',
         lambda: _renewals(host),
     )
+    metrics.add_gauge(
+        'wardstair_upstream_groups_lost',
+        'Groups of upstreams of which this host reaches none; `*`: all',
+        lambda: [(1.0, {'group': group}) for group in belief.reach.lost],
+    )
+    metrics.add_count(
+        'wardstair_reach_doubts',
+        'Times that no upstream might have been within reach',
+        lambda: [(float(belief.reach.doubts), {})],
+    )
+    metrics.add_count(
+        'wardstair_reach_probes',
+        'Upstreams asked whether they are within reach',
+        lambda: [(float(host.reach_keeper.probes), {})],
+    )
+    metrics.add_count(
+        'wardstair_relayed_requests',
+        'Requests taken that another entry host has handed on',
+        lambda: [(float(host.relays.taken), {})],
+    )
     metrics.add_count(
         'wardstair_directory_answers',
         'Look-ups answered',
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -10,6 +10,7 @@
 from wardstair.decisions.authorisation import Freshness
 from wardstair.decisions.busyness import Busyness
 from wardstair.decisions.notices import Standing
+from wardstair.decisions.reach import reach_times
 from wardstair.fleet.beats import Beat, PeerName
 from wardstair.fleet.demand import DemandTable
 from wardstair.fleet.demand_radio import DemandRadio
@@ -17,6 +18,7 @@
 from wardstair.fleet.members import Members
 from wardstair.fleet.naming import ENOUGH_HOSTS
 from wardstair.fleet.radio import Radio
+from wardstair.fleet.relaying import RelayedAnswer, RelayedRequest
 from wardstair.gateway.admission import Admission
 from wardstair.gateway.authorising import Authoriser
 from wardstair.gateway.bodies import body_room
@@ -31,13 +33,16 @@
     state_application,
 )
 from wardstair.gateway.fleet_views import FleetViews
-from wardstair.gateway.forwarding import Forwarder
+from wardstair.gateway.forwarding import Forwarder, WaysOut
 from wardstair.gateway.gauges import add_gauges
+from wardstair.gateway.handing_on import Handover
 from wardstair.gateway.listeners import Listeners
 from wardstair.gateway.lives import LifeEnds
 from wardstair.gateway.messages import Inbound, Reply
 from wardstair.gateway.news import NewsSender
 from wardstair.gateway.quotas import Quotas
+from wardstair.gateway.reaching import ReachKeeper
+from wardstair.gateway.relay_server import RelayServer
 from wardstair.gateway.reporting import Reporter
 from wardstair.gateway.sending import Sender
 from wardstair.gateway.settings import (
@@ -191,6 +196,22 @@
         )
         distances = Distances(self.live_settings)
         self.pool = UpstreamPool(self._most_connections)
+        self.handover = Handover(
+            self.members,
+            self.live_settings,
+            settings.fleet_ports[0],
+            random,
+        )
+        self.reach_keeper = ReachKeeper(
+            self.belief,
+            self.pool,
+            random,
+        )
+        self.belief.reach.times = lambda: reach_times(
+            self.live_settings.current.bounds.contact_seconds,
+        )
+        self.belief.reach.on_change = self._on_reach
+        self.belief.reach.on_regained = self._on_regained
         self.chooser = Chooser(self.live_settings, self.belief, distances)
         reporter = Reporter(self.metrics)
         self.suspect_sharing = SuspectSharing(
@@ -211,6 +232,7 @@
             self.radio.send_beats,
             LIMIT_NEWS_SECONDS,
         )
+        self._reach_teller = NewsTeller(self.radio.send_beats)
         self.belief.limits.on_change = self._on_limits
         self._life_ends = LifeEnds(
             self.belief,
@@ -252,11 +274,15 @@
         self.forwarder = Forwarder(
             self.belief,
             self.chooser,
-            Sender(
-                self.pool,
-                distances,
-                self.belief.limits,
-                self.belief.notices,
+            WaysOut(
+                Sender(
+                    self.pool,
+                    distances,
+                    self.belief.limits,
+                    self.belief.notices,
+                    self.belief.reach,
+                ),
+                self.handover,
             ),
             self.live_settings,
             reporter,
@@ -268,12 +294,14 @@
                 reporter,
             ),
         )
+        self.reach_keeper.on_doubt = self.forwarder.hand_on_waiting
         self.directory = Directory(self.live_settings, own, self.members)
         self.callers = CallerListener(
             self._serve_caller,
             body_room(settings.memory_bytes),
             reporter.unheld,
         )
+        self.relays = RelayServer(self._serve_relayed, self.callers.bodies)
         self.views = FleetViews(self.members, self.loads, self.chooser)
         self.views.refresh()
         add_gauges(self)
@@ -311,7 +339,11 @@
         await self.radio.start(settings.address)
         await self.demand_radio.start(settings.address)
         listeners.open(
-            state_application(self.exchange, self.belief.suspects),
+            state_application(
+                self.exchange,
+                self.belief.suspects,
+                self.relays,
+            ),
             Listener(settings.address, settings.fleet_ports[0]),
         )
         seeds = tuple(seed.rpartition(':')[0] for seed in settings.seeds)
@@ -328,6 +360,7 @@
         spawn('sentinel-heartbeats', self.radio.run_closely)
         spawn('demand', self.demand_radio.run)
         spawn('sweep', self._sweep)
+        spawn('reach', self.reach_keeper.run)
         log_event(
             'host-started',
             host=settings.name,
@@ -352,7 +385,9 @@
         self.callers.close_resting()
         grace = self.live_settings.current.bounds.grace_seconds
         end = began + grace - GRACE_LEFT_SECONDS
+        self.relays.is_stopping = True
         await self.callers.wait_idle(end - self._clock())
+        await self.relays.wait_idle(end - self._clock())
         log_event('host-stopped', cut=self.callers.open_count)
         try:
             async with asyncio.timeout(CLOSE_SECONDS):
@@ -371,11 +406,13 @@
         self.witness.close()
         self._suspect_teller.close()
         self._limit_teller.close()
+        self._reach_teller.close()
         self._news.close()
         await self._listeners.close()
         self.radio.stop()
         self.demand_radio.stop()
         self.pool.close()
+        self.handover.close()
         self.exchange.close()
         self.store.close()
 
@@ -478,9 +515,30 @@
             self.views.refresh_loads()
 
     async def _serve_caller(self, inbound: Inbound) -> Reply:
-        self.loads.note_request()
+        if not self.belief.reach.is_cut_off:
+            # Otherwise it counts at the host that it is handed on to.
+            self.loads.note_request()
         return await self.forwarder.serve(inbound)
 
+    async def _serve_relayed(self, relayed: RelayedRequest) -> RelayedAnswer:
+        self.loads.note_request()
+        return await self.forwarder.serve_relayed(relayed)
+
+    def _on_reach(self) -> None:
+        """Have others know what this host does not reach."""
+        reach = self.belief.reach
+        self.members.lost = reach.lost
+        if reach.is_cut_off:
+            # Open connections may have gone silent with the rest.
+            self.pool.close()
+        self._reach_teller.note()
+
+    def _on_regained(self, groups: frozenset[str]) -> None:
+        """Drop what was learned of upstreams while the way to them was cut."""
+        for group in groups:
+            for entry in self.belief.reach.members_of(group):
+                self.belief.catalog.upstreams[entry.name].forgive()
+
     def _on_doubt(self) -> None:
         """Let others watch the store while this sentinel doubts its contact."""
         if self.is_sentinel:
--- a/src/wardstair/gateway/learning.py
+++ b/src/wardstair/gateway/learning.py
@@ -21,6 +21,7 @@
 from wardstair.platform.headers import ToldLoad
 from wardstair.process.log import log_event
 from wardstair.state.catalog import Catalog
+from wardstair.state.reach import ReachTable
 from wardstair.version.steering import SteeredRoute
 
 # Statuses from here on say that the upstream failed; but for 504, by which it
@@ -71,6 +72,7 @@
         chooser: Chooser,
         settings: LiveSettings,
         witness: Witness,
+        reach: ReachTable,
     ) -> None:
         """Prepare.
 
@@ -79,7 +81,9 @@
             chooser: Keeps the usual work of routes.
             settings: Settings of this host.
             witness: Finds out whether an upstream ended under a request.
+            reach: Told which upstreams keep silent.
         """
+        self._reach = reach
         self._witness = witness
         self._settings = settings
         self._catalog = catalog
@@ -151,6 +155,7 @@
         """
         if case.placement.upstream.is_overdue(now):
             self._distrust(case, 'silent', now)
+            self._reach.note_failed(case.placement.upstream.entry)
 
     def _distrust(self, case: SendCase, reason: str, now: float) -> None:
         upstream = case.placement.upstream
--- a/src/wardstair/gateway/messages.py
+++ b/src/wardstair/gateway/messages.py
@@ -67,9 +67,11 @@
         reason: Reason phrase.
         headers: Headers without the length.
         body: The body.
+        is_own: Whether an entry host made it, not an upstream.
     """
 
     status: int
     reason: str
     headers: Pairs
     body: bytes
+    is_own: bool = False
--- a/src/wardstair/gateway/refusals.py
+++ b/src/wardstair/gateway/refusals.py
@@ -57,6 +57,7 @@
             _PHRASES[self.status],
             tuple(headers),
             body.encode(),
+            is_own=True,
         )
 
 
@@ -143,6 +144,13 @@
     'no upstream can be reached; come back after the stated seconds',
     retry_after=1.0,
 )
+# The host that handed the request on asks another one.
+UNREACHED = Ending(
+    503,
+    RefusalKind.unreached,
+    'this entry host does not reach the upstreams either; come back',
+    retry_after=0.1,
+)
 # Those that replace them register within about a second.
 UPSTREAMS_LEAVING = Ending(
     503,
--- a/src/wardstair/gateway/reporting.py
+++ b/src/wardstair/gateway/reporting.py
@@ -13,6 +13,7 @@
 from wardstair.decisions.ranking import unit_hash
 from wardstair.errors import RefusalKind
 from wardstair.gateway.choosing import Placement
+from wardstair.gateway.handing_on import HopOutcome
 from wardstair.gateway.messages import Inbound
 from wardstair.gateway.quotas import OverQuota
 from wardstair.gateway.sending import Delivered
@@ -176,6 +177,27 @@
             sends=trail.sends,
         )
 
+    def handed_on(self, trail: Trail, outcome: HopOutcome) -> None:
+        """Tell of a request that another entry host was asked to send."""
+        now = time.monotonic()
+        self._metrics.handed_on.add(outcome.end, trail.route.name)
+        took = now - trail.inbound.received_at
+        self._metrics.observe_request(trail.route.name, took)
+        if not self._keeps_other(trail):
+            return
+        answer = outcome.answer
+        log_event(
+            'request-handed-on',
+            request=trail.inbound.request_id,
+            route=trail.route.name,
+            host=outcome.host,
+            outcome=outcome.end,
+            status=0 if answer is None else answer.status,
+            hop_seconds=round(outcome.seconds, 3),
+            seconds=round(took, 3),
+            unreachable=trail.unreachable,
+        )
+
     def sent_after_notice(
         self,
         trail: Trail,
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -5,6 +5,7 @@
 from itertools import count
 
 from wardstair.connection.pool import (
+    CONNECTION_LIMIT,
     LEAST_FORGOTTEN_SECONDS,
     ConnectFailed,
     UpstreamPool,
@@ -29,6 +30,7 @@
 from wardstair.process.log import log_event
 from wardstair.state.limits import LimitTable
 from wardstair.state.notices import NoticeTable
+from wardstair.state.reach import ReachTable
 from wardstair.state.upstream import RunningSend, Upstream
 
 _MISDIRECTED = 421
@@ -118,6 +120,7 @@
         distances: Distances,
         limits: LimitTable,
         notices: NoticeTable,
+        reach: ReachTable,
     ) -> None:
         """Prepare without connections.
 
@@ -126,9 +129,11 @@
             distances: Told how long connections take to open.
             limits: Told what upstreams name in their answers.
             notices: Told what they say there of further requests.
+            reach: Told which upstreams answer, and which do not.
         """
         self._limits = limits
         self._notices = notices
+        self._reach = reach
         self._pool = pool
         self._distances = distances
         self._numbers = count()
@@ -205,6 +210,8 @@
         match ended:
             case BrokenExchange(reason=reason):
                 connection.close()
+                if reason in _FORGOTTEN:
+                    self._reach.note_failed(upstream.entry)
                 log_event(
                     'exchange-broken',
                     request=inbound.request_id,
@@ -224,6 +231,7 @@
                     forgetfulness.note(upstream.name, rested, started)
                 return Lost(reason, is_forgotten)
             case RawAnswer() as answer:
+                self._reach.note_reached(upstream.entry)
                 seconds = time.monotonic() - started
                 fields = decode_upstream(answer.headers)
                 if fields.keep_seconds is not None:
@@ -263,6 +271,8 @@
         made = await self._pool.connect(entry.name, entry.host, entry.port)
         if not isinstance(made, ConnectFailed):
             self._distances.note(entry.zone, time.monotonic() - started)
+        elif made.reason != CONNECTION_LIMIT:
+            self._reach.note_failed(entry)
         return made
 
 
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -38,6 +38,30 @@
         'the request goes to another upstream',
         'request reason before upstream sends',
     ),
+    _kind(
+        'request-handed-on',
+        'another entry host was asked to send the request, as this one reaches '
+        'no upstream for it; `outcome`: an upstream `answered` there, the host '
+        '`refused` it, it is `unknown` whether it has run, the hop was `lost`, '
+        'or no host could be asked (`unsent`)',
+        'request route host outcome status hop_seconds seconds unreachable',
+    ),
+    _kind(
+        'helper-unreachable',
+        'another entry host did not take a connection for a request',
+        'host reason',
+    ),
+    _kind(
+        'reach-doubted',
+        'no upstream may be within reach: `failures` of several with no answer '
+        'between, or all are `silent`; a few are asked',
+        'reason silent failed',
+    ),
+    _kind(
+        'reach-changed',
+        'groups of upstreams of which this host reaches none; `*`: all',
+        'lost before',
+    ),
     _kind(
         'resend-withheld',
         'a second send was wanted and not allowed',
--- a/src/wardstair/process/metrics.py
+++ b/src/wardstair/process/metrics.py
@@ -133,6 +133,12 @@
             'notice',
             'way',
         )
+        self.handed_on = self._tally(
+            'requests_handed_on',
+            'Requests handed on to another entry host, by how that ended',
+            'outcome',
+            'workload',
+        )
         self.platform_calls = self._tally(
             'platform_calls',
             'Calls on the platform',
--- a/src/wardstair/state/belief.py
+++ b/src/wardstair/state/belief.py
@@ -22,6 +22,7 @@
 from wardstair.state.entries import UpstreamEntry
 from wardstair.state.limits import LimitTable
 from wardstair.state.notices import NoticeTable
+from wardstair.state.reach import ReachTable
 from wardstair.state.restoration import Restoration
 from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.suspects import SuspectTable
@@ -50,6 +51,7 @@
         limits: Limits that upstreams name.
         notices: What upstreams have said of further requests.
         on_steering: Called when a version is adopted.
+        reach: Upstreams that this host reaches.
     """
 
     clock: Callable[[], float]
@@ -65,9 +67,14 @@
     limits: LimitTable = field(default_factory=LimitTable)
     notices: NoticeTable = field(default_factory=NoticeTable)
     on_steering: Callable[[], None] = field(default=lambda: None)
+    reach: ReachTable = field(init=False)
     # Listed in this era and then not any more: ended, whoever keeps them.
     _ended_zones: frozenset[str] = frozenset()
 
+    def __post_init__(self) -> None:
+        """Begin with everything within reach."""
+        self.reach = ReachTable(self.catalog)
+
     @property
     def has_quotas(self) -> bool:
         """Whether any organisation has a quota."""
--- /dev/null
+++ b/src/wardstair/state/reach.py
@@ -0,0 +1,231 @@
+"""Which upstreams this host reaches, from its own sends.
+
+A group of upstreams (all, a zone's, a service's) is lost once several of it
+have failed and none has answered between. While answers have stopped coming
+and nothing is proved yet, reach is in doubt.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from wardstair.decisions.reach import (
+    ALL,
+    LEAST_NEEDED,
+    GroupReach,
+    ReachTimes,
+    SilenceWatch,
+    reach_times,
+    service_group,
+    zone_group,
+)
+from wardstair.process.log import log_event, log_warning
+from wardstair.state.catalog import Catalog
+from wardstair.state.entries import UpstreamEntry
+from wardstair.state.roles import ignore
+
+# Time of contact, in seconds, until the settings of the host are known.
+DEFAULT_CONTACT = 2.0
+
+
+@dataclass(slots=True)
+class ReachTable:
+    """What this host reaches; one a process.
+
+    Attributes:
+        catalog: The upstreams.
+        lost: Groups of which no upstream is reached; only `ALL` if it is that.
+        is_doubted: Whether upstreams may have gone out of reach just now.
+        answers: Answers of upstreams so far.
+        doubts: How often reach came to be in doubt.
+        times: Returns how long to wait for what.
+        on_doubt: Called when a doubt begins.
+        on_change: Called when `lost` has changed.
+        on_regained: Called with the groups that are reached again.
+    """
+
+    catalog: Catalog
+    lost: frozenset[str] = frozenset()
+    is_doubted: bool = False
+    answers: int = 0
+    doubts: int = 0
+    times: Callable[[], ReachTimes] = lambda: reach_times(DEFAULT_CONTACT)
+    on_doubt: Callable[[], None] = ignore
+    on_change: Callable[[], None] = ignore
+    on_regained: Callable[[frozenset[str]], None] = lambda _groups: None
+    _watch: SilenceWatch = field(default_factory=SilenceWatch)
+    _groups: dict[str, GroupReach] = field(default_factory=dict)
+    _places: dict[tuple[str, str], tuple[GroupReach, ...]] = field(
+        default_factory=dict,
+    )
+
+    @property
+    def is_sound(self) -> bool:
+        """Whether nothing is lost or in doubt."""
+        return not (self.lost or self.is_doubted)
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether no upstream at all is reached."""
+        return ALL in self.lost
+
+    @property
+    def reached_at(self) -> float:
+        """Monotonic time of the last answer of any upstream."""
+        return self._group(ALL).reached_at
+
+    @property
+    def silent_seconds(self) -> float:
+        """Seconds since any upstream answered."""
+        return self.catalog.clock() - self.reached_at
+
+    @property
+    def has_failures(self) -> bool:
+        """Whether several upstreams have failed with no answer between."""
+        return len(self._group(ALL).failed) >= LEAST_NEEDED
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether upstreams have failed for a while with no answer between."""
+        return self._group(ALL).is_suspected(self.catalog.clock())
+
+    def looks_silent(self) -> bool:
+        """Return whether answers seem to have stopped coming."""
+        self._watch.step(self.answers, self.catalog.clock())
+        if self.silent_seconds < self.times().silence:
+            return False
+        now = self.catalog.clock()
+        waiting = [
+            upstream
+            for upstream in self.catalog.upstreams.values()
+            if upstream.running
+        ]
+        if not waiting:
+            return False
+        overdue = sum(upstream.is_overdue(now) for upstream in waiting)
+        return self._watch.is_unusual(self.silent_seconds, overdue)
+
+    def may_reach(self, service: str) -> bool:
+        """Return whether upstreams of a service may be within reach."""
+        if self.is_sound:
+            return True
+        if self.is_doubted or ALL in self.lost:
+            return False
+        return service_group(service) not in self.lost
+
+    def is_zone_lost(self, zone: str) -> bool:
+        """Return whether no upstream of a zone is reached."""
+        return zone_group(zone) in self.lost
+
+    def note_reached(self, entry: UpstreamEntry) -> None:
+        """Note that an upstream has answered."""
+        self.answers += 1
+        self.is_doubted = False
+        now = self.catalog.clock()
+        for group in self._groups_of(entry):
+            group.note_reached(now)
+        if self.lost and not self.lost.isdisjoint(_names_of(entry)):
+            self._settle()
+
+    def note_failed(self, entry: UpstreamEntry) -> None:
+        """Note that an upstream could not be reached, or broke off."""
+        now = self.catalog.clock()
+        may_be_lost = False
+        for group in self._groups_of(entry):
+            group.note_failed(entry.name, now)
+            may_be_lost = may_be_lost or group.is_suspected(now)
+        if not may_be_lost or self.is_cut_off:
+            return
+        if self._group(ALL).is_suspected(now):
+            self.begin_doubt('failures')
+        self._settle()
+
+    def begin_doubt(self, reason: str) -> None:
+        """Note that no upstream may be within reach.
+
+        Args:
+            reason: Why, for the log.
+        """
+        if self.is_doubted or self.is_cut_off:
+            return
+        self.is_doubted = True
+        self.doubts += 1
+        log_event(
+            'reach-doubted',
+            reason=reason,
+            silent=round(self.silent_seconds, 3),
+            failed=','.join(sorted(self._group(ALL).failed)),
+        )
+        self.on_doubt()
+
+    def end_doubt(self) -> None:
+        """Note that nothing has confirmed a doubt."""
+        self.is_doubted = False
+
+    def refresh(self) -> None:
+        """Forget upstreams that take no work any more."""
+        self._settle()
+
+    def members_of(self, group: str) -> list[UpstreamEntry]:
+        """Return the upstreams of a group that take work."""
+        return [
+            entry
+            for entry in self.catalog.in_service
+            if group in _names_of(entry)
+        ]
+
+    def _group(self, name: str) -> GroupReach:
+        return self._groups.setdefault(name, GroupReach())
+
+    def _groups_of(self, entry: UpstreamEntry) -> tuple[GroupReach, ...]:
+        place = (entry.zone, entry.service)
+        known = self._places.get(place)
+        if known is None:
+            known = tuple(self._group(name) for name in _names_of(entry))
+            self._places[place] = known
+        return known
+
+    def _settle(self) -> None:
+        """Work out what is lost."""
+        before = self.lost
+        self.lost = self._lost_now()
+        if self.lost == before:
+            return
+        if self.is_cut_off:
+            self.is_doubted = False
+        log_warning(
+            'reach-changed',
+            lost=','.join(sorted(self.lost)),
+            before=','.join(sorted(before)),
+        )
+        regained = before - self.lost
+        if ALL in self.lost:
+            regained = frozenset()
+        if regained:
+            self.on_regained(regained)
+        self.on_change()
+
+    def _lost_now(self) -> frozenset[str]:
+        now = self.catalog.clock()
+        sizes: dict[str, int] = {}
+        names: set[str] = set()
+        for entry in self.catalog.in_service:
+            names.add(entry.name)
+            for of_entry in _names_of(entry):
+                sizes[of_entry] = sizes.get(of_entry, 0) + 1
+        lost = set()
+        for name, group in self._groups.items():
+            group.failed &= names
+            is_lost = group.is_suspected(now) and group.is_lost(
+                sizes.get(name, 0),
+            )
+            if is_lost:
+                lost.add(name)
+        # With one upstream in all there is nothing to compare it with.
+        everything = self._group(ALL)
+        if sizes.get(ALL) == 1 and everything.failed:
+            lost.add(ALL)
+        return frozenset((ALL,)) if ALL in lost else frozenset(lost)
+
+
+def _names_of(entry: UpstreamEntry) -> Iterable[str]:
+    return (ALL, zone_group(entry.zone), service_group(entry.service))
--- a/src/wardstair/state/upstream.py
+++ b/src/wardstair/state/upstream.py
@@ -69,6 +69,8 @@
     Attributes:
         entry: What it registered.
         cold_until: Monotonic time until which it is cold.
+        refused_until: Monotonic time until which this host alone takes it for
+            cold, since it refused a connection.
         gone_at: When its entry was deleted, or None.
         told: Load it told last: running and waiting.
         told_own: This host's requests at it when it told that.
@@ -93,6 +95,7 @@
 
     entry: UpstreamEntry
     cold_until: float = 0.0
+    refused_until: float = 0.0
     gone_at: float | None = None
     told: int = 0
     told_own: int = 0
@@ -132,9 +135,14 @@
         is_ready = self.entry.phase is UpstreamPhase.ready
         return is_ready and self.gone_at is None
 
+    @property
+    def cold_end(self) -> float:
+        """Monotonic time until which this host takes it for cold."""
+        return max(self.cold_until, self.refused_until)
+
     def is_cold(self, now: float) -> bool:
         """Return whether it bears only a bounded rate now."""
-        return now < self.cold_until
+        return now < self.cold_end
 
     def is_avoided(self, now: float) -> bool:
         """Return whether it failed lately or is far slower than others."""
@@ -165,6 +173,23 @@
         """
         self.cold_until = max(self.cold_until, now + UNTOLD_SECONDS)
 
+    def suspect_restart(self, now: float) -> None:
+        """Do the same on the word of a refused connection of this host.
+
+        Other hosts are not told: it may be the way that is cut.
+        """
+        self.refused_until = now + UNTOLD_SECONDS
+
+    def forgive(self) -> None:
+        """Forget failures that were those of the way."""
+        self.failures = 0
+        self.distrusted_until = 0.0
+        self.refused_until = 0.0
+        self.error_share = 0.0
+        self.ejected_until = 0.0
+        self.ejections = 0
+        self.slowness = 1.0
+
     def load(self, now: float) -> float:
         """Return the requests that are probably at it now, of all hosts."""
         age = now - self.told_at
--- /dev/null
+++ b/tests/functional/test_handing_on.py
@@ -0,0 +1,259 @@
+"""What a request keeps when one entry host hands it on to another."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+import pytest
+from lib.cut_fleet import Cut, CutFleet, running_cut_fleet
+from lib.rig import Answer, Caller, until
+from lib.specs import Stored, configuration_spec, route_spec
+from lib.upstream_standin import (
+    Seen,
+    UpstreamStandin,
+    answer_never,
+    answer_ok,
+)
+
+from wardstair.gateway.host import GatewayHost
+from wardstair.gateway.settings import Bounds
+
+# Resends enough for each host that what is sent again is not for want of them.
+BOUNDS = Bounds(retry_extra=600)
+
+
+def run(
+    test: Callable[[CutFleet], Awaitable[None]],
+    configuration: Stored | None = None,
+) -> None:
+    """Run a test on a fleet within a bound of time."""
+
+    async def main() -> None:
+        async with (
+            running_cut_fleet(BOUNDS, configuration) as fleet,
+            asyncio.timeout(30),
+        ):
+            await test(fleet)
+
+    asyncio.run(main())
+
+
+async def cut_off(fleet: CutFleet, *hosts: GatewayHost) -> None:
+    """Cut hosts off, and wait until they know."""
+    fleet.cut(hosts, Cut.refuse)
+    for host in hosts:
+        caller = await Caller.connect_to(host.settings.callers)
+        await caller.ask('/read/x', request_id='first')
+        caller.close()
+    await until(lambda: all(one.belief.reach.is_cut_off for one in hosts))
+    for host in fleet.hosts:
+        host.relays.taken = 0
+
+
+async def ask(host: GatewayHost, *args: object, **fields: str) -> Answer:
+    caller = await Caller.connect_to(host.settings.callers)
+    try:
+        return await caller.ask(*args, **fields)  # type: ignore[arg-type]
+    finally:
+        caller.close()
+
+
+def taken(hosts: list[GatewayHost]) -> list[GatewayHost]:
+    """Return the hosts that have taken requests of others."""
+    return [host for host in hosts if host.relays.taken]
+
+
+def seen_by(fleet: CutFleet, request_id: str) -> list[Seen]:
+    """Return a request as upstreams saw it, each time that it came."""
+    return [
+        seen
+        for upstream in fleet.upstreams
+        for seen in upstream.seen
+        if seen.request_id == request_id
+    ]
+
+
+def script_all(fleet: CutFleet, script: object) -> None:
+    for upstream in fleet.upstreams:
+        upstream.script = script  # type: ignore[assignment]
+
+
+def test_a_request_arrives_unchanged() -> None:
+    async def test(fleet: CutFleet) -> None:
+        cut, sound = fleet.hosts[0], fleet.hosts[1]
+        await cut_off(fleet, cut)
+        for host, name in ((sound, 'direct'), (cut, 'handed-on')):
+            answer = await ask(
+                host,
+                '/order/x?y=%20z&y=1',
+                'POST',
+                b'\x00\xff\r\n',
+                name,
+                Accept='text/x;q=0.5',
+                Wardstair_Credential='no-key-goes-on',
+            )
+            assert answer.status == 200
+            assert answer.headers['wardstair-server-seal'] == 's.1'
+            assert answer.headers['wardstair-attempt-id'] == name
+        (direct,) = seen_by(fleet, 'direct')
+        (handed_on,) = seen_by(fleet, 'handed-on')
+        assert handed_on.line == direct.line
+        assert handed_on.body == direct.body
+        assert _kept(handed_on) == _kept(direct)
+        left = handed_on.header('Wardstair-Deadline-Ms')
+        assert 0 < int(left or 0) < 2000
+
+    run(test)
+
+
+def _kept(seen: Seen) -> list[str]:
+    """Return the headers that do not differ from one send to the next."""
+    varying = (
+        'wardstair-attempt-id',
+        'wardstair-deadline-ms',
+        'wardstair-expect-instance',
+    )
+    return sorted(
+        line
+        for line in seen.head.splitlines()[1:]
+        if not line.lower().startswith(varying)
+    )
+
+
+def test_work_ends_when_the_caller_of_the_first_host_leaves() -> None:
+    async def test(fleet: CutFleet) -> None:
+        cut = fleet.hosts[0]
+        await cut_off(fleet, cut)
+        script_all(fleet, answer_never)
+        caller = await Caller.connect_to(cut.settings.callers)
+        await caller.send('/order/x', 'POST', b'o', 'left')
+        await until(lambda: bool(seen_by(fleet, 'left')))
+        at = next(
+            one
+            for one in fleet.upstreams
+            if one.got_one.is_set()
+            and any(seen.request_id == 'left' for seen in one.seen)
+        )
+        caller.close()
+        async with asyncio.timeout(0.5):
+            await at.closed_by_peer.wait()
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ('target', 'method', 'status', 'runs'),
+    [('/order/x', 'POST', 502, 1), ('/read/x', 'GET', 200, 2)],
+)
+def test_a_hop_that_breaks_leaves_the_outcome_unknown(
+    target: str,
+    method: str,
+    status: int,
+    runs: int,
+) -> None:
+    async def test(fleet: CutFleet) -> None:
+        cut, *others = fleet.hosts
+        await cut_off(fleet, cut)
+        script_all(fleet, answer_never)
+        asked = asyncio.ensure_future(
+            ask(cut, target, method, b'o' if method == 'POST' else b'', 'r1')
+        )
+        await until(lambda: bool(seen_by(fleet, 'r1')))
+        script_all(fleet, answer_ok)
+        (helper,) = taken(others)
+        await helper.close()
+        answer = await asked
+        assert answer.status == status
+        assert len(seen_by(fleet, 'r1')) == runs
+
+    run(test)
+
+
+def test_hosts_that_are_all_cut_off_hand_nothing_round() -> None:
+    async def test(fleet: CutFleet) -> None:
+        await cut_off(fleet, *fleet.hosts)
+        # Until each has heard of the others.
+        await until(
+            lambda: all(
+                one.lost for host in fleet.hosts for one in host.members.live()
+            )
+        )
+        before = [host.relays.taken for host in fleet.hosts]
+        began = time.monotonic()
+        answer = await ask(fleet.hosts[0], '/read/x', request_id='r1')
+        assert answer.status == 503
+        assert float(answer.headers['retry-after']) > 0
+        assert time.monotonic() - began < 0.5
+        assert [host.relays.taken for host in fleet.hosts] == before
+
+    run(test)
+
+
+def test_a_body_goes_to_no_host_outside_the_regions_of_its_route() -> None:
+    async def test(fleet: CutFleet) -> None:
+        cut = fleet.hosts_of('north-a')[0]
+        await cut_off(fleet, cut)
+        for number in range(20):
+            name = f'r{number}'
+            answer = await ask(cut, '/home/x', 'POST', b'o', name)
+            assert answer.status == 200
+        assert {host.settings.region for host in taken(fleet.hosts)} == {
+            'south'
+        }
+
+    home = route_spec('/home/', 'unsafe', allowed_regions=['south'])
+    read = route_spec('/read/', 'safe', allowed_regions=['south'])
+    run(test, configuration_spec(1, home=home, read=read))
+
+
+def test_a_host_that_stops_ends_what_it_has_taken() -> None:
+    async def test(fleet: CutFleet) -> None:
+        cut, *others = fleet.hosts
+        await cut_off(fleet, cut)
+        script_all(fleet, _work_for_long)
+        asked = asyncio.ensure_future(ask(cut, '/order/x', 'POST', b'o', 'r1'))
+        await until(lambda: bool(seen_by(fleet, 'r1')))
+        (helper,) = taken(others)
+        stopping = asyncio.ensure_future(helper.stop())
+        answer = await asked
+        assert answer.status == 200
+        assert len(seen_by(fleet, 'r1')) == 1
+        await stopping
+
+    run(test)
+
+
+async def _work_for_long(
+    upstream: UpstreamStandin,
+    seen: Seen,
+    writer: asyncio.StreamWriter,
+) -> None:
+    await asyncio.sleep(1.5)
+    await answer_ok(upstream, seen, writer)
+
+
+def test_a_quota_is_counted_where_the_caller_is() -> None:
+    async def test(fleet: CutFleet) -> None:
+        cut, *others = fleet.hosts
+        fleet.cut([cut], Cut.refuse)
+        statuses = []
+        for number in range(12):
+            answer = await ask(
+                cut,
+                '/read/x',
+                request_id=f'r{number}',
+                Wardstair_Credential='choir-key',
+            )
+            statuses.append(answer.status)
+        assert statuses.count(200) == 8
+        assert set(statuses[8:]) == {429}
+        assert taken(others)
+        assert not any(host.quotas.own_counts() for host in others)
+        (seen, *_) = seen_by(fleet, 'r0')
+        assert seen.header('Wardstair-Tenant') == 'choir'
+        assert seen.header('Wardstair-Credential') is None
+
+    spec = configuration_spec(1, read=route_spec('/read/', 'safe'))
+    choir = {'name': 'choir', 'api_keys': ['choir-key'], 'burst': 8}
+    choir['rate_per_s'] = 0.0001
+    run(test, {**spec, 'tenants': {'choir': choir}})
--- a/tests/lib/cut_fleet.py
+++ b/tests/lib/cut_fleet.py
@@ -13,7 +13,7 @@
 
 from lib.fleet import ZONES, Fleet
 from lib.rig import Caller, free_ports, until
-from lib.specs import configuration_spec, route_spec
+from lib.specs import Stored, configuration_spec, route_spec
 from lib.upstream_standin import Seen, UpstreamStandin, answer_ok
 from wardstair.connection.pool import dial_tcp
 from wardstair.connection.probe import ProbeOutcome, probe
@@ -151,11 +151,13 @@
 @asynccontextmanager
 async def running_cut_fleet(
     bounds: Bounds | None = None,
+    configuration: Stored | None = None,
 ) -> AsyncIterator[CutFleet]:
     """Run gateways that know each other and all upstreams.
 
     Args:
         bounds: What the gateways are held to, if not to the defaults.
+        configuration: What is in force; by default a route of each kind.
     """
     fleet = CutFleet(
         bounds=bounds,
@@ -167,7 +169,7 @@
         'read': route_spec('/read/', 'safe', max_attempts=3),
         'order': route_spec('/order/', 'unsafe', max_attempts=3),
     }
-    await fleet.start_store(configuration_spec(1, **routes))
+    await fleet.start_store(configuration or configuration_spec(1, **routes))
     (port,) = free_ports(1)
     for number in range(HOSTS):
         ways = Ways()
--- a/tests/unit/test_naming.py
+++ b/tests/unit/test_naming.py
@@ -16,8 +16,9 @@
     *,
     is_leaving: bool = False,
     is_busy: bool = False,
+    is_cut_off: bool = False,
 ) -> NamedHost:
-    return NamedHost(name, zone, is_leaving, size, is_busy)
+    return NamedHost(name, zone, is_leaving, size, is_busy, is_cut_off)
 
 
 BIGS = [host('big-1', size=BIG), host('big-2', size=BIG)]
@@ -34,6 +35,23 @@
         # Those that leave only if nobody stays.
         ([host('x'), host('y', is_leaving=True)], 'a1', 'x'),
         ([host('y', is_leaving=True)], 'a1', 'y'),
+        # Those that reach no upstream only if nobody else is left.
+        ([host('x'), host('y', is_cut_off=True), host('z')], 'a1', 'x z'),
+        ([host('x'), host('y', is_cut_off=True)], 'a1', 'x'),
+        ([host('x', is_cut_off=True), host('z', 'a2')], 'a1', 'z'),
+        ([host('x', is_cut_off=True), host('w', 'b1')], 'a1', 'w'),
+        (
+            [host('x', is_cut_off=True), host('w', 'b1', is_cut_off=True)],
+            'a1',
+            'x',
+        ),
+        # Too few of the region are left to carry its callers.
+        (
+            [host('x'), *[host(f'y{n}', is_cut_off=True) for n in range(3)]]
+            + [host('w', 'b1')],
+            'a1',
+            'x w',
+        ),
         # Equal sizes: all. Unequal: the large ones.
         ([host(name) for name in 'pqrst'], 'a1', 'p q r s t'),
         ([*BIGS, *SMALLS], 'a1', 'big-1 big-2'),
--- /dev/null
+++ b/tests/unit/test_reach.py
@@ -0,0 +1,193 @@
+"""How a host tells that it is cut off from upstreams that are down."""
+
+from dataclasses import dataclass, field
+
+import pytest
+from lib.revisions import at
+
+from wardstair.decisions.reach import (
+    ALL,
+    SilenceWatch,
+    reach_times,
+    service_group,
+    zone_group,
+)
+from wardstair.state.catalog import Catalog
+from wardstair.state.entries import UpstreamEntry, UpstreamPhase
+from wardstair.state.reach import ReachTable
+from wardstair.state.upstream import RunningSend
+
+# Upstreams of two zones and two services: `v` and `o` in each zone.
+PLACES = {
+    f'{service[0]}{number}-{zone}': (service, zone)
+    for service in ('views', 'orders')
+    for zone in ('north', 'south')
+    for number in range(2)
+}
+
+
+def entry_of(name: str, service: str, zone: str) -> UpstreamEntry:
+    return UpstreamEntry(
+        name, service, '127.0.0.1', 1, zone, 4, UpstreamPhase.ready, 0.0
+    )
+
+
+@dataclass
+class Host:
+    """What a host reaches, and what it was told of that.
+
+    Attributes:
+        now: Its clock.
+        changes: What was lost after each change.
+        regained: Groups that were reached again.
+    """
+
+    now: float = 100.0
+    changes: list[frozenset[str]] = field(default_factory=list)
+    regained: list[frozenset[str]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.catalog = Catalog(lambda: self.now)
+        entries = [entry_of(name, *place) for name, place in PLACES.items()]
+        self.catalog.replace_all(entries, at(1), store_was_away=False)
+        self.reach = ReachTable(self.catalog)
+        self.reach.times = lambda: reach_times(4.0)
+        self.reach.on_change = lambda: self.changes.append(self.reach.lost)
+        self.reach.on_regained = self.regained.append
+
+    def entry(self, name: str) -> UpstreamEntry:
+        return self.catalog.upstreams[name].entry
+
+    def answer(self, *names: str) -> None:
+        for name in names:
+            self.reach.note_reached(self.entry(name))
+
+    def fail(self, *names: str) -> None:
+        for name in names:
+            self.now += 0.11
+            self.reach.note_failed(self.entry(name))
+
+
+@pytest.mark.parametrize(
+    ('steps', 'lost'),
+    [
+        # One that ends, and the next one of a rollout.
+        ('-v0-north -v1-north', ''),
+        ('-v0-north -o0-south -v1-south', ALL),
+        # An answer between says that the way is well.
+        ('-v0-north -o0-south +o1-south -v1-south', ''),
+        ('-v0-north -v0-north -v0-north', ''),
+        # A zone and a service, while others answer.
+        (
+            '-v0-north +o0-south -v1-north +o0-south -o0-north +v0-south',
+            zone_group('north'),
+        ),
+        (
+            '-v0-north +o0-south -v0-south +o0-south -v1-south +o0-north',
+            service_group('views'),
+        ),
+        ('-v0-north -o0-south -v1-south +o1-south', ''),
+    ],
+)
+def test_a_group_is_lost_once_several_fail_with_no_answer_between(
+    steps: str,
+    lost: str,
+) -> None:
+    host = Host()
+    for step in steps.split():
+        act = host.answer if step[0] == '+' else host.fail
+        act(step[1:])
+    assert ','.join(sorted(host.reach.lost)) == lost
+    assert host.reach.is_cut_off is (lost == ALL)
+
+
+def test_exchanges_that_break_within_a_moment_say_nothing_of_the_way() -> None:
+    host = Host()
+    host.answer('v0-south')
+    for name in PLACES:
+        host.reach.note_failed(host.entry(name))
+    assert host.reach.is_sound
+    host.now += 0.2
+    host.reach.note_failed(host.entry('v0-north'))
+    assert host.reach.is_cut_off
+
+
+def test_one_answer_ends_what_was_lost_and_says_what_is_regained() -> None:
+    host = Host()
+    host.fail('v0-north', 'o0-south', 'v1-south')
+    assert host.reach.is_cut_off
+    assert not host.reach.may_reach('orders')
+    host.answer('o1-north')
+    assert host.changes == [frozenset((ALL,)), host.reach.lost]
+    assert not host.reach.is_cut_off
+    assert host.regained == [frozenset((ALL,))]
+    assert host.reach.may_reach('orders')
+
+
+def test_upstreams_that_are_gone_prove_nothing() -> None:
+    host = Host()
+    host.fail('v0-north', 'o0-south')
+    gone = [name for name in PLACES if name != 'v1-south']
+    host.catalog.apply([], gone, at(2), store_was_away=False)
+    host.fail('v1-south')
+    # The last one of all: nobody is left to compare it with.
+    assert host.reach.is_cut_off
+    host.catalog.apply(
+        [entry_of('new', 'views', 'north')],
+        ['v1-south'],
+        at(3),
+        store_was_away=False,
+    )
+    host.reach.refresh()
+    assert host.reach.is_sound or host.reach.is_doubted
+
+
+@pytest.mark.parametrize(
+    ('rate', 'silent', 'overdue', 'is_unusual'),
+    [
+        (50.0, 0.25, 0, True),
+        (50.0, 0.1, 0, False),
+        # With few requests only those that take far too long tell.
+        (1.0, 0.5, 0, False),
+        (1.0, 0.5, 1, False),
+        (1.0, 0.5, 2, True),
+        (0.0, 60.0, 0, False),
+    ],
+)
+def test_a_silence_is_unusual_by_what_should_have_come(
+    rate: float,
+    silent: float,
+    overdue: int,
+    is_unusual: bool,
+) -> None:
+    watch = SilenceWatch(rate)
+    assert watch.is_unusual(silent, overdue) is is_unusual
+
+
+@pytest.mark.parametrize(
+    ('answers_a_second', 'is_silent'), [(40, True), (2, False)]
+)
+def test_a_silence_is_seen_only_while_requests_wait(
+    answers_a_second: int,
+    is_silent: bool,
+) -> None:
+    host = Host()
+    for _ in range(10 * answers_a_second):
+        host.now += 1 / answers_a_second
+        host.answer('v0-north')
+        host.reach.looks_silent()
+    host.now += 0.3
+    assert not host.reach.looks_silent()
+    waiting = host.catalog.upstreams['o0-south']
+    waiting.running[1] = RunningSend(host.now, 0.5, 0.5)
+    assert host.reach.looks_silent() is is_silent
+
+
+@pytest.mark.parametrize('contact', [0.5, 3.0, 4.0, 10.0])
+def test_a_cut_is_found_and_taken_back_within_the_bound(contact: float) -> None:
+    times = reach_times(contact)
+    # A silence seen late by half, three looks, three probes at once.
+    found = times.silence * 1.5 + 3 * 0.02 + times.probe
+    assert found <= max(contact / 2, 0.7)
+    # A probe that waits for its answer, and the next one.
+    assert 2 * times.probe <= max(contact / 2, 0.7)
