Play hosts that reach no upstream in the soak

A kind of its own cuts one to half of the processes off from all upstreams by the proxies before these, in the three ways of the users' page, and holds them to its rule from 4 s on. Gateways connect from their own address there, by which a proxy knows them. A host that keeps requests to itself is caught; the play of the real program keeps the promise. Not played: hosts that are partly cut.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -64,8 +64,10 @@
     gap=2,
 )
 SILENCE = replace(SHORT, only_silence=True, seconds=1, gap=0.5)
+CUTS = replace(SHORT, only_cuts=True, seconds=1, gap=2, callers=24)
 PLANS = [
     SILENCE,
+    CUTS,
     replace(SHORT, with_herds=False),
     # Kills all hosts twice; those greeted first start last.
     replace(SHORT, seed=HERD_SEED),
@@ -103,7 +105,7 @@
         f'{plan.seed}{"-power" * plan.only_power}{"-harm" * plan.only_harm}'
         f'{"-limits" * plan.only_limits}{"-notices" * plan.only_notices}'
         f'{"-restores" * plan.only_restores}'
-        f'{"-silence" * plan.only_silence}'
+        f'{"-silence" * plan.only_silence}{"-cuts" * plan.only_cuts}'
     ),
 )
 def test_promises_hold_under_drawn_faults(plan: Plan, tmp_path: Path) -> None:
@@ -126,6 +128,7 @@
             'in a second to cold',
         ),
         ('tally', SHORT, 'weights are not kept'),
+        ('trapped', CUTS, 'hosts cut off by'),
         # Few others, so that cold upstreams have room for it.
         ('limits', replace(LIMITS, seconds=0.1), 'which had named'),
         ('silence', SILENCE, 'after its entry had said'),
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,6 +22,7 @@
     gap: float = 1.0,
     *,
     only_silence: bool = False,
+    only_cuts: bool = False,
 ) -> None:
     """Play seeds one after another; exit with 1 if a promise was broken.
 
@@ -33,6 +34,8 @@
         gap: Mean seconds between the begins of faults.
         only_silence: Whether connections to the store fall silent, and nothing
             else happens.
+        only_cuts: Whether hosts are cut off from upstreams, and nothing else
+            happens.
     """
     drawn = SystemRandom()
     chosen = [int(one) for one in str(seeds).strip('()').split(',') if one]
@@ -47,6 +50,7 @@
             callers=hosts * 2,
             gap=gap,
             only_silence=only_silence,
+            only_cuts=only_cuts,
         )
         folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
         began = time.monotonic()
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -1,14 +1,17 @@
 """Breaks that are put into a gateway on purpose, which a play has to find."""
 
-from collections.abc import Mapping
+import asyncio
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 
 from tornado.httpclient import HTTPResponse
 
 from wardstair.cli import gateway
+from wardstair.connection import pool
+from wardstair.connection.upstream import UpstreamConnection
 from wardstair.decisions.cold import HostView
 from wardstair.decisions.suspicion import Evidence
-from wardstair.gateway import fleet_views, refusals, splitting
+from wardstair.gateway import fleet_views, handing_on, refusals, splitting
 from wardstair.platform import headers, store
 from wardstair.platform.objects import StoredObject
 from wardstair.state import (
@@ -17,6 +20,7 @@
     following,
     limits,
     notices,
+    reach,
     suspects,
     sync,
 )
@@ -182,6 +186,42 @@
     table.owner_of = owner_of  # type: ignore[method-assign]
 
 
+def bind_address(address: str) -> None:
+    """Connect to upstreams from an address.
+
+    Args:
+        address: IP address of this host.
+    """
+
+    async def dial(
+        on_closed: Callable[[UpstreamConnection], None],
+        host: str,
+        port: int,
+    ) -> UpstreamConnection:
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            lambda: UpstreamConnection(on_closed),
+            host,
+            port,
+            local_addr=(address, 0),
+        )
+        return connection
+
+    pool.dial_tcp = dial
+
+
+def keep_to_itself() -> None:
+    """Hand nothing on, and tell nobody what is out of reach."""
+    setattr(handing_on.Handover, 'find', _find_nobody)  # noqa: B010
+    reach.ReachTable.is_cut_off = property(  # type: ignore[assignment]
+        lambda _table: False,
+    )
+
+
+def _find_nobody(*_args: object) -> None:
+    return None
+
+
 def run(kind: str) -> None:
     """Put a break in and run the program.
 
@@ -189,6 +229,8 @@
         kind: Names the break.
     """
     match kind:
+        case 'trapped':
+            keep_to_itself()
         case 'lie':
             lie_about_not_run()
         case 'revert':
--- /dev/null
+++ b/tests/soak/cuts.py
@@ -0,0 +1,88 @@
+"""Hosts that are cut off from all upstreams, and how callers are served."""
+
+import asyncio
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from soak.proxy import CutWay
+
+if TYPE_CHECKING:
+    from soak.faults import Scene
+    from soak.ledger import Try
+
+# Time after the begin of a cut from which on callers are owed to be served, as
+# the users' pages have it, and for how long it goes on after that.
+CONTACT_SECONDS = 4.0
+JUDGED_SECONDS = 3.0
+# Share of first tries served beside that at other hosts, and failures that are
+# borne besides: the users' rule wants both exceeded.
+LEAST_SHARE = 2 / 3
+BORNE_FAILURES = 10
+BORNE_SHARE = 1 / 50
+
+
+@dataclass
+class CutOff:
+    """A time in which some hosts reach no upstream.
+
+    Attributes:
+        hosts: Names of the hosts.
+        way: How they are cut off.
+        begin: Monotonic time from which on their callers are owed an answer.
+        end: When the cut ended.
+    """
+
+    hosts: frozenset[str]
+    way: CutWay
+    begin: float = field(
+        default_factory=lambda: time.monotonic() + CONTACT_SECONDS,
+    )
+    end: float = float('-inf')
+
+    def check(self, tries: Iterable['Try']) -> list[str]:
+        """Return what was broken, in words.
+
+        Args:
+            tries: All first tries of callers.
+        """
+        sent = [one for one in tries if self.begin <= one.sent_at < self.end]
+        here = [one for one in sent if _host(one) in self.hosts]
+        others = [one for one in sent if _host(one) not in self.hosts]
+        failed = sum(one.status != 200 for one in here)
+        is_borne = failed <= BORNE_FAILURES + BORNE_SHARE * len(sent)
+        if is_borne or _share(here) >= LEAST_SHARE * _share(others):
+            return []
+        return [
+            f'hosts cut off by {self.way} served {len(here) - failed} of '
+            f'{len(here)}, the others {_share(others):.2f} of {len(others)}',
+        ]
+
+
+async def cut_off(scene: 'Scene') -> None:
+    """Cut one to half of the hosts off from all upstreams for a while."""
+    async with scene.cutting:
+        most = max(1, len(scene.gateways) // 2)
+        amount = scene.random.randint(1, most)
+        cut = scene.random.sample(scene.gateways, amount)
+        way = scene.random.choice(list(CutWay))
+        spell = CutOff(frozenset(one.place.name for one in cut), way)
+        scene.ledger.cuts.append(spell)
+        addresses = [one.place.address for one in cut]
+        for upstream in scene.upstreams:
+            upstream.proxy.cut(addresses, way)
+        await asyncio.sleep(CONTACT_SECONDS + JUDGED_SECONDS)
+        spell.end = time.monotonic()
+        for upstream in scene.upstreams:
+            upstream.proxy.mend(addresses)
+
+
+def _host(one: 'Try') -> str:
+    return one.gateway.partition('/')[0]
+
+
+def _share(tries: list['Try']) -> float:
+    if not tries:
+        return 1.0
+    return sum(one.status == 200 for one in tries) / len(tries)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,6 +11,7 @@
 from lib.rig import Caller
 from lib.store_standin import StoreStandin
 
+from soak.cuts import cut_off
 from soak.ledger import Kind, Ledger, Naming
 from soak.notices import Departure, Leaving, Pausing
 from soak.processes import SEEDS, GatewayProcess
@@ -59,6 +60,7 @@
     evacuated: set[str] = field(default_factory=set)
     restoring: asyncio.Lock = field(default_factory=asyncio.Lock)
     silencing: asyncio.Lock = field(default_factory=asyncio.Lock)
+    cutting: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def draw_seconds(self) -> float:
         """Draw how long a fault lasts."""
@@ -456,6 +458,10 @@
 SILENCE_FAULTS: tuple[Fault, ...] = (silence_connections,)
 
 
+# Hosts that reach no upstream.
+CUT_FAULTS: tuple[Fault, ...] = (cut_off,)
+
+
 class Schedule:
     """Applies drawn faults until time is up, some at once."""
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from soak.cuts import CutOff
 from soak.notices import Arrival, Departure, Leaving, Pausing
 
 # Requests that a cold upstream bears in a second: four, by half more, and two.
@@ -119,6 +120,7 @@
         unknown: Ids that upstreams ran and no caller sent.
         broken: Promises found broken while the play runs.
         spans: Times of faults.
+        cuts: Times in which hosts reach no upstream.
         stopped: Lives of gateways that were asked to stop and nothing else.
         cold: What came to each upstream while it was cold.
         ended: When upstreams ended under each harmful request.
@@ -130,6 +132,7 @@
     unknown: list[str] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
     spans: list[Span] = field(default_factory=list)
+    cuts: list[CutOff] = field(default_factory=list)
     stopped: set[str] = field(default_factory=set)
     cold: dict[str, list[ColdArrival]] = field(default_factory=dict)
     ended: dict[str, list[float]] = field(default_factory=dict)
@@ -188,6 +191,11 @@
         found.extend(self._check_limits())
         for notice in self.notices:
             found.extend(notice.check(self.spans))
+        callers = [
+            one for one in self.tries.values() if one.kind is not Kind.probe
+        ]
+        for cut in self.cuts:
+            found.extend(cut.check(callers))
         for one in self.tries.values():
             found.extend(_check_try(one))
             if self._is_cut_by_stop(one):
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -16,6 +16,7 @@
 
 from soak.callers import CallerTask
 from soak.faults import (
+    CUT_FAULTS,
     HARM_FAULTS,
     HERDS,
     LIMIT_FAULTS,
@@ -38,6 +39,8 @@
 from soak.weights import Scale
 
 GATEWAY = 'wardstair.cli.gateway'
+# The same, with an address by which proxies know it.
+BOUND = 'soak.bound'
 ZONES = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
 # The store comes back from a copy, alone or beside others.
 RESTORE_FAULTS: tuple[Fault, ...] = (restore_store,)
@@ -75,6 +78,8 @@
         only_restores: Whether nothing else happens.
         only_silence: Whether open connections to the store fall silent, and
             nothing else happens.
+        only_cuts: Whether hosts are cut off from upstreams, and nothing else
+            happens.
     """
 
     seed: int
@@ -98,6 +103,12 @@
     with_restores: bool = True
     only_restores: bool = False
     only_silence: bool = False
+    only_cuts: bool = False
+
+    @property
+    def program(self) -> str:
+        """Module that is run, so that cuts know whose connections are whose."""
+        return BOUND if self.only_cuts else self.module
 
     @property
     def groups(self) -> tuple[tuple[Fault, ...], ...]:
@@ -114,6 +125,8 @@
             return (RESTORE_FAULTS,)
         if self.only_silence:
             return (SILENCE_FAULTS,)
+        if self.only_cuts:
+            return (CUT_FAULTS,)
         herds = HERDS * self.with_herds
         harm = HARM_FAULTS * self.with_harm
         power = POWER * self.with_power
@@ -191,7 +204,7 @@
             bounds,
         )
         self._gateways = [
-            GatewayProcess(place, self._plan.module) for place in places
+            GatewayProcess(place, self._plan.program) for place in places
         ]
         await asyncio.gather(*(one.start() for one in self._gateways))
         return self
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -112,6 +112,7 @@
             **os.environ,
             'WARDSTAIR_CONFIG': str(self.place.settings),
             'PYTHONPATH': f'{source}:{TESTS}',
+            'SOAK_ADDRESS': self.place.address,
         }
         with self.place.log.open('ab') as log:
             self._process = await asyncio.create_subprocess_exec(
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,6 +1,8 @@
 """A loopback proxy that delays, resets, silences or cuts connections."""
 
 import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
 from enum import StrEnum
 
 from lib.specs import ADDRESS
@@ -22,6 +24,23 @@
     cut_answers = 'cut-answers'
 
 
+@dataclass(frozen=True)
+class _Way:
+    number: int
+    peer: str
+
+
+class CutWay(StrEnum):
+    """How the connections of one address are cut."""
+
+    # New connections and open ones carry nothing.
+    hang = 'hang'
+    # New connections and open ones are reset.
+    reset = 'reset'
+    # New connections are reset, open ones live on.
+    reset_new = 'reset-new'
+
+
 class Proxy:
     """Carries connections to one port."""
 
@@ -35,6 +54,8 @@
         # Connections accepted so far, and how many of them carry nothing.
         self._accepted = 0
         self._silenced = 0
+        self._cuts: dict[str, CutWay] = {}
+        self._of: dict[str, set[asyncio.StreamWriter]] = {}
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -72,6 +93,23 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    def cut(self, addresses: Iterable[str], way: CutWay) -> None:
+        """Cut the connections that come from some addresses."""
+        for address in addresses:
+            self._cuts[address] = way
+            if way is CutWay.reset:
+                self._reset_of(address)
+
+    def mend(self, addresses: Iterable[str]) -> None:
+        """End cuts; a connection that has lost bytes is reset."""
+        for address in addresses:
+            if self._cuts.pop(address, None) is CutWay.hang:
+                self._reset_of(address)
+
+    def _reset_of(self, address: str) -> None:
+        for writer in tuple(self._of.get(address, ())):
+            writer.transport.abort()
+
     async def stop(self) -> None:
         """Close everything."""
         if self._server is not None:
@@ -88,7 +126,10 @@
         self._accepted += 1
         number = self._accepted
         self._writers.add(writer)
-        if self.mode is Mode.reset:
+        peer = str(writer.get_extra_info('peername')[0])
+        self._of.setdefault(peer, set()).add(writer)
+        is_cut = self._cuts.get(peer) in {CutWay.reset, CutWay.reset_new}
+        if self.mode is Mode.reset or is_cut:
             writer.transport.abort()
             return
         try:
@@ -98,8 +139,9 @@
             return
         far_reader, far_writer = far
         self._writers.add(far_writer)
-        self._spawn(self._carry(reader, far_writer, number, is_answer=False))
-        self._spawn(self._carry(far_reader, writer, number, is_answer=True))
+        way = _Way(number, peer)
+        self._spawn(self._carry(reader, far_writer, way, is_answer=False))
+        self._spawn(self._carry(far_reader, writer, way, is_answer=True))
 
     def _spawn(self, carrying: 'asyncio.Future[None] | object') -> None:
         task: asyncio.Task[None] = asyncio.ensure_future(
@@ -112,7 +154,7 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        number: int,
+        way: '_Way',
         *,
         is_answer: bool,
     ) -> None:
@@ -120,7 +162,7 @@
             while chunk := await reader.read(CHUNK):
                 if self.mode is Mode.delay:
                     await asyncio.sleep(self.delay)
-                if self._swallows(number, is_answer=is_answer):
+                if self._swallows(way, is_answer=is_answer):
                     continue
                 writer.write(chunk)
                 await writer.drain()
@@ -128,10 +170,13 @@
             writer.transport.abort()
         finally:
             self._writers.discard(writer)
-            if not self._swallows(number, is_answer=is_answer):
+            self._of[way.peer].discard(writer)
+            if not self._swallows(way, is_answer=is_answer):
                 writer.close()
 
-    def _swallows(self, number: int, *, is_answer: bool) -> bool:
-        if self.mode is Mode.silence or number <= self._silenced:
+    def _swallows(self, way: '_Way', *, is_answer: bool) -> bool:
+        if self.mode is Mode.silence or way.number <= self._silenced:
+            return True
+        if self._cuts.get(way.peer) is CutWay.hang:
             return True
         return self.mode is Mode.cut_answers and is_answer
