--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
+# Tests mostly wait for processes and bounds, so this exceeds what they compute.
+WORKERS ?= 6
 STAMP := $(VENV)/.installed
 
 .PHONY: install quickstart test lint types behave slopes bench soak clean
@@ -18,7 +20,7 @@
 
 test: install
 	$(BIN)/python -m behave --format progress --no-capture features
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses $(WORKERS) --dist worksteal
 
 lint: install
 	$(BIN)/ruff format --check src tests features bench
