Take a removal for one after the store was away too briefly for entries to lapse

Cause: whatever the store's absence took, its return began the two seconds in which vanished entries are kept. An entry lapses after three heartbeats of its upstream; an absence of up to two lets none lapse, whatever an upstream last wrote. It is counted from the last answer before, so an outage that this host noticed late is not taken for a short one. A reset within the two seconds after an outage ends none of them: a new row.

--- a/src/wardstair/state/contact.py
+++ b/src/wardstair/state/contact.py
@@ -113,7 +113,9 @@
         self.pass_turn()
         if self.is_lost:
             self.is_lost = False
-            self._back_at = now
+            if is_gap:
+                # Away for less, no entry can have lapsed.
+                self._back_at = now
             away = round(now - self._lost_at, 2)
             log_event('store-regained', away=away)
             self.renew_watches()
--- a/tests/unit/test_lapses.py
+++ b/tests/unit/test_lapses.py
@@ -131,3 +131,19 @@
     clock.now += away_seconds
     contact.note_success()
     assert contact.was_away_lately is may_have_lapsed
+
+
+def test_a_short_reset_does_not_end_the_wait_after_an_outage() -> None:
+    clock = Clock()
+    contact = contact_at(clock)
+    contact.note_success()
+    contact.note_failure('outage')
+    clock.now += HARMLESS_SECONDS + 1
+    contact.note_success()
+    clock.now += RETURN_SECONDS / 4
+    contact.note_failure('reset')
+    clock.now += RETURN_SECONDS / 4
+    contact.note_success()
+    assert contact.was_away_lately
+    clock.now += RETURN_SECONDS / 2
+    assert not contact.was_away_lately
