Hand on what a failed connection leaves no upstream for

Cause, from its log: one connection that was being opened as the cut began lived on. Its answers kept the host from taking itself for cut off, and cleared its failures each time; every new connection was refused, and after one of them no upstream was left for a request. The same is a cut in which open connections live on and few are open. Another host is asked now after one failed connection if no upstream is left; a host that has lost part of the upstreams marks its refusals of relayed requests, so that another is asked; and hosts that have lost nothing come first.

Ruled out: the machine's load alone: eight runs at once of the row that hangs passed.

--- a/src/wardstair/decisions/handover.py
+++ b/src/wardstair/decisions/handover.py
@@ -57,9 +57,9 @@
 ) -> Helper | None:
     """Return the host that takes a request, or None if there is none.
 
-    Hosts that are heard come first, then those of the own region, then those
-    that are not busy. Of two of the best drawn at random the one with less
-    load takes it.
+    Hosts that are heard come first, then those that have lost nothing, those of
+    the own region, and those that are not busy. Of two of the best drawn at
+    random the one with less load takes it.
 
     Args:
         helpers: All other hosts.
@@ -71,9 +71,9 @@
     if not able:
         return None
 
-    def distance(one: Helper) -> tuple[bool, bool, bool]:
+    def distance(one: Helper) -> tuple[bool, bool, bool, bool]:
         is_far = regions.get(one.zone) != ask.region
-        return (not one.is_heard, is_far, one.is_busy)
+        return (not one.is_heard, bool(one.lost), is_far, one.is_busy)
 
     nearest = min(map(distance, able))
     best = [one for one in able if distance(one) == nearest]
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -159,7 +159,7 @@
             lost = reach.lost or EVERYTHING
             return refusal_of(refusals.UNREACHED, relayed, lost)
         reply = await self._carry(course)
-        if course.trail.unreachable:
+        if course.trail.unreachable or not reach.is_sound:
             # It may be cut off, and not know yet.
             unreached = frozenset((service_group(course.service),))
             return answer_of(reply, reach.lost | unreached)
@@ -382,7 +382,8 @@
             return self._ask_for_help(course)
         placement = None if self._is_hopeless(course) else self._place(course)
         if placement is None:
-            if self._belief.reach.has_failures and self._may_hand_on(course):
+            is_failing = self._belief.reach.has_failures
+            if is_failing or course.trail.unreachable:
                 # What leaves no upstream may be failures of the way.
                 return self._ask_for_help(course)
             return self._give_up(course)
@@ -403,15 +404,12 @@
         return not self._is_within_reach(course)
 
     def _is_hopeless(self, course: Course) -> bool:
-        """Return whether neither this host nor another reaches an upstream.
+        """Return whether no upstream of a request is reached.
 
         Upstreams that come back are noticed by probes.
         """
-        reach = self._belief.reach
-        if not reach.lost or self._is_within_reach(course):
-            return False
-        course.trail.unreachable += 1
-        return True
+        is_lost = bool(self._belief.reach.lost)
+        return is_lost and not self._is_within_reach(course)
 
     def _needs_help(self, course: Course) -> bool:
         """Return whether another host may send it, and this one may not."""
@@ -425,6 +423,8 @@
 
     def _ask_for_help(self, course: Course) -> Reply | None:
         """Hand a request on; return the answer if it may not be sent again."""
+        if not self._may_hand_on(course):
+            return self._give_up(course)
         if course.may_have_run and not self._take_resend(course):
             return self._give_up(course)
         self._hand_on(course)
@@ -579,7 +579,7 @@
             return self._deliver(course, *course.failure)
         if course.may_have_run:
             return self._end(course, refusals.OUTCOME_UNKNOWN)
-        if course.trail.unreachable:
+        if course.trail.unreachable or self._is_hopeless(course):
             return self._end(course, refusals.NO_UPSTREAM)
         return self._end(course, self._no_room(course))
 
--- a/src/wardstair/gateway/reporting.py
+++ b/src/wardstair/gateway/reporting.py
@@ -182,10 +182,11 @@
         now = time.monotonic()
         self._metrics.handed_on.add(outcome.end, trail.route.name)
         took = now - trail.inbound.received_at
-        self._metrics.observe_request(trail.route.name, took)
+        answer = outcome.answer
+        if answer is not None:
+            self._metrics.observe_request(trail.route.name, took)
         if not self._keeps_other(trail):
             return
-        answer = outcome.answer
         log_event(
             'request-handed-on',
             request=trail.inbound.request_id,
