--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,7 +15,7 @@
 from soak.ledger import Kind, Ledger, Naming
 from soak.notices import Departure, Leaving, Pausing
 from soak.processes import SEEDS, GatewayProcess
-from soak.proxy import Mode, Proxy
+from soak.proxy import CutWay, Mode, Proxy
 from soak.upstreams import HARMFUL, Habits, SoakUpstream
 from soak.versions import marked_configuration
 
@@ -61,6 +61,8 @@
     restoring: asyncio.Lock = field(default_factory=asyncio.Lock)
     silencing: asyncio.Lock = field(default_factory=asyncio.Lock)
     cutting: asyncio.Lock = field(default_factory=asyncio.Lock)
+    # How hosts are cut off from upstreams; drawn if None.
+    cut_way: CutWay | None = None
 
     def draw_seconds(self) -> float:
         """Draw how long a fault lasts."""
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -32,7 +32,7 @@
 from soak.ledger import Kind, Ledger
 from soak.notices import NEWS_BOUNDS
 from soak.processes import GatewayProcess, choose_places
-from soak.proxy import Proxy
+from soak.proxy import CutWay, Proxy
 from soak.restores import check_evacuation, restore_store
 from soak.upstreams import COLD_SECONDS, LOST_SHARE, SoakUpstream
 from soak.versions import VersionProbe, marked_configuration, weights_of
@@ -80,6 +80,7 @@
             nothing else happens.
         only_cuts: Whether hosts are cut off from upstreams, and nothing else
             happens.
+        cut_way: How they are cut off; drawn if None.
     """
 
     seed: int
@@ -104,6 +105,7 @@
     only_restores: bool = False
     only_silence: bool = False
     only_cuts: bool = False
+    cut_way: CutWay | None = None
 
     @property
     def program(self) -> str:
@@ -229,6 +231,7 @@
             tuple(sorted(ZONES)),
             self.ledger,
             self._random,
+            cut_way=self._plan.cut_way,
         )
         probes = [
             VersionProbe(gateway, self.ledger, lambda: scene.version)
--- a/tests/unit/test_catalog.py
+++ b/tests/unit/test_catalog.py
@@ -156,6 +156,8 @@
             await asyncio.sleep(0)
         assert len(asked) == 1
         regained = contact.next_regain()
+        # Longer than entries take to lapse, which is nothing here.
+        clock.now += 1
         contact.note_success()
         await asyncio.gather(*tasks)
         assert regained.done()
