--- a/tests/lib/known_red.py
+++ b/tests/lib/known_red.py
@@ -3,7 +3,8 @@
 A listed test is expected to fail and is printed with its cause. One that
 passes while it is listed fails the run, so that the list is never longer than
 what is red, unless its cause says that it fails `at times`. Each line names a
-test, its cause and an issue, with semicolons between; `tests/file.py::name` stands for all rows of that test's table.
+test, its cause and an issue, with semicolons between; `tests/file.py::name`
+stands for all rows of that test's table.
 """
 
 from dataclasses import dataclass
