Play how news reaches many hosts without sockets or waiting

The player runs whole gateways on a clock that jumps to the next timer; datagrams, fetches between hosts and calls on the store travel through it, which delays, loses and cuts them by a seed. A play repeats exactly.

No logic is changed.

--- /dev/null
+++ b/tests/lib/news_player.py
@@ -0,0 +1,583 @@
+"""Plays how news reaches many entry hosts, without sockets or waiting.
+
+The hosts are whole gateways; datagrams, fetches between hosts and calls on the
+store travel through this module, which delays, loses and cuts them.
+"""
+
+import asyncio
+import json
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field, replace
+from io import BytesIO
+from random import Random
+from types import SimpleNamespace
+from unittest.mock import patch
+from urllib.parse import parse_qs, urlsplit
+from zlib import crc32
+
+from loguru import logger
+from result import Err, Ok, Result
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
+
+from lib.specs import Stored, configuration_spec, upstream_spec
+from lib.store_standin import StoreStandin
+from wardstair.errors import (
+    ObjectMissing,
+    PlatformError,
+    PlatformUnavailable,
+    VersionConflict,
+    WatchForgotten,
+)
+from wardstair.fleet.sharing import decode_versions
+from wardstair.gateway.host import GatewayHost
+from wardstair.gateway.settings import Bounds, GatewaySettings, Listener
+from wardstair.platform.store_answers import Answer
+
+FLEET_PORTS = (7200, 7201)
+SERVICE = 'views'
+# One way, in seconds.
+NEAR_SECONDS = 0.0002
+ZONE_SECONDS = 0.0014
+REGION_SECONDS = 0.02
+STORE_SECONDS = 0.004
+# From the start of a process until it runs.
+START_SECONDS = 0.4
+# Period of the looks at what hosts use.
+LOOK_SECONDS = 0.02
+_CLIENT_MODULES = (
+    'wardstair.platform.store',
+    'wardstair.state.exchange',
+)
+
+
+@dataclass(frozen=True)
+class Layout:
+    """Where hosts are.
+
+    Attributes:
+        zones: Region of each zone; the store is in the first one's region.
+        hosts: Hosts in each zone.
+    """
+
+    zones: dict[str, str]
+    hosts: int
+
+
+def layout_of(regions: int, zones: int, hosts: int) -> Layout:
+    """Return a layout.
+
+    Args:
+        regions: Number of regions.
+        zones: Zones in each region.
+        hosts: Hosts in each zone.
+    """
+    return Layout(
+        {
+            f'r{region}-z{zone}': f'r{region}'
+            for zone in range(zones)
+            for region in range(regions)
+        },
+        hosts,
+    )
+
+
+@dataclass
+class StorePlay:
+    """What is wrong with the store.
+
+    Attributes:
+        factor: How many times as long its answers take.
+        is_away: Whether it answers nobody.
+        withheld: Whether watches hear nothing.
+        stale_seconds: How far reads lag that may be stale.
+    """
+
+    factor: float = 1.0
+    is_away: bool = False
+    withheld: bool = False
+
+
+@dataclass
+class PlayedHost:
+    """A place for an entry host, and the process that runs there.
+
+    Attributes:
+        settings: Its settings.
+        host: The process; None while none runs.
+        changed_at: When it was last started, stopped or harmed.
+        frozen: Datagrams that wait while it stands still; None if it runs.
+        is_cut_from_store: Whether its calls on the store hang.
+        extra_seconds: How much later its datagrams and fetches arrive.
+    """
+
+    settings: GatewaySettings
+    host: GatewayHost | None = None
+    changed_at: float = float('-inf')
+    is_cut_from_store: bool = False
+    extra_seconds: float = 0.0
+    # Calls that are under way, which a silent connection never ends.
+    calls: set['asyncio.Future[None]'] = field(default_factory=set)
+
+
+@dataclass
+class Leaving:
+    """An upstream that leaves.
+
+    Attributes:
+        name: Its name.
+        at: When the store had acknowledged it.
+        used_until: When each host last would have used it.
+        held: The longest time after `at` at which a host used it that had not
+            been disturbed for the time of contact, and that host.
+    """
+
+    name: str
+    at: float
+    used_until: dict[str, float] = field(default_factory=dict)
+    held: tuple[float, str] = (0.0, '')
+
+
+class NewsPlay:
+    """A fleet, its store and its network; one a play."""
+
+    def __init__(
+        self,
+        layout: Layout,
+        bounds: Bounds,
+        upstreams: int,
+        seed: int,
+        loss: float = 0.0,
+    ) -> None:
+        """Prepare without a host.
+
+        Args:
+            layout: Where hosts are.
+            bounds: What they are held to.
+            upstreams: Number of upstreams.
+            seed: Of all draws.
+            loss: Share of datagrams that are lost.
+        """
+        self.random = Random(seed)
+        self.layout = layout
+        self.bounds = bounds
+        self.loss = loss
+        self.store = StoreStandin()
+        self.trouble = StorePlay()
+        self.places: dict[str, PlayedHost] = {}
+        self.leaving: list[Leaving] = []
+        self.store_calls = 0
+        self._seed = seed
+        self._drawn = Counter[tuple[str, str]]()
+        self.datagrams = 0
+        self.disturbed_at = float('-inf')
+        self._by_address: dict[str, PlayedHost] = {}
+        zones = list(layout.zones)
+        self.store.put('config', 'main', configuration_spec(1))
+        for number in range(upstreams):
+            zone = zones[number % len(zones)]
+            entry = upstream_spec(8000 + number, SERVICE, zone)
+            self.store.put('servers', f'i-{number}', entry)
+        for number in range(layout.hosts):
+            for zone in zones:
+                self._add_place(f'{zone}-{number}', zone)
+
+    def _add_place(self, name: str, zone: str) -> PlayedHost:
+        number = len(self.places) + 1
+        address = f'10.0.{number // 250}.{number % 250 + 1}'
+        seeds = [place.settings.address for place in self.places.values()]
+        settings = GatewaySettings(
+            name=name,
+            address=address,
+            zone=zone,
+            zones=self.layout.zones,
+            callers=Listener(address, 1),
+            ready=Listener(address, 2),
+            control=Listener(address, 3),
+            lookups=Listener(address, 4),
+            metrics=Listener(address, 5),
+            fleet_ports=FLEET_PORTS,
+            seeds=tuple(f'{seed}:3' for seed in seeds[:3]),
+            store='10.200.0.1:80',
+            memory_bytes=2**28,
+            descriptors=4096,
+            bounds=self.bounds,
+        )
+        place = PlayedHost(settings)
+        self.places[name] = place
+        self._by_address[address] = place
+        return place
+
+    @property
+    def hosts(self) -> list[GatewayHost]:
+        """The processes that run."""
+        return [one.host for one in self.places.values() if one.host]
+
+    @property
+    def now(self) -> float:
+        """The time of the play, in seconds."""
+        return asyncio.get_running_loop().time()
+
+    async def start_all(self) -> None:
+        """Start all hosts for the first time."""
+        for place in self.places.values():
+            place.settings = replace(place.settings, is_first_start=True)
+        await asyncio.gather(
+            *(
+                self.start(name, after=self.random.uniform(0, 0.3))
+                for name in self.places
+            )
+        )
+        for place in self.places.values():
+            place.settings = replace(place.settings, is_first_start=False)
+
+    async def start(self, name: str, after: float = 0.0) -> GatewayHost:
+        """Start a process.
+
+        Args:
+            name: Where.
+            after: In how many seconds; it takes some more until it runs.
+        """
+        await asyncio.sleep(after)
+        place = self.places[name]
+        place.changed_at = self.now
+        await asyncio.sleep(START_SECONDS * self.random.uniform(0.8, 1.2))
+        seed = self.random.getrandbits(32)
+        with logger.contextualize(process=name):
+            host = GatewayHost(place.settings, Random(seed))
+            self._attach(host, place)
+            place.host = host
+            await host.start()
+        return host
+
+    async def stop(self, name: str) -> None:
+        """Stop a process as an operator does."""
+        place = self.places[name]
+        place.changed_at = self.now
+        if place.host is not None:
+            await place.host.stop()
+        place.host = None
+        place.changed_at = self.now
+
+    async def kill(self, name: str) -> None:
+        """End a process without a word."""
+        place = self.places[name]
+        place.changed_at = self.now
+        host, place.host = place.host, None
+        if host is not None:
+            await host.close()
+
+    def add(self, zone: str) -> str:
+        """Add a place for one host more; return its name."""
+        name = f'{zone}-{len(self.places)}'
+        self._add_place(name, zone)
+        return name
+
+    async def restart(self, name: str) -> None:
+        """Stop a process as an operator does, and start it again."""
+        await self.stop(name)
+        await self.start(name, after=0.1)
+
+    def _attach(self, host: GatewayHost, place: PlayedHost) -> None:
+        """Have all that a process sends travel through this play."""
+        nothing = _Nothing()
+        host._listeners = nothing  # type: ignore[assignment]
+        host.radio.start = _open_nothing  # type: ignore[method-assign]
+        host.demand_radio.start = _open_nothing  # type: ignore[method-assign]
+
+        def send(address: str, datagram: bytes) -> None:
+            self._deliver(place, address, datagram)
+
+        def ask(request: HTTPRequest) -> Awaitable[HTTPResponse]:
+            return self._fetch(place, request)
+
+        async def call(
+            method: str,
+            path: str,
+            document: dict[str, object] | None = None,
+            *,
+            seconds: float = 2.0,
+            client: object = None,
+        ) -> Result[Answer, PlatformError]:
+            return await self._call(place, method, path, document, seconds)
+
+        host.radio._send_bytes = send  # type: ignore[method-assign]
+        host.exchange.ask = ask
+        host.store._call = call  # type: ignore[assignment]
+
+    def _way(self, one: PlayedHost, other: PlayedHost) -> float:
+        zones = self.layout.zones
+        here, there = one.settings.zone, other.settings.zone
+        if here == there:
+            seconds = NEAR_SECONDS
+        elif zones[here] == zones[there]:
+            seconds = ZONE_SECONDS
+        else:
+            seconds = REGION_SECONDS
+        spread = 1.0 + 0.2 * self._draw(one, other)
+        return seconds * spread + one.extra_seconds + other.extra_seconds
+
+    def _draw(self, one: PlayedHost, other: PlayedHost) -> float:
+        """Draw for a way; whoever sends in another order draws the same."""
+        way = (one.settings.name, other.settings.name)
+        self._drawn[way] += 1
+        named = f'{self._seed} {way} {self._drawn[way]}'
+        return crc32(named.encode()) / 2**32
+
+    def _deliver(
+        self,
+        place: PlayedHost,
+        address: str,
+        datagram: bytes,
+    ) -> None:
+        self.datagrams += 1
+        target = self._by_address.get(address)
+        if target is None or self._draw(place, target) < self.loss:
+            return
+        asyncio.get_running_loop().call_later(
+            self._way(place, target),
+            self._arrive,
+            target,
+            datagram,
+            place.settings.address,
+        )
+
+    def _arrive(self, target: PlayedHost, datagram: bytes, source: str) -> None:
+        host = target.host
+        if host is None or host._is_closed:
+            return
+        with logger.contextualize(process=target.settings.name):
+            host.radio.datagram_received(datagram, (source, FLEET_PORTS[0]))
+
+    async def _fetch(
+        self,
+        place: PlayedHost,
+        request: HTTPRequest,
+    ) -> HTTPResponse:
+        parts = urlsplit(request.url)
+        target = self._by_address[str(parts.hostname)]
+        # A new connection and the request.
+        await asyncio.sleep(3 * self._way(place, target))
+        if target.host is None:
+            raise HTTPClientError(599, 'connection refused')
+        theirs = decode_versions(parse_qs(parts.query)['have'][0])
+        assert theirs is not None
+        body = target.host.exchange.answer(theirs)
+        await asyncio.sleep(self._way(target, place))
+        return HTTPResponse(request, 200, buffer=BytesIO(body))
+
+    def silence_watches(self, places: Iterable[PlayedHost]) -> None:
+        """Have calls that are under way never be answered."""
+        for place in places:
+            for call in place.calls:
+                call.set_result(None)
+            place.calls.clear()
+
+    async def _call(
+        self,
+        place: PlayedHost,
+        method: str,
+        path: str,
+        document: dict[str, object] | None,
+        seconds: float,
+    ) -> Result[Answer, PlatformError]:
+        self.store_calls += 1
+        silenced: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        place.calls.add(silenced)
+        answering = asyncio.ensure_future(
+            self._answer(place, method, path, document),
+        )
+        try:
+            async with asyncio.timeout(seconds):
+                await asyncio.wait(
+                    (answering, silenced),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if silenced.done():
+                    await asyncio.Event().wait()
+        except TimeoutError:
+            return Err(PlatformUnavailable(f'{method} {path}: timeout'))
+        finally:
+            place.calls.discard(silenced)
+            if not answering.done():
+                answering.cancel()
+        answered = answering.result()
+        host = place.host
+        if isinstance(answered, Ok) and host is not None:
+            era = answered.ok_value.era
+            if era > host.store.era:
+                host.store.era = era
+                host.store.on_era(era)
+        return answered
+
+    async def _answer(
+        self,
+        place: PlayedHost,
+        method: str,
+        path: str,
+        document: dict[str, object] | None,
+    ) -> Result[Answer, PlatformError]:
+        first = next(iter(self.layout.zones.values()))
+        is_near = self.layout.zones[place.settings.zone] == first
+        way = ZONE_SECONDS if is_near else REGION_SECONDS
+        await asyncio.sleep(way)
+        if place.is_cut_from_store or self.trouble.is_away:
+            await asyncio.Event().wait()
+        parts = urlsplit(path)
+        _, _, kind, *rest = parts.path.split('/')
+        query = {key: one[0] for key, one in parse_qs(parts.query).items()}
+        name = rest[0] if rest else ''
+        if method != 'GET':
+            outcome = self._write(method, kind, name, document, query)
+        elif 'watch' in query:
+            outcome = await self._watch(kind, query)
+        else:
+            outcome = self._read(kind, name)
+        await asyncio.sleep(STORE_SECONDS * self.trouble.factor + way)
+        if isinstance(outcome, Err):
+            return outcome
+        body = json.dumps(outcome.ok_value).encode()
+        return Ok(Answer(body, self.store.era))
+
+    def _read(self, kind: str, name: str) -> Result[object, PlatformError]:
+        held = self.store.kind(kind).objects
+        if not name:
+            items = [held[one] for one in sorted(held)]
+            return Ok({'items': items, 'as_of': self.store.revision})
+        if name not in held:
+            return Err(ObjectMissing(name))
+        return Ok(held[name])
+
+    async def _watch(
+        self,
+        kind: str,
+        query: dict[str, str],
+    ) -> Result[object, PlatformError]:
+        store = self.store
+        after = int(query['watch'])
+        end = self.now + float(query['wait_ms']) / 1000
+        while self.trouble.withheld or not store.events(kind, after):
+            if after < store.kind(kind).forgotten_below:
+                break
+            left = end - self.now
+            if left <= 0:
+                break
+            changed = store.changed
+            try:
+                async with asyncio.timeout(left):
+                    await changed.wait()
+            except TimeoutError:
+                break
+        if after > store.revision or (after < store.kind(kind).forgotten_below):
+            return Err(WatchForgotten(0))
+        events: list[Stored] = []
+        if not self.trouble.withheld:
+            events = store.events(kind, after)
+        return Ok({'events': events, 'as_of': store.revision})
+
+    def _write(
+        self,
+        method: str,
+        kind: str,
+        name: str,
+        document: dict[str, object] | None,
+        query: dict[str, str],
+    ) -> Result[object, PlatformError]:
+        held = self.store.kind(kind).objects
+        if method == 'DELETE':
+            if name not in held:
+                return Err(ObjectMissing(name))
+            self.store.delete(kind, name)
+            return Ok({})
+        assert document is not None
+        metadata = document['metadata'] if method == 'POST' else {'name': name}
+        assert isinstance(metadata, dict)
+        written = str(metadata['name'])
+        if method == 'POST' and written in held:
+            return Err(VersionConflict(written))
+        if method == 'PUT' and written not in held:
+            return Err(ObjectMissing(written))
+        self.store.put(kind, written, document['spec'])
+        return Ok(held[written])
+
+    def let_leave(self, name: str) -> Leaving:
+        """Have an upstream say in the store that it drains."""
+        known = self.store.kind('servers').objects[name]
+        spec = known['spec']
+        assert isinstance(spec, dict)
+        status = {**spec['status'], 'state': 'draining'}
+        self.store.put('servers', name, {**spec, 'status': status})
+        left = Leaving(name, self.now)
+        self.leaving.append(left)
+        return left
+
+    def let_go(self, name: str) -> Leaving:
+        """Have the entry of an upstream go without a word before."""
+        self.store.delete('servers', name)
+        left = Leaving(name, self.now)
+        self.leaving.append(left)
+        return left
+
+    async def look(self) -> None:
+        """Note which hosts use upstreams that leave, until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_SECONDS)
+            for place in self.places.values():
+                if place.host is not None and self.leaving:
+                    self._look_at(place, place.host)
+
+    def _look_at(self, place: PlayedHost, host: GatewayHost) -> None:
+        now = self.now
+        used = {one.name for one in host.belief.catalog.of_service(SERVICE)}
+        calm_since = now - self.bounds.contact_seconds
+        is_held = max(place.changed_at, self.disturbed_at) <= calm_since
+        for left in self.leaving:
+            if left.name not in used:
+                continue
+            left.used_until[host.settings.name] = now
+            if is_held:
+                left.held = max(left.held, (now - left.at, host.settings.name))
+
+    async def close(self) -> None:
+        """End all processes."""
+        for name in self.places:
+            await self.kill(name)
+
+
+class _Nothing:
+    """Stands for sockets that a played process does not open."""
+
+    def __getattr__(self, _name: str) -> Callable[..., None]:
+        return self._ignore
+
+    def _ignore(self, *_args: object) -> None:
+        """Do nothing."""
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+async def _open_nothing(address: str) -> None:
+    """Do nothing."""
+
+
+def _no_client(*_args: object) -> SimpleNamespace:
+    return SimpleNamespace(close=lambda: None, _timeout=None)
+
+
+@contextmanager
+def without_clients() -> Iterator[None]:
+    """Have processes that begin now make no client of libcurl."""
+    patches = [
+        patch(f'{module}.make_client', _no_client) for module in _CLIENT_MODULES
+    ]
+    for one in patches:
+        one.start()
+    try:
+        yield
+    finally:
+        for one in patches:
+            one.stop()
