Know up to which moment the state of a host is complete

Each host now keeps the moment up to which it knows all that the store had acknowledged, for each kind that steers. Answers of the store count from the question; other hosts tell lengths of time, in heartbeats and with what is fetched, never points of time; what waits while a process stands still counts as older.

Sentinels no longer renew a watch that may have missed a change, but ask beside it (one call either way), since an answer without a change is what shows that the state is complete. They tell a newer age at once, and relays pass it on to their zone.

Nothing acts on the age yet. New: wardstair_state_age_seconds, the field age of upstreams-adopted.

--- a/src/wardstair/fleet/beats.py
+++ b/src/wardstair/fleet/beats.py
@@ -15,7 +15,7 @@
 
 # Two versions of the program in one fleet drop each other's datagrams
 # instead of misreading them.
-_FORMAT = 10
+_FORMAT = 11
 _UNREADABLE = (cbor2.CBORDecodeError, ValueError, TypeError, LookupError)
 # Hosts named in one answer to a newcomer, so that a datagram holds them.
 MOST_NAMED = 16
@@ -160,6 +160,8 @@
         is_sentinel: Whether the sender watches the store closely for all.
         is_doubting: Whether a watch of the sender is late.
         lost: Groups of upstreams that the sender does not reach.
+        state_age: Seconds since the sender's state was known to be complete;
+            None if it never was.
     """
 
     kind: BeatKind
@@ -180,6 +182,7 @@
     is_sentinel: bool = False
     is_doubting: bool = False
     lost: tuple[str, ...] = ()
+    state_age: float | None = None
 
 
 def encode_beat(beat: Beat) -> bytes:
@@ -205,6 +208,7 @@
             beat.is_sentinel,
             beat.is_doubting,
             beat.lost,
+            None if beat.state_age is None else round(beat.state_age, 3),
         ]
     )
 
@@ -234,6 +238,7 @@
             bool(row[16]),
             bool(row[17]),
             tuple(str(group) for group in row[18]),
+            None if row[19] is None else float(row[19]),
         )
     except _UNREADABLE:
         return None
--- a/src/wardstair/fleet/radio.py
+++ b/src/wardstair/fleet/radio.py
@@ -27,6 +27,10 @@
 from wardstair.process.log import log_warning
 
 BEAT_SECONDS = 1.0
+# Least time between two heartbeats to the zone that tell a newer state, and the
+# time for which the next one that is due is left out after one.
+LEAST_NEAR_SECONDS = 0.25
+NEAR_COVERS_SECONDS = 0.5
 # Hosts of each other zone that a relay sends to.
 FAR_TARGETS = RELAYS_A_ZONE
 # A newcomer asks again this often until somebody answers.
@@ -84,10 +88,16 @@
         self.on_state: Callable[[bytes], bool] = _read_nothing
         # Period of the heartbeats of a sentinel.
         self.sentinel_seconds: Callable[[], float] = lambda: BEAT_SECONDS
+        # Age of the state that heartbeats tell, in seconds.
+        self.state_age: Callable[[], float | None] = _no_age
         # What heartbeats tell of the load of zones.
         self.zone_loads: ZoneLoads = _no_loads
         # Set once a host has answered, or has had the time to.
         self.is_greeted = asyncio.Event()
+        # Set when a sentinel's next heartbeat should not wait.
+        self._is_prompted = asyncio.Event()
+        self._near_sent_at = float('-inf')
+        self._near_timer: asyncio.TimerHandle | None = None
         self._members = members
         self._versions = versions
         self._random = random
@@ -146,38 +156,68 @@
                 self._members.forgive_pause(gap - BEAT_SECONDS)
             self.beat(seeds)
 
+    def stop(self) -> None:
+        """Close the socket, and send nothing more."""
+        if self._near_timer is not None:
+            self._near_timer.cancel()
+        super().stop()
+
     async def run_closely(self) -> None:
         """Beat more often while this host is a sentinel, until cancelled.
 
         The sooner its silence shows that it is gone, the less news waits.
         """
         while True:
-            await asyncio.sleep(self.sentinel_seconds())
+            await self._prompt_or(self.sentinel_seconds())
             if self._members.is_sentinel():
                 self.send_beats()
 
+    async def _prompt_or(self, seconds: float) -> None:
+        self._is_prompted.clear()
+        try:
+            async with asyncio.timeout(seconds):
+                await self._is_prompted.wait()
+        except TimeoutError:
+            # Nothing has changed meanwhile, which the heartbeat tells as well.
+            return
+
+    def tell_age(self) -> None:
+        """Tell that the state is known to be newer, as others count on it.
+
+        A sentinel tells all that hear it; another relay passes it on to its
+        zone in place of the heartbeat that would be due there.
+        """
+        if self._members.is_sentinel():
+            self._is_prompted.set()
+            return
+        if self._members.is_relay and self._near_timer is None:
+            loop = asyncio.get_running_loop()
+            due = max(loop.time(), self._near_sent_at + LEAST_NEAR_SECONDS)
+            self._near_timer = loop.call_at(due, self._send_near)
+
     def beat(self, seeds: Iterable[str]) -> None:
         """Do what is due each second.
 
         Args:
             seeds: IP addresses to greet as long as nobody is heard.
         """
-        self.send_beats()
+        since = self._members.clock() - self._near_sent_at
+        self.send_beats(to_zone=since >= NEAR_COVERS_SECONDS)
         if self._members.live():
             self._ask_for_names()
         else:
             self.greet(seeds)
         self._members.check()
 
-    def send_beats(self) -> None:
-        """Send a heartbeat now to everybody who should have it."""
-        near = self._near_addresses()
+    def send_beats(self, *, to_zone: bool = True) -> None:
+        """Send a heartbeat now to everybody who should have it.
+
+        Args:
+            to_zone: Whether the hosts of the zone should have it.
+        """
         far = self._far_now()
-        beat = self._beat(
-            named=self._far_names(NAMED_NEAR),
-            zone_loads=self.zone_loads(to_others=False),
-        )
-        self._send_all(near, beat)
+        if to_zone:
+            self._send_near()
         if far:
             beat = self._beat(
                 named=self._far_names(NAMED_FAR),
@@ -185,6 +225,17 @@
             )
             self._send_all(far, beat)
 
+    def _send_near(self) -> None:
+        if self._near_timer is not None:
+            self._near_timer.cancel()
+            self._near_timer = None
+        self._near_sent_at = self._members.clock()
+        beat = self._beat(
+            named=self._far_names(NAMED_NEAR),
+            zone_loads=self.zone_loads(to_others=False),
+        )
+        self._send_all(self._near_addresses(), beat)
+
     def send_state(self, state: bytes, *, to_others: bool) -> None:
         """Send encoded state to the hosts of the zone.
 
@@ -359,12 +410,18 @@
             is_sentinel=members.is_sentinel(),
             is_doubting=members.is_doubting(),
             lost=tuple(sorted(members.lost)),
+            state_age=self.state_age(),
         )
 
     def _send(self, address: str, beat: Beat) -> None:
         self._send_bytes(address, encode_beat(beat))
 
 
+def _no_age() -> float | None:
+    """Tell nothing; the default."""
+    return None
+
+
 def _no_loads(*, to_others: bool) -> tuple[ZoneLoad, ...]:
     """Tell nothing; the default."""
     return ()
--- a/src/wardstair/fleet/sharing.py
+++ b/src/wardstair/fleet/sharing.py
@@ -18,7 +18,7 @@
 from wardstair.state.limits import SharedLimit
 from wardstair.state.revision import Revision
 
-_FORMAT = 5
+_FORMAT = 6
 UNREADABLE = (
     cbor2.CBORDecodeError,
     zlib.error,
@@ -74,7 +74,12 @@
 
 @dataclass(frozen=True, slots=True)
 class SharedState:
-    """The parts in which the sender is ahead; None for the others."""
+    """The parts in which the sender is ahead; None for the others.
+
+    Attributes:
+        age: Seconds since the sender's state was known to be complete; None if
+            it never was, or if not all parts are there.
+    """
 
     configuration: SharedConfiguration | None = None
     evacuations: SharedEvacuations | None = None
@@ -82,6 +87,7 @@
     suspects: Mapping[str, Evidence] = field(default_factory=dict)
     limits: Mapping[str, SharedLimit] = field(default_factory=dict)
     restore: SharedRestore | None = None
+    age: float | None = None
 
 
 @dataclass(slots=True)
@@ -118,6 +124,7 @@
                     for name, one in state.limits.items()
                 ],
                 state.restore and _restore_row(state.restore),
+                None if state.age is None else round(state.age, 3),
             ]
         )
 
@@ -142,6 +149,7 @@
             _suspects(*row[4]),
             _limits(row[5]),
             row[6] and _restore(*row[6]),
+            None if row[7] is None else float(row[7]),
         )
     except UNREADABLE:
         return None
--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -144,6 +144,11 @@
         'Connections opened to upstreams',
         lambda: [(float(host.pool.opened), {})],
     )
+    metrics.add_gauge(
+        'wardstair_state_age_seconds',
+        'Time since the state of this host was known to be complete',
+        lambda: [(belief.age.seconds, {})],
+    )
     metrics.add_count(
         'wardstair_state_fetches',
         'Fetches of state from other entry hosts',
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -161,6 +161,8 @@
             lambda: self._sentinel_rank == 0,
         )
         self._role_log = RoleLog(roles)
+        self.radio.state_age = lambda: self.belief.age.told
+        self.belief.age.on_fresh = self.radio.tell_age
         self.sync = StoreSync(
             self.store,
             self.contact,
@@ -360,6 +362,7 @@
         spawn('sentinel-heartbeats', self.radio.run_closely)
         spawn('demand', self.demand_radio.run)
         spawn('sweep', self._sweep)
+        spawn('state-age', self._look_at_age)
         spawn('reach', self.reach_keeper.run)
         log_event(
             'host-started',
@@ -469,6 +472,12 @@
             self._role_log.refresh()
             self._freshness.refresh()
 
+    async def _look_at_age(self) -> None:
+        while True:
+            period = self.live_settings.current.timing.role_look
+            await asyncio.sleep(period)
+            self.belief.age.look(period)
+
     def _assumed_hosts(self) -> int:
         """Return the number of hosts assumed before any report is received.
 
--- a/src/wardstair/platform/store.py
+++ b/src/wardstair/platform/store.py
@@ -41,6 +41,8 @@
 WATCH_SLACK_SECONDS = 1.5
 CONNECT_SECONDS = 1.0
 _MILLISECONDS = 1000
+# Asked for changes that are there already, the store need not wait.
+_ASK_MILLISECONDS = 20
 # Rises by one each time that the store is restored from a copy.
 _ERA_HEADER = 'Store-Era'
 # Listings, proofs of contact and the registration, without watches.
@@ -56,6 +58,7 @@
     stale_listing = 'stale-list'
     stale_read = 'stale-read'
     watch = 'watch'
+    check = 'check'
     creation = 'create'
     replacement = 'replace'
     removal = 'delete'
@@ -185,6 +188,31 @@
                 self.slack.note(time.monotonic() - began_at - seconds)
         return changes
 
+    async def ask_changes(
+        self,
+        kind: str,
+        revision: Revision,
+    ) -> Result[Changes, PlatformError]:
+        """Ask for changes of a kind after a revision without waiting for any.
+
+        It goes by a connection of its own: a kept one may carry nothing more.
+
+        Args:
+            kind: The kind.
+            revision: Revision up to which everything is known.
+        """
+        query = {'watch': revision.number, 'wait_ms': _ASK_MILLISECONDS}
+        self._count(CallKind.check, kind)
+        began_at = time.monotonic()
+        answered = await self._call(
+            'GET',
+            _path(kind, query=query),
+            is_apart=True,
+        )
+        if isinstance(answered, Ok):
+            self.slack.note(time.monotonic() - began_at)
+        return answered.and_then(lambda answer: read_changes(kind, answer))
+
     async def read_stale(
         self,
         kind: str,
@@ -256,6 +284,7 @@
         *,
         seconds: float = CALL_SECONDS,
         client: CurlAsyncHTTPClient | None = None,
+        is_apart: bool = False,
     ) -> Result[Answer, PlatformError]:
         used = client or self._client
         body = None if document is None else json.dumps(document)
@@ -268,7 +297,7 @@
             request_timeout=seconds,
             follow_redirects=False,
             decompress_response=False,
-            prepare_curl_callback=_prepare,
+            prepare_curl_callback=_prepare_apart if is_apart else _prepare,
         )
         try:
             response = await used.fetch(request, raise_error=False)
@@ -301,6 +330,12 @@
     curl.setopt(pycurl.SOCKOPTFUNCTION, _on_socket)
 
 
+def _prepare_apart(curl: pycurl.Curl) -> None:
+    _prepare(curl)
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+    curl.setopt(pycurl.FORBID_REUSE, 1)
+
+
 def _on_socket(descriptor: int, _purpose: int) -> int:
     """Set up a socket of libcurl's; a waiting watch has no other sign."""
     notice_silence_of(descriptor)
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -307,8 +307,9 @@
     ),
     _kind(
         'upstreams-adopted',
-        'changes of upstreams came from another host; `since=0`: all of them',
-        'since revision count removed source',
+        'changes of upstreams came from another host; `since=0`: all of them; '
+        "`age`: how old this host's state was until then",
+        'since revision count removed source age',
     ),
     _kind(
         'upstreams-read',
--- /dev/null
+++ b/src/wardstair/state/age.py
@@ -0,0 +1,119 @@
+"""Up to which moment this host knows all that the store had acknowledged."""
+
+from collections.abc import Callable, Iterable
+
+from wardstair.state.revision import NO_REVISION, Revision
+from wardstair.state.roles import ignore
+
+# The loop looks at the time this much later than meant before what waited for
+# it counts as older.
+LATE_SECONDS = 0.1
+# Less is no news: ways differ by as much.
+LEAST_GAIN_SECONDS = 0.1
+# For which time after it stood still a host takes in what waited meanwhile.
+WAITED_SECONDS = 0.2
+
+
+class StateAge:
+    """The age of this host's state; one object a process.
+
+    Attributes:
+        on_fresh: Called when the state is known to be newer than before.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        kinds: Iterable[str],
+    ) -> None:
+        """Begin with a state that is not known to be complete at all.
+
+        Args:
+            clock: Monotonic time in seconds.
+            kinds: The kinds of objects that make up the state.
+        """
+        self.on_fresh: Callable[[], None] = ignore
+        self._clock = clock
+        now = clock()
+        # Until something is known, the age counts from the start.
+        self._complete_at = dict.fromkeys(kinds, now)
+        self._known = set[str]()
+        # Revision of the store up to which all of a kind is known.
+        self._complete_to = dict.fromkeys(self._complete_at, NO_REVISION)
+        self._looked_at = now
+        self._stood_until = float('-inf')
+        self._stood_seconds = 0.0
+
+    @property
+    def seconds(self) -> float:
+        """Age of the state: nothing acknowledged before that is missing."""
+        return self._clock() - min(self._complete_at.values())
+
+    @property
+    def told(self) -> float | None:
+        """Age to tell other hosts; None while it is not known."""
+        is_known = len(self._known) == len(self._complete_at)
+        return self.seconds if is_known else None
+
+    def note_read(self, kind: str, revision: Revision, moment: float) -> None:
+        """Note an answer of the store about one kind.
+
+        Another kind of which all is known up to the same revision is complete
+        as well: nothing has changed since.
+
+        Args:
+            kind: The kind.
+            revision: The store's revision, up to which the answer is complete.
+            moment: Monotonic time in seconds up to which it is complete.
+        """
+        self._complete_to[kind] = max(self._complete_to[kind], revision)
+        before = min(self._complete_at.values())
+        for other, known in self._complete_to.items():
+            if known >= revision:
+                self._raise(other, moment)
+        self._tell(before)
+
+    def note_told(self, seconds: float, asked_at: float | None = None) -> None:
+        """Note that this host knows all that another one does.
+
+        Args:
+            seconds: Age of the other host's state, and of what told of it.
+            asked_at: When this host had asked for it; None if it came unasked.
+        """
+        before = min(self._complete_at.values())
+        moment = (
+            self._clock() - self._waited() if asked_at is None else asked_at
+        )
+        for kind in self._complete_at:
+            self._raise(kind, moment - seconds)
+        self._tell(before)
+
+    def look(self, period: float) -> None:
+        """Note that the process runs; to be called all the time.
+
+        What comes in after it stood still may have waited as long.
+
+        Args:
+            period: Seconds between two calls.
+        """
+        now = self._clock()
+        late = now - self._looked_at - period
+        if late > LATE_SECONDS:
+            self._stood_seconds = late
+            self._stood_until = now + WAITED_SECONDS
+        self._looked_at = now
+
+    def _waited(self) -> float:
+        """Return how long what comes in now may have waited, in seconds."""
+        now = self._clock()
+        unseen = now - self._looked_at
+        stood = self._stood_seconds if now < self._stood_until else 0.0
+        return max(unseen if unseen > LATE_SECONDS else 0.0, stood)
+
+    def _raise(self, kind: str, moment: float) -> None:
+        self._known.add(kind)
+        self._complete_at[kind] = max(self._complete_at[kind], moment)
+
+    def _tell(self, before: float) -> None:
+        if min(self._complete_at.values()) - before >= LEAST_GAIN_SECONDS:
+            self.on_fresh()
--- a/src/wardstair/state/belief.py
+++ b/src/wardstair/state/belief.py
@@ -12,12 +12,15 @@
 from wardstair.fleet.beats import Versions
 from wardstair.fleet.sharing import SharedRestore
 from wardstair.platform.objects import (
+    CONFIGURATION_KIND,
     CONFIGURATION_NAME,
     EVACUATION_KIND,
+    UPSTREAM_KIND,
     StoredObject,
     decode_configuration,
 )
 from wardstair.process.log import log_event, log_warning
+from wardstair.state.age import StateAge
 from wardstair.state.catalog import Catalog, CatalogChanges
 from wardstair.state.entries import UpstreamEntry
 from wardstair.state.limits import LimitTable
@@ -30,6 +33,8 @@
 
 # Begin of the source of what another host has told.
 OTHER_HOST = 'host:'
+# What is followed for all hosts, and what the age of the state is of.
+STEERING_KINDS = (CONFIGURATION_KIND, EVACUATION_KIND, UPSTREAM_KIND)
 
 
 @dataclass(slots=True)
@@ -52,6 +57,7 @@
         notices: What upstreams have said of further requests.
         on_steering: Called when a version is adopted.
         reach: Upstreams that this host reaches.
+        age: Up to which moment all of this is known.
     """
 
     clock: Callable[[], float]
@@ -68,12 +74,14 @@
     notices: NoticeTable = field(default_factory=NoticeTable)
     on_steering: Callable[[], None] = field(default=lambda: None)
     reach: ReachTable = field(init=False)
+    age: StateAge = field(init=False)
     # Listed in this era and then not any more: ended, whoever keeps them.
     _ended_zones: frozenset[str] = frozenset()
 
     def __post_init__(self) -> None:
         """Begin with everything within reach."""
         self.reach = ReachTable(self.catalog)
+        self.age = StateAge(self.clock, STEERING_KINDS)
 
     @property
     def has_quotas(self) -> bool:
--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -19,6 +19,7 @@
 )
 
 from wardstair.connection.client import close_client, make_client
+from wardstair.decisions.state_age import way_seconds
 from wardstair.decisions.suspicion import Evidence
 from wardstair.decisions.timing import Timing
 from wardstair.fleet.beats import Beat, Versions
@@ -209,6 +210,7 @@
             suspects,
             limits,
             belief.shared_restore,
+            self._belief.age.told,
         )
         return self._encoder.encode(state)
 
@@ -265,6 +267,10 @@
 
     def on_beat(self, beat: Beat) -> None:
         """Fetch from a host that is ahead, unless a fetch is under way."""
+        if beat.state_age is not None and not self._is_behind(beat.versions):
+            is_near = beat.sender.zone == self._zone
+            way = way_seconds(is_near=is_near)
+            self._belief.age.note_told(beat.state_age + way)
         if not self._is_wanted(beat):
             return
         # Looked at again when the fetch ends: what it brings may be older.
@@ -362,6 +368,7 @@
 
     async def _fetch_from(self, beat: Beat) -> bool:
         """Fetch from a host; return whether it answered."""
+        asked_at = asyncio.get_running_loop().time()
         fetched = await self._fetch(beat.sender.address)
         if isinstance(fetched, Err):
             failed = fetched.err_value
@@ -373,7 +380,12 @@
                 detail=failed.detail,
             )
             return False
-        self._take_in(fetched.ok_value, beat.sender.name)
+        age = fetched.ok_value.age
+        if (
+            self._take_in(fetched.ok_value, beat.sender.name)
+            and age is not None
+        ):
+            self._belief.age.note_told(age, asked_at)
         if self._belief.suspects.take_in(fetched.ok_value.suspects):
             log_event(
                 'suspects-adopted',
@@ -416,7 +428,8 @@
             return Err(_FailedFetch(FetchFailure.unreadable, f'{size} bytes'))
         return Ok(state)
 
-    def _take_in(self, state: SharedState, host: str) -> None:
+    def _take_in(self, state: SharedState, host: str) -> bool:
+        """Take in what another host told; return whether all of it fits."""
         source = f'{OTHER_HOST}{host}'
         belief = self._belief
         restore = state.restore
@@ -440,16 +453,17 @@
             )
         if restore is not None:
             belief.keep_evacuated(restore.zones, restore.era)
-        self._take_in_upstreams(state.upstreams, source)
+        is_whole = self._take_in_upstreams(state.upstreams, source)
         self.on_news()
+        return is_whole
 
     def _take_in_upstreams(
         self,
         changes: CatalogChanges | None,
         source: str,
-    ) -> None:
+    ) -> bool:
         if changes is None:
-            return
+            return True
         catalog = self._belief.catalog
         if changes.revision <= catalog.revision:
             log_event(
@@ -459,9 +473,9 @@
                 known=catalog.revision,
                 source=source,
             )
-            return
+            return True
         if not catalog.take_over(changes):
-            return
+            return False
         log_event(
             'upstreams-adopted',
             since=changes.since,
@@ -469,7 +483,9 @@
             count=len(changes.entries),
             removed=len(changes.removed),
             source=source,
+            age=round(self._belief.age.seconds, 3),
         )
+        return True
 
 
 def _digests_of(versions: Versions) -> _Digests:
--- a/src/wardstair/state/following.py
+++ b/src/wardstair/state/following.py
@@ -8,6 +8,7 @@
 
 from result import Err, Result
 
+from wardstair.decisions.state_age import Reading, complete_at
 from wardstair.errors import PlatformError, WatchForgotten
 from wardstair.platform.store import Store
 from wardstair.platform.store_answers import Changes, Listing
@@ -57,6 +58,10 @@
     return None
 
 
+def _ignore_moment(_revision: Revision, _moment: float) -> None:
+    """Do nothing; the default of the sink."""
+
+
 def no_pause() -> float:
     """Return the pause of a kind that is watched without one, in seconds."""
     return 0.0
@@ -96,11 +101,14 @@
         on_listing: Takes in a whole listing.
         on_changes: Takes in changes.
         on_revision: Told the store's revision with each answer.
+        on_complete: Told up to which revision all of the kind is known, and up
+            to which monotonic time in seconds.
     """
 
     on_listing: Callable[[Listing], None]
     on_changes: Callable[[Changes], None]
     on_revision: Callable[[Revision], None]
+    on_complete: Callable[[Revision, float], None] = _ignore_moment
 
 
 class Follower:
@@ -135,9 +143,9 @@
         self._needs_listing = True
         self._watching_since: float | None = None
         self._dropped = asyncio.Event()
-        # Revision of the store that was known when the watch was last renewed:
-        # what changed up to it would be answered at once.
-        self._renewed_at = NO_REVISION
+        # When the last watch was asked, and how long it was to wait.
+        self._asked_at = 0.0
+        self._waits = 0.0
 
     @property
     def kind(self) -> str:
@@ -166,20 +174,41 @@
         Args:
             revision: The store's revision by another answer.
         """
-        return max(self.revision, self._renewed_at) < revision
-
-    def drop_watch(self, revision: Revision) -> None:
-        """Renew a waiting watch, which may have missed a change.
+        return self.revision < revision
 
-        Args:
-            revision: The store's revision by another answer.
-        """
+    def drop_watch(self) -> None:
+        """Renew a waiting watch, which has missed a change."""
         since = self._watching_since
         if since is None:
             return
         if asyncio.get_running_loop().time() - since >= YOUNG_SECONDS:
             self._dropped.set()
-            self._renewed_at = revision
+
+    async def check(self) -> None:
+        """Ask whether anything has changed, beside a waiting watch.
+
+        A watch that has gone silent looks like one with nothing to tell. The
+        answer to this says up to which moment all of the kind is known.
+        """
+        if not self.has_listed:
+            await self._list()
+            return
+        asked_at = asyncio.get_running_loop().time()
+        asked = await self._store.ask_changes(self._plan.kind, self.revision)
+        if isinstance(asked, Err):
+            self._fail(asked.err_value)
+            return
+        self._contact.note_success()
+        changes = asked.ok_value
+        if changes.revision.era > self.revision.era:
+            self._needs_listing = True
+            return
+        if changes.revision > self.revision:
+            self.revision = changes.revision
+            self._sinks.on_changes(changes)
+            if changes.changes:
+                self.drop_watch()
+        self._sinks.on_complete(changes.revision, asked_at)
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -204,6 +233,7 @@
         await asyncio.sleep(self._plan.look())
 
     async def _list(self) -> None:
+        asked_at = asyncio.get_running_loop().time()
         listed = await self._store.list_kind(self._plan.kind)
         if isinstance(listed, Err):
             self._fail(listed.err_value)
@@ -212,6 +242,7 @@
         self._needs_listing = False
         self.revision = listed.ok_value.revision
         self._sinks.on_listing(listed.ok_value)
+        self._sinks.on_complete(self.revision, asked_at)
 
     async def _watch(self) -> None:
         watched = await self._watch_once()
@@ -237,6 +268,13 @@
                 known=self.revision,
                 source='watch',
             )
+        reading = Reading(
+            self._asked_at,
+            self._waits,
+            asyncio.get_running_loop().time(),
+            is_empty=not changes.changes,
+        )
+        self._sinks.on_complete(changes.revision, complete_at(reading))
         self._sinks.on_revision(changes.revision)
         if changes.changes:
             await asyncio.sleep(self._plan.pause())
@@ -259,6 +297,8 @@
         dropped = asyncio.ensure_future(self._dropped.wait())
         began_at = asyncio.get_running_loop().time()
         self._watching_since = began_at
+        self._asked_at = began_at
+        self._waits = seconds
         try:
             ended, _ = await asyncio.wait(
                 (watching, dropped, self._contact.next_regain()),
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from functools import partial
 
 from result import Err
 
@@ -74,6 +75,7 @@
                 self._list_configuration,
                 self._change_configuration,
                 self._note_revision,
+                partial(belief.age.note_read, CONFIGURATION_KIND),
             ),
         )
         self.evacuations = Follower(
@@ -89,6 +91,7 @@
                 self._list_evacuations,
                 self._change_evacuations,
                 self._note_revision,
+                partial(belief.age.note_read, EVACUATION_KIND),
             ),
         )
         self.upstreams = Follower(
@@ -105,6 +108,7 @@
                 self._list_upstreams,
                 self._change_upstreams,
                 self._note_revision,
+                partial(belief.age.note_read, UPSTREAM_KIND),
             ),
         )
 
@@ -159,13 +163,16 @@
     def _wants_upstreams(self) -> bool:
         if not self._roles.is_sentinel():
             return False
+        self._skip_to_known()
+        return True
+
+    def _skip_to_known(self) -> None:
+        """Go on from what others have told beyond this host's own watch."""
         if self._belief.catalog.revision != NO_REVISION:
-            # Others may have told more than this host's own watch before.
             self.upstreams.skip_to(self._belief.catalog.revision)
-        return True
 
     def _note_revision(self, revision: Revision) -> None:
-        """Renew watches that have not brought what the revision tells of."""
+        """Ask for what watches have not brought and the revision tells of."""
         behind = self._behind(revision)
         if not behind or not self._roles.is_sentinel():
             return
@@ -173,12 +180,13 @@
             self._checking = asyncio.ensure_future(self._check(revision))
 
     def _behind(self, revision: Revision) -> list[Follower]:
+        self._skip_to_known()
         return [one for one in self.followers if one.may_lack(revision)]
 
     async def _check(self, revision: Revision) -> None:
         await asyncio.sleep(LAG_SECONDS)
-        for follower in self._behind(revision):
-            follower.drop_watch(revision)
+        behind = self._behind(revision)
+        await asyncio.gather(*(follower.check() for follower in behind))
 
     def _list_configuration(self, listing: Listing) -> None:
         for stored in listing.objects:
--- a/tests/functional/test_store.py
+++ b/tests/functional/test_store.py
@@ -13,7 +13,6 @@
 from wardstair.state import following
 from wardstair.state.contact import StoreContact
 from wardstair.state.following import Follower, FollowPlan, FollowSinks
-from wardstair.state.revision import NO_REVISION
 
 
 def test_dropped_watches_do_not_hold_up_other_calls(
@@ -44,7 +43,7 @@
         for number in range(40):
             before = number + 1
             await until(lambda: len(standin.calls) > before)  # noqa: B023
-            follower.drop_watch(NO_REVISION)
+            follower.drop_watch()
         await until(lambda: len(standin.calls) > 41)
         standin.put('servers', 'i-1', {})
         await until(lambda: heard == ['i-1'])
--- a/tests/lib/news.py
+++ b/tests/lib/news.py
@@ -16,7 +16,6 @@
 from wardstair.fleet.radio import Radio
 from wardstair.gateway.host import GatewayHost
 from wardstair.gateway.settings import Bounds
-from wardstair.state.revision import NO_REVISION
 from wardstair.state.sync import LAG_SECONDS
 
 HOSTS = 6
@@ -67,7 +66,7 @@
         for host in self.hosts:
             # At the start each was a sentinel for a moment, and began a watch.
             if not host.is_sentinel:
-                host.sync.upstreams.drop_watch(NO_REVISION)
+                host.sync.upstreams.drop_watch()
         self.store.put('evacuations', 'elsewhere', {})
         await self._read_by_sentinels()
         self.store.delete('evacuations', 'elsewhere')
--- a/tests/lib/news_player.py
+++ b/tests/lib/news_player.py
@@ -299,6 +299,7 @@
             *,
             seconds: float = 2.0,
             client: object = None,
+            is_apart: bool = False,
         ) -> Result[Answer, PlatformError]:
             return await self._call(place, method, path, document, seconds)
 
