--- a/tests/lib/news_player.py
+++ b/tests/lib/news_player.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from contextlib import contextmanager
+from contextvars import Context, copy_context
 from dataclasses import dataclass, field, replace
 from io import BytesIO
 from random import Random
@@ -23,6 +24,7 @@
 
 from lib.specs import Stored, configuration_spec, upstream_spec
 from lib.store_standin import StoreStandin
+from lib.virtual_time import PROCESS, VirtualLoop
 from wardstair.errors import (
     ObjectMissing,
     PlatformError,
@@ -92,11 +94,22 @@
         is_away: Whether it answers nobody.
         withheld: Whether watches hear nothing.
         stale_seconds: How far reads lag that may be stale.
+        refuses: Whether it refuses connections.
+        late_seconds: How much later each of its answers arrives.
     """
 
     factor: float = 1.0
     is_away: bool = False
     withheld: bool = False
+    stale_seconds: float = 0.0
+    refuses: bool = False
+    late_seconds: float = 0.0
+
+
+def _set_event() -> asyncio.Event:
+    event = asyncio.Event()
+    event.set()
+    return event
 
 
 @dataclass
@@ -107,9 +120,13 @@
         settings: Its settings.
         host: The process; None while none runs.
         changed_at: When it was last started, stopped or harmed.
-        frozen: Datagrams that wait while it stands still; None if it runs.
+        thawed: Set unless it stands still.
+        context: What its callbacks run in.
         is_cut_from_store: Whether its calls on the store hang.
         extra_seconds: How much later its datagrams and fetches arrive.
+        is_deaf: Whether nothing of other hosts arrives at it.
+        is_mute: Whether nothing of it arrives at other hosts.
+        fails_fetches: Whether its fetches from others fail.
     """
 
     settings: GatewaySettings
@@ -117,8 +134,13 @@
     changed_at: float = float('-inf')
     is_cut_from_store: bool = False
     extra_seconds: float = 0.0
-    # Calls that are under way, which a silent connection never ends.
-    calls: set['asyncio.Future[None]'] = field(default_factory=set)
+    is_deaf: bool = False
+    is_mute: bool = False
+    fails_fetches: bool = False
+    # Calls that are under way: false ends none of them, true resets them.
+    calls: set['asyncio.Future[bool]'] = field(default_factory=set)
+    thawed: asyncio.Event = field(default_factory=_set_event)
+    context: Context = field(default_factory=copy_context)
 
 
 @dataclass
@@ -131,12 +153,15 @@
         used_until: When each host last would have used it.
         held: The longest time after `at` at which a host used it that had not
             been disturbed for the time of contact, and that host.
+        ran: The longest time at which a running host used it, after `at` and
+            after that host began or went on, and that host.
     """
 
     name: str
     at: float
     used_until: dict[str, float] = field(default_factory=dict)
     held: tuple[float, str] = (0.0, '')
+    ran: tuple[float, str] = (0.0, '')
 
 
 class NewsPlay:
@@ -168,6 +193,8 @@
         self.places: dict[str, PlayedHost] = {}
         self.leaving: list[Leaving] = []
         self.store_calls = 0
+        # Revisions of the store, and since when.
+        self._revisions: list[tuple[float, int]] = []
         self._seed = seed
         self._drawn = Counter[tuple[str, str]]()
         self.datagrams = 0
@@ -179,6 +206,7 @@
             zone = zones[number % len(zones)]
             entry = upstream_spec(8000 + number, SERVICE, zone)
             self.store.put('servers', f'i-{number}', entry)
+        self._first_revision = self.store.revision
         for number in range(layout.hosts):
             for zone in zones:
                 self._add_place(f'{zone}-{number}', zone)
@@ -244,16 +272,56 @@
         place.changed_at = self.now
         await asyncio.sleep(START_SECONDS * self.random.uniform(0.8, 1.2))
         seed = self.random.getrandbits(32)
-        with logger.contextualize(process=name):
-            host = GatewayHost(place.settings, Random(seed))
-            self._attach(host, place)
-            place.host = host
-            await host.start()
+        token = PROCESS.set(name)
+        try:
+            with logger.contextualize(process=name):
+                host = GatewayHost(place.settings, Random(seed))
+                self._attach(host, place)
+                place.context = copy_context()
+                place.host = host
+                await host.start()
+        finally:
+            PROCESS.reset(token)
         return host
 
+    @property
+    def sentinels(self) -> list[str]:
+        """Names of the hosts that take themselves for sentinels, in order."""
+        ranked = []
+        for name, place in self.places.items():
+            if place.host is None:
+                continue
+            rank = place.host._sentinel_rank
+            if rank is not None:
+                ranked.append((rank, name))
+        return [name for _, name in sorted(ranked)]
+
+    async def stand_still(self, name: str, seconds: float) -> None:
+        """Have a process take nothing in and do nothing, then go on.
+
+        Args:
+            name: Where.
+            seconds: For how long.
+        """
+        place = self.places[name]
+        if place.host is None or not place.thawed.is_set():
+            return
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        place.thawed.clear()
+        place.changed_at = self.now
+        loop.freeze(name)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            place.changed_at = self.now
+            loop.thaw(name)
+            place.thawed.set()
+
     async def stop(self, name: str) -> None:
         """Stop a process as an operator does."""
         place = self.places[name]
+        await place.thawed.wait()
         place.changed_at = self.now
         if place.host is not None:
             await place.host.stop()
@@ -335,12 +403,15 @@
         target = self._by_address.get(address)
         if target is None or self._draw(place, target) < self.loss:
             return
+        if place.is_mute or target.is_deaf:
+            return
         asyncio.get_running_loop().call_later(
             self._way(place, target),
             self._arrive,
             target,
             datagram,
             place.settings.address,
+            context=target.context,
         )
 
     def _arrive(self, target: PlayedHost, datagram: bytes, source: str) -> None:
@@ -357,10 +428,28 @@
     ) -> HTTPResponse:
         parts = urlsplit(request.url)
         target = self._by_address[str(parts.hostname)]
+        try:
+            async with asyncio.timeout(request.request_timeout):
+                return await self._fetch_from(place, target, request)
+        except TimeoutError:
+            raise HTTPClientError(599, 'timeout') from None
+
+    async def _fetch_from(
+        self,
+        place: PlayedHost,
+        target: PlayedHost,
+        request: HTTPRequest,
+    ) -> HTTPResponse:
+        if place.fails_fetches:
+            raise HTTPClientError(599, 'connection refused')
         # A new connection and the request.
         await asyncio.sleep(3 * self._way(place, target))
+        if any(one.is_deaf or one.is_mute for one in (place, target)):
+            await asyncio.Event().wait()
+        await target.thawed.wait()
         if target.host is None:
             raise HTTPClientError(599, 'connection refused')
+        parts = urlsplit(request.url)
         theirs = decode_versions(parse_qs(parts.query)['have'][0])
         assert theirs is not None
         body = target.host.exchange.answer(theirs)
@@ -371,7 +460,14 @@
         """Have calls that are under way never be answered."""
         for place in places:
             for call in place.calls:
-                call.set_result(None)
+                call.set_result(False)
+            place.calls.clear()
+
+    def reset_calls(self) -> None:
+        """Have all calls that are under way end with an error."""
+        for place in self.places.values():
+            for call in place.calls:
+                call.set_result(True)
             place.calls.clear()
 
     async def _call(
@@ -383,7 +479,7 @@
         seconds: float,
     ) -> Result[Answer, PlatformError]:
         self.store_calls += 1
-        silenced: asyncio.Future[None] = (
+        silenced: asyncio.Future[bool] = (
             asyncio.get_running_loop().create_future()
         )
         place.calls.add(silenced)
@@ -397,6 +493,8 @@
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 if silenced.done():
+                    if silenced.result():
+                        return Err(PlatformUnavailable(f'{method} {path}: cut'))
                     await asyncio.Event().wait()
         except TimeoutError:
             return Err(PlatformUnavailable(f'{method} {path}: timeout'))
@@ -426,6 +524,8 @@
         await asyncio.sleep(way)
         if place.is_cut_from_store or self.trouble.is_away:
             await asyncio.Event().wait()
+        if self.trouble.refuses:
+            return Err(PlatformUnavailable(f'{method} {path}: refused'))
         parts = urlsplit(path)
         _, _, kind, *rest = parts.path.split('/')
         query = {key: one[0] for key, one in parse_qs(parts.query).items()}
@@ -435,18 +535,48 @@
         elif 'watch' in query:
             outcome = await self._watch(kind, query)
         else:
-            outcome = self._read(kind, name)
-        await asyncio.sleep(STORE_SECONDS * self.trouble.factor + way)
+            outcome = self._read(kind, name, is_stale='stale_ok' in query)
+        late = self.trouble.late_seconds
+        await asyncio.sleep(STORE_SECONDS * self.trouble.factor + late + way)
         if isinstance(outcome, Err):
             return outcome
         body = json.dumps(outcome.ok_value).encode()
         return Ok(Answer(body, self.store.era))
 
-    def _read(self, kind: str, name: str) -> Result[object, PlatformError]:
+    def _note_revision(self) -> None:
+        self._revisions.append((self.now, self.store.revision))
+
+    def _stale_revision(self) -> int:
+        until = self.now - self.trouble.stale_seconds
+        past = [number for at, number in self._revisions if at <= until]
+        if past:
+            return past[-1]
+        return self._first_revision
+
+    def _read(
+        self,
+        kind: str,
+        name: str,
+        *,
+        is_stale: bool,
+    ) -> Result[object, PlatformError]:
         held = self.store.kind(kind).objects
+        as_of = self.store.revision
+        if is_stale and self.trouble.stale_seconds:
+            as_of = self._stale_revision()
+            held = {}
+            for revision, stored, is_deleted in self.store.kind(kind).history:
+                if revision > as_of:
+                    break
+                written = stored['metadata']
+                assert isinstance(written, dict)
+                if is_deleted:
+                    held.pop(str(written['name']), None)
+                else:
+                    held[str(written['name'])] = stored
         if not name:
             items = [held[one] for one in sorted(held)]
-            return Ok({'items': items, 'as_of': self.store.revision})
+            return Ok({'items': items, 'as_of': as_of})
         if name not in held:
             return Err(ObjectMissing(name))
         return Ok(held[name])
@@ -491,6 +621,7 @@
             if name not in held:
                 return Err(ObjectMissing(name))
             self.store.delete(kind, name)
+            self._note_revision()
             return Ok({})
         assert document is not None
         metadata = document['metadata'] if method == 'POST' else {'name': name}
@@ -501,6 +632,7 @@
         if method == 'PUT' and written not in held:
             return Err(ObjectMissing(written))
         self.store.put(kind, written, document['spec'])
+        self._note_revision()
         return Ok(held[written])
 
     def let_leave(self, name: str) -> Leaving:
@@ -510,6 +642,7 @@
         assert isinstance(spec, dict)
         status = {**spec['status'], 'state': 'draining'}
         self.store.put('servers', name, {**spec, 'status': status})
+        self._note_revision()
         left = Leaving(name, self.now)
         self.leaving.append(left)
         return left
@@ -517,6 +650,7 @@
     def let_go(self, name: str) -> Leaving:
         """Have the entry of an upstream go without a word before."""
         self.store.delete('servers', name)
+        self._note_revision()
         left = Leaving(name, self.now)
         self.leaving.append(left)
         return left
@@ -526,7 +660,9 @@
         while True:
             await asyncio.sleep(LOOK_SECONDS)
             for place in self.places.values():
-                if place.host is not None and self.leaving:
+                if place.host is None or not place.thawed.is_set():
+                    continue
+                if self.leaving:
                     self._look_at(place, place.host)
 
     def _look_at(self, place: PlayedHost, host: GatewayHost) -> None:
@@ -538,6 +674,8 @@
             if left.name not in used:
                 continue
             left.used_until[host.settings.name] = now
+            since = max(left.at, place.changed_at)
+            left.ran = max(left.ran, (now - since, host.settings.name))
             if is_held:
                 left.held = max(left.held, (now - left.at, host.settings.name))
 
--- a/tests/lib/virtual_time.py
+++ b/tests/lib/virtual_time.py
@@ -3,13 +3,17 @@
 import asyncio
 import selectors
 import time
+from collections import deque
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
+from contextvars import ContextVar
 from typing import TypeVar
 
 Played = TypeVar('Played')
 # Not zero: code that takes 0.0 for "never" must not look right by chance.
 FIRST_SECOND = 1000.0
+# The played process that a callback or a task belongs to.
+PROCESS: ContextVar[str] = ContextVar('played process', default='')
 
 
 class _JumpSelector(selectors.DefaultSelector):
@@ -31,6 +35,25 @@
         return ready
 
 
+class _Ready(deque[asyncio.Handle]):
+    """What is to be run; that of processes that stand still waits."""
+
+    def __init__(self, skipped: asyncio.Handle) -> None:
+        super().__init__()
+        self.held: dict[str, list[asyncio.Handle]] = {}
+        self._skipped = skipped
+
+    def popleft(self) -> asyncio.Handle:
+        handle = super().popleft()
+        if not self.held:
+            return handle
+        process = handle._context.get(PROCESS)  # type: ignore[attr-defined]
+        if process not in self.held:
+            return handle
+        self.held[process].append(handle)
+        return self._skipped
+
+
 class VirtualLoop(asyncio.SelectorEventLoop):
     """A loop without waiting; nothing outside the process can take part."""
 
@@ -38,12 +61,27 @@
         """Begin at `FIRST_SECOND`."""
         self._jumping = _JumpSelector()
         super().__init__(self._jumping)
+        skipped = asyncio.Handle(_do_nothing, (), self)
+        skipped.cancel()
+        self._ready = _Ready(skipped)
+
+    def freeze(self, process: str) -> None:
+        """Have all that a process does wait, its timers included."""
+        self._ready.held.setdefault(process, [])
+
+    def thaw(self, process: str) -> None:
+        """Have a process go on with what has waited."""
+        self._ready.extend(self._ready.held.pop(process, []))
 
     def time(self) -> float:
         """Return the loop's own time, in seconds."""
         return self._jumping.now
 
 
+def _do_nothing() -> None:
+    """Stand for what is not run."""
+
+
 @contextmanager
 def _clock_of(loop: VirtualLoop) -> Iterator[None]:
     """Have code that asks for monotonic time get the loop's."""
