Ask the store when nothing else has told for too long that all is known

Cause of the class: a host takes that it has heard nothing for that nothing has changed.

Each host now acts on the age of its state. From 0.47 of the bound on a host that speaks for its zone asks the store itself, the others from 0.53 to 0.60, spread by their names, as all grow old together where nobody tells. It asks on a connection of its own and once more beside that if no answer comes; while the store is away it serves on as before. Roles that nobody holds, hosts that are asked and do not answer, lost datagrams and silent watches then cost a call, not the bound.

Ruled out as too narrow: guarding roles, fetches and watches one by one, which needs the trace of each fault first; each relay watching for its zone, which has the same silence without an age.

--- a/src/wardstair/decisions/state_age.py
+++ b/src/wardstair/decisions/state_age.py
@@ -9,8 +9,35 @@
 
 from dataclasses import dataclass
 
+from wardstair.decisions.ranking import unit_hash
 from wardstair.decisions.timing import NEAR_SECONDS, ROUND_TRIP_SECONDS
 
+# Parts of the bound on news after which a host asks the store itself. Hosts
+# that tell others ask first, so that one call serves their zone; the others
+# follow spread over a while, as all grow old together where nobody tells.
+TELLER_SHARE = 0.47
+OTHER_SHARE = 0.53
+SPREAD_SHARE = 0.07
+
+
+# A question that is not answered is asked once more beside the first.
+MOST_ASKING = 2
+
+
+@dataclass(frozen=True, slots=True)
+class RefreshTimes:
+    """When a host asks the store, in seconds.
+
+    Attributes:
+        look: Period of its looks at the age of its state.
+        ask: Age from which on it asks.
+        again: Time after which it asks once more without an answer.
+    """
+
+    look: float
+    ask: float
+    again: float
+
 
 @dataclass(frozen=True, slots=True)
 class Reading:
@@ -54,3 +81,36 @@
         is_near: Whether its sender is in the same availability zone.
     """
     return NEAR_SECONDS if is_near else ROUND_TRIP_SECONDS / 2
+
+
+def may_ask(
+    times: RefreshTimes,
+    age: float,
+    asking: int,
+    since: float,
+) -> bool:
+    """Return whether a host asks the store now.
+
+    Args:
+        times: When it asks.
+        age: Age of its state, in seconds.
+        asking: Questions that are not answered yet.
+        since: Seconds since the last question.
+    """
+    if age < times.ask or asking >= MOST_ASKING:
+        return False
+    return since >= times.again
+
+
+def ask_after(news_seconds: float, name: str, *, tells_others: bool) -> float:
+    """Return the age of its state, in seconds, from which on a host asks.
+
+    Args:
+        news_seconds: The tightest bound on news.
+        name: Name of the host.
+        tells_others: Whether it speaks for its zone.
+    """
+    if tells_others:
+        return news_seconds * TELLER_SHARE
+    share = OTHER_SHARE + SPREAD_SHARE * unit_hash(f'state age {name}')
+    return news_seconds * share
--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -149,6 +149,11 @@
         'Time since the state of this host was known to be complete',
         lambda: [(belief.age.seconds, {})],
     )
+    metrics.add_count(
+        'wardstair_state_refreshes',
+        'Times that the store was asked as the state had grown old',
+        lambda: [(float(host.refresher.asked), {})],
+    )
     metrics.add_count(
         'wardstair_state_fetches',
         'Fetches of state from other entry hosts',
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -11,6 +11,7 @@
 from wardstair.decisions.busyness import Busyness
 from wardstair.decisions.notices import Standing
 from wardstair.decisions.reach import reach_times
+from wardstair.decisions.state_age import RefreshTimes, ask_after
 from wardstair.fleet.beats import Beat, PeerName
 from wardstair.fleet.demand import DemandTable
 from wardstair.fleet.demand_radio import DemandRadio
@@ -62,6 +63,7 @@
 from wardstair.state.exchange import StateExchange
 from wardstair.state.following import Follower
 from wardstair.state.freshness import ConfigurationFreshness
+from wardstair.state.refreshing import StateRefresher
 from wardstair.state.registration import Registration
 from wardstair.state.roles import RoleLog, Roles
 from wardstair.state.suspect_sharing import SuspectSharing
@@ -188,6 +190,12 @@
         )
         self.exchange.on_news = self._news.tell
         self.sync.on_news = self._news.tell
+        self.refresher = StateRefresher(
+            self.sync,
+            self.belief,
+            self.contact,
+            self._refresh_times,
+        )
         self.registration = Registration(
             self.store,
             self.contact,
@@ -362,7 +370,7 @@
         spawn('sentinel-heartbeats', self.radio.run_closely)
         spawn('demand', self.demand_radio.run)
         spawn('sweep', self._sweep)
-        spawn('state-age', self._look_at_age)
+        spawn('state-age', self.refresher.run)
         spawn('reach', self.reach_keeper.run)
         log_event(
             'host-started',
@@ -417,6 +425,7 @@
         self.pool.close()
         self.handover.close()
         self.exchange.close()
+        self.refresher.close()
         self.store.close()
 
     def adopt_settings(self, settings: GatewaySettings) -> list[str]:
@@ -472,11 +481,16 @@
             self._role_log.refresh()
             self._freshness.refresh()
 
-    async def _look_at_age(self) -> None:
-        while True:
-            period = self.live_settings.current.timing.role_look
-            await asyncio.sleep(period)
-            self.belief.age.look(period)
+    def _refresh_times(self) -> RefreshTimes:
+        settings = self.live_settings.current
+        timing = settings.timing
+        ask = ask_after(
+            settings.news_seconds,
+            settings.name,
+            tells_others=self.members.is_relay,
+        )
+        slack = self.store.slack.after(timing.far_hedge, ask)
+        return RefreshTimes(timing.role_look, ask, slack)
 
     def _assumed_hosts(self) -> int:
         """Return the number of hosts assumed before any report is received.
--- a/src/wardstair/gateway/settings.py
+++ b/src/wardstair/gateway/settings.py
@@ -200,18 +200,20 @@
         return self.zones[self.zone]
 
     @property
-    def timing(self) -> Timing:
-        """How often this host looks, so that it keeps the bounds."""
+    def news_seconds(self) -> float:
+        """The tightest bound on news, in seconds."""
         bounds = self.bounds
-        return timing_for(
-            min(
-                bounds.drain_seconds,
-                bounds.apply_seconds,
-                bounds.evacuate_seconds,
-            ),
-            bounds.contact_seconds,
+        return min(
+            bounds.drain_seconds,
+            bounds.apply_seconds,
+            bounds.evacuate_seconds,
         )
 
+    @property
+    def timing(self) -> Timing:
+        """How often this host looks, so that it keeps the bounds."""
+        return timing_for(self.news_seconds, self.bounds.contact_seconds)
+
     def uses(self, mechanism: Mechanism) -> bool:
         """Return whether a mechanism is to be used."""
         return mechanism not in self.switched_off
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -311,6 +311,11 @@
         "`age`: how old this host's state was until then",
         'since revision count removed source age',
     ),
+    _kind(
+        'state-old',
+        'nothing has told for too long that all is known: the store is asked',
+        'age',
+    ),
     _kind(
         'upstreams-read',
         "changes of upstreams came by this host's own watch of the store",
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -117,6 +117,11 @@
         """Those of the three kinds that steer."""
         return self.configuration, self.evacuations, self.upstreams
 
+    async def check(self) -> None:
+        """Ask the store for all that this host may not know."""
+        self._skip_to_known()
+        await asyncio.gather(*(one.check() for one in self.followers))
+
     async def prove_contact(self) -> None:
         """Prove contact by cheap reads until cancelled.
 
--- /dev/null
+++ b/tests/functional/test_news_age.py
@@ -0,0 +1,27 @@
+"""How old the state of a host gets while two parts of the way of news fail."""
+
+import pytest
+from lib.news_troubles import BOUNDS, play_troubles
+
+from wardstair.decisions.timing import KEPT_SHARE
+
+# Zones in each of three regions, and hosts in each zone.
+ZONES = 2
+HOSTS = 1
+
+
+@pytest.mark.parametrize(
+    ('troubles', 'seed'),
+    [
+        pytest.param(('successors_still', 'ways_late'), 2, id='ways late'),
+        pytest.param(('successors_still', 'store_late'), 2, id='store late'),
+        pytest.param(('watches_silent', 'ways_late'), 1, id='watches silent'),
+    ],
+)
+def test_no_host_uses_an_upstream_for_long_while_two_links_fail(
+    troubles: tuple[str, ...],
+    seed: int,
+) -> None:
+    outcome = play_troubles(troubles, ZONES, HOSTS, seed)
+    used = max(outcome.held.seconds, outcome.ran.seconds)
+    assert used <= BOUNDS.drain_seconds * KEPT_SHARE
