Have the clock of a sentinel begin as soon as it is one

A host that became a sentinel went on with the watch that it had: it waits for up to 25 s and is not missed when late, so the fleet had no clock until then.

Ruled out: that the role itself is held by nobody; both hosts took themselves for sentinels. The watch is begun anew when the role changes, which costs one call.

--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -425,7 +425,7 @@
     _kind(
         'watch-renewed',
         'a waiting watch was given up for a new one: `behind` another answer, '
-        'or contact was `regained`',
+        '`late`, contact was `regained`, or a `role` has begun',
         'kind reason revision waited',
     ),
     _kind(
--- a/src/wardstair/state/following.py
+++ b/src/wardstair/state/following.py
@@ -35,12 +35,14 @@
     Attributes:
         behind: Another answer of the store tells of a change that it missed.
         regained: The store answers again, or was restored.
+        role: This host has begun to watch for others, at a pace of its own.
         late: No answer has come in time, on this or another watch.
     """
 
     behind = 'behind'
     late = 'late'
     regained = 'regained'
+    role = 'role'
 
 
 def look_seldom() -> float:
@@ -143,6 +145,7 @@
         self._needs_listing = True
         self._watching_since: float | None = None
         self._dropped = asyncio.Event()
+        self._drop_reason = RenewalReason.behind
         # When the last watch was asked, and how long it was to wait.
         self._asked_at = 0.0
         self._waits = 0.0
@@ -182,7 +185,16 @@
         if since is None:
             return
         if asyncio.get_running_loop().time() - since >= YOUNG_SECONDS:
-            self._dropped.set()
+            self._drop(RenewalReason.behind)
+
+    def renew_watch(self) -> None:
+        """Begin a waiting watch anew, by the plan as it is now."""
+        if self._watching_since is not None:
+            self._drop(RenewalReason.role)
+
+    def _drop(self, reason: RenewalReason) -> None:
+        self._drop_reason = reason
+        self._dropped.set()
 
     async def check(self) -> None:
         """Ask whether anything has changed, beside a waiting watch.
@@ -322,7 +334,7 @@
     def _note_renewal(self, began_at: float) -> None:
         reason = RenewalReason.regained
         if self._dropped.is_set():
-            reason = RenewalReason.behind
+            reason = self._drop_reason
         elif self._contact.is_doubted:
             reason = RenewalReason.late
         self.renewals[reason] += 1
--- a/src/wardstair/state/refreshing.py
+++ b/src/wardstair/state/refreshing.py
@@ -54,6 +54,7 @@
             times = self._times()
             await asyncio.sleep(times.look)
             self._belief.age.look(times.look)
+            self._sync.follow_roles()
             self._look(times)
 
     def _look(self, times: RefreshTimes) -> None:
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -67,6 +67,7 @@
         self._roles = roles
         self._timing = timing
         self._checking: asyncio.Task[None] | None = None
+        self._known_roles = (False, False)
         self.configuration = Follower(
             store,
             contact,
@@ -117,6 +118,18 @@
         """Those of the three kinds that steer."""
         return self.configuration, self.evacuations, self.upstreams
 
+    def follow_roles(self) -> None:
+        """Have the clock of a sentinel begin as soon as it is one.
+
+        Its watch of before may wait for long, and is not missed when late.
+        """
+        roles = (self._roles.is_sentinel(), self._roles.is_first_sentinel())
+        if roles == self._known_roles:
+            return
+        self._known_roles = roles
+        if self._roles.is_sentinel():
+            self.evacuations.renew_watch()
+
     async def check(self) -> None:
         """Ask the store for all that this host may not know."""
         self._skip_to_known()
--- a/tests/unit/test_state_age.py
+++ b/tests/unit/test_state_age.py
@@ -147,7 +147,7 @@
     bound: float,
     tells_others: bool,
 ) -> None:
-    """Later than the clock of a sentinel, with a second question in the bound."""
+    """Later than the clock of a sentinel, and twice within the bound."""
     timing = timing_for(bound, bound + 0.5)
     ages = [
         ask_after(bound, f'host-{number}', tells_others=tells_others)
