Look at the age of state at less cost, and not while a fleet starts

Times are worked out once for a bound and not some ten times a second, roles are looked at each 0.05 of the bound and not each 0.03 twice, and a relay passes an age on only where its zone has hosts that hear no other zone. A host that becomes a sentinel asks at once, as its own clock has only begun.

--- a/src/wardstair/decisions/state_age.py
+++ b/src/wardstair/decisions/state_age.py
@@ -18,6 +18,8 @@
 TELLER_SHARE = 0.47
 OTHER_SHARE = 0.53
 SPREAD_SHARE = 0.07
+# How often a host looks at the age.
+LOOK_SHARE = 0.05
 
 
 # A question that is not answered is asked once more beside the first.
@@ -30,12 +32,14 @@
 
     Attributes:
         look: Period of its looks at the age of its state.
-        ask: Age from which on it asks.
+        ask_telling: Age from which on it asks if it tells others.
+        ask_other: The same if it does not.
         again: Time after which it asks once more without an answer.
     """
 
     look: float
-    ask: float
+    ask_telling: float
+    ask_other: float
     again: float
 
 
@@ -83,34 +87,43 @@
     return NEAR_SECONDS if is_near else ROUND_TRIP_SECONDS / 2
 
 
-def may_ask(
-    times: RefreshTimes,
-    age: float,
-    asking: int,
-    since: float,
-) -> bool:
-    """Return whether a host asks the store now.
+def refresh_times(
+    news_seconds: float,
+    name: str,
+    again: float,
+) -> RefreshTimes:
+    """Return when a host asks the store.
 
     Args:
-        times: When it asks.
-        age: Age of its state, in seconds.
-        asking: Questions that are not answered yet.
-        since: Seconds since the last question.
+        news_seconds: The tightest bound on news.
+        name: Name of the host.
+        again: Seconds after which an answer of the store is late.
     """
-    if age < times.ask or asking >= MOST_ASKING:
-        return False
-    return since >= times.again
+    share = OTHER_SHARE + SPREAD_SHARE * unit_hash(f'state age {name}')
+    return RefreshTimes(
+        news_seconds * LOOK_SHARE,
+        news_seconds * TELLER_SHARE,
+        news_seconds * share,
+        again,
+    )
 
 
-def ask_after(news_seconds: float, name: str, *, tells_others: bool) -> float:
+def ask_after(times: RefreshTimes, *, tells_others: bool) -> float:
     """Return the age of its state, in seconds, from which on a host asks.
 
     Args:
-        news_seconds: The tightest bound on news.
-        name: Name of the host.
+        times: When it asks.
         tells_others: Whether it speaks for its zone.
     """
-    if tells_others:
-        return news_seconds * TELLER_SHARE
-    share = OTHER_SHARE + SPREAD_SHARE * unit_hash(f'state age {name}')
-    return news_seconds * share
+    return times.ask_telling if tells_others else times.ask_other
+
+
+def may_ask(asking: int, since: float, again: float) -> bool:
+    """Return whether a host whose state is old asks the store now.
+
+    Args:
+        asking: Questions that are not answered yet.
+        since: Seconds since the last question.
+        again: Seconds after which an answer is late.
+    """
+    return asking < MOST_ASKING and since >= again
--- a/src/wardstair/decisions/timing.py
+++ b/src/wardstair/decisions/timing.py
@@ -7,6 +7,7 @@
 """
 
 from dataclasses import dataclass
+from functools import lru_cache
 
 # Part of a bound that a chain takes at most. The rest is for what no chain
 # foresees.
@@ -123,6 +124,8 @@
     rare_proof: float
 
 
+# Asked for at each look, some ten times a second.
+@lru_cache(maxsize=8)
 def timing_for(news_seconds: float, contact_seconds: float) -> Timing:
     """Return the periods that keep the bounds.
 
--- a/src/wardstair/fleet/radio.py
+++ b/src/wardstair/fleet/radio.py
@@ -190,11 +190,16 @@
         if self._members.is_sentinel():
             self._is_prompted.set()
             return
-        if self._members.is_relay and self._near_timer is None:
+        if self._near_timer is None and self._tells_zone():
             loop = asyncio.get_running_loop()
             due = max(loop.time(), self._near_sent_at + LEAST_NEAR_SECONDS)
             self._near_timer = loop.call_at(due, self._send_near)
 
+    def _tells_zone(self) -> bool:
+        """Return whether hosts of the zone hear of others by this one alone."""
+        members = self._members
+        return members.zone_size > RELAYS_A_ZONE and members.is_relay
+
     def beat(self, seeds: Iterable[str]) -> None:
         """Do what is due each second.
 
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -11,7 +11,7 @@
 from wardstair.decisions.busyness import Busyness
 from wardstair.decisions.notices import Standing
 from wardstair.decisions.reach import reach_times
-from wardstair.decisions.state_age import RefreshTimes, ask_after
+from wardstair.decisions.state_age import RefreshTimes, refresh_times
 from wardstair.fleet.beats import Beat, PeerName
 from wardstair.fleet.demand import DemandTable
 from wardstair.fleet.demand_radio import DemandRadio
@@ -194,6 +194,7 @@
             self.sync,
             self.belief,
             self.contact,
+            roles,
             self._refresh_times,
         )
         self.registration = Registration(
@@ -483,14 +484,11 @@
 
     def _refresh_times(self) -> RefreshTimes:
         settings = self.live_settings.current
-        timing = settings.timing
-        ask = ask_after(
+        again = self.store.slack.after(
+            settings.timing.far_hedge,
             settings.news_seconds,
-            settings.name,
-            tells_others=self.members.is_relay,
         )
-        slack = self.store.slack.after(timing.far_hedge, ask)
-        return RefreshTimes(timing.role_look, ask, slack)
+        return refresh_times(settings.news_seconds, settings.name, again)
 
     def _assumed_hosts(self) -> int:
         """Return the number of hosts assumed before any report is received.
--- a/src/wardstair/state/refreshing.py
+++ b/src/wardstair/state/refreshing.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections.abc import Callable
 
-from wardstair.decisions.state_age import RefreshTimes, may_ask
+from wardstair.decisions.state_age import RefreshTimes, ask_after, may_ask
+from wardstair.decisions.timing import SETTLE_SECONDS
 from wardstair.process.log import log_event
 from wardstair.state.belief import Belief
 from wardstair.state.contact import StoreContact
+from wardstair.state.roles import Roles
 from wardstair.state.sync import StoreSync
 
 
@@ -22,6 +24,7 @@
         sync: StoreSync,
         belief: Belief,
         contact: StoreContact,
+        roles: Roles,
         times: Callable[[], RefreshTimes],
     ) -> None:
         """Prepare without a call.
@@ -30,12 +33,14 @@
             sync: Asks the store.
             belief: The state.
             contact: Contact with the store.
+            roles: What this host does for others.
             times: When the state is too old, by the bounds in force.
         """
         self.asked = 0
         self._sync = sync
         self._belief = belief
         self._contact = contact
+        self._roles = roles
         self._times = times
         self._asking: set[asyncio.Task[None]] = set()
         self._asked_at = float('-inf')
@@ -54,26 +59,32 @@
             times = self._times()
             await asyncio.sleep(times.look)
             self._belief.age.look(times.look)
-            self._sync.follow_roles()
-            self._look(times)
+            if self._sync.begins_clock() or self._is_old(times):
+                self._ask()
 
-    def _look(self, times: RefreshTimes) -> None:
+    def _is_old(self, times: RefreshTimes) -> bool:
+        age = self._belief.age.seconds
+        if age < times.ask_telling or not self._has_begun():
+            return False
+        since = asyncio.get_running_loop().time() - self._asked_at
+        ask = ask_after(times, tells_others=self._roles.is_relay())
+        return age >= ask and may_ask(len(self._asking), since, times.again)
+
+    def _has_begun(self) -> bool:
         if self._belief.steering is None:
-            return
+            return False
         now = asyncio.get_running_loop().time()
         if self._began_at is None:
             self._began_at = now
-        if self._contact.is_lost or now - self._began_at < times.ask:
-            # While contact is lost, whoever asks for the store to be back
-            # reads what has changed.
-            return
-        age = self._belief.age.seconds
-        since = now - self._asked_at
-        if not may_ask(times, age, len(self._asking), since):
+        return now - self._began_at >= SETTLE_SECONDS
+
+    def _ask(self) -> None:
+        if self._contact.is_lost:
+            # Whoever asks whether the store is back reads what has changed.
             return
         if not self._asking:
-            log_event('state-old', age=round(age, 3))
-        self._asked_at = now
+            log_event('state-old', age=round(self._belief.age.seconds, 3))
+        self._asked_at = asyncio.get_running_loop().time()
         self.asked += 1
         task = asyncio.ensure_future(self._sync.check())
         self._asking.add(task)
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -67,7 +67,7 @@
         self._roles = roles
         self._timing = timing
         self._checking: asyncio.Task[None] | None = None
-        self._known_roles = (False, False)
+        self._was_sentinel = False
         self.configuration = Follower(
             store,
             contact,
@@ -118,17 +118,18 @@
         """Those of the three kinds that steer."""
         return self.configuration, self.evacuations, self.upstreams
 
-    def follow_roles(self) -> None:
-        """Have the clock of a sentinel begin as soon as it is one.
+    def begins_clock(self) -> bool:
+        """Return whether this host has just become a sentinel.
 
-        Its watch of before may wait for long, and is not missed when late.
+        Its watch of before may wait for long, and is not missed when late: the
+        clock of a sentinel begins now.
         """
-        roles = (self._roles.is_sentinel(), self._roles.is_first_sentinel())
-        if roles == self._known_roles:
-            return
-        self._known_roles = roles
-        if self._roles.is_sentinel():
+        is_sentinel = self._roles.is_sentinel()
+        begins = is_sentinel and not self._was_sentinel
+        self._was_sentinel = is_sentinel
+        if begins:
             self.evacuations.renew_watch()
+        return begins
 
     async def check(self) -> None:
         """Ask the store for all that this host may not know."""
