Ask once more whether an upstream takes work before a request leaves

Callers were sent to upstreams that this host knew to be leaving: up to 0.5 s pass between the choice of an upstream and the first byte while a connection is opened, and only what the upstream had said in its answers was asked after that.

The Sender now asks the belief right before it writes, with nothing awaited in between: what the choice would leave out ends as Withheld. No byte has been sent, so a request that may run only once goes elsewhere too; a first send that ends so costs no resend. The connection is closed, since kept under the upstream's name it might carry requests for its next life. If no other upstream is left the answer is the one that a later request gets (503): the choice leaves such upstreams out as well. Upstreams that have only said in answers that they leave keep half of the drain time as before.

Ruled out: a check where requests are handed on. Also ruled out: `has_ended` as a condition of its own, as whatever sets it sets `gone_at` too.

--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -285,13 +285,7 @@
             self.belief,
             self.chooser,
             WaysOut(
-                Sender(
-                    self.pool,
-                    distances,
-                    self.belief.limits,
-                    self.belief.notices,
-                    self.belief.reach,
-                ),
+                Sender(self.pool, distances, self.belief),
                 self.handover,
             ),
             self.live_settings,
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -28,9 +28,7 @@
     encode_upstream,
 )
 from wardstair.process.log import log_event
-from wardstair.state.limits import LimitTable
-from wardstair.state.notices import NoticeTable
-from wardstair.state.reach import ReachTable
+from wardstair.state.belief import Belief
 from wardstair.state.upstream import RunningSend, Upstream
 
 _MISDIRECTED = 421
@@ -118,22 +116,17 @@
         self,
         pool: UpstreamPool,
         distances: Distances,
-        limits: LimitTable,
-        notices: NoticeTable,
-        reach: ReachTable,
+        belief: Belief,
     ) -> None:
         """Prepare without connections.
 
         Args:
             pool: The connections.
             distances: Told how long connections take to open.
-            limits: Told what upstreams name in their answers.
-            notices: Told what they say there of further requests.
-            reach: Told which upstreams answer, and which do not.
+            belief: Asked what upstreams take, and told what they say in their
+                answers, which of them answer and which do not.
         """
-        self._limits = limits
-        self._notices = notices
-        self._reach = reach
+        self._belief = belief
         self._pool = pool
         self._distances = distances
         self._numbers = count()
@@ -186,13 +179,17 @@
         connection: UpstreamConnection,
         until: float,
     ) -> SendOutcome:
+        if self._has_left(upstream):
+            # Kept, it might carry requests for the next life of that name.
+            connection.close()
+            return Withheld()
         started = time.monotonic()
         rested = started - connection.rested_at
         if started >= until:
             self._pool.give_back(upstream.name, connection)
             return NotSent('time is up')
         # An answer may have said so while the connection was opened.
-        if self._notices.standing(upstream) in _TAKE_NOTHING:
+        if self._belief.notices.standing(upstream) in _TAKE_NOTHING:
             self._pool.give_back(upstream.name, connection)
             return Withheld()
         head = _encode_head(inbound, upstream, until - started)
@@ -211,7 +208,7 @@
             case BrokenExchange(reason=reason):
                 connection.close()
                 if reason in _FORGOTTEN:
-                    self._reach.note_failed(upstream.entry)
+                    self._belief.reach.note_failed(upstream.entry)
                 log_event(
                     'exchange-broken',
                     request=inbound.request_id,
@@ -231,7 +228,7 @@
                     forgetfulness.note(upstream.name, rested, started)
                 return Lost(reason, is_forgotten)
             case RawAnswer() as answer:
-                self._reach.note_reached(upstream.entry)
+                self._belief.reach.note_reached(upstream.entry)
                 seconds = time.monotonic() - started
                 fields = decode_upstream(answer.headers)
                 if fields.keep_seconds is not None:
@@ -242,6 +239,15 @@
                     self._note_told(upstream, answer.status, fields)
                 return outcome
 
+    def _has_left(self, upstream: Upstream) -> bool:
+        """Return whether the choice would leave an upstream out by now.
+
+        It may have gone, or its zone may be emptied, since it was chosen:
+        opening a connection takes its time.
+        """
+        is_emptied = upstream.entry.zone in self._belief.evacuated
+        return is_emptied or not upstream.takes_work
+
     def _note_told(
         self,
         upstream: Upstream,
@@ -249,11 +255,11 @@
         fields: UpstreamFields,
     ) -> None:
         """Note what an upstream says of itself in an answer."""
-        self._limits.note(upstream, fields.limit)
+        self._belief.limits.note(upstream, fields.limit)
         if fields.is_leaving:
-            self._notices.note_leaving(upstream)
+            self._belief.notices.note_leaving(upstream)
         if status in _PAUSING and fields.retry_after is not None:
-            self._notices.note_pause(upstream, fields.retry_after)
+            self._belief.notices.note_pause(upstream, fields.retry_after)
 
     async def _connection(
         self,
@@ -272,7 +278,7 @@
         if not isinstance(made, ConnectFailed):
             self._distances.note(entry.zone, time.monotonic() - started)
         elif made.reason != CONNECTION_LIMIT:
-            self._reach.note_failed(entry)
+            self._belief.reach.note_failed(entry)
         return made
 
 
