--- a/src/wardstair/state/refreshing.py
+++ b/src/wardstair/state/refreshing.py
@@ -59,12 +59,14 @@
             times = self._times()
             await asyncio.sleep(times.look)
             self._belief.age.look(times.look)
-            if self._sync.begins_clock() or self._is_old(times):
+            begins_clock = self._sync.begins_clock()
+            # While a fleet starts, each host is a sentinel for a moment.
+            if self._has_begun() and (begins_clock or self._is_old(times)):
                 self._ask()
 
     def _is_old(self, times: RefreshTimes) -> bool:
         age = self._belief.age.seconds
-        if age < times.ask_telling or not self._has_begun():
+        if age < times.ask_telling:
             return False
         since = asyncio.get_running_loop().time() - self._asked_at
         ask = ask_after(times, tells_others=self._roles.is_relay())
