Ask the next host while one does not answer, and news apart from digests

Cause: one slot for all fetches. A second host was asked once, or the same one again if no other was known to be ahead, and both were waited for up to FETCH_SECONDS; hosts heard meanwhile were only queued. A comparison of digests held the same slot.

News and digests are now asked for apart. While a host is behind, each fetch is given its hedge time; after it the next host that is ahead is asked as well, also one heard later (a heartbeat or the end of a fetch goes on), up to 8 at once and never one host twice at once. It holds because nothing waits for a fetch longer than the hedge, and because comparisons begin only below two open fetches, so six places at least stay for news. GRACE_SECONDS stays, but is skipped while a host that was asked is late.

Ruled out, by reasoning: a shorter FETCH_SECONDS, which would end fetches on slow ways (4 x 0.3 s) that do answer; the age of the state alone, which does not help a host that is cut off from the store.

Given up: where only one host is ahead and does not answer, it is no longer asked a second time beside the first.

--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -19,6 +19,7 @@
 )
 
 from wardstair.connection.client import close_client, make_client
+from wardstair.decisions.fetches import host_to_ask, is_one_late
 from wardstair.decisions.state_age import way_seconds
 from wardstair.decisions.suspicion import Evidence
 from wardstair.decisions.timing import Timing
@@ -57,6 +58,9 @@
 CONNECT_SECONDS = 1.0
 # One that is not answered takes its place until its time is over.
 _MANY_FETCHES = 8
+# Requests that end upstreams and limits are asked for only below this, so that
+# they never take the places of news.
+_MANY_COMPARISONS = 2
 # Larger news is fetched: a datagram that is cut up on its way is lost with any
 # of its parts.
 _DATAGRAM_BYTES = 1200
@@ -152,23 +156,32 @@
         self._zone = zone
         self._timing = timing
         self._encoder = StateEncoder()
-        # The last heartbeat of each host that may know more, oldest first.
+        # The last heartbeat of each host that is ahead, oldest first.
         self._ahead: dict[str, Beat] = {}
+        # The same of each host that is not, but tells of another digest.
+        self._differing: dict[str, Beat] = {}
         # Digests of another host and this one when they were last compared.
         self._compared: dict[str, tuple[_Digests, _Digests]] = {}
         self._compared_at = float('-inf')
         # Up to which news has been told.
         self._told = Versions()
-        self._fetching: asyncio.Task[None] | None = None
-        # Fetches that have not ended, those that nobody waits for included.
-        self._fetches: set[asyncio.Task[bool]] = set()
+        self._catching_up: asyncio.Task[None] | None = None
+        self._comparing: asyncio.Task[None] | None = None
+        # Fetches that have not ended, by host.
+        self._fetches: dict[str, asyncio.Task[None]] = {}
+        # When each of them is late; monotonic times in seconds.
+        self._late_at: dict[str, float] = {}
         self._client = make_client(_MANY_FETCHES, _STATE_BYTES)
 
     def close(self) -> None:
-        """End a fetch and drop connections."""
-        if self._fetching is not None:
-            self._fetching.cancel()
-        for fetch in self._fetches:
+        """End all fetches and drop connections."""
+        # Nothing begins when a fetch ends.
+        self._ahead.clear()
+        self._differing.clear()
+        for task in (self._catching_up, self._comparing):
+            if task is not None:
+                task.cancel()
+        for fetch in self._fetches.values():
             fetch.cancel()
         close_client(self._client)
 
@@ -266,22 +279,30 @@
         return upstreams.since <= own.upstreams
 
     def on_beat(self, beat: Beat) -> None:
-        """Fetch from a host that is ahead, unless a fetch is under way."""
+        """Fetch from a host that is ahead or differs, if none is asked now."""
         if beat.state_age is not None and not self._is_behind(beat.versions):
             is_near = beat.sender.zone == self._zone
             way = way_seconds(is_near=is_near)
             self._belief.age.note_told(beat.state_age + way)
-        if not self._is_wanted(beat):
-            return
-        # Looked at again when the fetch ends: what it brings may be older.
-        self._ahead.pop(beat.sender.name, None)
-        self._ahead[beat.sender.name] = beat
-        if self._fetching is not None and not self._fetching.done():
-            return
-        self._fetching = asyncio.ensure_future(self._catch_up())
-
-    def _is_wanted(self, beat: Beat) -> bool:
-        return self._is_behind(beat.versions) or self._differs(beat)
+        self._sort_in(beat)
+        self._go_on()
+
+    def _sort_in(self, beat: Beat) -> None:
+        """Keep a heartbeat as the last one heard, if its sender is wanted."""
+        name = beat.sender.name
+        self._ahead.pop(name, None)
+        self._differing.pop(name, None)
+        if self._is_behind(beat.versions):
+            self._ahead[name] = beat
+        elif self._differs(beat):
+            self._differing[name] = beat
+
+    def _go_on(self) -> None:
+        """Begin to ask hosts that are wanted, unless that is under way."""
+        if self._ahead and _is_over(self._catching_up):
+            self._catching_up = asyncio.ensure_future(self._catch_up())
+        if self._differing and _is_over(self._comparing):
+            self._comparing = asyncio.ensure_future(self._compare())
 
     def _differs(self, beat: Beat) -> bool:
         """Return whether a host may know of what all should and this one lacks.
@@ -307,29 +328,60 @@
         return theirs.upstreams > own.upstreams
 
     async def _catch_up(self) -> None:
-        while self._ahead:
-            _, beat = self._ahead.popitem()
-            await asyncio.sleep(self._pause_before(beat))
-            if self._is_wanted(beat):
-                await self._fetch_first(beat)
-            self._drop_known()
-
-    def _drop_known(self) -> None:
-        """Keep the hosts that are ahead still, or the last one to differ."""
-        last = dict([self._ahead.popitem()]) if self._ahead else {}
-        self._ahead = {
-            name: beat
-            for name, beat in self._ahead.items()
-            if self._is_behind(beat.versions)
-        } | last
-
-    def _pause_before(self, beat: Beat) -> float:
-        """Return how long to wait before a fetch, in seconds."""
-        loop = asyncio.get_running_loop()
-        if not self._is_behind(beat.versions):
-            return max(0.0, self._compared_at + COMPARE_SECONDS - loop.time())
+        """Ask hosts that are ahead, one more whenever none answers soon.
+
+        When none is left that is not being asked, a heartbeat or the end of a
+        fetch begins it anew.
+        """
+        while beat := self._next_of(self._ahead, _MANY_FETCHES):
+            await asyncio.sleep(self._grace_seconds(beat))
+            if self._is_behind(beat.versions):
+                await self._ask_next(self._ahead, _MANY_FETCHES)
+
+    async def _compare(self) -> None:
+        """Ask hosts that differ, one more whenever none answers soon."""
+        while self._next_of(self._differing, _MANY_COMPARISONS):
+            await asyncio.sleep(self._pause_seconds())
+            if await self._ask_next(self._differing, _MANY_COMPARISONS):
+                self._keep_last_differing()
+
+    def _next_of(self, heard: dict[str, Beat], most: int) -> Beat | None:
+        """Return the heartbeat of the host to ask now; None for nobody."""
+        self._sort_anew()
+        name = host_to_ask(heard, self._fetches, most)
+        return None if name is None else heard[name]
+
+    async def _ask_next(self, heard: dict[str, Beat], most: int) -> bool:
+        """Ask one host; return whether that ended before it was late."""
+        beat = self._next_of(heard, most)
+        if beat is None:
+            return False
+        heard.pop(beat.sender.name)
+        return await self._ask_for_a_while(beat)
+
+    def _sort_anew(self) -> None:
+        """Drop what is known by now; a host may not be ahead but differ."""
+        for beat in (*self._differing.values(), *self._ahead.values()):
+            self._sort_in(beat)
+        self._go_on()
+
+    def _keep_last_differing(self) -> None:
+        """Forget others: what one has told they may have learnt as well."""
+        for name in tuple(self._differing)[:-1]:
+            self._differing.pop(name)
+
+    def _grace_seconds(self, beat: Beat) -> float:
+        """Return how long to leave news to the own watch, in seconds."""
+        now = asyncio.get_running_loop().time()
+        if is_one_late(self._late_at.values(), now):
+            return 0.0
         return GRACE_SECONDS if self._has_watch_for(beat.versions) else 0.0
 
+    def _pause_seconds(self) -> float:
+        """Return how long to wait before digests are compared, in seconds."""
+        now = asyncio.get_running_loop().time()
+        return max(0.0, self._compared_at + COMPARE_SECONDS - now)
+
     def _has_watch_for(self, theirs: Versions) -> bool:
         """Return whether a watch of this host may bring what another has."""
         if not self._contact.is_held:
@@ -341,33 +393,40 @@
             return self._roles.is_relay()
         return self._roles.is_sentinel()
 
-    async def _fetch_first(self, beat: Beat) -> None:
-        """Fetch from a host, and from another if it does not answer soon.
+    async def _ask_for_a_while(self, beat: Beat) -> bool:
+        """Fetch from a host; return whether that ended before it was late.
 
-        The one that does not answer is not given up: its failure is counted.
+        One that is late is not given up: its failure is counted.
         """
-        fetches = [self._begin_fetch(beat)]
-        await asyncio.wait(fetches, timeout=self._hedge_seconds(beat))
-        if not fetches[0].done():
-            other = self._ahead.popitem()[1] if self._ahead else beat
-            fetches.append(self._begin_fetch(other))
-        for ended in asyncio.as_completed(fetches):
-            if await ended:
-                return
-
-    def _begin_fetch(self, beat: Beat) -> asyncio.Task[bool]:
+        hedge = self._hedge_seconds(beat)
+        fetch = self._begin_fetch(beat, hedge)
+        await asyncio.wait([fetch], timeout=hedge)
+        if not fetch.done():
+            return False
+        fetch.result()
+        return True
+
+    def _begin_fetch(self, beat: Beat, hedge: float) -> asyncio.Task[None]:
+        name = beat.sender.name
+        now = asyncio.get_running_loop().time()
         fetch = asyncio.ensure_future(self._fetch_from(beat))
-        self._fetches.add(fetch)
-        fetch.add_done_callback(self._fetches.discard)
+        self._fetches[name] = fetch
+        self._late_at[name] = now + hedge
+        fetch.add_done_callback(lambda _: self._end_fetch(name))
         return fetch
 
+    def _end_fetch(self, name: str) -> None:
+        self._fetches.pop(name)
+        self._late_at.pop(name)
+        self._go_on()
+
     def _hedge_seconds(self, beat: Beat) -> float:
         is_near = beat.sender.zone == self._zone
         timing = self._timing()
         return timing.near_hedge if is_near else timing.far_hedge
 
-    async def _fetch_from(self, beat: Beat) -> bool:
-        """Fetch from a host; return whether it answered."""
+    async def _fetch_from(self, beat: Beat) -> None:
+        """Fetch from a host, and take in what it answers."""
         asked_at = asyncio.get_running_loop().time()
         fetched = await self._fetch(beat.sender.address)
         if isinstance(fetched, Err):
@@ -379,7 +438,7 @@
                 reason=failed.failure.value,
                 detail=failed.detail,
             )
-            return False
+            return
         age = fetched.ok_value.age
         if (
             self._take_in(fetched.ok_value, beat.sender.name)
@@ -401,7 +460,6 @@
             _digests_of(self._belief.versions),
         )
         self._compared_at = asyncio.get_running_loop().time()
-        return True
 
     def _ask(self, request: HTTPRequest) -> Awaitable[HTTPResponse]:
         return self._client.fetch(request, raise_error=False)
@@ -490,3 +548,7 @@
 
 def _digests_of(versions: Versions) -> _Digests:
     return _Digests(versions.suspects, versions.limits, versions.kept)
+
+
+def _is_over(task: asyncio.Task[None] | None) -> bool:
+    return task is None or task.done()
