Ignore a listing that is older than what other hosts have told

Cause: only the era of a listing was compared. One of the same era, answered before what other hosts have told since, lowered the catalog's revision and gave an upstream its life back that still answered a request.

Such a listing is now ignored with news-ignored source=listing. The follower needs no change: its next look lifts it to what the host knows, so it watches from there and does not list again. What others told is complete up to its revision, which lies beyond the listing, so nothing of the listing is lacking.

Ruled out: the same for a store that tells no era. There a lower number may be a restore, and a host that ignored it would list and watch in turn without end. Such a listing counts as before, also where it is only late.

--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -225,8 +225,7 @@
 
     def _list_upstreams(self, listing: Listing) -> None:
         catalog = self._belief.catalog
-        if listing.revision.era < catalog.revision.era:
-            # Answered late; other hosts have told of the restore since.
+        if self._is_late(listing.revision):
             self._ignore_upstreams(listing.revision, 'listing')
             return
         listed = {stored.metadata.name for stored in listing.objects}
@@ -242,6 +241,14 @@
             store_was_away=self._contact.was_away_lately,
         )
 
+    def _is_late(self, listed: Revision) -> bool:
+        """Return whether other hosts have told of what came after a listing.
+
+        A store that tells no era may have been restored: its listing counts.
+        """
+        known = self._belief.catalog.revision
+        return listed < known and known.era != NO_REVISION.era
+
     def _change_upstreams(self, changes: Changes) -> None:
         catalog = self._belief.catalog
         if not changes.changes:
--- a/tests/functional/test_late_listing.py
+++ b/tests/functional/test_late_listing.py
@@ -1,17 +1,19 @@
-"""Listings that are answered across a restore of the store.
+"""Listings that are answered late.
 
 Without the guards a late one takes the place of what other hosts have told of
-the restored store meanwhile, and pages of two eras pass for one listing.
+the store meanwhile, of a restored one or the same, and pages of two eras pass
+for one listing.
 """
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
 from random import Random
 
 import pytest
 from lib.revisions import at
 from lib.rig import until
-from lib.specs import ADDRESS
+from lib.specs import ADDRESS, upstream_spec
 from lib.upstreams import ENTRY, Clock
 from result import Err, Ok, Result
 from tornado.httpserver import HTTPServer
@@ -20,13 +22,16 @@
 
 from wardstair.decisions.timing import timing_for
 from wardstair.errors import PlatformError
+from wardstair.platform.objects import Metadata, StoredObject
 from wardstair.platform.store import Store
 from wardstair.platform.store_answers import Listing
 from wardstair.state.belief import Belief
 from wardstair.state.catalog import Catalog
 from wardstair.state.contact import StoreContact
+from wardstair.state.revision import Revision
 from wardstair.state.roles import Roles
 from wardstair.state.sync import StoreSync
+from wardstair.state.upstream import RunningSend
 
 
 def run(test: Callable[[], Awaitable[None]]) -> None:
@@ -91,6 +96,100 @@
     run(test)
 
 
+LISTED = StoredObject(
+    metadata=Metadata(name=ENTRY.name, revision=3),
+    spec=upstream_spec(80),
+    era=1,
+)
+
+
+@dataclass
+class LateHost:
+    """A host that waits for a listing, and what it does then.
+
+    Attributes:
+        sync: What follows the store.
+        catalog: What it knows; two upstreams before the listing is asked.
+        watched: Revisions from which on it watched.
+        told: How often it told that there is news.
+    """
+
+    sync: StoreSync
+    catalog: Catalog
+    watched: list[Revision] = field(default_factory=list)
+    told: int = 0
+
+    def note_told(self) -> None:
+        """Count a word that there is news."""
+        self.told += 1
+
+
+async def take_in_listing(
+    monkeypatch: pytest.MonkeyPatch,
+    listing: Listing,
+    meanwhile: Callable[[Catalog], None],
+) -> LateHost:
+    """Have a host list upstreams, and learn of others before the answer."""
+    is_asked = asyncio.Event()
+    is_told = asyncio.Event()
+    is_watching = asyncio.Event()
+    store = Store(f'{ADDRESS}:1')
+    clock = Clock()
+    belief = Belief(clock, Catalog(clock))
+    timing = timing_for(2.5, 4.0)
+    contact = StoreContact(clock, Random(1))
+    sync = StoreSync(store, contact, belief, Roles(), lambda: timing)
+    host = LateHost(sync, belief.catalog)
+    sync.on_news = host.note_told
+
+    async def list_kind(_kind: str) -> Result[Listing, str]:
+        is_asked.set()
+        await is_told.wait()
+        return Ok(listing)
+
+    async def watch_kind(_kind: str, since: Revision, _seconds: float) -> None:
+        host.watched.append(since)
+        is_watching.set()
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(store, 'list_kind', list_kind)
+    monkeypatch.setattr(store, 'watch_kind', watch_kind)
+    task = asyncio.ensure_future(sync.upstreams.run())
+    await is_asked.wait()
+    entry = replace(ENTRY, revision=at(3))
+    other = replace(ENTRY, name='i-2', revision=at(4))
+    belief.catalog.replace_all([entry, other], at(9), store_was_away=False)
+    meanwhile(belief.catalog)
+    is_told.set()
+    await is_watching.wait()
+    task.cancel()
+    store.close()
+    return host
+
+
+def test_a_listing_older_than_what_others_told_brings_nobody_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def remove(catalog: Catalog) -> None:
+        # It still answers a request of this host.
+        catalog.upstreams[ENTRY.name].running[1] = RunningSend(100.0, 1.0, 1.0)
+        catalog.apply([], [ENTRY.name], at(12), store_was_away=False)
+
+    async def test() -> None:
+        listing = Listing((LISTED,), at(10))
+        host = await take_in_listing(monkeypatch, listing, remove)
+        used = [one.name for one in host.catalog.of_service('views')]
+        assert used == ['i-2']
+        assert host.catalog.revision == at(12)
+        # It goes on from what it knows, and lists no more.
+        assert host.watched == [at(12)]
+        assert host.sync.upstreams.revision == at(12)
+        assert host.sync.upstreams.has_listed
+        assert host.told == 0
+
+    run(test)
+
+
 class _Pages(RequestHandler):
     """The second page may come from another era, or from later."""
 
