Tell others at once what a listing of upstreams brings

Cause: `_list_upstreams` did not call `on_news`, as `_change_upstreams` does. It now does where the listing raises the catalog's revision; one that is known already would make others fetch for nothing.

--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -235,11 +235,14 @@
             if name in listed
         }
         entries = self._decode_all(listing.objects)
+        is_newer = listing.revision > catalog.revision
         catalog.replace_all(
             entries,
             listing.revision,
             store_was_away=self._contact.was_away_lately,
         )
+        if is_newer:
+            self.on_news()
 
     def _is_late(self, listed: Revision) -> bool:
         """Return whether other hosts have told of what came after a listing.
--- a/tests/functional/test_late_listing.py
+++ b/tests/functional/test_late_listing.py
@@ -190,6 +190,31 @@
     run(test)
 
 
+@pytest.mark.parametrize(
+    ('listed', 'told'),
+    [
+        pytest.param(10, 1, id='newer'),
+        pytest.param(9, 0, id='known'),
+    ],
+)
+def test_what_a_listing_brings_is_told_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+    listed: int,
+    told: int,
+) -> None:
+    async def test() -> None:
+        host = await take_in_listing(
+            monkeypatch,
+            Listing((LISTED,), at(listed)),
+            lambda _catalog: None,
+        )
+        used = [one.name for one in host.catalog.of_service('views')]
+        assert used == [ENTRY.name]
+        assert host.told == told
+
+    run(test)
+
+
 class _Pages(RequestHandler):
     """The second page may come from another era, or from later."""
 
