Drop an upstream that only a host just back takes for lapsed

Cause: a host that has just regained contact tells a deletion as missing, since the entry may have lapsed, and it is kept for 2 s. The others took that over whatever their own contact said, and one that read the deletion itself dropped it, as the revision was known already.

A host whose own contact has been unbroken for the time that entries take to return, with no gap in which one can lapse, now takes what another misses for removed. It is the rule by which the host that was away would have judged, had it heard of that contact. Such a host tells it on as removed. At an equal revision a host that was not away lately applies its own deletions to what it keeps as missing.

After a restore what the copy lacks is kept as before, for twice the time of return: it is told as missing too, though nobody was away. Ruled out: judging second-hand by `was_away_lately`, since a host that asks seldom may not have noticed an outage; a span without gaps shows that there was none.

Left: a host that was away itself, or too short in touch, keeps the upstream until it reads the deletion, the next news tells it, or 2 s are over; an equal revision is not fetched.

--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -59,6 +59,8 @@
         generation: Grows when the upstreams that take work change.
         on_life_ended: Told the name of an upstream that has started again.
         restoration: The last restore of the store.
+        knows_lapses: Whether this host's own contact shows that nothing can
+            have lapsed: what another one misses was removed.
     """
 
     clock: Callable[[], float]
@@ -67,6 +69,7 @@
     generation: int = 0
     on_life_ended: Callable[[str], None] = lambda _name: None
     restoration: Restoration = field(init=False)
+    knows_lapses: Callable[[], bool] = lambda: False
     _missing: dict[str, float] = field(default_factory=dict)
     _by_service: dict[str, list[Upstream]] = field(default_factory=dict)
     _removals: RemovalLog = field(default_factory=RemovalLog)
@@ -133,14 +136,26 @@
                 changes.revision,
                 store_was_away=False,
             )
+        self._share_missing(changes.missing)
+        if changes.doubted:
+            self._share_doubts(changes)
+        return True
+
+    def _share_missing(self, missing: Mapping[str, float]) -> None:
+        if missing and self.knows_lapses() and not self._may_register_again:
+            self.end_missing(missing)
+            return
         now = self.clock()
-        for name, seconds in changes.missing.items():
+        for name, seconds in missing.items():
             upstream = self.upstreams.get(name)
             if upstream is not None and upstream.gone_at is None:
                 self._missing.setdefault(name, now + seconds)
-        if changes.doubted:
-            self._share_doubts(changes)
-        return True
+
+    def end_missing(self, names: Iterable[str]) -> None:
+        """Take upstreams as gone that another host keeps as missing."""
+        for name in names:
+            self.remove(name, store_was_away=False)
+        self._index()
 
     def _share_doubts(self, changes: CatalogChanges) -> None:
         self._doubts.share(changes.doubted)
@@ -216,6 +231,12 @@
         age = self.restoration.age
         return age is not None and age < RETURN_SECONDS
 
+    @property
+    def _may_register_again(self) -> bool:
+        """Whether other hosts may miss what a restored store lacks."""
+        age = self.restoration.age
+        return age is not None and age < 2 * RETURN_SECONDS
+
     def _had_left(self, entry: UpstreamEntry, removed: int | None) -> bool:
         """Return whether the life that an entry names had left before.
 
@@ -232,6 +253,10 @@
         drains = entry.phase is UpstreamPhase.draining
         return known.gone_at is not None or (was_draining and not drains)
 
+    def is_missing(self, name: str) -> bool:
+        """Return whether an upstream is kept though its entry vanished."""
+        return name in self._missing
+
     def remove(self, name: str, *, store_was_away: bool) -> None:
         """Note that an entry is not there any more."""
         upstream = self.upstreams.get(name)
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -6,6 +6,7 @@
 
 from result import Err
 
+from wardstair.decisions.lapses import LapseTimes, are_entries_back
 from wardstair.decisions.timing import Timing
 from wardstair.platform.objects import (
     CONFIGURATION_KIND,
@@ -22,6 +23,7 @@
 )
 from wardstair.process.log import log_event, log_warning
 from wardstair.state.belief import Belief
+from wardstair.state.catalog import RETURN_SECONDS
 from wardstair.state.contact import StoreContact
 from wardstair.state.entries import UpstreamEntry
 from wardstair.state.following import (
@@ -60,6 +62,7 @@
         self._store = store
         self._contact = contact
         self._belief = belief
+        belief.catalog.knows_lapses = self._knows_lapses
         self.on_news: Callable[[], None] = ignore
         # Entries of the store that name no upstream, and why.
         self.unusable: dict[str, UnusableEntry] = {}
@@ -259,6 +262,7 @@
             return
         if changes.revision == catalog.revision:
             # Another sentinel has told of it already.
+            self._end_missing(changes)
             return
         if changes.revision < catalog.revision:
             self._ignore_upstreams(changes.revision, 'watch')
@@ -288,6 +292,31 @@
         )
         self.on_news()
 
+    def _end_missing(self, changes: Changes) -> None:
+        """Drop what a host that was away took for lapsed, and was removed."""
+        if self._contact.was_away_lately:
+            return
+        catalog = self._belief.catalog
+        last = {
+            change.stored.metadata.name: change.is_deleted
+            for change in changes.changes
+        }
+        removed = [
+            name
+            for name, is_deleted in last.items()
+            if is_deleted and catalog.is_missing(name)
+        ]
+        if removed:
+            catalog.end_missing(removed)
+
+    def _knows_lapses(self) -> bool:
+        """Return whether own contact shows that nothing can have lapsed."""
+        span = self._contact.span
+        if span is None:
+            return False
+        times = LapseTimes(self._contact.harmless_seconds(), RETURN_SECONDS)
+        return are_entries_back([span], times, self._belief.clock())
+
     def _ignore_upstreams(self, revision: Revision, source: str) -> None:
         log_event(
             'news-ignored',
