Judge new connections to upstreams apart from open ones

Cause: answers on open connections say that the host reaches upstreams, so failures of new ones never added up: each answer forgot them. The host went on opening connections, and each lost its request; one that may run once has an unknown outcome then and cannot go on to another host.

Why it holds: a connection that ends before it has served anything counts against new connections alone, by group of upstreams, and only an answer on a new connection clears that. Two such failures bring a doubt that asks three upstreams on new connections. In doubt and while a group is closed, no request goes on a new connection to it: it goes on an open one, or to another host, or is refused unsent with 503. Placing comes before any send is counted, so resends and first sends are not counted for what stays here.

--- a/src/wardstair/connection/pool.py
+++ b/src/wardstair/connection/pool.py
@@ -147,7 +147,7 @@
         if line is None:
             return None
         now = time.monotonic()
-        limit = self.forgetfulness.limit(now) if is_once else REST_SECONDS
+        limit = self._rest_limit(now, is_once=is_once)
         while line.idle:
             connection = line.idle.pop()
             if _is_usable(connection, now, limit):
@@ -155,6 +155,20 @@
             connection.close()
         return None
 
+    def has_resting(self, name: str, *, is_once: bool) -> bool:
+        """Return whether a connection could be borrowed.
+
+        Args:
+            name: Name of the upstream's run.
+            is_once: Whether the request may run only once.
+        """
+        line = self._lines.get(name)
+        if line is None:
+            return False
+        now = time.monotonic()
+        limit = self._rest_limit(now, is_once=is_once)
+        return any(_is_usable(one, now, limit) for one in line.idle)
+
     async def connect(
         self,
         name: str,
@@ -230,6 +244,9 @@
         """Close all resting connections."""
         self.sweep(lambda name: False)
 
+    def _rest_limit(self, now: float, *, is_once: bool) -> float:
+        return self.forgetfulness.limit(now) if is_once else REST_SECONDS
+
     def _drop(self, name: str, connection: UpstreamConnection) -> None:
         line = self._lines.get(name)
         if line is None:
--- a/src/wardstair/decisions/reach.py
+++ b/src/wardstair/decisions/reach.py
@@ -5,7 +5,7 @@
 themselves tells whether somebody does.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 # The group of all upstreams; others are those of a zone or a service.
@@ -116,6 +116,121 @@
         return len(self.failed) >= max(LEAST_NEEDED, needed)
 
 
+def lost_groups(
+    groups: Mapping[str, GroupReach],
+    members: Mapping[str, Iterable[str]],
+) -> set[str]:
+    """Return the groups of which no upstream is reached.
+
+    Args:
+        groups: What was seen of each group; upstreams that are gone are
+            forgotten.
+        members: The groups of each upstream that takes work, by name.
+    """
+    sizes: dict[str, int] = {}
+    for names in members.values():
+        for name in names:
+            sizes[name] = sizes.get(name, 0) + 1
+    lost = set()
+    for name, group in groups.items():
+        group.failed &= members.keys()
+        if group.is_lost(sizes.get(name, 0)):
+            lost.add(name)
+    return lost
+
+
+def outermost(groups: Collection[str]) -> frozenset[str]:
+    """Return groups without those that are within another one of them."""
+    return frozenset((ALL,)) if ALL in groups else frozenset(groups)
+
+
+@dataclass(slots=True)
+class OpeningReach:
+    """What new connections to upstreams have shown, apart from open ones.
+
+    Open ones may live on while each new one is refused or reset, and a request
+    on one that is reset may have run. What is seen of either kind says nothing
+    of the other.
+
+    Attributes:
+        closed: Groups to which new connections fail; only `ALL` if it is that.
+        is_doubted: Whether new connections may have begun to fail just now.
+    """
+
+    closed: frozenset[str] = frozenset()
+    is_doubted: bool = False
+    _groups: dict[str, GroupReach] = field(default_factory=dict)
+
+    @property
+    def is_sound(self) -> bool:
+        """Whether requests may go on new connections to all upstreams."""
+        return not (self.closed or self.is_doubted)
+
+    def may_open(self, groups: Collection[str]) -> bool:
+        """Return whether a request may go on a new connection.
+
+        Args:
+            groups: The groups of its upstream.
+        """
+        return not self.is_doubted and self.closed.isdisjoint(groups)
+
+    def note_answered(self, groups: Collection[str], now: float) -> None:
+        """Note an answer on a connection that had served nothing before.
+
+        Args:
+            groups: The groups of the upstream.
+            now: Monotonic time in seconds.
+        """
+        self.is_doubted = False
+        for name in groups:
+            self._group(name).note_reached(now)
+
+    def note_failed(
+        self,
+        upstream: str,
+        groups: Collection[str],
+        now: float,
+    ) -> bool:
+        """Note a connection that ended before it had served anything.
+
+        Args:
+            upstream: Name of the upstream.
+            groups: Its groups.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Whether several of a group have failed with no answer between.
+        """
+        most = 0
+        for name in groups:
+            group = self._group(name)
+            group.note_failed(upstream, now)
+            most = max(most, len(group.failed))
+        return most >= LEAST_NEEDED
+
+    def begin_doubt(self) -> bool:
+        """Doubt new connections; return False if that tells nothing new."""
+        if self.is_doubted or ALL in self.closed:
+            return False
+        self.is_doubted = True
+        return True
+
+    def settle(self, members: Mapping[str, Iterable[str]]) -> bool:
+        """Work out what is closed; return whether that has changed.
+
+        No time is asked for between failures: whoever doubts asks upstreams.
+
+        Args:
+            members: The groups of each upstream that takes work, by name.
+        """
+        before = self.closed
+        self.closed = outermost(lost_groups(self._groups, members))
+        return self.closed != before
+
+    def _group(self, name: str) -> GroupReach:
+        return self._groups.setdefault(name, GroupReach())
+
+
 @dataclass(slots=True)
 class SilenceWatch:
     """Finds out that answers have stopped coming.
--- a/src/wardstair/gateway/course.py
+++ b/src/wardstair/gateway/course.py
@@ -52,6 +52,7 @@
         running: Sends without an outcome.
         hop: The hop to another entry host, if it is on its way.
         hops: How often it has been handed on to another host.
+        barred: Upstreams to which no connection was open while new ones fail.
         is_relayed: Whether another entry host has handed it on to this one.
         doubt: Done once what it waits for may be out of reach; None for one
             that no other host can be asked for.
@@ -75,6 +76,7 @@
     )
     hop: 'asyncio.Task[HopOutcome] | None' = None
     hops: int = 0
+    barred: set[str] = field(default_factory=set)
     is_relayed: bool = False
     doubt: 'asyncio.Future[None] | None' = None
 
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -37,6 +37,7 @@
 )
 from wardstair.gateway.reporting import Reporter, Trail
 from wardstair.gateway.sending import (
+    Barred,
     Delivered,
     Lost,
     NotSent,
@@ -294,7 +295,7 @@
         if self._needs_help(course) and self._take_resend(course):
             self._hand_on(course)
             return
-        placement = self._place(course)
+        placement = self._place_on_way(course)
         if placement is None or not self._take_resend(course):
             # Not asked again: the first send is what there is.
             course.sends = course.route.most_attempts
@@ -321,13 +322,8 @@
                     reason = ResendReason.failed
                 case Delivered() as delivered:
                     return self._deliver(course, placement, delivered)
-                case NotSent():
-                    course.trail.unreachable += 1
-                    course.sends -= 1
-                    reason = ResendReason.unreachable
-                case Withheld():
-                    course.sends -= 1
-                    reason = ResendReason.withheld
+                case NotSent() | Withheld() | Barred() as unsent:
+                    reason = self._take_back(course, placement, unsent)
                 case TurnedAway(load=load):
                     course.met_room = load is not None and load.has_room
                     reason = ResendReason.turned_away
@@ -337,6 +333,23 @@
             return None
         return self._send_again(course, reason)
 
+    def _take_back(
+        self,
+        course: Course,
+        placement: Placement,
+        unsent: NotSent | Withheld | Barred,
+    ) -> ResendReason:
+        """Note a send that has not left this host; return why not."""
+        course.sends -= 1
+        match unsent:
+            case Withheld():
+                return ResendReason.withheld
+            case Barred():
+                self._bar(course, placement)
+                return ResendReason.cut_off
+        course.trail.unreachable += 1
+        return ResendReason.unreachable
+
     def _may_improve(self, course: Course, delivered: Delivered) -> bool:
         """Return whether another upstream may do better than this answer."""
         return is_failure(delivered) and course.route.is_repeatable
@@ -380,7 +393,9 @@
             return self._give_up(course)
         if self._needs_help(course):
             return self._ask_for_help(course)
-        placement = None if self._is_hopeless(course) else self._place(course)
+        placement = None
+        if not self._is_hopeless(course):
+            placement = self._place_on_way(course)
         if placement is None:
             is_failing = self._belief.reach.has_failures
             if is_failing or course.trail.unreachable:
@@ -392,6 +407,32 @@
         self._start(course, placement, reason)
         return None
 
+    def _place_on_way(self, course: Course) -> Placement | None:
+        """Choose an upstream that no new connection is needed to if these fail.
+
+        Returns:
+            None if there is none, or another host is to be asked: its new
+            connections may be well, and the first choice remembers the key.
+        """
+        while len(course.barred) <= MOST_UNREACHABLE:
+            placement = self._place(course)
+            if placement is None or self._has_way(course, placement):
+                return placement
+            self._bar(course, placement)
+            if self._may_hand_on(course):
+                return None
+        return None
+
+    def _has_way(self, course: Course, placement: Placement) -> bool:
+        return self._sender.has_way(
+            placement.upstream,
+            is_once=not course.route.is_repeatable,
+        )
+
+    def _bar(self, course: Course, placement: Placement) -> None:
+        course.barred.add(placement.upstream.name)
+        course.trail.unreachable += 1
+
     def _is_within_reach(self, course: Course) -> bool:
         return self._belief.reach.is_sound or self._chooser.is_within_reach(
             self._ask(course),
@@ -492,7 +533,7 @@
             body_bytes=len(course.inbound.body),
             queue_share=self._queue_share(course),
             regions=course.regions,
-            tried=frozenset(course.trail.upstreams),
+            tried=frozenset(course.trail.upstreams) | course.barred,
             seconds_left=course.until - time.monotonic(),
         )
 
--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -164,6 +164,13 @@
         'Groups of upstreams of which this host reaches none; `*`: all',
         lambda: [(1.0, {'group': group}) for group in belief.reach.lost],
     )
+    metrics.add_gauge(
+        'wardstair_upstream_groups_closed',
+        'Groups of upstreams to which new connections fail; `*`: all',
+        lambda: [
+            (1.0, {'group': group}) for group in belief.reach.opening.closed
+        ],
+    )
     metrics.add_count(
         'wardstair_reach_doubts',
         'Times that no upstream might have been within reach',
--- a/src/wardstair/gateway/reaching.py
+++ b/src/wardstair/gateway/reaching.py
@@ -59,22 +59,36 @@
         self._random = random
         self._doubted = asyncio.Event()
         belief.reach.on_doubt = self._note_doubt
+        belief.reach.on_opening_doubt = self._doubted.set
 
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
             await self._wait()
-            reach = self._reach
-            if reach.is_failing:
-                reach.begin_doubt('failures')
-            elif reach.is_sound and await self._is_silent():
-                reach.begin_doubt('silent')
-            if reach.is_doubted:
-                await self._ask(self._spread())
-                reach.end_doubt()
-            elif reach.lost:
-                reach.refresh()
-                await self._ask(self._next_of_each(reach.lost))
+            await self._look()
+            await self._follow_up()
+
+    async def _look(self) -> None:
+        """Begin a doubt if there is reason for one."""
+        reach = self._reach
+        if reach.is_failing:
+            reach.begin_doubt('failures')
+        elif reach.is_sound and await self._is_silent():
+            reach.begin_doubt('silent')
+
+    async def _follow_up(self) -> None:
+        """Ask upstreams if any may be out of reach."""
+        reach = self._reach
+        if reach.is_doubted:
+            await self._ask(self._spread())
+            reach.end_doubt()
+        elif reach.opening.is_doubted:
+            await self._ask(self._spread())
+            reach.end_opening_doubt()
+        elif reach.lost or reach.opening.closed:
+            reach.refresh()
+            unreached = reach.lost | reach.opening.closed
+            await self._ask(self._next_of_each(unreached))
 
     def _note_doubt(self) -> None:
         self._doubted.set()
@@ -83,7 +97,7 @@
     async def _wait(self) -> None:
         reach = self._reach
         self._doubted.clear()
-        if reach.is_doubted:
+        if reach.is_doubted or reach.opening.is_doubted:
             return
         try:
             async with asyncio.timeout(self._seconds_to_next()):
@@ -94,7 +108,7 @@
 
     def _seconds_to_next(self) -> float:
         times = self._reach.times()
-        if not self._reach.is_sound:
+        if not (self._reach.is_sound and self._reach.opening.is_sound):
             return times.probe
         left = times.silence - self._reach.silent_seconds
         return left if left > 0 else times.silence * RELOOK_SHARE
@@ -141,7 +155,7 @@
         await asyncio.gather(*map(self._probe, entries))
 
     async def _probe(self, entry: UpstreamEntry) -> None:
-        """Ask one upstream; any answer says that it is reached."""
+        """Ask one upstream anew; any answer says that it is reached."""
         self.probes += 1
         try:
             async with asyncio.timeout(self._reach.times().probe):
@@ -150,8 +164,10 @@
             is_reached = False
         if is_reached:
             self._reach.note_reached(entry)
+            self._reach.note_opened(entry)
         elif is_reached is not None:
             self._reach.note_failed(entry)
+            self._reach.note_unopened(entry)
 
     async def _exchange(self, entry: UpstreamEntry) -> bool | None:
         """Return whether it answers; None if it could not be asked."""
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -64,6 +64,11 @@
     """The upstream wanted no more before the request left this host."""
 
 
+@dataclass(frozen=True, slots=True)
+class Barred:
+    """No connection was open, and new ones fail: nothing left this host."""
+
+
 @dataclass(frozen=True, slots=True)
 class TurnedAway:
     """The upstream said that it has not run the request.
@@ -108,7 +113,7 @@
     seconds: float
 
 
-SendOutcome = NotSent | Withheld | TurnedAway | Lost | Delivered
+SendOutcome = NotSent | Withheld | Barred | TurnedAway | Lost | Delivered
 
 
 class Sender:
@@ -138,6 +143,17 @@
         self._distances = distances
         self._numbers = count()
 
+    def has_way(self, upstream: Upstream, *, is_once: bool) -> bool:
+        """Return whether a request can be sent without risking its connection.
+
+        Args:
+            upstream: Where to.
+            is_once: Whether the request may run only once.
+        """
+        return self._reach.may_open(
+            upstream.entry,
+        ) or self._pool.has_resting(upstream.name, is_once=is_once)
+
     async def send(
         self,
         inbound: Inbound,
@@ -173,8 +189,11 @@
                 is_once=is_once,
                 is_fresh=is_fresh,
             )
-            if isinstance(connection, ConnectFailed):
-                return NotSent(connection.reason, connection.is_dead)
+            match connection:
+                case ConnectFailed(reason=reason, is_dead=is_dead):
+                    return NotSent(reason, is_dead)
+                case None:
+                    return Barred()
             return await self._send(inbound, upstream, connection, until)
         finally:
             upstream.running.pop(number, None)
@@ -188,6 +207,7 @@
     ) -> SendOutcome:
         started = time.monotonic()
         rested = started - connection.rested_at
+        is_new = not connection.has_served
         if started >= until:
             self._pool.give_back(upstream.name, connection)
             return NotSent('time is up')
@@ -211,7 +231,7 @@
             case BrokenExchange(reason=reason):
                 connection.close()
                 if reason in _FORGOTTEN:
-                    self._reach.note_failed(upstream.entry)
+                    self._note_broken(upstream, is_new=is_new)
                 log_event(
                     'exchange-broken',
                     request=inbound.request_id,
@@ -231,7 +251,7 @@
                     forgetfulness.note(upstream.name, rested, started)
                 return Lost(reason, is_forgotten)
             case RawAnswer() as answer:
-                self._reach.note_reached(upstream.entry)
+                self._note_answered(upstream, is_new=is_new)
                 seconds = time.monotonic() - started
                 fields = decode_upstream(answer.headers)
                 if fields.keep_seconds is not None:
@@ -242,6 +262,18 @@
                     self._note_told(upstream, answer.status, fields)
                 return outcome
 
+    def _note_answered(self, upstream: Upstream, *, is_new: bool) -> None:
+        """Note an answer that came on a connection."""
+        self._reach.note_reached(upstream.entry)
+        if is_new:
+            self._reach.note_opened(upstream.entry)
+
+    def _note_broken(self, upstream: Upstream, *, is_new: bool) -> None:
+        """Note a connection that ended during an exchange."""
+        self._reach.note_failed(upstream.entry)
+        if is_new:
+            self._reach.note_unopened(upstream.entry)
+
     def _note_told(
         self,
         upstream: Upstream,
@@ -261,18 +293,22 @@
         *,
         is_once: bool,
         is_fresh: bool,
-    ) -> UpstreamConnection | ConnectFailed:
-        if not is_fresh:
+    ) -> UpstreamConnection | ConnectFailed | None:
+        """Return a connection; None if new ones fail and none is open."""
+        entry = upstream.entry
+        may_open = self._reach.may_open(entry)
+        if not (is_fresh and may_open):
             connection = self._pool.borrow(upstream.name, is_once=is_once)
             if connection is not None:
                 return connection
-        entry = upstream.entry
+        if not may_open:
+            return None
         started = time.monotonic()
         made = await self._pool.connect(entry.name, entry.host, entry.port)
         if not isinstance(made, ConnectFailed):
             self._distances.note(entry.zone, time.monotonic() - started)
         elif made.reason != CONNECTION_LIMIT:
-            self._reach.note_failed(entry)
+            self._note_broken(upstream, is_new=True)
         return made
 
 
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -62,6 +62,18 @@
         'groups of upstreams of which this host reaches none; `*`: all',
         'lost before',
     ),
+    _kind(
+        'opening-doubted',
+        'new connections to upstreams may fail while open ones live; a few '
+        'upstreams are asked',
+        'upstream',
+    ),
+    _kind(
+        'opening-changed',
+        'groups of upstreams to which new connections fail, so that requests '
+        'go on open ones or to other hosts; `*`: all',
+        'closed before',
+    ),
     _kind(
         'resend-withheld',
         'a second send was wanted and not allowed',
--- a/src/wardstair/state/reach.py
+++ b/src/wardstair/state/reach.py
@@ -5,15 +5,18 @@
 and nothing is proved yet, reach is in doubt.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from wardstair.decisions.reach import (
     ALL,
     LEAST_NEEDED,
     GroupReach,
+    OpeningReach,
     ReachTimes,
     SilenceWatch,
+    lost_groups,
+    outermost,
     reach_times,
     service_group,
     zone_group,
@@ -37,8 +40,10 @@
         is_doubted: Whether upstreams may have gone out of reach just now.
         answers: Answers of upstreams so far.
         doubts: How often reach came to be in doubt.
+        opening: What new connections have shown.
         times: Returns how long to wait for what.
         on_doubt: Called when a doubt begins.
+        on_opening_doubt: Called when a doubt of new connections begins.
         on_change: Called when `lost` has changed.
         on_regained: Called with the groups that are reached again.
     """
@@ -48,8 +53,10 @@
     is_doubted: bool = False
     answers: int = 0
     doubts: int = 0
+    opening: OpeningReach = field(default_factory=OpeningReach)
     times: Callable[[], ReachTimes] = lambda: reach_times(DEFAULT_CONTACT)
     on_doubt: Callable[[], None] = ignore
+    on_opening_doubt: Callable[[], None] = ignore
     on_change: Callable[[], None] = ignore
     on_regained: Callable[[frozenset[str]], None] = lambda _groups: None
     _watch: SilenceWatch = field(default_factory=SilenceWatch)
@@ -139,6 +146,33 @@
             self.begin_doubt('failures')
         self._settle()
 
+    def may_open(self, entry: UpstreamEntry) -> bool:
+        """Return whether a request may go on a new connection."""
+        opening = self.opening
+        return opening.is_sound or opening.may_open(_names_of(entry))
+
+    def note_opened(self, entry: UpstreamEntry) -> None:
+        """Note an answer on a connection that had served nothing before."""
+        was_sound = self.opening.is_sound
+        self.opening.note_answered(_names_of(entry), self.catalog.clock())
+        if not was_sound:
+            self._settle_opening()
+
+    def note_unopened(self, entry: UpstreamEntry) -> None:
+        """Note a connection that ended before it had served anything."""
+        now = self.catalog.clock()
+        opening = self.opening
+        if not opening.note_failed(entry.name, _names_of(entry), now):
+            return
+        self._settle_opening()
+        if opening.begin_doubt():
+            log_event('opening-doubted', upstream=entry.name)
+            self.on_opening_doubt()
+
+    def end_opening_doubt(self) -> None:
+        """Note that upstreams were asked on new connections."""
+        self.opening.is_doubted = False
+
     def begin_doubt(self, reason: str) -> None:
         """Note that no upstream may be within reach.
 
@@ -164,6 +198,7 @@
     def refresh(self) -> None:
         """Forget upstreams that take no work any more."""
         self._settle()
+        self._settle_opening()
 
     def members_of(self, group: str) -> list[UpstreamEntry]:
         """Return the upstreams of a group that take work."""
@@ -204,28 +239,34 @@
             self.on_regained(regained)
         self.on_change()
 
+    def _settle_opening(self) -> None:
+        """Work out to whom new connections fail."""
+        before = self.opening.closed
+        if self.opening.settle(self._members()):
+            log_warning(
+                'opening-changed',
+                closed=','.join(sorted(self.opening.closed)),
+                before=','.join(sorted(before)),
+            )
+
+    def _members(self) -> dict[str, tuple[str, ...]]:
+        return {
+            entry.name: _names_of(entry) for entry in self.catalog.in_service
+        }
+
     def _lost_now(self) -> frozenset[str]:
         now = self.catalog.clock()
-        sizes: dict[str, int] = {}
-        names: set[str] = set()
-        for entry in self.catalog.in_service:
-            names.add(entry.name)
-            for of_entry in _names_of(entry):
-                sizes[of_entry] = sizes.get(of_entry, 0) + 1
-        lost = set()
-        for name, group in self._groups.items():
-            group.failed &= names
-            is_lost = group.is_suspected(now) and group.is_lost(
-                sizes.get(name, 0),
-            )
-            if is_lost:
-                lost.add(name)
+        members = self._members()
+        lost = {
+            name
+            for name in lost_groups(self._groups, members)
+            if self._groups[name].is_suspected(now)
+        }
         # With one upstream in all there is nothing to compare it with.
-        everything = self._group(ALL)
-        if sizes.get(ALL) == 1 and everything.failed:
+        if len(members) == 1 and self._group(ALL).failed:
             lost.add(ALL)
-        return frozenset((ALL,)) if ALL in lost else frozenset(lost)
+        return outermost(lost)
 
 
-def _names_of(entry: UpstreamEntry) -> Iterable[str]:
+def _names_of(entry: UpstreamEntry) -> tuple[str, ...]:
     return (ALL, zone_group(entry.zone), service_group(entry.service))
--- a/tests/functional/test_cut_off_hosts.py
+++ b/tests/functional/test_cut_off_hosts.py
@@ -31,6 +31,8 @@
 # Least share of first tries that are served, beside those at other hosts, and
 # of all right after the cut.
 LEAST_SHARE = 0.95
+# Work of upstreams that have become slower.
+SLOW_SECONDS = 0.1
 
 Chosen = Callable[[CutFleet], list[GatewayHost]]
 
@@ -116,6 +118,49 @@
     run(test)
 
 
+async def _work_longer(
+    upstream: UpstreamStandin,
+    seen: Seen,
+    writer: asyncio.StreamWriter,
+) -> None:
+    await asyncio.sleep(SLOW_SECONDS)
+    await answer_ok(upstream, seen, writer)
+
+
+@pytest.mark.parametrize('how', [Cut.refuse_new, Cut.reset_new])
+@pytest.mark.parametrize('chosen', [two_hosts, a_region])
+def test_callers_are_served_where_only_new_connections_fail(
+    chosen: Chosen,
+    how: Cut,
+) -> None:
+    async def test(fleet: CutFleet) -> None:
+        load = CutLoad(fleet)
+        seconds = CALM_SECONDS + CUT_SECONDS + 2 * BACK_SECONDS
+        playing = asyncio.ensure_future(load.play(seconds))
+        await asyncio.sleep(CALM_SECONDS)
+        cut = chosen(fleet)
+        others = [host for host in fleet.hosts if host not in cut]
+        began = time.monotonic()
+        fleet.cut(cut, how)
+        # More connections are needed than are open, which go on answering.
+        for upstream in fleet.upstreams:
+            upstream.script = _work_longer
+        await asyncio.sleep(CUT_SECONDS)
+        ended = time.monotonic()
+        fleet.mend()
+        await playing
+        bound = began + BOUNDS.contact_seconds
+        at_others = share(load.share(bound, ended, others))
+        at_cut = share(load.share(bound, ended, cut))
+        assert at_cut >= LEAST_SHARE * at_others
+        assert share(load.share(began, bound, fleet.hosts)) >= LEAST_SHARE
+        assert not load.ran_twice()
+        back = load.share(ended + BACK_SECONDS, time.monotonic(), fleet.hosts)
+        assert share(back) == 1.0
+
+    run(test)
+
+
 async def _work_for_long(
     upstream: UpstreamStandin,
     seen: Seen,
--- a/tests/lib/cut_fleet.py
+++ b/tests/lib/cut_fleet.py
@@ -9,11 +9,11 @@
 from enum import StrEnum
 from random import Random
 
-from soak.proxy import Mode, Proxy
+from soak.proxy import CutWay, Mode, Proxy
 
 from lib.fleet import ZONES, Fleet
 from lib.rig import Caller, free_ports, until
-from lib.specs import Stored, configuration_spec, route_spec
+from lib.specs import ADDRESS, Stored, configuration_spec, route_spec
 from lib.upstream_standin import Seen, UpstreamStandin, answer_ok
 from wardstair.connection.pool import dial_tcp
 from wardstair.connection.probe import ProbeOutcome, probe
@@ -38,6 +38,8 @@
     refuse = 'refuse'
     # New connections are refused, open ones live on.
     refuse_new = 'refuse-new'
+    # New connections are accepted and reset, open ones live on.
+    reset_new = 'reset-new'
 
 
 _MODES = {Cut.hang: Mode.silence, Cut.reset: Mode.reset}
@@ -68,12 +70,16 @@
             proxy.set_mode(_MODES.get(how, Mode.carry))
             if how is Cut.refuse:
                 proxy.reset_all()
+            if how is Cut.reset_new:
+                # Each gateway has proxies of its own.
+                proxy.cut([ADDRESS], CutWay.reset_new)
 
     def mend(self) -> None:
         """End all cuts; connections that fell silent stay so."""
         for port, how in self.cuts.items():
             if how is Cut.hang:
                 self.proxies[port].silence_open()
+            self.proxies[port].mend([ADDRESS])
             self.proxies[port].set_mode(Mode.carry)
         self.cuts.clear()
 
--- a/tests/unit/test_reach.py
+++ b/tests/unit/test_reach.py
@@ -7,6 +7,7 @@
 
 from wardstair.decisions.reach import (
     ALL,
+    OpeningReach,
     SilenceWatch,
     reach_times,
     service_group,
@@ -191,3 +192,104 @@
     assert found <= max(contact / 2, 0.7)
     # A probe that waits for its answer, and the next one.
     assert 2 * times.probe <= max(contact / 2, 0.7)
+
+
+GROUPS = {
+    name: (ALL, zone_group(zone), service_group(service))
+    for name, (service, zone) in PLACES.items()
+}
+
+
+@pytest.mark.parametrize(
+    ('steps', 'closed', 'is_telling'),
+    [
+        pytest.param('-v0-north', '', False, id='one that ends'),
+        pytest.param('-v0-north -v0-north', '', False, id='the same again'),
+        pytest.param('-v0-north -o0-south', '', True, id='worth asking'),
+        pytest.param('-v0-north -o0-south -v1-south', ALL, True, id='all'),
+        pytest.param(
+            '-v0-north -o0-south +v1-south -v1-north',
+            '',
+            True,
+            id='a new one answered between',
+        ),
+        pytest.param(
+            '-v0-north +o0-south -v1-north +o0-south -o0-north +o0-south',
+            zone_group('north'),
+            True,
+            id='a zone',
+        ),
+        pytest.param(
+            '-v0-north +o0-south -v0-south +o0-south -v1-south +o0-north',
+            service_group('views'),
+            True,
+            id='a service',
+        ),
+        pytest.param(
+            '-v0-north -o0-south -v1-south +o1-south',
+            '',
+            True,
+            id='a new one answered at last',
+        ),
+    ],
+)
+def test_new_connections_are_closed_to_a_group_by_what_new_ones_show(
+    steps: str,
+    closed: str,
+    *,
+    is_telling: bool,
+) -> None:
+    opening = OpeningReach()
+    told = []
+    for now, step in enumerate(steps.split()):
+        name = step[1:]
+        if step[0] == '+':
+            opening.note_answered(GROUPS[name], now)
+        else:
+            told.append(opening.note_failed(name, GROUPS[name], now))
+    opening.settle(GROUPS)
+    assert ','.join(sorted(opening.closed)) == closed
+    # What the last failure said, whatever has come since.
+    assert told[-1] is is_telling
+    for groups in GROUPS.values():
+        assert opening.may_open(groups) is (closed not in groups)
+
+
+def test_no_new_connection_is_used_while_they_are_doubted() -> None:
+    opening = OpeningReach()
+    opening.note_failed('v0-north', GROUPS['v0-north'], 1.0)
+    assert opening.may_open(GROUPS['o1-south'])
+    opening.note_failed('o0-south', GROUPS['o0-south'], 1.0)
+    assert opening.begin_doubt()
+    assert not opening.begin_doubt()
+    assert not opening.may_open(GROUPS['o1-south'])
+    opening.note_answered(GROUPS['o1-south'], 1.1)
+    assert opening.is_sound
+    assert opening.may_open(GROUPS['o1-south'])
+
+
+def test_an_upstream_that_is_gone_closes_nothing() -> None:
+    opening = OpeningReach()
+    for name in ('v0-north', 'o0-south', 'v1-south'):
+        opening.note_failed(name, GROUPS[name], 1.0)
+    left = {name: GROUPS[name] for name in GROUPS if name != 'v1-south'}
+    assert not opening.settle(left)
+    assert not opening.closed
+
+
+def test_answers_on_open_connections_say_nothing_of_new_ones() -> None:
+    host = Host()
+    doubts = []
+    host.reach.on_opening_doubt = lambda: doubts.append(host.now)
+    for name in ('v0-north', 'o0-south', 'v1-south'):
+        host.reach.note_unopened(host.entry(name))
+        host.answer('v0-north', 'o1-south')
+    assert doubts == [host.now]
+    assert host.reach.is_sound
+    assert not any(host.reach.may_open(host.entry(name)) for name in PLACES)
+    # A new one that answers opens all; open ones that break close nothing.
+    host.reach.note_opened(host.entry('o1-north'))
+    assert all(host.reach.may_open(host.entry(name)) for name in PLACES)
+    host.fail('v0-north', 'o0-south', 'v1-south')
+    assert host.reach.is_cut_off
+    assert all(host.reach.may_open(host.entry(name)) for name in PLACES)
