Do not begin questions to others from each other

Two tasks ask other hosts, one for news and one for digests, and each began the other whenever it sorted what was heard. Now only a heartbeat and the end of a question begin them. test_hosts_that_do_not_answer_keep_no_task_busy: 20 tasks begun in 20 passes before, none now.

--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -363,7 +363,6 @@
         """Drop what is known by now; a host may not be ahead but differ."""
         for beat in (*self._differing.values(), *self._ahead.values()):
             self._sort_in(beat)
-        self._go_on()
 
     def _keep_last_differing(self) -> None:
         """Forget others: what one has told they may have learnt as well."""
--- a/tests/unit/test_news.py
+++ b/tests/unit/test_news.py
@@ -6,10 +6,12 @@
 from random import Random
 
 import pytest
+from lib.beats import beat_of, peer_of
 from lib.revisions import at
 from lib.upstreams import ENTRY, Clock
 
 from wardstair.decisions.timing import timing_for
+from wardstair.fleet.beats import Versions
 from wardstair.state.belief import Belief
 from wardstair.state.catalog import Catalog
 from wardstair.state.contact import StoreContact
@@ -134,3 +136,27 @@
         assert not _Host().exchange.take_datagram(datagram)
 
     run(test)
+
+
+def test_hosts_that_do_not_answer_keep_no_task_busy() -> None:
+    async def measure() -> int:
+        host = _Host()
+        exchange = host.exchange
+        exchange.ask = lambda _request: asyncio.Future()
+        ahead = Versions(configuration=2)
+        for name in ('a', 'b'):
+            exchange.on_beat(beat_of(peer_of(name), versions=ahead))
+            await asyncio.sleep(TIMING.near_hedge * 2)
+        # Being asked already, and with no place for a comparison.
+        exchange.on_beat(beat_of(peer_of('a'), number=2, versions=ahead))
+        exchange.on_beat(beat_of(peer_of('c'), versions=Versions(limits=5)))
+        await asyncio.sleep(0)
+        begun = 0
+        for _ in range(20):
+            before = asyncio.all_tasks()
+            await asyncio.sleep(0)
+            begun += len(asyncio.all_tasks() - before)
+        exchange.close()
+        return begun
+
+    assert asyncio.run(measure()) == 0
