Doubt new connections no more for a group that is known to be closed

The probes of a group whose new connections fail began a doubt about all upstreams each time, which barred requests from new connections everywhere until the first probe was answered, and asked further upstreams (found by a review, by reading; no play shows the cost). Failures of a closed group now tell nothing new.

--- a/src/wardstair/decisions/reach.py
+++ b/src/wardstair/decisions/reach.py
@@ -199,13 +199,15 @@
             now: Monotonic time in seconds.
 
         Returns:
-            Whether several of a group have failed with no answer between.
+            Whether several of a group that is not closed yet have failed with
+            no answer between.
         """
         most = 0
         for name in groups:
             group = self._group(name)
             group.note_failed(upstream, now)
-            most = max(most, len(group.failed))
+            if name not in self.closed:
+                most = max(most, len(group.failed))
         return most >= LEAST_NEEDED
 
     def begin_doubt(self) -> bool:
