Let late answers to a second question undo nothing

One lists at a time now. - A host that had not listed asked by a kept connection, which may carry nothing more. - An answer below what others have told no longer raises the age. - The check of the watches ends with its host. The stubs of test_late_listing.py take the new argument of list_kind; no check is changed.

--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -421,6 +421,7 @@
         self.handover.close()
         self.exchange.close()
         self.refresher.close()
+        self.sync.close()
         self.store.close()
 
     def adopt_settings(self, settings: GatewaySettings) -> list[str]:
--- a/src/wardstair/platform/store.py
+++ b/src/wardstair/platform/store.py
@@ -120,6 +120,7 @@
         kind: str,
         *,
         is_stale: bool = False,
+        is_apart: bool = False,
     ) -> Result[Listing, PlatformError]:
         """List all objects of a kind, page by page.
 
@@ -127,6 +128,8 @@
             kind: The kind.
             is_stale: Whether it may be some seconds old, at a tenth of the
                 price.
+            is_apart: Whether to ask by connections of its own: a kept one may
+                carry nothing more.
         """
         listed: list[StoredObject] = []
         # What changes on a page that is read already comes with the watch that
@@ -137,7 +140,11 @@
         call = CallKind.stale_listing if is_stale else CallKind.listing
         while True:
             self._count(call, kind)
-            answered = await self._call('GET', _path(kind, query=query))
+            answered = await self._call(
+                'GET',
+                _path(kind, query=query),
+                is_apart=is_apart,
+            )
             if isinstance(answered, Err):
                 return answered
             answer = answered.ok_value
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -323,6 +323,11 @@
         "`age`: how old this host's state was until then",
         'since revision count removed source age',
     ),
+    _kind(
+        'store-answered-later',
+        'a call on the store has failed, but a later one was answered',
+        'kind',
+    ),
     _kind(
         'state-old',
         'nothing has told for too long that all is known: the store is asked',
--- a/src/wardstair/state/following.py
+++ b/src/wardstair/state/following.py
@@ -145,6 +145,8 @@
         self._needs_listing = True
         self._watching_since: float | None = None
         self._dropped = asyncio.Event()
+        # A late listing would take the place of a newer one.
+        self._listing = asyncio.Lock()
         self._drop_reason = RenewalReason.behind
         # When the last watch was asked, and how long it was to wait.
         self._asked_at = 0.0
@@ -203,18 +205,21 @@
         answer to this says up to which moment all of the kind is known.
         """
         if not self.has_listed:
-            await self._list()
+            await self._list(is_apart=True)
             return
         asked_at = asyncio.get_running_loop().time()
         asked = await self._store.ask_changes(self._plan.kind, self.revision)
         if isinstance(asked, Err):
-            self._fail(asked.err_value)
+            self._fail(asked.err_value, asked_at)
             return
         self._contact.note_success()
         changes = asked.ok_value
         if changes.revision.era > self.revision.era:
             self._needs_listing = True
             return
+        if changes.revision < self.revision:
+            # Others have told of what came after it.
+            return
         if changes.revision > self.revision:
             self.revision = changes.revision
             self._sinks.on_changes(changes)
@@ -244,17 +249,28 @@
             self._needs_listing = True
         await asyncio.sleep(self._plan.look())
 
-    async def _list(self) -> None:
-        asked_at = asyncio.get_running_loop().time()
-        listed = await self._store.list_kind(self._plan.kind)
-        if isinstance(listed, Err):
-            self._fail(listed.err_value)
-            return
-        self._contact.note_success()
-        self._needs_listing = False
-        self.revision = listed.ok_value.revision
-        self._sinks.on_listing(listed.ok_value)
-        self._sinks.on_complete(self.revision, asked_at)
+    async def _list(self, *, is_apart: bool = False) -> None:
+        """List the kind, unless another task of this host has just done so.
+
+        Args:
+            is_apart: Whether to ask by a connection of its own.
+        """
+        async with self._listing:
+            if self.has_listed:
+                return
+            asked_at = asyncio.get_running_loop().time()
+            listed = await self._store.list_kind(
+                self._plan.kind,
+                is_apart=is_apart,
+            )
+            if isinstance(listed, Err):
+                self._fail(listed.err_value, asked_at)
+                return
+            self._contact.note_success()
+            self._needs_listing = False
+            self.revision = listed.ok_value.revision
+            self._sinks.on_listing(listed.ok_value)
+            self._sinks.on_complete(self.revision, asked_at)
 
     async def _watch(self) -> None:
         watched = await self._watch_once()
@@ -286,7 +302,8 @@
             asyncio.get_running_loop().time(),
             is_empty=not changes.changes,
         )
-        self._sinks.on_complete(changes.revision, complete_at(reading))
+        if changes.revision >= self.revision:
+            self._sinks.on_complete(changes.revision, complete_at(reading))
         self._sinks.on_revision(changes.revision)
         if changes.changes:
             await asyncio.sleep(self._plan.pause())
@@ -347,7 +364,18 @@
             waited=round(waited, 3),
         )
 
-    def _fail(self, error: PlatformError) -> None:
+    def _fail(
+        self,
+        error: PlatformError,
+        asked_at: float | None = None,
+    ) -> None:
+        """Take in a call that has failed.
+
+        Args:
+            error: How.
+            asked_at: When it was made, in monotonic seconds; None for a watch,
+                whose end tells of the present.
+        """
         match error:
             case WatchForgotten():
                 # The store answered, whatever it remembers.
@@ -358,6 +386,15 @@
                     kind=self._plan.kind,
                     revision=self.revision,
                 )
+            case _ if self._is_refuted(asked_at):
+                log_event('store-answered-later', kind=self._plan.kind)
             case _:
                 reason = getattr(error, 'message', type(error).__name__)
                 self._contact.note_failure(f'{self._plan.kind}: {reason}')
+
+    def _is_refuted(self, asked_at: float | None) -> bool:
+        """Return whether the store has answered since a call that failed."""
+        heard_at = self._contact.heard_at
+        if asked_at is None or heard_at is None or self._contact.is_lost:
+            return False
+        return heard_at > asked_at
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -121,6 +121,11 @@
         """Those of the three kinds that steer."""
         return self.configuration, self.evacuations, self.upstreams
 
+    def close(self) -> None:
+        """End what is asked."""
+        if self._checking is not None:
+            self._checking.cancel()
+
     def begins_clock(self) -> bool:
         """Return whether this host has just become a sentinel.
 
--- a/tests/functional/test_late_listing.py
+++ b/tests/functional/test_late_listing.py
@@ -61,7 +61,7 @@
     is_told = asyncio.Event()
     is_watching = asyncio.Event()
 
-    async def list_kind(_kind: str) -> Result[Listing, str]:
+    async def list_kind(_kind: str, **_how: bool) -> Result[Listing, str]:
         nonlocal listings
         listings += 1
         await is_told.wait()
@@ -142,7 +142,7 @@
     host = LateHost(sync, belief.catalog)
     sync.on_news = host.note_told
 
-    async def list_kind(_kind: str) -> Result[Listing, str]:
+    async def list_kind(_kind: str, **_how: bool) -> Result[Listing, str]:
         is_asked.set()
         await is_told.wait()
         return Ok(listing)
