Let an age of state pass through two hosts at most

A way that is longer than assumed makes a state look younger by the difference, and an age that is handed round between hosts gained that with each hop: without a source it would hardly have grown (found by a review, by arithmetic). Ages now carry their hops, sentinel to relay to host, and what came further is not taken in. test_an_age_that_is_handed_round_does_not_stop_growing: 100 rounds with hops 0.08 s slower than assumed; the state looks 0.16 s younger, not 8 s.

--- a/src/wardstair/decisions/state_age.py
+++ b/src/wardstair/decisions/state_age.py
@@ -22,10 +22,26 @@
 LOOK_SHARE = 0.05
 
 
+# Hosts that an age may pass through, each of which takes ways that were longer
+# than assumed for age: handed round without end it would not grow at all.
+MOST_HOPS = 2
 # A question that is not answered is asked once more beside the first.
 MOST_ASKING = 2
 
 
+@dataclass(frozen=True, slots=True)
+class ToldAge:
+    """The age of a host's state, as it tells others.
+
+    Attributes:
+        seconds: The age.
+        hops: Hosts that it has passed through since one read the store.
+    """
+
+    seconds: float
+    hops: int
+
+
 @dataclass(frozen=True, slots=True)
 class RefreshTimes:
     """When a host asks the store, in seconds.
--- a/src/wardstair/fleet/beats.py
+++ b/src/wardstair/fleet/beats.py
@@ -11,6 +11,7 @@
 
 import cbor2
 
+from wardstair.decisions.state_age import ToldAge
 from wardstair.state.revision import NO_REVISION, Revision
 
 # Two versions of the program in one fleet drop each other's datagrams
@@ -160,8 +161,8 @@
         is_sentinel: Whether the sender watches the store closely for all.
         is_doubting: Whether a watch of the sender is late.
         lost: Groups of upstreams that the sender does not reach.
-        state_age: Seconds since the sender's state was known to be complete;
-            None if it never was.
+        state_age: Age of the sender's state; None if it was never known to be
+            complete.
     """
 
     kind: BeatKind
@@ -182,7 +183,7 @@
     is_sentinel: bool = False
     is_doubting: bool = False
     lost: tuple[str, ...] = ()
-    state_age: float | None = None
+    state_age: ToldAge | None = None
 
 
 def encode_beat(beat: Beat) -> bytes:
@@ -208,7 +209,7 @@
             beat.is_sentinel,
             beat.is_doubting,
             beat.lost,
-            None if beat.state_age is None else round(beat.state_age, 3),
+            age_row(beat.state_age),
         ]
     )
 
@@ -238,12 +239,29 @@
             bool(row[16]),
             bool(row[17]),
             tuple(str(group) for group in row[18]),
-            None if row[19] is None else float(row[19]),
+            age_of(row[19]),
         )
     except _UNREADABLE:
         return None
 
 
+def age_row(age: ToldAge | None) -> list[float]:
+    """Return an age as it travels; `age_of` is the inverse."""
+    return [] if age is None else [round(age.seconds, 3), age.hops]
+
+
+def age_of(row: list[float]) -> ToldAge | None:
+    """Return the age that travelled as a row.
+
+    Raises:
+        ValueError: It is no row of `age_row`.
+    """
+    if not row:
+        return None
+    seconds, hops = row
+    return ToldAge(float(seconds), int(hops))
+
+
 def _contact_row(contact: ContactAge | None) -> list[float]:
     if contact is None:
         return []
--- a/src/wardstair/fleet/radio.py
+++ b/src/wardstair/fleet/radio.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from wardstair.decisions.membership import RELAYS_A_ZONE
+from wardstair.decisions.state_age import ToldAge
 from wardstair.fleet.beats import (
     MOST_NAMED,
     Beat,
@@ -88,8 +89,8 @@
         self.on_state: Callable[[bytes], bool] = _read_nothing
         # Period of the heartbeats of a sentinel.
         self.sentinel_seconds: Callable[[], float] = lambda: BEAT_SECONDS
-        # Age of the state that heartbeats tell, in seconds.
-        self.state_age: Callable[[], float | None] = _no_age
+        # Age of the state that heartbeats tell.
+        self.state_age: Callable[[], ToldAge | None] = _no_age
         # What heartbeats tell of the load of zones.
         self.zone_loads: ZoneLoads = _no_loads
         # Set once a host has answered, or has had the time to.
@@ -422,7 +423,7 @@
         self._send_bytes(address, encode_beat(beat))
 
 
-def _no_age() -> float | None:
+def _no_age() -> ToldAge | None:
     """Tell nothing; the default."""
     return None
 
--- a/src/wardstair/fleet/sharing.py
+++ b/src/wardstair/fleet/sharing.py
@@ -11,8 +11,9 @@
 
 import cbor2
 
+from wardstair.decisions.state_age import ToldAge
 from wardstair.decisions.suspicion import Evidence
-from wardstair.fleet.beats import Versions, versions_of
+from wardstair.fleet.beats import Versions, age_of, age_row, versions_of
 from wardstair.state.catalog import CatalogChanges
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
 from wardstair.state.limits import SharedLimit
@@ -77,8 +78,8 @@
     """The parts in which the sender is ahead; None for the others.
 
     Attributes:
-        age: Seconds since the sender's state was known to be complete; None if
-            it never was, or if not all parts are there.
+        age: Age of the sender's state; None if it was never known to be
+            complete, or if not all parts are there.
     """
 
     configuration: SharedConfiguration | None = None
@@ -87,7 +88,7 @@
     suspects: Mapping[str, Evidence] = field(default_factory=dict)
     limits: Mapping[str, SharedLimit] = field(default_factory=dict)
     restore: SharedRestore | None = None
-    age: float | None = None
+    age: ToldAge | None = None
 
 
 @dataclass(slots=True)
@@ -124,7 +125,7 @@
                     for name, one in state.limits.items()
                 ],
                 state.restore and _restore_row(state.restore),
-                None if state.age is None else round(state.age, 3),
+                age_row(state.age),
             ]
         )
 
@@ -149,7 +150,7 @@
             _suspects(*row[4]),
             _limits(row[5]),
             row[6] and _restore(*row[6]),
-            None if row[7] is None else float(row[7]),
+            age_of(row[7]),
         )
     except UNREADABLE:
         return None
--- a/src/wardstair/state/age.py
+++ b/src/wardstair/state/age.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
+from wardstair.decisions.state_age import MOST_HOPS, ToldAge
 from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.roles import ignore
 
@@ -35,11 +36,14 @@
         self.on_fresh: Callable[[], None] = ignore
         self._clock = clock
         now = clock()
-        # Until something is known, the age counts from the start.
-        self._complete_at = dict.fromkeys(kinds, now)
+        # Moments up to which each kind is complete, by hops since the store was
+        # read. Until something is known, the age counts from the start.
+        self._moments = {
+            kind: [now for _ in range(MOST_HOPS + 1)] for kind in kinds
+        }
         self._known = set[str]()
         # Revision of the store up to which all of a kind is known.
-        self._complete_to = dict.fromkeys(self._complete_at, NO_REVISION)
+        self._complete_to = dict.fromkeys(self._moments, NO_REVISION)
         self._looked_at = now
         self._stood_until = float('-inf')
         self._stood_seconds = 0.0
@@ -47,13 +51,17 @@
     @property
     def seconds(self) -> float:
         """Age of the state: nothing acknowledged before that is missing."""
-        return self._clock() - min(self._complete_at.values())
+        return self._clock() - self._complete_at(MOST_HOPS)
 
     @property
-    def told(self) -> float | None:
+    def told(self) -> ToldAge | None:
         """Age to tell other hosts; None while it is not known."""
-        is_known = len(self._known) == len(self._complete_at)
-        return self.seconds if is_known else None
+        if len(self._known) < len(self._moments):
+            return None
+        moment, hops = max(
+            (self._complete_at(hops), -hops) for hops in range(MOST_HOPS)
+        )
+        return ToldAge(self._clock() - moment, -hops)
 
     def note_read(self, kind: str, revision: Revision, moment: float) -> None:
         """Note an answer of the store about one kind.
@@ -67,25 +75,28 @@
             moment: Monotonic time in seconds up to which it is complete.
         """
         self._complete_to[kind] = max(self._complete_to[kind], revision)
-        before = min(self._complete_at.values())
+        before = self._complete_at(MOST_HOPS)
         for other, known in self._complete_to.items():
             if known >= revision:
-                self._raise(other, moment)
+                self._set(other, moment, 0)
         self._tell(before)
 
-    def note_told(self, seconds: float, asked_at: float | None = None) -> None:
+    def note_told(self, told: ToldAge, asked_at: float | None = None) -> None:
         """Note that this host knows all that another one does.
 
         Args:
-            seconds: Age of the other host's state, and of what told of it.
+            told: Age of the other host's state, with the way here.
             asked_at: When this host had asked for it; None if it came unasked.
         """
-        before = min(self._complete_at.values())
+        hops = told.hops + 1
+        if hops > MOST_HOPS:
+            return
+        before = self._complete_at(MOST_HOPS)
         moment = (
             self._clock() - self._waited() if asked_at is None else asked_at
         )
-        for kind in self._complete_at:
-            self._raise(kind, moment - seconds)
+        for kind in self._moments:
+            self._set(kind, moment - told.seconds, hops)
         self._tell(before)
 
     def look(self, period: float) -> None:
@@ -110,10 +121,16 @@
         stood = self._stood_seconds if now < self._stood_until else 0.0
         return max(unseen if unseen > LATE_SECONDS else 0.0, stood)
 
-    def _raise(self, kind: str, moment: float) -> None:
+    def _complete_at(self, hops: int) -> float:
+        """Return the moment up to which all is known, over so many hops."""
+        return min(moments[hops] for moments in self._moments.values())
+
+    def _set(self, kind: str, moment: float, hops: int) -> None:
         self._known.add(kind)
-        self._complete_at[kind] = max(self._complete_at[kind], moment)
+        moments = self._moments[kind]
+        for most in range(hops, MOST_HOPS + 1):
+            moments[most] = max(moments[most], moment)
 
     def _tell(self, before: float) -> None:
-        if min(self._complete_at.values()) - before >= LEAST_GAIN_SECONDS:
+        if self._complete_at(MOST_HOPS) - before >= LEAST_GAIN_SECONDS:
             self.on_fresh()
--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 import pycurl
@@ -283,7 +283,8 @@
         if beat.state_age is not None and not self._is_behind(beat.versions):
             is_near = beat.sender.zone == self._zone
             way = way_seconds(is_near=is_near)
-            self._belief.age.note_told(beat.state_age + way)
+            told = replace(beat.state_age, seconds=beat.state_age.seconds + way)
+            self._belief.age.note_told(told)
         self._sort_in(beat)
         self._go_on()
 
--- a/tests/unit/test_state_age.py
+++ b/tests/unit/test_state_age.py
@@ -1,9 +1,13 @@
 """Up to which moment a state is complete, by answers and by other hosts."""
 
+from dataclasses import replace
+
 import pytest
 
 from wardstair.decisions.state_age import (
+    MOST_HOPS,
     Reading,
+    ToldAge,
     ask_after,
     complete_at,
     may_ask,
@@ -60,7 +64,7 @@
     assert age.told is None
     age.note_read('evacuations', Revision(1, 7), clock.now)
     age.note_read('servers', Revision(1, 7), clock.now)
-    assert age.told == 0.0
+    assert age.told == ToldAge(0.0, 0)
 
 
 @pytest.mark.parametrize(
@@ -98,7 +102,7 @@
     clock.now += 10.0
     age.look(10.0)
     clock.now += unseen
-    age.note_told(0.5)
+    age.note_told(ToldAge(0.5, 0))
     assert age.seconds == pytest.approx(expected)
 
 
@@ -108,14 +112,29 @@
     clock.now += 10.0
     asked_at = clock.now
     clock.now += 1.8
-    age.note_told(0.5, asked_at)
+    age.note_told(ToldAge(0.5, 0), asked_at)
     assert age.seconds == pytest.approx(2.3)
 
 
+def test_an_age_that_is_handed_round_does_not_stop_growing() -> None:
+    """Each hop is 0.08 s slower than assumed, and nobody reads the store."""
+    clock = Clock()
+    one, other = known_age(clock), known_age(clock)
+    for _ in range(100):
+        for teller, listener in ((one, other), (other, one)):
+            clock.now += 0.05
+            teller.look(0.05)
+            listener.look(0.05)
+            told = teller.told
+            assert told is not None
+            listener.note_told(replace(told, seconds=told.seconds - 0.08))
+    assert one.seconds == pytest.approx(10.0 - 0.08 * MOST_HOPS)
+
+
 def test_a_state_that_is_told_older_does_not_age_this_one() -> None:
     clock = Clock()
     age = known_age(clock)
-    age.note_told(60.0)
+    age.note_told(ToldAge(60.0, 0))
     assert age.seconds == 0.0
 
 
