Name what newcomers stumble over in the age of state and the asking of hosts

Names and doc comments only: follow_role in place of begins_clock, which changed state behind the name of a question; _start_asking, _classify and _drop_outdated say what _go_on, _sort_in and _sort_anew hid; _note_gain in place of a third _tell.

--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -408,7 +408,7 @@
         return None
 
     def _place_on_way(self, course: Course) -> Placement | None:
-        """Choose an upstream that no new connection is needed to if these fail.
+        """Choose an upstream, while new connections fail one with an open one.
 
         Returns:
             None if there is none, or another host is to be asked: its new
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -137,7 +137,7 @@
         self._numbers = count()
 
     def has_way(self, upstream: Upstream, *, is_once: bool) -> bool:
-        """Return whether a request can be sent without risking its connection.
+        """Return whether a request needs no new connection that may fail.
 
         Args:
             upstream: Where to.
--- a/src/wardstair/state/age.py
+++ b/src/wardstair/state/age.py
@@ -79,7 +79,7 @@
         for other, known in self._complete_to.items():
             if known >= revision:
                 self._set(other, moment, 0)
-        self._tell(before)
+        self._note_gain(before)
 
     def note_told(self, told: ToldAge, asked_at: float | None = None) -> None:
         """Note that this host knows all that another one does.
@@ -97,7 +97,7 @@
         )
         for kind in self._moments:
             self._set(kind, moment - told.seconds, hops)
-        self._tell(before)
+        self._note_gain(before)
 
     def look(self, period: float) -> None:
         """Note that the process runs; to be called all the time.
@@ -126,11 +126,13 @@
         return min(moments[hops] for moments in self._moments.values())
 
     def _set(self, kind: str, moment: float, hops: int) -> None:
+        """Note that a kind is complete up to a moment, over so many hops."""
         self._known.add(kind)
         moments = self._moments[kind]
         for most in range(hops, MOST_HOPS + 1):
             moments[most] = max(moments[most], moment)
 
-    def _tell(self, before: float) -> None:
+    def _note_gain(self, before: float) -> None:
+        """Have others told if the state is known to be newer than before."""
         if self._complete_at(MOST_HOPS) - before >= LEAST_GAIN_SECONDS:
             self.on_fresh()
--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -285,10 +285,10 @@
             way = way_seconds(is_near=is_near)
             told = replace(beat.state_age, seconds=beat.state_age.seconds + way)
             self._belief.age.note_told(told)
-        self._sort_in(beat)
-        self._go_on()
+        self._classify(beat)
+        self._start_asking()
 
-    def _sort_in(self, beat: Beat) -> None:
+    def _classify(self, beat: Beat) -> None:
         """Keep a heartbeat as the last one heard, if its sender is wanted."""
         name = beat.sender.name
         self._ahead.pop(name, None)
@@ -298,7 +298,7 @@
         elif self._differs(beat):
             self._differing[name] = beat
 
-    def _go_on(self) -> None:
+    def _start_asking(self) -> None:
         """Begin to ask hosts that are wanted, unless that is under way."""
         if self._ahead and _is_over(self._catching_up):
             self._catching_up = asyncio.ensure_future(self._catch_up())
@@ -348,7 +348,7 @@
 
     def _next_of(self, heard: dict[str, Beat], most: int) -> Beat | None:
         """Return the heartbeat of the host to ask now; None for nobody."""
-        self._sort_anew()
+        self._drop_outdated()
         name = host_to_ask(heard, self._fetches, most)
         return None if name is None else heard[name]
 
@@ -360,10 +360,10 @@
         heard.pop(beat.sender.name)
         return await self._ask_for_a_while(beat)
 
-    def _sort_anew(self) -> None:
+    def _drop_outdated(self) -> None:
         """Drop what is known by now; a host may not be ahead but differ."""
         for beat in (*self._differing.values(), *self._ahead.values()):
-            self._sort_in(beat)
+            self._classify(beat)
 
     def _keep_last_differing(self) -> None:
         """Forget others: what one has told they may have learnt as well."""
@@ -418,7 +418,7 @@
     def _end_fetch(self, name: str) -> None:
         self._fetches.pop(name)
         self._late_at.pop(name)
-        self._go_on()
+        self._start_asking()
 
     def _hedge_seconds(self, beat: Beat) -> float:
         is_near = beat.sender.zone == self._zone
--- a/src/wardstair/state/refreshing.py
+++ b/src/wardstair/state/refreshing.py
@@ -59,9 +59,9 @@
             times = self._times()
             await asyncio.sleep(times.look)
             self._belief.age.look(times.look)
-            begins_clock = self._sync.begins_clock()
+            is_new_sentinel = self._sync.follow_role()
             # While a fleet starts, each host is a sentinel for a moment.
-            if self._has_begun() and (begins_clock or self._is_old(times)):
+            if self._has_begun() and (is_new_sentinel or self._is_old(times)):
                 self._ask()
 
     def _is_old(self, times: RefreshTimes) -> bool:
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -126,18 +126,21 @@
         if self._checking is not None:
             self._checking.cancel()
 
-    def begins_clock(self) -> bool:
-        """Return whether this host has just become a sentinel.
+    def follow_role(self) -> bool:
+        """Begin the clock of a sentinel if this host has just become one.
 
-        Its watch of before may wait for long, and is not missed when late: the
-        clock of a sentinel begins now.
+        The clock is a short watch of the evacuations (`_evacuation_wait`). The
+        watch that is waiting may do so for long, and is not missed when late.
+
+        Returns:
+            Whether this host has become a sentinel since the last call.
         """
         is_sentinel = self._roles.is_sentinel()
-        begins = is_sentinel and not self._was_sentinel
+        has_become = is_sentinel and not self._was_sentinel
         self._was_sentinel = is_sentinel
-        if begins:
+        if has_become:
             self.evacuations.renew_watch()
-        return begins
+        return has_become
 
     async def check(self) -> None:
         """Ask the store for all that this host may not know."""
