Break hosts of the soak also in the age of their state

That is what the age is for, so the break no longer breaks anything by itself. A host that is broken in this way now takes its state for new as well. Plan, words that have to be found, ledger and bounds are unchanged.

--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -15,6 +15,7 @@
 from wardstair.platform import headers, store
 from wardstair.platform.objects import StoredObject
 from wardstair.state import (
+    age,
     belief,
     contact,
     following,
@@ -149,7 +150,14 @@
 
 
 def trust_silent_watches() -> None:
-    """Let hosts wait for watches that are never answered."""
+    """Let hosts wait for watches that are never answered.
+
+    The age of their state would have them ask the store, so they take it for
+    new.
+    """
+
+    def seconds(self: age.StateAge) -> float:
+        return 0.0
 
     def wait(self: sync.StoreSync) -> float:
         return following.WATCH_SECONDS
@@ -163,6 +171,7 @@
     contact.StoreContact.note_failure = note_failure  # type: ignore[method-assign]
     sync.StoreSync._evacuation_wait = wait  # type: ignore[method-assign]
     sync.StoreSync._evacuation_slack = slack  # type: ignore[method-assign]
+    age.StateAge.seconds = property(seconds)  # type: ignore[assignment]
 
 
 def pass_keys_on() -> None:
