Reproduce the use of an upstream that left soon after its start

- test_no_host_uses_an_upstream_that_left_soon_after_its_start: twelve whole gateways in virtual time, upstreams that leave 0.05 to 0.6 s after their start, answers of the store late by up to 0.1 s.
The hosts that use the upstream have the revision of the others and a state 0.2 to 0.7 s old: new and wrong.

--- a/tests/lib/news_player.py
+++ b/tests/lib/news_player.py
@@ -98,6 +98,7 @@
         stale_seconds: Age of the data returned to reads that accept stale data.
         refuses_connections: Whether it refuses connections.
         late_seconds: Additional latency of each answer.
+        spread_seconds: Maximum of a further latency that is drawn per answer.
     """
 
     factor: float = 1.0
@@ -106,6 +107,7 @@
     stale_seconds: float = 0.0
     refuses_connections: bool = False
     late_seconds: float = 0.0
+    spread_seconds: float = 0.0
 
 
 def _set_event() -> asyncio.Event:
@@ -548,7 +550,9 @@
             outcome = await self._watch(kind, query)
         else:
             outcome = self._read(kind, name, is_stale='stale_ok' in query)
-        late = self.store_faults.late_seconds
+        late = self.store_faults.late_seconds + self.random.uniform(
+            0, self.store_faults.spread_seconds
+        )
         await asyncio.sleep(
             STORE_SECONDS * self.store_faults.factor + late + path_seconds
         )
@@ -664,6 +668,11 @@
         self.leaving.append(left)
         return left
 
+    def add_upstream(self, name: str, port: int, zone: str) -> None:
+        """Register an upstream in the store."""
+        self.store.put('servers', name, upstream_spec(port, SERVICE, zone))
+        self._note_revision()
+
     def remove_upstream(self, name: str) -> Leaving:
         """Delete the entry of an upstream that was not draining."""
         self.store.delete('servers', name)
--- a/tests/lib/news_troubles.py
+++ b/tests/lib/news_troubles.py
@@ -23,6 +23,12 @@
 AFTER_SECONDS = 9.0
 FREEZE_SECONDS = 3.0
 ADDED_LATENCY_SECONDS = 0.3
+MAX_SPREAD_SECONDS = 0.1
+# Lifetimes of upstreams that leave soon after their start, and the intervals
+# between their starts.
+LIFETIMES_SECONDS = (0.05, 0.6)
+START_INTERVALS_SECONDS = (0.02, 0.5)
+FIRST_ADDED_PORT = 9000
 # Duration of troubles that do not end by themselves.
 TROUBLE_SECONDS = 6.0
 BOUNDS = Bounds(
@@ -211,6 +217,37 @@
     """Do nothing; `_play` then removes upstreams that were not draining."""
 
 
+async def answers_spread(play: NewsPlay, _random: Random) -> None:
+    """Delay each answer of the store by a random time."""
+    play.store_faults.spread_seconds = MAX_SPREAD_SECONDS
+    await asyncio.sleep(TROUBLE_SECONDS)
+    play.store_faults.spread_seconds = 0.0
+
+
+async def short_lives(play: NewsPlay, random: Random) -> None:
+    """Start upstreams that leave again within the coalescing delay."""
+    zones = list(play.layout.zones)
+    end = play.now + TROUBLE_SECONDS
+    lives: list[asyncio.Future[None]] = []
+    while play.now < end:
+        port = FIRST_ADDED_PORT + len(lives)
+        lives.append(
+            asyncio.ensure_future(
+                _live_shortly(play, port, random.choice(zones), random),
+            )
+        )
+        await asyncio.sleep(random.uniform(*START_INTERVALS_SECONDS))
+    await asyncio.gather(*lives)
+
+
+async def _live_shortly(
+    play: NewsPlay, port: int, zone: str, random: Random
+) -> None:
+    play.add_upstream(f'short-{port}', port, zone)
+    await asyncio.sleep(random.uniform(*LIFETIMES_SECONDS))
+    play.remove_upstream(f'short-{port}')
+
+
 async def host_still(play: NewsPlay, random: Random) -> None:
     """Freeze a host that is no sentinel."""
     await play.stand_still(_draw_non_sentinel(play, random), 1.5)
@@ -244,6 +281,8 @@
         five_added,
         removals,
         host_still,
+        answers_spread,
+        short_lives,
     )
 }
 
