Pass on removals of upstreams that the sender never knew

Cause: a host noted a removal only for an upstream that it knew. One that reads the registration and the removal in one answer of the store, or whose listing lies between, knew nothing of it. It then told others that it was complete up to the revision of the removal, without the removal. A host that had read the registration adopted that revision, ignored the right changes as not newer, and kept the upstream for good.

The change: each removal is noted with its revision, whether the upstream was known or not, and travels with it. A host takes the newer of two revisions, so removals are not repeated between hosts forever, and one that is older than an entry does not end it. After a listing that is ahead of the catalog a host sends the whole list, as it cannot know what came and went. What may have expired is kept by those who know it even if the sender does not. The format of shared state is 7, as the rows of removals have changed.

Why it holds: the property test lets three catalogs read, list and send in any order and compares each with what the store listed at its revision.

Ruled out: a removal that came late (the hosts had the later revision), a lapse (no contact was lost), a send past the catalog (it is asked right before the bytes leave).

--- a/src/wardstair/fleet/sharing.py
+++ b/src/wardstair/fleet/sharing.py
@@ -18,9 +18,10 @@
 from wardstair.state.catalog import CatalogChanges
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
 from wardstair.state.limits import SharedLimit
+from wardstair.state.removals import Removal
 from wardstair.state.revision import Revision
 
-_FORMAT = 6
+_FORMAT = 7
 _DECODE_ERRORS = (
     cbor2.CBORDecodeError,
     zlib.error,
@@ -251,7 +252,10 @@
         _revision_row(changes.since),
         _revision_row(changes.revision),
         [_entry_row(entry) for entry in changes.entries],
-        list(changes.removed),
+        [
+            [one.name, *_revision_row(one.revision), one.born]
+            for one in changes.removals
+        ],
         {name: round(left, 3) for name, left in changes.missing.items()},
         [_entry_row(entry) for entry in changes.stale],
     ]
@@ -259,17 +263,21 @@
 
 def _changes(row: list[Any]) -> CatalogChanges:
     since, revision, entries, *rest = row
-    removed, missing, stale = rest
+    removals, missing, stale = rest
     return CatalogChanges(
         _revision(since),
         _revision(revision),
         tuple(_entry(entry) for entry in entries),
-        tuple(removed),
+        tuple(_removal(*removal) for removal in removals),
         {name: float(left) for name, left in missing.items()},
         tuple(_entry(entry) for entry in stale),
     )
 
 
+def _removal(name: str, era: int, number: int, born: int) -> Removal:
+    return Removal(Revision(int(era), int(number)), str(name), int(born))
+
+
 def _entry_row(entry: UpstreamEntry) -> list[object]:
     return [
         entry.name,
--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -34,7 +34,8 @@
             whole list.
         revision: Revision up to which the changes are complete.
         entries: Entries that are new or have changed.
-        removed: Names of upstreams that were removed.
+        removals: Removals of upstreams, also of those that the sender never
+            knew.
         missing: Seconds left for entries to return that disappeared while the
             store was unreachable, by name.
         stale: Entries that a restored store lists although their upstreams had
@@ -44,10 +45,15 @@
     since: Revision
     revision: Revision
     entries: tuple[UpstreamEntry, ...]
-    removed: tuple[str, ...] = ()
+    removals: tuple[Removal, ...] = ()
     missing: Mapping[str, float] = field(default_factory=dict)
     stale: tuple[UpstreamEntry, ...] = ()
 
+    @property
+    def removed(self) -> tuple[str, ...]:
+        """Names of the removed upstreams, in alphabetical order."""
+        return tuple(sorted(removal.name for removal in self.removals))
+
 
 @dataclass(slots=True)
 class Catalog:
@@ -105,14 +111,13 @@
             for upstream in self.upstreams.values()
             if upstream.gone_at is None and upstream.entry.revision >= since
         ]
-        present = {entry.name for entry in changed}
-        # An upstream that has returned since is listed with its entry.
-        removed = self._removals.since(since) - present
+        removals = () if since == NO_REVISION else self._removals.since(since)
         return CatalogChanges(
             since,
             self.revision,
             tuple(changed),
-            () if since == NO_REVISION else tuple(sorted(removed)),
+            # An upstream that has returned since is present.
+            tuple(one for one in removals if not self._is_present(one.name)),
             {name: end - now for name, end in self._missing.items()},
             self._stale_entries.entries,
         )
@@ -133,25 +138,35 @@
                 store_was_away=False,
             )
         else:
-            self.apply(
-                changes.entries,
-                changes.removed,
-                changes.revision,
-                store_was_away=False,
-            )
+            self._apply_peer_changes(changes)
         self._merge_missing(changes.missing)
         if changes.stale:
             self._merge_stale(changes)
         return True
 
+    def _apply_peer_changes(self, changes: CatalogChanges) -> None:
+        self.revision = changes.revision
+        for entry in changes.entries:
+            self._stale_entries.discard(entry.name)
+            self._put(entry)
+        for removal in changes.removals:
+            self._stale_entries.discard(removal.name)
+            known = self.upstreams.get(removal.name)
+            if known is None or known.entry.revision <= removal.revision:
+                self._remove(removal)
+        self._index()
+
+    def _is_present(self, name: str) -> bool:
+        known = self.upstreams.get(name)
+        return known is not None and known.gone_at is None
+
     def _merge_missing(self, missing: Mapping[str, float]) -> None:
         if missing and self.rules_out_expiry() and not self._may_register_again:
             self.end_missing(missing)
             return
         now = self.clock()
         for name, seconds in missing.items():
-            upstream = self.upstreams.get(name)
-            if upstream is not None and upstream.gone_at is None:
+            if name not in self.upstreams or self._is_present(name):
                 self._missing.setdefault(name, now + seconds)
 
     def end_missing(self, names: Iterable[str]) -> None:
@@ -201,8 +216,9 @@
                 self._put(entry)
         if is_first_listing and self.restoration.is_assumed:
             self._mark_all_cold()
-        if is_new_era or is_first_listing:
-            # Earlier removals are unknown.
+        if revision > self.revision:
+            # The listing does not tell which upstreams were registered and
+            # removed since the previous revision.
             self._removals.begin(revision)
         self.revision = revision
         may_return = store_was_away or (is_new_era and self._is_just_restored)
@@ -275,18 +291,16 @@
         Args:
             name: Name of the upstream.
             store_was_away: Whether the entry may have expired although the
-                upstream is running. It is then kept for `RETURN_SECONDS`.
+                upstream is running. It is then kept for `RETURN_SECONDS`, by
+                this host or by those that know it.
         """
-        upstream = self.upstreams.get(name)
-        if upstream is None or upstream.gone_at is not None:
+        has_left = name in self.upstreams and not self._is_present(name)
+        if has_left or not store_was_away:
+            self._remove(Removal(self.revision, name))
             return
-        now = self.clock()
-        if store_was_away and name not in self._missing:
-            self._missing[name] = now + RETURN_SECONDS
+        if name not in self._missing:
+            self._missing[name] = self.clock() + RETURN_SECONDS
             log_event('upstream-missing', upstream=name, wait=RETURN_SECONDS)
-            return
-        if not store_was_away:
-            self._forget(upstream, now)
 
     def expire_missing(self) -> None:
         """Remove upstreams whose entries did not return in time."""
@@ -294,7 +308,7 @@
         self._accept_stale()
         expired = [name for name, end in self._missing.items() if end <= now]
         for name in expired:
-            self._forget(self.upstreams[name], now)
+            self._remove(Removal(self.revision, name))
         self.upstreams = {
             name: upstream
             for name, upstream in self.upstreams.items()
@@ -320,7 +334,7 @@
         if upstream is None or upstream.has_ended:
             return
         upstream.has_ended = True
-        self._forget(upstream, self.clock())
+        self._remove(Removal(self.revision, name))
         self._index()
 
     def note_ended(self, incarnation: str) -> Upstream | None:
@@ -429,11 +443,17 @@
         upstream.gone_at = self.clock()
         self.on_incarnation_ended(entry.name)
 
-    def _forget(self, upstream: Upstream, now: float) -> None:
-        self._missing.pop(upstream.name, None)
-        upstream.gone_at = now
-        entry = upstream.entry
-        self._removals.note(Removal(self.revision, entry.name, entry.born))
+    def _remove(self, removal: Removal) -> None:
+        """Stop using an upstream, if it is known, and note its removal."""
+        self._missing.pop(removal.name, None)
+        upstream = self.upstreams.get(removal.name)
+        if upstream is None:
+            self._removals.note(removal)
+            return
+        self._removals.note(replace(removal, born=upstream.entry.born))
+        if upstream.gone_at is not None:
+            return
+        upstream.gone_at = self.clock()
         log_event(
             'upstream-gone',
             upstream=upstream.name,
--- a/src/wardstair/state/removals.py
+++ b/src/wardstair/state/removals.py
@@ -1,6 +1,5 @@
 """Log of removed upstreams, for hosts that request changes."""
 
-from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
@@ -17,36 +16,53 @@
     Attributes:
         revision: Revision of the store by which it had been removed.
         name: Name of the upstream.
-        born: The removed incarnation, as in `UpstreamEntry.born`.
+        born: The removed incarnation, as in `UpstreamEntry.born`; 0 if it is
+            not known.
     """
 
     revision: Revision
     name: str
-    born: int
+    born: int = 0
 
 
 @dataclass(slots=True)
 class RemovalLog:
-    """Removals since some revision, oldest first."""
+    """Removals since some revision, one for each name.
 
-    _removals: deque[Removal] = field(default_factory=deque)
+    The log also holds removals of upstreams that this host never knew: another
+    host may have read the registration of such an upstream, and this host may
+    be the one that tells it of the removal.
+    """
+
+    # By name, in the order of the last update.
+    _removals: dict[str, Removal] = field(default_factory=dict)
     _complete_from: Revision = NO_REVISION
 
     @property
     def incarnations(self) -> Mapping[str, int]:
         """The last removed incarnation of each name."""
-        return {one.name: one.born for one in self._removals}
+        return {one.name: one.born for one in self._removals.values()}
 
     def begin(self, revision: Revision) -> None:
-        """Record that removals before a revision are unknown."""
-        self._complete_from = revision
+        """Record that some removals before a revision may be unknown."""
+        self._complete_from = max(self._complete_from, revision)
 
     def note(self, removal: Removal) -> None:
-        """Add a removal; drop the oldest one if there are too many."""
-        self._removals.append(removal)
+        """Add a removal; drop the oldest one if there are too many.
+
+        A removal that is not newer than the known one of the same name is
+        ignored, so that hosts do not repeat a removal to each other forever.
+        """
+        known = self._removals.get(removal.name)
+        if known is not None and known.revision >= removal.revision:
+            return
+        born = removal.born
+        if known is not None:
+            born = max(born, self._removals.pop(removal.name).born)
+        self._removals[removal.name] = replace(removal, born=born)
         if len(self._removals) > MAX_REMOVALS:
-            first = self._removals.popleft().revision
-            self._complete_from = replace(first, number=first.number + 1)
+            first = self._removals.pop(next(iter(self._removals))).revision
+            self.begin(replace(first, number=first.number + 1))
 
     def covers(self, revision: Revision, known: Revision) -> bool:
         """Return whether the log has all removals since a revision.
@@ -61,6 +77,8 @@
         is_of_this_era = revision.era == known.era
         return is_of_this_era and revision >= self._complete_from
 
-    def since(self, revision: Revision) -> set[str]:
-        """Return the names of upstreams removed since a revision."""
-        return {one.name for one in self._removals if one.revision >= revision}
+    def since(self, revision: Revision) -> tuple[Removal, ...]:
+        """Return the removals since a revision, the oldest update first."""
+        return tuple(
+            one for one in self._removals.values() if one.revision >= revision
+        )
--- a/tests/unit/test_equal_revisions.py
+++ b/tests/unit/test_equal_revisions.py
@@ -4,18 +4,30 @@
 upstreams that the host itself never knew.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from lib.revisions import at
 from lib.upstreams import ENTRY, Clock
 
 from wardstair.fleet.sharing import SharedState, StateEncoder, decode_state
-from wardstair.state.catalog import Catalog, CatalogChanges
+from wardstair.state.catalog import (
+    RETURN_SECONDS,
+    Catalog,
+    CatalogChanges,
+)
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
+from wardstair.state.removals import Removal, RemovalLog
 
 HOSTS = 3
+# An upstream that registers at revision 2 and is removed at revision 4, and
+# another one that registers in between.
+SHORT_LIVED = replace(ENTRY, name='short', revision=at(2))
+OTHER = replace(ENTRY, name='other', revision=at(3))
+REMOVED_AT = at(4)
 
 
 def encoded(changes: CatalogChanges) -> CatalogChanges:
@@ -28,6 +40,138 @@
     return decoded.upstreams
 
 
+def new_catalog(clock: Clock | None = None) -> Catalog:
+    catalog = Catalog(clock or Clock())
+    catalog.replace_all([], at(1), store_was_away=False)
+    return catalog
+
+
+def used(catalog: Catalog) -> set[str]:
+    return {upstream.name for upstream in catalog.of_service(ENTRY.service)}
+
+
+def read_both(catalog: Catalog) -> None:
+    """Have a host read the registration."""
+    catalog.apply([SHORT_LIVED, OTHER], [], at(3), store_was_away=False)
+
+
+def read_removal(catalog: Catalog) -> None:
+    """Have a host read the removal, and the other upstream if it lacks it."""
+    catalog.apply([OTHER], [SHORT_LIVED.name], REMOVED_AT, store_was_away=False)
+
+
+def send(sender: Catalog, receiver: Catalog) -> None:
+    """Send the changes that a host lacks."""
+    changes = sender.changes_since(receiver.revision)
+    assert receiver.merge_peer_changes(encoded(changes))
+
+
+def list_after_removal(sender: Catalog) -> None:
+    sender.replace_all([OTHER], REMOVED_AT, store_was_away=False)
+
+
+def receive_removal(sender: Catalog) -> None:
+    peer = new_catalog()
+    read_both(peer)
+    read_removal(peer)
+    send(peer, sender)
+
+
+def receive_from_uninformed(sender: Catalog) -> None:
+    peer = new_catalog()
+    read_removal(peer)
+    send(peer, sender)
+
+
+def find_ended_before_removal(sender: Catalog) -> None:
+    sender.apply([SHORT_LIVED], [], at(2), store_was_away=False)
+    sender.mark_gone(SHORT_LIVED.name)
+    sender.expire_missing()
+    read_removal(sender)
+
+
+@pytest.mark.parametrize(
+    'learn',
+    [
+        read_removal,
+        list_after_removal,
+        receive_removal,
+        receive_from_uninformed,
+        find_ended_before_removal,
+    ],
+)
+def test_a_removal_is_passed_on_by_a_host_that_did_not_know_the_upstream(
+    learn: Callable[[Catalog], None],
+) -> None:
+    sender, receiver = new_catalog(), new_catalog()
+    read_both(receiver)
+    learn(sender)
+    send(sender, receiver)
+    assert receiver.revision == REMOVED_AT
+    assert used(receiver) == {OTHER.name}
+
+
+def test_an_entry_that_may_have_expired_is_kept_by_hosts_that_know_it() -> None:
+    clock = Clock()
+    sender, between, receiver = (new_catalog(clock) for _ in range(3))
+    read_both(receiver)
+    # The sender has regained contact with the store, which lists the upstream
+    # no longer; neither it nor the host in between has known it.
+    sender.apply([OTHER], [SHORT_LIVED.name], REMOVED_AT, store_was_away=True)
+    send(sender, between)
+    send(between, receiver)
+    assert used(receiver) == {OTHER.name, SHORT_LIVED.name}
+    clock.now += RETURN_SECONDS
+    for catalog in (sender, between, receiver):
+        catalog.expire_missing()
+        assert used(catalog) == {OTHER.name}
+    # A host that has not heard of it until then hears of the removal.
+    late = new_catalog(clock)
+    read_both(late)
+    send(between, late)
+    assert used(late) == {OTHER.name}
+
+
+def test_an_older_removal_does_not_end_a_new_registration() -> None:
+    again = replace(SHORT_LIVED, revision=at(6))
+    sender, receiver = new_catalog(), new_catalog()
+    for catalog in (sender, receiver):
+        read_both(catalog)
+    receiver.apply([], [SHORT_LIVED.name], REMOVED_AT, store_was_away=False)
+    receiver.apply([again], [], at(6), store_was_away=False)
+    sender.mark_gone(SHORT_LIVED.name)
+    sender.apply(
+        [replace(OTHER, revision=at(7))], [], at(7), store_was_away=False
+    )
+    changes = sender.changes_since(at(3))
+    assert changes.removed == (SHORT_LIVED.name,)
+    assert receiver.merge_peer_changes(encoded(changes))
+    assert used(receiver) == {OTHER.name, SHORT_LIVED.name}
+
+
+def test_hosts_do_not_repeat_a_removal_to_each_other() -> None:
+    first, second = new_catalog(), new_catalog()
+    read_both(first)
+    read_removal(first)
+    send(first, second)
+    for number in (5, 6, 7):
+        other = replace(OTHER, revision=at(number))
+        sender, receiver = (first, second) if number % 2 else (second, first)
+        sender.apply([other], [], at(number), store_was_away=False)
+        send(sender, receiver)
+    assert first.changes_since(at(5)).removed == ()
+    assert second.changes_since(at(5)).removed == ()
+
+
+@pytest.mark.parametrize('later', [0, 50, 100])
+def test_a_removal_keeps_the_latest_known_incarnation(later: int) -> None:
+    log = RemovalLog()
+    log.note(Removal(at(4), ENTRY.name, 100))
+    log.note(Removal(at(6), ENTRY.name, later))
+    assert log.incarnations == {ENTRY.name: 100}
+    assert [removal.revision for removal in log.since(at(1))] == [at(6)]
+
+
 @dataclass
 class StoreLog:
     """The writes of a store, and what it listed after each.
