Let the store's own answer decide at a revision that a peer has sent

Found by looking elsewhere for the cause of the upstream that left right after its start: a sentinel that had taken incomplete changes from another host read the removal from the store itself, and ignored it as already known, because the revision was the same. Only upstreams that were kept as missing were looked at.

The store's answer now corrects whatever it reports differently, and a line (upstreams-corrected) says so: it never appears while hosts tell each other the truth.

Before: the row of incomplete changes fails. Unit tests, the tests of late listings, missing entries and short-lived upstreams pass.

--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -357,6 +357,12 @@
         'store',
         'revision count removed used',
     ),
+    _kind(
+        'upstreams-corrected',
+        'the store reports upstreams differently from another host that had '
+        'sent the same revision; the store decides',
+        'revision count removed',
+    ),
     _kind(
         'upstreams-listed',
         'this host has read all upstreams from the store',
--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -117,7 +117,7 @@
             self.revision,
             tuple(changed),
             # An upstream that has returned since is present.
-            tuple(one for one in removals if not self._is_present(one.name)),
+            tuple(one for one in removals if not self.is_present(one.name)),
             {name: end - now for name, end in self._missing.items()},
             self._stale_entries.entries,
         )
@@ -156,17 +156,13 @@
                 self._remove(removal)
         self._index()
 
-    def _is_present(self, name: str) -> bool:
-        known = self.upstreams.get(name)
-        return known is not None and known.gone_at is None
-
     def _merge_missing(self, missing: Mapping[str, float]) -> None:
         if missing and self.rules_out_expiry() and not self._may_register_again:
             self.end_missing(missing)
             return
         now = self.clock()
         for name, seconds in missing.items():
-            if name not in self.upstreams or self._is_present(name):
+            if name not in self.upstreams or self.is_present(name):
                 self._missing.setdefault(name, now + seconds)
 
     def end_missing(self, names: Iterable[str]) -> None:
@@ -281,6 +277,16 @@
         is_draining = entry.phase is UpstreamPhase.draining
         return known.gone_at is not None or (was_draining and not is_draining)
 
+    def is_present(self, name: str) -> bool:
+        """Return whether an upstream is known and was not removed."""
+        known = self.upstreams.get(name)
+        return known is not None and known.gone_at is None
+
+    def lacks(self, entry: UpstreamEntry) -> bool:
+        """Return whether an entry is newer than the one of this catalog."""
+        known = self.upstreams.get(entry.name)
+        return known is None or known.entry.revision < entry.revision
+
     def is_missing(self, name: str) -> bool:
         """Return whether an upstream is kept although its entry is missing."""
         return name in self._missing
@@ -294,7 +300,7 @@
                 upstream is running. It is then kept for `RETURN_SECONDS`, by
                 this host or by those that know it.
         """
-        has_left = name in self.upstreams and not self._is_present(name)
+        has_left = name in self.upstreams and not self.is_present(name)
         if has_left or not store_was_away:
             self._remove(Removal(self.revision, name))
             return
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -307,7 +307,7 @@
             return
         if changes.revision == catalog.revision:
             # Another sentinel has already sent this change.
-            self._end_missing(changes)
+            self._correct_upstreams(changes)
             return
         if changes.revision < catalog.revision:
             self._ignore_upstreams(changes.revision, 'watch')
@@ -339,26 +339,40 @@
         )
         self.on_update()
 
-    def _end_missing(self, changes: Changes) -> None:
-        """Remove missing upstreams that the store reports as deleted.
+    def _correct_upstreams(self, changes: Changes) -> None:
+        """Apply what the store reports differently from peers.
 
-        A host that had lost contact assumed that their entries had expired and
-        kept the upstreams.
+        At the same revision, the store's own answer decides. A peer may have
+        taken a removal for an expiry, or have sent incomplete changes.
         """
-        if self._contact.was_lost_recently:
-            return
         catalog = self._local_state.catalog
         last = {
-            change.stored.metadata.name: change.is_deleted
-            for change in changes.changes
+            change.stored.metadata.name: change for change in changes.changes
         }
-        removed = [
+        deleted = [
             name
-            for name, is_deleted in last.items()
-            if is_deleted and catalog.is_missing(name)
+            for name, one in last.items()
+            if one.is_deleted
+            and (catalog.is_present(name) or catalog.is_missing(name))
+        ]
+        kept = [one.stored for one in last.values() if not one.is_deleted]
+        changed = [
+            entry for entry in self._decode_all(kept) if catalog.lacks(entry)
         ]
-        if removed:
-            catalog.end_missing(removed)
+        if not deleted and not changed:
+            return
+        log_event(
+            'upstreams-corrected',
+            revision=changes.revision,
+            count=len(changed),
+            removed=len(deleted),
+        )
+        catalog.apply(
+            changed,
+            deleted,
+            changes.revision,
+            store_was_away=self._contact.was_lost_recently,
+        )
 
     def _rules_out_expiry(self) -> bool:
         """Return whether contact shows that no entry can have expired."""
--- a/tests/functional/test_missing_in_touch.py
+++ b/tests/functional/test_missing_in_touch.py
@@ -173,3 +173,24 @@
             assert host.used == (['i-1', 'i-2'] if was_away else ['i-2'])
 
     asyncio.run(test())
+
+
+@pytest.mark.parametrize(
+    'told',
+    [
+        pytest.param([], id='incomplete changes'),
+        pytest.param([ENTRY.name], id='complete changes'),
+    ],
+)
+def test_a_removal_read_from_the_store_overrides_a_peer_that_lacks_it(
+    monkeypatch: pytest.MonkeyPatch,
+    told: list[str],
+) -> None:
+    async def test() -> None:
+        with running_host(Clock()) as host:
+            host.catalog.apply([], told, at(12), store_was_away=False)
+            await read_removal(host, monkeypatch)
+            assert host.used == ['i-2']
+            assert host.catalog.changes_since(at(9)).removed == (ENTRY.name,)
+
+    asyncio.run(test())
