Send changes after a listing to the hosts that they are complete for

The listing after a dropped history made a host send the whole list to all that were behind it, as it does not know what came and went before.

Only a host whose revision lies between the two states of the sender can know an upstream that the sender does not. That gap travels with the changes, and such a host takes the whole list. Eight gaps are kept.

The property test of equal revisions covers listings.

--- a/src/wardstair/fleet/sharing.py
+++ b/src/wardstair/fleet/sharing.py
@@ -18,7 +18,7 @@
 from wardstair.state.catalog import CatalogChanges
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
 from wardstair.state.limits import SharedLimit
-from wardstair.state.removals import Removal
+from wardstair.state.removals import Gap, Removal
 from wardstair.state.revision import Revision
 
 _FORMAT = 7
@@ -258,12 +258,17 @@
         ],
         {name: round(left, 3) for name, left in changes.missing.items()},
         [_entry_row(entry) for entry in changes.stale],
+        [
+            _revision_row(gap.after) + _revision_row(gap.before)
+            for gap in changes.gaps
+        ],
     ]
 
 
 def _changes(row: list[Any]) -> CatalogChanges:
     since, revision, entries, *rest = row
-    removals, missing, stale = rest
+    removals, missing, *rest = rest
+    stale, gaps = rest
     return CatalogChanges(
         _revision(since),
         _revision(revision),
@@ -271,6 +276,7 @@
         tuple(_removal(*removal) for removal in removals),
         {name: float(left) for name, left in missing.items()},
         tuple(_entry(entry) for entry in stale),
+        tuple(Gap(_revision(gap[:2]), _revision(gap[2:])) for gap in gaps),
     )
 
 
--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -9,7 +9,7 @@
 
 from wardstair.process.log import log_event
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
-from wardstair.state.removals import Removal, RemovalLog
+from wardstair.state.removals import Gap, Removal, RemovalLog
 from wardstair.state.restoration import Restoration
 from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.stale_entries import StaleEntries
@@ -40,6 +40,8 @@
             store was unreachable, by name.
         stale: Entries that a restored store lists although their upstreams had
             left or had started to drain.
+        gaps: Revisions of which the sender does not know all removals. A host
+            whose revision lies inside one needs the whole list.
     """
 
     since: Revision
@@ -48,6 +50,7 @@
     removals: tuple[Removal, ...] = ()
     missing: Mapping[str, float] = field(default_factory=dict)
     stale: tuple[UpstreamEntry, ...] = ()
+    gaps: tuple[Gap, ...] = ()
 
     @property
     def removed(self) -> tuple[str, ...]:
@@ -120,16 +123,18 @@
             tuple(one for one in removals if not self.is_present(one.name)),
             {name: end - now for name, end in self._missing.items()},
             self._stale_entries.entries,
+            self._removals.gaps_after(since) if is_covered else (),
         )
 
     def merge_peer_changes(self, changes: CatalogChanges) -> bool:
         """Merge changes received from another host.
 
         Returns:
-            False if the changes start after the revision of this catalog,
-            which would leave a gap.
+            False if the changes start after the revision of this catalog, or
+            if removals since then may be missing.
         """
-        if changes.since > self.revision:
+        is_inside_gap = any(gap.contains(self.revision) for gap in changes.gaps)
+        if changes.since > self.revision or is_inside_gap:
             return False
         if changes.since == NO_REVISION:
             self.replace_all(
@@ -154,6 +159,8 @@
             known = self.upstreams.get(removal.name)
             if known is None or known.entry.revision <= removal.revision:
                 self._remove(removal)
+        for gap in changes.gaps:
+            self._removals.note_gap(gap)
         self._index()
 
     def _merge_missing(self, missing: Mapping[str, float]) -> None:
@@ -212,10 +219,11 @@
                 self._put(entry)
         if is_first_listing and self.restoration.is_assumed:
             self._mark_all_cold()
-        if revision > self.revision:
-            # The listing does not tell which upstreams were registered and
-            # removed since the previous revision.
+        if is_new_era or is_first_listing:
+            # Earlier removals are unknown.
             self._removals.begin(revision)
+        elif revision > self.revision:
+            self._removals.note_gap(Gap(self.revision, revision))
         self.revision = revision
         may_return = store_was_away or (is_new_era and self._is_just_restored)
         for name in self.upstreams.keys() - listed.keys():
--- a/src/wardstair/state/removals.py
+++ b/src/wardstair/state/removals.py
@@ -1,5 +1,6 @@
 """Log of removed upstreams, for hosts that request changes."""
 
+from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
@@ -7,6 +8,8 @@
 
 # A host that lacks more removals receives the whole list.
 MAX_REMOVALS = 512
+# Listings after the first one are rare: the store has dropped its history.
+MAX_GAPS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +28,26 @@
     born: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Gap:
+    """Revisions between two states of a host, of which it read a listing.
+
+    The host does not know which upstreams were registered and removed in
+    between. A host whose revision lies inside may know some of them.
+
+    Attributes:
+        after: Revision of the host before the listing.
+        before: Revision of the listing.
+    """
+
+    after: Revision
+    before: Revision
+
+    def contains(self, revision: Revision) -> bool:
+        """Return whether a revision lies inside."""
+        return self.after < revision < self.before
+
+
 @dataclass(slots=True)
 class RemovalLog:
     """Removals since some revision, one for each name.
@@ -37,6 +60,8 @@
     # By name, in the order of the last update.
     _removals: dict[str, Removal] = field(default_factory=dict)
     _complete_from: Revision = NO_REVISION
+    # The oldest one first.
+    _gaps: deque[Gap] = field(default_factory=deque)
 
     @property
     def incarnations(self) -> Mapping[str, int]:
@@ -47,6 +72,18 @@
         """Record that some removals before a revision may be unknown."""
         self._complete_from = max(self._complete_from, revision)
 
+    def note_gap(self, gap: Gap) -> None:
+        """Record that removals inside a gap may be unknown."""
+        if gap in self._gaps:
+            return
+        self._gaps.append(gap)
+        if len(self._gaps) > MAX_GAPS:
+            self.begin(self._gaps.popleft().before)
+
+    def gaps_after(self, revision: Revision) -> tuple[Gap, ...]:
+        """Return the gaps that end after a revision."""
+        return tuple(gap for gap in self._gaps if gap.before > revision)
+
     def note(self, removal: Removal) -> None:
         """Add a removal; drop the oldest one if there are too many.
 
@@ -75,7 +112,9 @@
             known: Revision up to which this host knows the store.
         """
         is_of_this_era = revision.era == known.era
-        return is_of_this_era and revision >= self._complete_from
+        is_inside_gap = any(gap.contains(revision) for gap in self._gaps)
+        is_complete = revision >= self._complete_from and not is_inside_gap
+        return is_of_this_era and is_complete
 
     def since(self, revision: Revision) -> tuple[Removal, ...]:
         """Return the removals since a revision, the oldest update first."""
