--- a/src/wardstair/state/listed.py
+++ b/src/wardstair/state/listed.py
@@ -29,7 +29,7 @@
         return self._entries.values()
 
     def put(self, entry: UpstreamEntry) -> None:
-        """Add an entry, or replace it if it is not newer."""
+        """Add an entry; one that is older than the known one is ignored."""
         known = self._entries.get(entry.name)
         if known is not None:
             if entry.revision < known.revision:
