--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -156,7 +156,7 @@
     )
     metrics.add_count(
         'wardstair_state_differences',
-        'Times that the upstreams were listed as another host had others',
+        'Listings of upstreams because another host reported different ones',
         lambda: [(float(host.agreement.differences), {})],
     )
     metrics.add_count(
--- a/src/wardstair/state/agreement.py
+++ b/src/wardstair/state/agreement.py
@@ -39,7 +39,7 @@
         self._local_state = local_state
         self._contact = contact
         self._delay = delay
-        # The state that the last listing has confirmed or brought.
+        # State of this host after its last listing.
         self._confirmed: ListedState | None = None
         self._listing: asyncio.Task[None] | None = None
 
--- a/src/wardstair/state/removals.py
+++ b/src/wardstair/state/removals.py
@@ -22,8 +22,8 @@
         name: Name of the upstream.
         born: The removed incarnation, as in `UpstreamEntry.born`; 0 if it is
             not known.
-        is_listed: Whether the store still listed it: a host found that it had
-            ended.
+        is_listed: Whether the store still listed it when a host found that it
+            had ended.
     """
 
     revision: Revision
--- a/tests/unit/test_equal_revisions.py
+++ b/tests/unit/test_equal_revisions.py
@@ -126,7 +126,7 @@
     for catalog in (sender, between, receiver):
         catalog.expire_missing()
         assert used(catalog) == {OTHER.name}
-    # A host that has not heard of it until then hears of the removal.
+    # A host that is still behind receives the removal.
     late = new_catalog(clock)
     read_both(late)
     send(between, late)
