Comply with notices of upstreams that arrive through a peer

What callers saw: a host that could not use an upstream, since that had asked it for a pause or had announced that it leaves, handed requests on to another entry host for a failure elsewhere, and that one sent them to just this upstream. The pause that it then asked for, and a leaving that it announced in an answer which the first host passed on to its caller, stayed unknown to the first host, which sent to the upstream after the bound.

Ruled out by these logs: a rejection lost with a cancelled send, and a notice that was forgotten: each rejection of the host's own sends is in its log.

Change: a request that is handed on names the upstreams closed to the first host; the second host's answer carries the notices of those that it tried, with their incarnations. Where all upstreams of a service declined, nothing is handed on and the caller is told at once when to return. Format 2 of requests between hosts; builds of two formats refuse each other's, as for heartbeats.

Why it holds: every way to an upstream asks the notice table of the host that sends and of the host that has the caller.

--- a/src/wardstair/decisions/notices.py
+++ b/src/wardstair/decisions/notices.py
@@ -30,6 +30,9 @@
     closed = 'closed'
 
 
+UNAVAILABLE = frozenset((Availability.paused, Availability.closed))
+
+
 @dataclass(slots=True)
 class Notice:
     """Notices that one incarnation of an upstream has sent in its answers.
--- a/src/wardstair/fleet/peer_requests.py
+++ b/src/wardstair/fleet/peer_requests.py
@@ -9,7 +9,7 @@
 
 import cbor2
 
-_FORMAT = 1
+_FORMAT = 2
 _DECODE_ERRORS = (
     cbor2.CBORDecodeError,
     ValueError,
@@ -38,6 +38,8 @@
         version: Version of the configuration that routed it.
         sends: Number of upstreams that it was sent to.
         tried: Names of upstreams that must not receive it again.
+        closed: Names of upstreams that asked the first host for no more
+            requests.
     """
 
     request_id: str
@@ -53,6 +55,24 @@
     version: int
     sends: int
     tried: tuple[str, ...]
+    closed: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PeerNotice:
+    """Notices of an upstream that received the request of another host.
+
+    Attributes:
+        upstream: Name of the upstream.
+        born: Its incarnation, as in its entry.
+        is_leaving: Whether it announced that it is leaving.
+        pause: Remaining seconds of the pause that it asked for.
+    """
+
+    upstream: str
+    born: int
+    is_leaving: bool
+    pause: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +86,7 @@
         body: The body.
         is_own: Whether the second host itself answered, not an upstream.
         lost: Groups of upstreams that the second host does not reach.
+        notices: Notices of the upstreams that the second host tried.
     """
 
     status: int
@@ -74,6 +95,7 @@
     body: bytes
     is_own: bool
     lost: tuple[str, ...] = ()
+    notices: tuple[PeerNotice, ...] = ()
 
 
 def encode_request(request: PeerRequest) -> bytes:
@@ -94,6 +116,7 @@
             request.version,
             request.sends,
             request.tried,
+            request.closed,
         ],
     )
 
@@ -118,6 +141,7 @@
             version=int(row[11]),
             sends=int(row[12]),
             tried=tuple(str(name) for name in row[13]),
+            closed=tuple(str(name) for name in row[14]),
         )
     except _DECODE_ERRORS:
         return None
@@ -134,6 +158,10 @@
             answer.body,
             answer.is_own,
             answer.lost,
+            [
+                (one.upstream, one.born, one.is_leaving, one.pause)
+                for one in answer.notices
+            ],
         ],
     )
 
@@ -151,10 +179,16 @@
             body=bytes(row[4]),
             is_own=bool(row[5]),
             lost=tuple(str(group) for group in row[6]),
+            notices=tuple(_notice(fields) for fields in row[7]),
         )
     except _DECODE_ERRORS:
         return None
 
 
+def _notice(fields: Any) -> PeerNotice:
+    upstream, born, is_leaving, pause = fields
+    return PeerNotice(str(upstream), int(born), bool(is_leaving), float(pause))
+
+
 def _pairs(rows: Any) -> Pairs:
     return tuple((str(name), str(text)) for name, text in rows)
--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -9,6 +9,7 @@
 from wardstair.decisions.fleet_rate import LoadView
 from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.notices import (
+    UNAVAILABLE,
     Availability,
     accepting_upstreams,
     retry_after_seconds,
@@ -316,6 +317,23 @@
             notices.availability(one) is Availability.closed for one in ranked
         )
 
+    def closed_names(self, query: UpstreamQuery) -> list[str]:
+        """Return the upstreams that asked this host for no more requests."""
+        notices = self._local_state.notices
+        if notices.is_idle:
+            return []
+        return [
+            one.name
+            for one in self._key_ranking.ranked(self._ranking_query(query))
+            if notices.availability(one) in UNAVAILABLE
+        ]
+
+    def is_declined(self, query: UpstreamQuery) -> bool:
+        """Return whether no upstream accepts a request, by their notices."""
+        if self._local_state.notices.is_idle:
+            return False
+        return self.are_all_closed(query) or self.pause_wait(query) is not None
+
     def pause_wait(self, query: UpstreamQuery) -> float | None:
         """Return the wait after which a caller should retry.
 
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -38,6 +38,7 @@
     peer_request_of,
     reply_of,
 )
+from wardstair.gateway.peer_notices import collect_notices
 from wardstair.gateway.reporting import AttemptHistory, Reporter
 from wardstair.gateway.request_progress import RequestProgress, ResendReason
 from wardstair.gateway.sending import (
@@ -168,11 +169,13 @@
             lost = reachability.lost or ALL_GROUPS
             return peer_refusal(refusals.UNREACHED, relayed, lost)
         reply = await self._execute(progress)
+        lost = reachability.lost
         if progress.history.unreachable or not reachability.is_sound:
             # This host may be cut off without having detected it yet.
-            unreached = frozenset((service_group(progress.service),))
-            return peer_answer_of(reply, reachability.lost | unreached)
-        return peer_answer_of(reply, reachability.lost)
+            lost |= {service_group(progress.service)}
+        tried = progress.history.upstreams[len(relayed.tried) :]
+        notices = collect_notices(self._local_state, tried)
+        return peer_answer_of(reply, lost, notices)
 
     def forward_waiting(self) -> None:
         """Forward requests whose running sends may never be answered."""
@@ -215,6 +218,7 @@
         progress.is_from_peer = True
         progress.sends = relayed.sends
         progress.history.upstreams.extend(relayed.tried)
+        progress.closed = frozenset(relayed.closed)
         return progress
 
     def _begin(
@@ -417,7 +421,9 @@
         reason: ResendReason | None = None,
     ) -> Reply | None:
         """Send to the next upstream; return a reply if none is left."""
-        if progress.until - time.monotonic() < MIN_SEND_SECONDS:
+        is_late = progress.until - time.monotonic() < MIN_SEND_SECONDS
+        # Upstreams that decline a request must not get it from a peer either.
+        if is_late or self._chooser.is_declined(self._query(progress)):
             return self._give_up(progress)
         if self._should_forward(progress):
             return self._forward_or_give_up(progress)
@@ -519,7 +525,10 @@
         progress.hops += 1
         progress.hop = asyncio.ensure_future(
             self._peer_forwarder.send(
-                lambda: peer_request_of(progress), progress.regions
+                lambda: peer_request_of(
+                    progress, self._chooser.closed_names(self._query(progress))
+                ),
+                progress.regions,
             ),
         )
 
@@ -596,7 +605,8 @@
             queue_share=self._queue_share(progress),
             regions=progress.regions,
             tried=frozenset(progress.history.upstreams)
-            | progress.unconnectable,
+            | progress.unconnectable
+            | progress.closed,
             seconds_left=progress.until - time.monotonic(),
         )
 
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -220,6 +220,7 @@
         self.pool = UpstreamPool(self._max_connections)
         self.peer_forwarder = PeerForwarder(
             self.members,
+            self.local_state,
             self.live_settings,
             settings.fleet_ports[0],
             random,
--- a/src/wardstair/gateway/peer_forwarding.py
+++ b/src/wardstair/gateway/peer_forwarding.py
@@ -29,8 +29,10 @@
     decode_answer,
     encode_request,
 )
+from wardstair.gateway.peer_notices import apply_notices
 from wardstair.gateway.settings import LiveSettings
 from wardstair.process.log import log_event
+from wardstair.state.local_state import LocalState
 
 PEER_REQUEST_PATH = '/v1/relayed'
 # Peers that one request is offered to: the first ones may have been cut off
@@ -84,6 +86,7 @@
     def __init__(
         self,
         members: Members,
+        local_state: LocalState,
         settings: LiveSettings,
         fleet_port: int,
         random: Random,
@@ -92,12 +95,14 @@
 
         Args:
             members: The other hosts.
+            local_state: Records the notices in answers of upstreams to peers.
             settings: Settings of this host.
             fleet_port: Port on which all hosts accept messages of others.
             random: Random source for the choice of peers.
         """
         self.pool = UpstreamPool(lambda _name: MAX_CONNECTIONS_PER_PEER)
         self._members = members
+        self._local_state = local_state
         self._settings = settings
         self._port = fleet_port
         self._random = random
@@ -210,6 +215,7 @@
         if answer is None:
             self._avoided_until[peer.name] = time.monotonic() + AVOID_SECONDS
             return HopOutcome(HopEnd.lost, peer.name, None, seconds)
+        apply_notices(self._local_state, answer.notices, peer.name)
         if answer.is_own:
             self._record_lost(peer.name, frozenset(answer.lost))
         return HopOutcome(_end_of(answer), peer.name, answer, seconds)
--- a/src/wardstair/gateway/peer_messages.py
+++ b/src/wardstair/gateway/peer_messages.py
@@ -1,8 +1,9 @@
 """Conversions between requests of callers and those forwarded by peers."""
 
 import time
+from collections.abc import Iterable
 
-from wardstair.fleet.peer_requests import PeerAnswer, PeerRequest
+from wardstair.fleet.peer_requests import PeerAnswer, PeerNotice, PeerRequest
 from wardstair.gateway.messages import Inbound, Reply
 from wardstair.gateway.refusals import GatewayRefusal
 from wardstair.gateway.request_progress import RequestProgress
@@ -25,8 +26,16 @@
     )
 
 
-def peer_request_of(progress: RequestProgress) -> PeerRequest:
-    """Return a request as it is forwarded to a peer now."""
+def peer_request_of(
+    progress: RequestProgress,
+    closed: Iterable[str],
+) -> PeerRequest:
+    """Return a request as it is forwarded to a peer now.
+
+    Args:
+        progress: The request.
+        closed: Names of upstreams that asked this host for no more requests.
+    """
     inbound = progress.inbound
     return PeerRequest(
         request_id=inbound.request_id,
@@ -42,15 +51,21 @@
         version=progress.history.version,
         sends=progress.sends,
         tried=tuple(progress.history.upstreams),
+        closed=tuple(closed),
     )
 
 
-def peer_answer_of(reply: Reply, lost: frozenset[str]) -> PeerAnswer:
+def peer_answer_of(
+    reply: Reply,
+    lost: frozenset[str],
+    notices: tuple[PeerNotice, ...] = (),
+) -> PeerAnswer:
     """Return the answer to the peer that forwarded the request.
 
     Args:
         reply: The reply.
         lost: Groups of upstreams that this host cannot reach.
+        notices: Notices of the upstreams that this host tried.
     """
     return PeerAnswer(
         reply.status,
@@ -59,6 +74,7 @@
         reply.body,
         reply.is_own,
         tuple(lost) if reply.is_own else (),
+        notices,
     )
 
 
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -17,7 +17,7 @@
     RawAnswer,
     UpstreamConnection,
 )
-from wardstair.decisions.notices import Availability
+from wardstair.decisions.notices import UNAVAILABLE
 from wardstair.gateway.choosing import Placement
 from wardstair.gateway.distances import Distances
 from wardstair.gateway.messages import Inbound
@@ -38,7 +38,6 @@
 _MIN_EXPECTED_SECONDS = 0.05
 # How an exchange ends on a connection that the upstream has dropped.
 _STALE_CONNECTION_REASONS = frozenset((BreakReason.reset, BreakReason.closed))
-_UNAVAILABLE = frozenset((Availability.paused, Availability.closed))
 # Statuses by which an upstream may request a pause with Retry-After.
 _PAUSE_STATUSES = frozenset((429, 503))
 # Statuses from which a caller concludes that the request has not run.
@@ -235,7 +234,7 @@
             return NotSent('time is up')
         # An answer received while the connection was opened may have announced
         # a pause or the end of the upstream.
-        if self._local_state.notices.availability(upstream) in _UNAVAILABLE:
+        if self._local_state.notices.availability(upstream) in UNAVAILABLE:
             self._pool.give_back(upstream.name, connection)
             return Withheld()
         head = _encode_head(inbound, upstream, until - started)
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -49,6 +49,13 @@
         'was `lost`, or no host could be asked (`unsent`)',
         'request route host outcome status hop_seconds seconds unreachable',
     ),
+    _kind(
+        'peer-notice-ignored',
+        'another entry host sent a request of this one to an upstream that '
+        'leaves or asked for a pause; this host does not know that incarnation '
+        'of it',
+        'upstream host',
+    ),
     _kind(
         'helper-unreachable',
         'another entry host did not accept a connection for a request',
--- a/tests/unit/test_peer_forwarding.py
+++ b/tests/unit/test_peer_forwarding.py
@@ -13,6 +13,7 @@
 from wardstair.decisions.reachability import ALL, service_group
 from wardstair.fleet.peer_requests import (
     PeerAnswer,
+    PeerNotice,
     PeerRequest,
     decode_answer,
     decode_request,
@@ -116,6 +117,7 @@
     version=7,
     sends=1,
     tried=('i-1',),
+    closed=('i-2',),
 )
 ANSWER = PeerAnswer(
     status=503,
@@ -124,6 +126,7 @@
     body=b'{}',
     is_own=True,
     lost=(ALL,),
+    notices=(PeerNotice('i-3', 17, is_leaving=True, pause=1.5),),
 )
 
 
