Name the heartbeat endpoint and the peer request server after their classes

`radio`, `_radio` and `demand_radio` held a HeartbeatEndpoint and a DemandEndpoint, `relays` a PeerRequestServer, beside `relays` that are hosts.

make lint, make types; all unit tests and the functional ones that use the names pass.

--- a/src/wardstair/gateway/endpoints.py
+++ b/src/wardstair/gateway/endpoints.py
@@ -194,7 +194,7 @@
 def state_application(
     exchange: StateExchange,
     suspects: SuspectTable,
-    relays: PeerRequestServer,
+    peer_request_server: PeerRequestServer,
 ) -> Application:
     """Return the endpoints for other entry hosts and for operators.
 
@@ -202,13 +202,17 @@
         exchange: Serves the state of this host.
         suspects: Requests during which upstreams exited. Operators can list
             and lift them.
-        relays: Serves requests that other hosts forward.
+        peer_request_server: Serves requests that other hosts forward.
     """
     return Application(
         [
             (STATE_PATH, _StateHandler, {'exchange': exchange}),
             (SUSPECTS_PATH, _SuspectsHandler, {'suspects': suspects}),
-            (PEER_REQUEST_PATH, PeerRequestHandler, {'server': relays}),
+            (
+                PEER_REQUEST_PATH,
+                PeerRequestHandler,
+                {'server': peer_request_server},
+            ),
         ],
         log_function=_no_log,
     )
--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -202,7 +202,7 @@
     metrics.add_count(
         'wardstair_relayed_requests',
         'Requests taken that another entry host has handed on',
-        lambda: [(float(host.relays.taken), {})],
+        lambda: [(float(host.peer_request_server.taken), {})],
     )
     metrics.add_count(
         'wardstair_directory_answers',
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -152,13 +152,13 @@
         self.members.on_suspect = self.contact.renew_watches
         self.members.own_contact = lambda: self.contact.contact_period
         self.contact.others = self.members.contacts
-        self.radio = HeartbeatEndpoint(
+        self.heartbeat_endpoint = HeartbeatEndpoint(
             self.members,
             settings.fleet_ports[0],
             lambda: self.local_state.versions,
             random,
         )
-        self.radio.sentinel_seconds = lambda: (
+        self.heartbeat_endpoint.sentinel_seconds = lambda: (
             self.live_settings.current.timing.sentinel_heartbeat
         )
         self.contact.on_suspect = self._on_contact_suspicion
@@ -168,8 +168,10 @@
             lambda: self._sentinel_rank == 0,
         )
         self._role_log = RoleLog(roles)
-        self.radio.state_age = lambda: self.local_state.age.reportable
-        self.local_state.age.on_fresh = self.radio.announce_age
+        self.heartbeat_endpoint.state_age = lambda: (
+            self.local_state.age.reportable
+        )
+        self.local_state.age.on_fresh = self.heartbeat_endpoint.announce_age
         self.sync = StoreSync(
             self.store,
             self.contact,
@@ -185,10 +187,10 @@
             settings.zone,
             lambda: self.live_settings.current.timing,
         )
-        self.radio.on_heartbeat = self._on_heartbeat
-        self.radio.on_state = self.exchange.receive_datagram
+        self.heartbeat_endpoint.on_heartbeat = self._on_heartbeat
+        self.heartbeat_endpoint.on_state = self.exchange.receive_datagram
         self._updates = UpdateSender(
-            self.radio,
+            self.heartbeat_endpoint,
             self.exchange,
             roles,
             lambda: self.live_settings.current.timing,
@@ -249,14 +251,16 @@
             lambda: self.live_settings.current.zones,
             lambda: not self.chooser.limited_sends.is_idle,
         )
-        self.radio.zone_loads = self.loads.reported
-        self._suspect_announcer = ChangeAnnouncer(self.radio.send_heartbeats)
+        self.heartbeat_endpoint.zone_loads = self.loads.reported
+        self._suspect_announcer = ChangeAnnouncer(
+            self.heartbeat_endpoint.send_heartbeats
+        )
         self._limit_announcer = ChangeAnnouncer(
-            self.radio.send_heartbeats,
+            self.heartbeat_endpoint.send_heartbeats,
             LIMIT_ANNOUNCE_INTERVAL_SECONDS,
         )
         self._reachability_announcer = ChangeAnnouncer(
-            self.radio.send_heartbeats
+            self.heartbeat_endpoint.send_heartbeats
         )
         self.local_state.limits.on_change = self._on_limits_changed
         self._incarnations = IncarnationEvents(
@@ -286,15 +290,17 @@
                 self.quotas.own_refused,
             )
         )
-        self.demand_radio = DemandEndpoint(
+        self.demand_endpoint = DemandEndpoint(
             self.members,
             self.quotas.table,
             settings.fleet_ports[0] + DEMAND_PORT_OFFSET,
             lambda: self.local_state.has_quotas,
             random,
         )
-        self.demand_radio.far_addresses = lambda: self.radio.far_addresses
-        self.demand_radio.on_reported = self.quotas.note_reported
+        self.demand_endpoint.far_addresses = lambda: (
+            self.heartbeat_endpoint.far_addresses
+        )
+        self.demand_endpoint.on_reported = self.quotas.note_reported
         self._freshness = ConfigurationFreshness(
             clock, self._is_store_reachable
         )
@@ -322,7 +328,7 @@
             body_capacity(settings.memory_bytes),
             reporter.body_refused,
         )
-        self.relays = PeerRequestServer(
+        self.peer_request_server = PeerRequestServer(
             self._serve_peer_request, self.callers.bodies
         )
         self.views = FleetViews(self.members, self.loads, self.chooser)
@@ -359,13 +365,13 @@
         listeners.open(lookup_application(self.directory), settings.lookups)
         metrics = metrics_application(self.metrics.render)
         listeners.open(metrics, settings.metrics)
-        await self.radio.start(settings.address)
-        await self.demand_radio.start(settings.address)
+        await self.heartbeat_endpoint.start(settings.address)
+        await self.demand_endpoint.start(settings.address)
         listeners.open(
             state_application(
                 self.exchange,
                 self.local_state.suspects,
-                self.relays,
+                self.peer_request_server,
             ),
             Listener(settings.address, settings.fleet_ports[0]),
         )
@@ -379,9 +385,9 @@
         spawn('suspect-sharing', sharing.run)
         spawn('contact', self.sync.probe_contact)
         spawn('registration', self.registration.run)
-        spawn('heartbeats', lambda: self.radio.run(seeds))
-        spawn('sentinel-heartbeats', self.radio.run_sentinel)
-        spawn('demand', self.demand_radio.run)
+        spawn('heartbeats', lambda: self.heartbeat_endpoint.run(seeds))
+        spawn('sentinel-heartbeats', self.heartbeat_endpoint.run_sentinel)
+        spawn('demand', self.demand_endpoint.run)
         spawn('sweep', self._sweep)
         spawn('state-age', self.refresher.run)
         spawn('reach', self.reachability_monitor.run)
@@ -405,16 +411,16 @@
         self.callers.is_stopping = True
         self.directory.is_leaving = True
         self.members.is_leaving = True
-        self.radio.send_heartbeats()
+        self.heartbeat_endpoint.send_heartbeats()
         log_event('host-stopping', open=self.callers.open_count)
         await asyncio.sleep(LINGER_SECONDS)
         self._listeners.stop_callers()
         self.callers.close_idle()
         grace = self.live_settings.current.bounds.grace_seconds
         end = began + grace - GRACE_MARGIN_SECONDS
-        self.relays.is_stopping = True
+        self.peer_request_server.is_stopping = True
         await self.callers.wait_idle(end - self._clock())
-        await self.relays.wait_idle(end - self._clock())
+        await self.peer_request_server.wait_idle(end - self._clock())
         log_event('host-stopped', cut=self.callers.open_count)
         try:
             async with asyncio.timeout(CLOSE_TIMEOUT_SECONDS):
@@ -436,8 +442,8 @@
         self._reachability_announcer.close()
         self._updates.close()
         await self._listeners.close()
-        self.radio.stop()
-        self.demand_radio.stop()
+        self.heartbeat_endpoint.stop()
+        self.demand_endpoint.stop()
         self.pool.close()
         self.peer_forwarder.close()
         self.exchange.close()
@@ -542,13 +548,13 @@
         async def run_when_ready() -> None:
             if self.settings.is_first_start:
                 await asyncio.sleep(FIRST_START_DELAY_SECONDS)
-            await self.radio.is_greeted.wait()
+            await self.heartbeat_endpoint.is_greeted.wait()
             await watcher.run()
 
         return run_when_ready
 
     async def _watch_upstreams(self) -> None:
-        await self.radio.is_greeted.wait()
+        await self.heartbeat_endpoint.is_greeted.wait()
         await self.registration.check_for_restore()
         await self._run_when_ready(self.sync.upstreams)()
 
@@ -597,7 +603,7 @@
         While it is uncertain, other hosts watch the store in its place.
         """
         if self.is_sentinel:
-            self.radio.send_heartbeats()
+            self.heartbeat_endpoint.send_heartbeats()
 
     def _keeps_connections(self, name: str) -> bool:
         upstream = self.local_state.catalog.upstreams.get(name)
--- a/src/wardstair/gateway/updates.py
+++ b/src/wardstair/gateway/updates.py
@@ -19,7 +19,7 @@
 
     def __init__(
         self,
-        radio: HeartbeatEndpoint,
+        heartbeat_endpoint: HeartbeatEndpoint,
         exchange: StateExchange,
         roles: Roles,
         timing: Callable[[], Timing],
@@ -27,12 +27,12 @@
         """Create a sender without pending updates.
 
         Args:
-            radio: Sends datagrams.
+            heartbeat_endpoint: Sends datagrams.
             exchange: Provides the updates.
             roles: The roles of this host.
             timing: Returns when to repeat an update, by the bounds in force.
         """
-        self._radio = radio
+        self._heartbeat_endpoint = heartbeat_endpoint
         self._exchange = exchange
         self._roles = roles
         self._timing = timing
@@ -46,7 +46,7 @@
         if update is None:
             # Other hosts may lack state that hosts merge. The regular
             # heartbeats repeat this one.
-            self._radio.send_heartbeats()
+            self._heartbeat_endpoint.send_heartbeats()
             return
         self._send(update)
         self.close()
@@ -64,5 +64,7 @@
     def _send(self, update: StateUpdate) -> None:
         if update.state is not None:
             is_sentinel = self._roles.is_sentinel()
-            self._radio.send_state(update.state, to_others=is_sentinel)
-        self._radio.send_heartbeats()
+            self._heartbeat_endpoint.send_state(
+                update.state, to_others=is_sentinel
+            )
+        self._heartbeat_endpoint.send_heartbeats()
--- a/tests/functional/test_handing_on.py
+++ b/tests/functional/test_handing_on.py
@@ -49,7 +49,7 @@
         lambda: all(one.local_state.reachability.is_cut_off for one in hosts)
     )
     for host in fleet.hosts:
-        host.relays.taken = 0
+        host.peer_request_server.taken = 0
 
 
 async def ask(host: GatewayHost, *args: object, **fields: str) -> Answer:
@@ -62,7 +62,7 @@
 
 def taken(hosts: list[GatewayHost]) -> list[GatewayHost]:
     """Return the hosts that have taken forwarded requests."""
-    return [host for host in hosts if host.relays.taken]
+    return [host for host in hosts if host.peer_request_server.taken]
 
 
 def seen_by(fleet: CutFleet, request_id: str) -> list[Seen]:
@@ -180,13 +180,15 @@
                 one.lost for host in fleet.hosts for one in host.members.live()
             )
         )
-        before = [host.relays.taken for host in fleet.hosts]
+        before = [host.peer_request_server.taken for host in fleet.hosts]
         began = time.monotonic()
         answer = await ask(fleet.hosts[0], '/read/x', request_id='r1')
         assert answer.status == 503
         assert float(answer.headers['retry-after']) > 0
         assert time.monotonic() - began < 0.5
-        assert [host.relays.taken for host in fleet.hosts] == before
+        assert [
+            host.peer_request_server.taken for host in fleet.hosts
+        ] == before
 
     run(test)
 
--- a/tests/functional/test_leaving_in_time.py
+++ b/tests/functional/test_leaving_in_time.py
@@ -103,14 +103,14 @@
 def stop_sentinels(fleet: NewsFleet) -> None:
     """Stop the heartbeats and the store traffic of both sentinels."""
     for host in fleet.sentinels:
-        host.radio.stop()
+        host.heartbeat_endpoint.stop()
     cut_off_sentinels(fleet)
 
 
 def lose_datagrams(fleet: NewsFleet) -> None:
     """Lose a third of all datagrams."""
     for number, host in enumerate(fleet.hosts):
-        lose_share(host.radio, Random(number), 1 / 3)
+        lose_share(host.heartbeat_endpoint, Random(number), 1 / 3)
 
 
 def forget_history(fleet: NewsFleet) -> None:
--- a/tests/functional/test_stuck_fetch.py
+++ b/tests/functional/test_stuck_fetch.py
@@ -146,13 +146,13 @@
 def _report_changed_digest(play: NewsPlay, reporter: str) -> None:
     host = play.places[reporter].host
     assert host is not None
-    versions = host.radio._versions
+    versions = host.heartbeat_endpoint._versions
 
     def changed() -> Versions:
         return replace(versions(), suspects=12345)
 
-    host.radio._versions = changed
-    host.radio.send_heartbeats()
+    host.heartbeat_endpoint._versions = changed
+    host.heartbeat_endpoint.send_heartbeats()
 
 
 @pytest.mark.parametrize('seed', [1, 2])
--- a/tests/lib/news_player.py
+++ b/tests/lib/news_player.py
@@ -359,8 +359,8 @@
         """Route all that a process sends through the simulation."""
         no_listeners = _NoListeners()
         host._listeners = no_listeners  # type: ignore[assignment]
-        host.radio.start = _skip_start  # type: ignore[method-assign]
-        host.demand_radio.start = _skip_start  # type: ignore[method-assign]
+        host.heartbeat_endpoint.start = _skip_start  # type: ignore[method-assign]
+        host.demand_endpoint.start = _skip_start  # type: ignore[method-assign]
 
         def send(address: str, datagram: bytes) -> None:
             self._deliver(place, address, datagram)
@@ -379,7 +379,7 @@
         ) -> Result[Answer, PlatformError]:
             return await self._call(place, method, path, document, seconds)
 
-        host.radio._send_bytes = send  # type: ignore[method-assign]
+        host.heartbeat_endpoint._send_bytes = send  # type: ignore[method-assign]
         host.exchange.ask = ask
         host.store._call = call  # type: ignore[assignment]
 
@@ -433,7 +433,9 @@
         if host is None or host._is_closed:
             return
         with logger.contextualize(process=target.settings.name):
-            host.radio.datagram_received(datagram, (source, FLEET_PORTS[0]))
+            host.heartbeat_endpoint.datagram_received(
+                datagram, (source, FLEET_PORTS[0])
+            )
 
     async def _fetch(
         self,
--- a/tests/unit/test_joining.py
+++ b/tests/unit/test_joining.py
@@ -25,14 +25,14 @@
 
 def assert_zone_sizes(wire: Wire, first: int, second: int) -> None:
     """Check that hosts of two zones hear all hosts of their own zone."""
-    for members, _radio in wire.hosts.values():
+    for members, _endpoint in wire.hosts.values():
         expected = first if members.own.zone == 'a' else second
         assert len(members.live_in_zone()) == expected
 
 
 def assert_fleet_complete(wire: Wire, zones: int, hosts: int) -> None:
     """Check that hosts hear their own zone and relays hear all zones."""
-    for members, _radio in wire.hosts.values():
+    for members, _endpoint in wire.hosts.values():
         assert len(members.live_in_zone()) == hosts, members.own.name
         assert members.fleet_size == zones * hosts
         if members.is_relay:
@@ -78,7 +78,7 @@
         wire.start(peers, [peers[0].address])
         wire.beat(ZONE_DISCOVERY_BEATS)
         assert ZONE_DISCOVERY_BEATS < ZONE_DISCOVERY_SECONDS
-        for members, _radio in wire.hosts.values():
+        for members, _endpoint in wire.hosts.values():
             assert members.zones() == set(zones)
 
     asyncio.run(test())
@@ -97,7 +97,7 @@
             ord(sender[0]) % regions == ord(receiver[0]) % regions
         )
         wire.beat(60)
-        for members, _radio in wire.hosts.values():
+        for members, _endpoint in wire.hosts.values():
             assert members.fleet_size == 198
 
     asyncio.run(test())
@@ -111,7 +111,7 @@
         wire.beat(SETTLING_BEATS)
         wire.passes = lambda _sender, _receiver: False
         wire.beat(60)
-        for members, _radio in wire.hosts.values():
+        for members, _endpoint in wire.hosts.values():
             assert members.fleet_size == 36
 
     asyncio.run(test())
@@ -193,7 +193,7 @@
         for name in relays:
             wire.hosts.pop(name)
         wire.beat(8)
-        for members, _radio in wire.hosts.values():
+        for members, _endpoint in wire.hosts.values():
             if members.is_relay:
                 zones = {one.peer.zone for one in members.live()}
                 assert {*zones, members.own.zone} == {'a', 'b', 'c'}
@@ -213,7 +213,7 @@
         wire.beat(SETTLING_BEATS)
         assert len(wire.hosts['a-0'][0].live_in_zone()) == 12
         for zone in 'ab':
-            members, _radio = wire.hosts[f'{zone}-0']
+            members, _endpoint = wire.hosts[f'{zone}-0']
             members.learn([wire.hosts[f'{zone}-1'][0].own])
         wire.beat(SETTLING_BEATS)
         assert_fleet_complete(wire, 2, 24)
@@ -230,9 +230,9 @@
         wire.start(peers, [peers[0].address])
         wire.beat(SETTLING_BEATS)
         # One host has names that no other host has and does not pass them on.
-        members, radio = wire.hosts['a-0']
+        members, endpoint = wire.hosts['a-0']
         members.learn(zone_hosts('a', 9))
-        monkeypatch.setattr(radio, '_names_for', lambda _zone: ((), ()))
+        monkeypatch.setattr(endpoint, '_names_for', lambda _zone: ((), ()))
         wire.beat(int(UNHEARD_SECONDS) + 1)
         sent = wire.sent
         wire.beat(10)
--- a/tests/unit/test_relays.py
+++ b/tests/unit/test_relays.py
@@ -102,7 +102,7 @@
     ]
     wire = Wire()
     wire.start(peers, ())
-    for members, _radio in wire.hosts.values():
+    for members, _endpoint in wire.hosts.values():
         members.learn(peers)
     return wire
 
@@ -121,7 +121,7 @@
             wire.beat()
         before = wire.sent
         wire.beat()
-        for members, _radio in wire.hosts.values():
+        for members, _endpoint in wire.hosts.values():
             near = [one.peer.zone == members.own.zone for one in members.live()]
             assert sum(near) == hosts - 1
             heard = Counter(one.peer.zone for one in members.live())
@@ -153,7 +153,7 @@
         wire.now += SILENT_SECONDS
         for _ in range(6):
             wire.beat()
-        for members, _radio in wire.hosts.values():
+        for members, _endpoint in wire.hosts.values():
             if members.is_relay:
                 zones = {one.peer.zone for one in members.live()}
                 assert len(zones | {members.own.zone}) == 3
@@ -185,8 +185,8 @@
     members, _now = members_of('a')
     wanted = [peer_of(f'far-{number}', 'y') for number in range(3)]
     members.learn([*wanted, *[peer_of(f'b{number}') for number in range(40)]])
-    radio = Answering(members, 1, Versions, Random(1))
+    endpoint = Answering(members, 1, Versions, Random(1))
     hello = beat_of(peer_of('new', 'y'), kind=HeartbeatKind.hello)
-    radio.datagram_received(encode_heartbeat(hello), ('new', 1))
+    endpoint.datagram_received(encode_heartbeat(hello), ('new', 1))
     (answer,) = answers
     assert {*wanted} <= {*answer.named}
