--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -41,15 +41,15 @@
 from wardstair.gateway.peer_notices import collect_notices
 from wardstair.gateway.reporting import AttemptHistory, Reporter
 from wardstair.gateway.request_progress import RequestProgress, ResendReason
-from wardstair.gateway.sending import (
+from wardstair.gateway.send_outcomes import (
     Delivered,
     Lost,
     NoConnection,
     NotSent,
     RejectedByUpstream,
-    Sender,
     Withheld,
 )
+from wardstair.gateway.sending import Sender
 from wardstair.gateway.settings import LiveSettings
 from wardstair.state.local_state import LocalState
 from wardstair.state.upstream import Upstream
--- a/src/wardstair/gateway/outcomes.py
+++ b/src/wardstair/gateway/outcomes.py
@@ -10,7 +10,7 @@
 from wardstair.gateway.choosing import Chooser, ColdReason, Placement
 from wardstair.gateway.exit_detection import ExitDetector
 from wardstair.gateway.reporting import AttemptHistory
-from wardstair.gateway.sending import (
+from wardstair.gateway.send_outcomes import (
     Delivered,
     Lost,
     NotSent,
--- a/src/wardstair/gateway/reporting.py
+++ b/src/wardstair/gateway/reporting.py
@@ -16,7 +16,7 @@
 from wardstair.gateway.messages import Inbound
 from wardstair.gateway.peer_forwarding import HopOutcome
 from wardstair.gateway.quotas import OverQuota
-from wardstair.gateway.sending import Delivered
+from wardstair.gateway.send_outcomes import Delivered
 from wardstair.process.log import log_event
 from wardstair.process.metrics import Metrics
 from wardstair.state.upstream import Upstream
--- a/src/wardstair/gateway/request_progress.py
+++ b/src/wardstair/gateway/request_progress.py
@@ -10,7 +10,7 @@
 from wardstair.gateway.outcomes import SendAttempt
 from wardstair.gateway.peer_forwarding import HopOutcome
 from wardstair.gateway.reporting import AttemptHistory
-from wardstair.gateway.sending import Delivered, SendOutcome
+from wardstair.gateway.send_outcomes import Delivered, SendOutcome
 from wardstair.version.organisations import Organisation
 from wardstair.version.steering import SteeredRoute
 
