Log the forwarded requests that a stopping host leaves unfinished

`host-stopped cut=` counted requests of callers alone. The wait for those that other entry hosts had forwarded ended silently: a time-out there was suppressed without a line. `cut_forwarded` tells how many were open then.

--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -421,7 +421,11 @@
         self.peer_request_server.is_stopping = True
         await self.callers.wait_idle(end - self._clock())
         await self.peer_request_server.wait_idle(end - self._clock())
-        log_event('host-stopped', cut=self.callers.open_count)
+        log_event(
+            'host-stopped',
+            cut=self.callers.open_count,
+            cut_forwarded=self.peer_request_server.open_count,
+        )
         try:
             async with asyncio.timeout(CLOSE_TIMEOUT_SECONDS):
                 await self.close()
--- a/src/wardstair/gateway/peer_server.py
+++ b/src/wardstair/gateway/peer_server.py
@@ -44,6 +44,11 @@
         self._is_idle = asyncio.Event()
         self._is_idle.set()
 
+    @property
+    def open_count(self) -> int:
+        """Number of requests in progress."""
+        return self._open
+
     async def serve(self, relayed: PeerRequest) -> PeerAnswer:
         """Serve a request, or refuse it."""
         size = len(relayed.body)
@@ -66,6 +71,7 @@
         Args:
             seconds: Longest time to wait.
         """
+        # `host-stopped cut_forwarded=` logs how many were still open then.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(seconds, 0)):
                 await self._is_idle.wait()
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -431,7 +431,12 @@
         'host zone callers store',
     ),
     _kind('host-stopping', 'this process was asked to stop', 'open'),
-    _kind('host-stopped', 'this process exits', 'cut'),
+    _kind(
+        'host-stopped',
+        'this process exits while `cut` requests of callers and '
+        '`cut_forwarded` ones of other entry hosts are in progress',
+        'cut cut_forwarded',
+    ),
     _kind(
         'host-close-unfinished',
         'a connection was still open when this process exited',
--- a/tests/functional/test_handing_on.py
+++ b/tests/functional/test_handing_on.py
@@ -219,10 +219,12 @@
         await until(lambda: bool(seen_by(fleet, 'r1')))
         (peer,) = taken(others)
         stopping = asyncio.ensure_future(peer.stop())
+        assert peer.peer_request_server.open_count == 1
         answer = await asked
         assert answer.status == 200
         assert len(seen_by(fleet, 'r1')) == 1
         await stopping
+        assert peer.peer_request_server.open_count == 0
 
     run(test)
 
