Play upstreams that leave right after their start in the soak

A kind of its own: entries are removed 0.05 to 0.6 s after their registration, while the store's answers reach each host up to 0.1 s late, and the upstream goes on serving for 6 s. Nothing that was sent later than 2.5 s after the removal may arrive.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -22,10 +22,12 @@
 )
 from soak.notices import (
     DRAIN_SECONDS,
+    ENTRY_BOUNDS,
     MOST_IN_PAUSE,
     Arrival,
     Leaving,
     Pausing,
+    Removed,
 )
 from soak.play import Plan, Verdict, play
 from soak.processes import GatewayProcess, choose_places
@@ -71,9 +73,18 @@
     gap=2,
 )
 SILENCE = replace(SHORT, only_silence=True, seconds=1, gap=0.5)
+# Upstreams leave right after they have started.
+SHORT_LIVES = replace(
+    SHORT,
+    only_short_lives=True,
+    seconds=6,
+    gap=1.0,
+    cold_seconds=0.1,
+)
 CUTS = replace(SHORT, only_cuts=True, seconds=1, gap=2, callers=24)
 PLANS = [
     SILENCE,
+    SHORT_LIVES,
     *(replace(CUTS, cut_way=way) for way in CutWay),
     replace(SHORT, with_herds=False),
     # Kills all hosts twice; the seed hosts of the others start last.
@@ -113,6 +124,7 @@
         f'{"-limits" * plan.only_limits}{"-notices" * plan.only_notices}'
         f'{"-restores" * plan.only_restores}'
         f'{"-silence" * plan.only_silence}{"-cuts" * plan.only_cuts}'
+        f'{"-short-lives" * plan.only_short_lives}'
         f'{"" if plan.cut_way is None else "-" + plan.cut_way}'
     ),
 )
@@ -144,6 +156,7 @@
         ('limits', LIMITS_ALONE, 'which had named'),
         ('silence', SILENCE, 'after its entry had said'),
         ('leaving', NOTICES, 'had said that it leaves'),
+        ('removals', SHORT_LIVES, 'entry had been removed'),
         ('pauses', NOTICES, 'in its pause'),
         ('eras', replace(RESTORES, seconds=0.1), 'after its evacuation'),
         ('harm', replace(HARM, callers=1, upstreams=24), 'ended too late'),
@@ -372,6 +385,34 @@
     assert bool(found) is is_broken
 
 
+@pytest.mark.parametrize(
+    ('sent_at', 'fault', 'is_broken'),
+    [
+        pytest.param(ENTRY_BOUNDS.drain_seconds, None, False, id='in time'),
+        pytest.param(ENTRY_BOUNDS.drain_seconds + 0.1, None, True, id='late'),
+        pytest.param(
+            ENTRY_BOUNDS.drain_seconds + 0.1,
+            'pause_gateway',
+            False,
+            id='frozen',
+        ),
+        pytest.param(
+            ENTRY_BOUNDS.drain_seconds + 0.1, 'store_down', True, id='store'
+        ),
+    ],
+)
+def test_the_ledger_holds_hosts_to_removed_entries(
+    sent_at: float,
+    fault: str | None,
+    *,
+    is_broken: bool,
+) -> None:
+    spans = [] if fault is None else [Span(fault, 0.1, 0.2)]
+    removed = Removed('i-1', 0.0, tries_at(sent_at))
+    found = Ledger(notices=[removed], spans=spans).check()
+    assert bool(found) is is_broken
+
+
 @pytest.mark.parametrize(
     ('came', 'fault', 'is_broken'),
     [
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,6 +22,7 @@
     gap: float = 1.0,
     *,
     only_silence: bool = False,
+    only_short_lives: bool = False,
     only_cuts: bool = False,
 ) -> None:
     """Run a play per seed in sequence; exit with 1 if a guarantee was violated.
@@ -34,6 +35,8 @@
         gap: Mean seconds between the starts of faults.
         only_silence: Whether the only fault is that open connections to the
             store stop carrying data.
+        only_short_lives: Whether the only fault is that upstreams leave right
+            after they have started.
         only_cuts: Whether the only fault is that hosts are cut off from
             upstreams.
     """
@@ -50,6 +53,7 @@
             callers=hosts * 2,
             gap=gap,
             only_silence=only_silence,
+            only_short_lives=only_short_lives,
             only_cuts=only_cuts,
         )
         folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -16,11 +16,13 @@
 from wardstair.platform.objects import StoredObject
 from wardstair.state import (
     age,
+    catalog,
     contact,
     limits,
     local_state,
     notices,
     reachability,
+    removals,
     suspects,
     sync,
     watching,
@@ -129,6 +131,15 @@
     notices.NoticeTable.note_leaving = note_leaving  # type: ignore[method-assign]
 
 
+def keep_removed_upstreams() -> None:
+    """Keep upstreams whose entries have been removed."""
+
+    def remove(self: catalog.Catalog, removal: removals.Removal) -> None:
+        """Discard it."""
+
+    catalog.Catalog._remove = remove  # type: ignore[method-assign]
+
+
 def ignore_pauses() -> None:
     """Ignore requests by upstreams for a pause."""
 
@@ -256,6 +267,8 @@
             ignore_limits()
         case 'leaving':
             ignore_leaving()
+        case 'removals':
+            keep_removed_upstreams()
         case 'pauses':
             ignore_pauses()
         case 'eras':
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,7 +13,7 @@
 
 from soak.cuts import cut_off
 from soak.ledger import Kind, Ledger, Naming
-from soak.notices import Departure, Leaving, Pausing
+from soak.notices import Departure, Leaving, Pausing, Removed
 from soak.processes import SEEDS, GatewayProcess
 from soak.proxy import CutWay, Mode, Proxy
 from soak.upstreams import HARMFUL, Habits, SoakUpstream
@@ -27,6 +27,12 @@
 # longest time for which they have been silent before.
 DEPARTING_SECONDS = 6.0
 SILENT_FOR_SECONDS = 0.5
+# Shortest and longest time from the registration of an upstream to the removal
+# of its entry, and how long it keeps serving without one.
+SHORT_LIVES = (0.05, 0.6)
+REMOVED_SECONDS = 6.0
+# Longest delay of the store's answers meanwhile. It differs between hosts.
+UNEVEN_DELAY_SECONDS = 0.1
 # Interval between attempts of a harmful request, and how long an upstream that
 # it terminated refuses connections.
 HARMFUL_SECONDS = 0.2
@@ -325,6 +331,31 @@
         scene.register(upstream)
 
 
+async def leave_after_start(scene: Scene) -> None:
+    """Remove the entry of an upstream right after it has started."""
+    upstream = scene.random.choice(scene.upstreams)
+    for proxy in scene.store_proxies:
+        delay = scene.random.random() * UNEVEN_DELAY_SECONDS
+        proxy.set_mode(Mode.delay, delay)
+    if upstream.removed is not None:
+        return
+    scene.deregister(upstream.name)
+    upstream.crash()
+    scene.register(upstream)
+    incarnation = upstream.incarnation
+    name = upstream.name
+    await asyncio.sleep(scene.random.uniform(*SHORT_LIVES))
+    if upstream.incarnation != incarnation:
+        return
+    scene.deregister(name)
+    upstream.removed = Removed(name, asyncio.get_running_loop().time())
+    scene.ledger.notices.append(upstream.removed)
+    await asyncio.sleep(REMOVED_SECONDS)
+    if upstream.incarnation == incarnation:
+        upstream.crash()
+        scene.register(upstream)
+
+
 async def leave_unregistered(scene: Scene) -> None:
     """Have an upstream leave that announces it in its answers only."""
     upstream = scene.random.choice(scene.upstreams)
@@ -460,6 +491,10 @@
 SILENCE_FAULTS: tuple[Fault, ...] = (silence_connections,)
 
 
+# Upstreams that leave right after they have started.
+SHORT_LIFE_FAULTS: tuple[Fault, ...] = (leave_after_start,)
+
+
 # Hosts are cut off from all upstreams.
 CUT_FAULTS: tuple[Fault, ...] = (cut_off,)
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 
 from soak.cuts import CutOff
-from soak.notices import Arrival, Departure, Leaving, Pausing
+from soak.notices import Arrival, Departure, Leaving, Pausing, Removed
 
 # Requests per second that a cold upstream may receive: the rate of 4, plus half
 # of it, plus 2. Hosts that comply send half of that, and few callers suffice to
@@ -147,7 +147,9 @@
     cold: dict[str, list[ColdArrival]] = field(default_factory=dict)
     ended: dict[str, list[float]] = field(default_factory=dict)
     named: list[Naming] = field(default_factory=list)
-    notices: list[Leaving | Pausing | Departure] = field(default_factory=list)
+    notices: list[Leaving | Pausing | Departure | Removed] = field(
+        default_factory=list,
+    )
 
     def begin(self, request_id: str, kind: Kind, gateway: str) -> Try:
         """Record a request that is about to be sent."""
--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -11,8 +11,8 @@
 
 # The default of gateways.
 DRAIN_SECONDS = Bounds().drain_seconds
-# Bounds of gateways in plays in which connections fall silent.
-SILENCE_BOUNDS = Bounds(
+# Bounds of gateways in plays that check when the store's entries take effect.
+ENTRY_BOUNDS = Bounds(
     drain_seconds=2.5,
     apply_seconds=2.5,
     evacuate_seconds=2.5,
@@ -132,8 +132,8 @@
     def check(self, spans: list['Span']) -> list[str]:
         """Return a description of each request sent too late after it."""
         due = max(
-            self.written_at + SILENCE_BOUNDS.drain_seconds,
-            self.silenced_at + SILENCE_BOUNDS.contact_seconds,
+            self.written_at + ENTRY_BOUNDS.drain_seconds,
+            self.silenced_at + ENTRY_BOUNDS.contact_seconds,
         )
         return [
             f'{arrival.request} came to {self.upstream} '
@@ -145,6 +145,32 @@
         ]
 
 
+@dataclass
+class Removed:
+    """An upstream whose entry was removed right after its registration.
+
+    Attributes:
+        upstream: Its name.
+        removed_at: Monotonic time at which its entry was removed.
+        came: Arrivals since.
+    """
+
+    upstream: str
+    removed_at: float
+    came: list[Arrival] = field(default_factory=list)
+
+    def check(self, spans: list['Span']) -> list[str]:
+        """Return a description of each request sent too late after it."""
+        return [
+            f'{arrival.request} came to {self.upstream} {late:.2f} s after its '
+            'entry had been removed'
+            for arrival in self.came
+            if (late := arrival.request.sent_at - self.removed_at)
+            > ENTRY_BOUNDS.drain_seconds
+            and not _is_excused(self.removed_at, arrival.at, spans, FREEZE)
+        ]
+
+
 def _late(arrival: Arrival, notified_at: Mapping[str, float]) -> float:
     """Return the seconds from the notice to the gateway until a request."""
     request = arrival.request
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -24,6 +24,7 @@
     NOTICE_FAULTS,
     PLANNED,
     POWER,
+    SHORT_LIFE_FAULTS,
     SILENCE_FAULTS,
     UNPLANNED,
     Fault,
@@ -31,13 +32,14 @@
     Schedule,
 )
 from soak.ledger import Kind, Ledger
-from soak.notices import SILENCE_BOUNDS
+from soak.notices import ENTRY_BOUNDS
 from soak.processes import GatewayProcess, choose_places
 from soak.proxy import CutWay, Proxy
 from soak.restores import check_evacuation, restore_store
 from soak.upstreams import COLD_SECONDS, LOST_SHARE, SoakUpstream
 from soak.versions import VersionProbe, marked_configuration, weights_of
 from soak.weights import Scale
+from wardstair.gateway.settings import Bounds
 
 GATEWAY = 'wardstair.cli.gateway'
 # The same, bound to a source address by which proxies identify the host.
@@ -81,6 +83,8 @@
         only_restores: Whether restores are the only faults.
         only_silence: Whether the only fault is that open connections to the
             store fall silent.
+        only_short_lives: Whether the only fault is that upstreams leave right
+            after they have started.
         only_cuts: Whether the only fault is that hosts are cut off from
             upstreams.
         cut_way: How connections are cut; drawn if None.
@@ -107,6 +111,7 @@
     with_restores: bool = True
     only_restores: bool = False
     only_silence: bool = False
+    only_short_lives: bool = False
     only_cuts: bool = False
     cut_way: CutWay | None = None
 
@@ -115,6 +120,12 @@
         """Module to run; cuts need one that binds a source address."""
         return BOUND if self.only_cuts else self.module
 
+    @property
+    def bounds(self) -> Bounds | None:
+        """Bounds of the gateways; None for the defaults."""
+        has_entry_checks = self.only_silence or self.only_short_lives
+        return ENTRY_BOUNDS if has_entry_checks else None
+
     @property
     def groups(self) -> tuple[tuple[Fault, ...], ...]:
         """Groups of faults to draw from; all groups are equally likely."""
@@ -130,6 +141,8 @@
             return (RESTORE_FAULTS,)
         if self.only_silence:
             return (SILENCE_FAULTS,)
+        if self.only_short_lives:
+            return (SHORT_LIFE_FAULTS,)
         if self.only_cuts:
             return (CUT_FAULTS,)
         herds = HERDS * self.with_herds
@@ -202,13 +215,12 @@
             await proxy.start()
             self._store_proxies.append(proxy)
         ports = [proxy.port for proxy in self._store_proxies]
-        bounds = SILENCE_BOUNDS if self._plan.only_silence else None
         places = choose_places(
             ZONES,
             self._plan.hosts,
             ports,
             self._folder,
-            bounds,
+            self._plan.bounds,
         )
         self._gateways = [
             GatewayProcess(place, self._plan.program) for place in places
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -11,7 +11,7 @@
 
 from soak.keys import ORGANISATION, PRIVATE
 from soak.ledger import Ledger, Naming, Run
-from soak.notices import Arrival, Departure, Leaving, Pausing
+from soak.notices import Arrival, Departure, Leaving, Pausing, Removed
 from soak.proxy import Proxy
 
 SERVICES = ('views', 'orders')
@@ -80,6 +80,8 @@
         self.pausing: Pausing | None = None
         # Set while its entry says draining and connections are silent.
         self.departure: Departure | None = None
+        # Set while it serves without an entry.
+        self.removed: Removed | None = None
         self._place = place
         self._ledger = ledger
         self._random = random
@@ -141,6 +143,7 @@
         self.naming = None
         self.leaving = None
         self.departure = None
+        self.removed = None
         self.pausing = None
         for writer in tuple(self._writers):
             writer.transport.abort()
@@ -241,7 +244,8 @@
 
     def _note_arrival(self, name: str) -> Arrival | None:
         arrival = self._ledger.arrival(name)
-        for notice in (self.leaving, self.pausing, self.departure):
+        notices = (self.leaving, self.pausing, self.departure, self.removed)
+        for notice in notices:
             if arrival is not None and notice is not None:
                 notice.came.append(arrival)
         return arrival
