Name the upstreams that a peer may not use `unavailable`

They are those that asked for a pause as well as those that are closed to the host; `closed` meant one of the two elsewhere (`Availability.closed`).

--- a/src/wardstair/fleet/peer_requests.py
+++ b/src/wardstair/fleet/peer_requests.py
@@ -38,7 +38,7 @@
         version: Version of the configuration that routed it.
         sends: Number of upstreams that it was sent to.
         tried: Names of upstreams that must not receive it again.
-        closed: Names of upstreams that asked the first host for no more
+        unavailable: Names of upstreams that asked the first host for no more
             requests.
     """
 
@@ -55,7 +55,7 @@
     version: int
     sends: int
     tried: tuple[str, ...]
-    closed: tuple[str, ...] = ()
+    unavailable: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,7 +116,7 @@
             request.version,
             request.sends,
             request.tried,
-            request.closed,
+            request.unavailable,
         ],
     )
 
@@ -141,7 +141,7 @@
             version=int(row[11]),
             sends=int(row[12]),
             tried=tuple(str(name) for name in row[13]),
-            closed=tuple(str(name) for name in row[14]),
+            unavailable=tuple(str(name) for name in row[14]),
         )
     except _DECODE_ERRORS:
         return None
--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -317,7 +317,7 @@
             notices.availability(one) is Availability.closed for one in ranked
         )
 
-    def closed_names(self, query: UpstreamQuery) -> list[str]:
+    def unavailable_names(self, query: UpstreamQuery) -> list[str]:
         """Return the upstreams that asked this host for no more requests."""
         notices = self._local_state.notices
         if notices.is_idle:
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -218,7 +218,7 @@
         progress.is_from_peer = True
         progress.sends = relayed.sends
         progress.history.upstreams.extend(relayed.tried)
-        progress.closed = frozenset(relayed.closed)
+        progress.unavailable = frozenset(relayed.unavailable)
         return progress
 
     def _begin(
@@ -526,7 +526,8 @@
         progress.hop = asyncio.ensure_future(
             self._peer_forwarder.send(
                 lambda: peer_request_of(
-                    progress, self._chooser.closed_names(self._query(progress))
+                    progress,
+                    self._chooser.unavailable_names(self._query(progress)),
                 ),
                 progress.regions,
             ),
@@ -606,7 +607,7 @@
             regions=progress.regions,
             tried=frozenset(progress.history.upstreams)
             | progress.unconnectable
-            | progress.closed,
+            | progress.unavailable,
             seconds_left=progress.until - time.monotonic(),
         )
 
--- a/src/wardstair/gateway/peer_messages.py
+++ b/src/wardstair/gateway/peer_messages.py
@@ -28,13 +28,13 @@
 
 def peer_request_of(
     progress: RequestProgress,
-    closed: Iterable[str],
+    unavailable: Iterable[str],
 ) -> PeerRequest:
     """Return a request as it is forwarded to a peer now.
 
     Args:
         progress: The request.
-        closed: Names of upstreams that asked this host for no more requests.
+        unavailable: Names of upstreams that asked this host for no more requests.
     """
     inbound = progress.inbound
     return PeerRequest(
@@ -51,7 +51,7 @@
         version=progress.history.version,
         sends=progress.sends,
         tried=tuple(progress.history.upstreams),
-        closed=tuple(closed),
+        unavailable=tuple(unavailable),
     )
 
 
--- a/src/wardstair/gateway/request_progress.py
+++ b/src/wardstair/gateway/request_progress.py
@@ -55,8 +55,8 @@
         hops: Number of times that the request was forwarded to a peer.
         unconnectable: Names of upstreams without an idle connection while new
             connections fail.
-        closed: Names of upstreams that asked the host of the caller for no more
-            requests, if a peer forwarded the request.
+        unavailable: Names of upstreams that asked the host of the caller for no
+            more requests, if a peer forwarded the request.
         is_from_peer: Whether another entry host forwarded the request to this
             one.
         reroute_signal: Completed once the running sends may be unreachable;
@@ -82,7 +82,7 @@
     hop: 'asyncio.Task[HopOutcome] | None' = None
     hops: int = 0
     unconnectable: set[str] = field(default_factory=set)
-    closed: frozenset[str] = frozenset()
+    unavailable: frozenset[str] = frozenset()
     is_from_peer: bool = False
     reroute_signal: 'asyncio.Future[None] | None' = None
 
--- a/tests/unit/test_peer_forwarding.py
+++ b/tests/unit/test_peer_forwarding.py
@@ -117,7 +117,7 @@
     version=7,
     sends=1,
     tried=('i-1',),
-    closed=('i-2',),
+    unavailable=('i-2',),
 )
 ANSWER = PeerAnswer(
     status=503,
