--- a/src/wardstair/gateway/peer_messages.py
+++ b/src/wardstair/gateway/peer_messages.py
@@ -34,7 +34,8 @@
 
     Args:
         progress: The request.
-        unavailable: Names of upstreams that asked this host for no more requests.
+        unavailable: Names of upstreams that asked this host for no more
+            requests.
     """
     inbound = progress.inbound
     return PeerRequest(
