--- a/src/wardstair/gateway/settings.py
+++ b/src/wardstair/gateway/settings.py
@@ -9,6 +9,7 @@
     DEFAULT_POLICY,
     PlacementPolicy,
 )
+from wardstair.decisions.rollouts import RolloutBounds
 from wardstair.decisions.timing import Timing, timing_for
 
 
@@ -171,6 +172,8 @@
         switched_off: Mechanisms that are disabled.
         bounds: Limits that the fleet has to keep.
         organisation_bounds: Limits that apply where requests need API keys.
+        rollout_bounds: Limits of roll-outs of versions; None if roll-outs are
+            not in use.
         heartbeat: How often upstreams renew their entries.
         gaps: Settings that are missing from the file, with their defaults.
     """
@@ -195,6 +198,7 @@
     switched_off: frozenset[Mechanism] = frozenset()
     bounds: Bounds = field(default_factory=Bounds)
     organisation_bounds: OrganisationBounds = OrganisationBounds()
+    rollout_bounds: RolloutBounds | None = None
     heartbeat: Heartbeat = Heartbeat()
     gaps: tuple[Gap, ...] = ()
 
--- a/src/wardstair/state/entries.py
+++ b/src/wardstair/state/entries.py
@@ -30,6 +30,7 @@
         revision: Store revision at which the entry last changed.
         born: Start time of this incarnation in Unix milliseconds; 0 if it is
             not stated. Measurements of an upstream hold for one incarnation.
+        version: Version of its software; empty if it is not stated.
     """
 
     name: str
@@ -42,3 +43,4 @@
     cold_seconds: float
     revision: Revision = NO_REVISION
     born: int = 0
+    version: str = ''
