Run the requests of a caller's connection side by side

Cause: tornado's server connection parses the next request only after the answer to the one before is written, so requests sent at once took the sum of their times.

Change: tornado's parser is driven ahead of the answers. It reads from a buffered stream whose writes and closes don't reach the socket; the connection itself sends each answer in its turn (connection/pipeline.py) and refuses malformed requests in theirs. An answer closes only if nothing behind its request has started.

Ruled out: one tornado connection per request with its own task (a task more for each request); httptools (all of tornado's checks anew); a second epoll for closes (registration of each paused socket).

Differences on the wire: a head that is too large gets a 400 instead of a bare close; a 400 has a body and `Connection: close`; a refusal of a HEAD request has no body (it closed the connection before); at a stop the connection closes after its last answer instead of at the end of the lingering time; unread bytes are read and dropped for at most 1 s after a last answer, so that a reset does not destroy it.

--- a/src/wardstair/gateway/bodies.py
+++ b/src/wardstair/gateway/bodies.py
@@ -40,6 +40,19 @@
         self.held_bytes += amount
         return True
 
+    @property
+    def is_short(self) -> bool:
+        """Whether all capacity is in use."""
+        return self.held_bytes >= self.max_bytes
+
+    def hold(self, amount: int) -> None:
+        """Count bytes that are held in any case, beyond the capacity as well.
+
+        Args:
+            amount: Number of bytes.
+        """
+        self.held_bytes += amount
+
     def release(self, amount: int) -> None:
         """Release reserved capacity.
 
--- /dev/null
+++ b/src/wardstair/gateway/caller_connections.py
@@ -0,0 +1,394 @@
+"""One connection of a caller: reads its requests ahead of their answers.
+
+Requests are parsed one after the other. Each starts as soon as it may run
+beside those before it; the answers are sent in the order of the requests.
+"""
+
+import asyncio
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import TYPE_CHECKING, cast
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.iostream import IOStream, StreamClosedError
+
+from wardstair.connection.pipeline import Pipeline, Turn
+from wardstair.decisions.pipelining import (
+    Pause,
+    PipelineState,
+    closes,
+    may_start,
+    reading_pause,
+)
+from wardstair.gateway import refusals
+from wardstair.gateway.caller_memory import CallerMemory
+from wardstair.gateway.caller_requests import (
+    BodyRefused,
+    CallerRequest,
+    CallerTurn,
+)
+from wardstair.gateway.caller_stream import CallerStream
+from wardstair.gateway.messages import Reply
+from wardstair.process.log import log_warning
+
+if TYPE_CHECKING:
+    from wardstair.gateway.callers import CallerListener
+
+# Longest time for which a caller's further bytes are read after the last
+# answer: closing a socket with unread bytes may destroy the answer on its way.
+LINGER_SECONDS = 1.0
+
+
+class CallerConnection:
+    """A connection of a caller, from its acceptance to its close."""
+
+    def __init__(
+        self,
+        listener: 'CallerListener',
+        stream: IOStream,
+        params: HTTP1ConnectionParameters,
+        idle_seconds: float,
+    ) -> None:
+        """Create a connection that reads nothing yet.
+
+        Args:
+            listener: The listener that accepted it.
+            stream: Its stream.
+            params: Limits for the parser.
+            idle_seconds: Longest time without an open request, up to the end of
+                the next head.
+        """
+        self._listener = listener
+        self._stream = stream
+        self._params = params
+        self._idle_seconds = idle_seconds
+        self._input = CallerStream(stream, self._send_interim)
+        self._pipeline: Pipeline[Reply] = Pipeline(self._send)
+        self._reading: CallerRequest | None = None
+        self._memory = CallerMemory(listener.bodies)
+        self._interim = b''
+        # Nothing more is read or started: the last answer is being sent, or the
+        # connection has closed.
+        self._is_ending = False
+        self._has_pipelined = False
+        self._changed: asyncio.Future[None] | None = None
+        self._idle_since = time.monotonic()
+        self._idle_timer: asyncio.TimerHandle | None = None
+        self._serving: asyncio.Task[None] | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is open and none is being received."""
+        reading = self._reading
+        is_receiving = reading is not None and reading.has_head
+        return not self._pipeline.open_count and not is_receiving
+
+    def start(self) -> None:
+        """Start reading requests."""
+        self._stream.set_nodelay(True)
+        self._stream.set_close_callback(self._on_close)
+        self._check_idle()
+        self._serving = asyncio.ensure_future(self._serve())
+
+    def close(self) -> None:
+        """Close the connection at once; open requests are cancelled."""
+        self._stream.close()
+
+    async def wait_closed(self) -> None:
+        """Wait until the connection has closed."""
+        if self._serving is not None:
+            await asyncio.wait((self._serving,))
+
+    async def _serve(self) -> None:
+        try:
+            await self._read_requests()
+            # Notices a caller that leaves before the last answer.
+            await self._until(lambda: False)
+        except StreamClosedError:
+            return
+        except Exception as error:
+            self._fail(error)
+
+    async def _read_requests(self) -> None:
+        while await self._until_readable():
+            request = CallerRequest(self._on_head, self._take_body)
+            self._reading = request
+            await self._parse(request)
+            if self._is_ending:
+                return
+            if not request.is_complete:
+                self._refuse(request)
+                return
+            may_begin = partial(self._may_begin, request)
+            if not await self._until(may_begin):
+                return
+            self._begin(request)
+            if not request.is_persistent:
+                return
+
+    def _fail(self, error: BaseException | None) -> None:
+        """Close the connection after an internal error."""
+        log_warning('caller-connection-failed', error=repr(error))
+        self._stream.close()
+
+    async def _parse(self, request: CallerRequest) -> None:
+        parser = HTTP1Connection(
+            cast(IOStream, self._input), is_client=False, params=self._params
+        )
+        request.parser = parser
+        await parser.read_response(request)
+        self._interim = b''
+
+    async def _until_readable(self) -> bool:
+        """Wait until a further request may be read; False if none may."""
+        pause = reading_pause(self._state())
+        if pause is None or self._is_ending:
+            return not self._is_ending
+        self._listener.note_pause(pause)
+        return await self._until(lambda: reading_pause(self._state()) is None)
+
+    async def _until(self, is_allowed: Callable[[], bool]) -> bool:
+        """Wait for a condition of this connection; False if it ends before."""
+        if not self._is_ending and is_allowed():
+            return True
+        self._input.watch()
+        while not self._is_ending and not is_allowed():
+            self._changed = asyncio.get_running_loop().create_future()
+            await self._changed
+        if self._is_ending:
+            return False
+        self._input.unwatch()
+        return True
+
+    def _wake(self) -> None:
+        if self._changed is not None and not self._changed.done():
+            self._changed.set_result(None)
+
+    def _state(self) -> PipelineState:
+        return PipelineState(
+            self._pipeline.open_count,
+            self._pipeline.runs_alone,
+            self._memory.held_bytes,
+            self._listener.bodies.is_short,
+            self._listener.is_stopping,
+        )
+
+    def _is_repeatable(self, request: CallerRequest) -> bool:
+        return self._listener.is_repeatable(request.host, request.path)
+
+    def _may_begin(self, request: CallerRequest) -> bool:
+        if not self._pipeline.open_count:
+            return True
+        is_repeatable = self._is_repeatable(request)
+        return may_start(self._state(), is_repeatable=is_repeatable)
+
+    def _begin(self, request: CallerRequest) -> None:
+        """Serve a complete request."""
+        if self._stream.closed():
+            # The caller cannot get the reply and may send the request again, so
+            # it must not run.
+            return
+        self._reading = None
+        if self._pipeline.open_count:
+            self._has_pipelined = True
+            self._listener.pipelined += 1
+        turn = CallerTurn(
+            request,
+            runs_alone=not self._is_repeatable(request),
+            is_final=not request.is_persistent,
+        )
+        self._pipeline.begin(turn)
+        turn.task = asyncio.ensure_future(self._run(turn))
+        turn.task.add_done_callback(partial(self._on_served, turn))
+
+    async def _run(self, turn: CallerTurn) -> None:
+        reply = await self._reply_to(turn.request)
+        self._memory.release(turn.request)
+        self._finish(turn, reply)
+
+    async def _reply_to(self, request: CallerRequest) -> Reply:
+        inbound = request.inbound()
+        if inbound is None:
+            return refusals.NO_REQUEST_ID.reply('')
+        try:
+            return await self._listener.serve(inbound)
+        except Exception as error:
+            # An internal error. The request may have run, so the reply must not
+            # deny it.
+            log_warning(
+                'request-failed',
+                request=inbound.request_id,
+                error=repr(error),
+            )
+            return refusals.INTERNAL_FAULT.reply(inbound.request_id)
+
+    def _on_served(self, turn: CallerTurn, task: 'asyncio.Task[None]') -> None:
+        self._memory.release(turn.request)
+        if self._stream.closed():
+            self._listener.note_ended(turn.request)
+        elif task.cancelled():
+            reply = refusals.INTERNAL_FAULT.reply(turn.request.request_id)
+            self._finish(turn, reply)
+        elif task.exception() is not None:
+            self._fail(task.exception())
+
+    def _refuse(self, request: CallerRequest) -> None:
+        """Refuse a request that is not read to its end, and all behind it."""
+        self._reading = None
+        refusal = request.refusal or refusals.MALFORMED
+        request_id = request.request_id
+        if request.refusal is not None:
+            self._listener.on_refused(request_id, request.held_bytes)
+        self._memory.release(request)
+        self._listener.note_open(request)
+        turn = CallerTurn(request, runs_alone=True, is_final=True)
+        self._pipeline.begin(turn)
+        self._finish(turn, refusal.reply(request_id))
+
+    def _finish(self, turn: CallerTurn, reply: Reply) -> None:
+        if self._stream.closed():
+            return
+        self._pipeline.finish(turn, reply)
+        if turn.answer is not None:
+            self._memory.hold_answer(turn, len(reply.body))
+
+    def _send(self, turn: Turn[Reply], reply: Reply) -> None:
+        """Send the answer whose turn it is."""
+        assert isinstance(turn, CallerTurn)
+        self._memory.release_answer(turn)
+        is_last = closes(self._state(), is_final=turn.is_final)
+        data = self._encode(turn.request, reply, is_last=is_last)
+        if is_last:
+            self._is_ending = True
+        try:
+            written = self._stream.write(data)
+        except StreamClosedError:
+            # The caller disconnected before the reply was written; the close
+            # callback frees what is held.
+            return
+        on_written = partial(self._on_written, turn)
+        if written.done():
+            on_written(written)
+        else:
+            written.add_done_callback(on_written)
+
+    def _encode(
+        self, request: CallerRequest, reply: Reply, *, is_last: bool
+    ) -> bytes:
+        try:
+            return request.encode(reply, is_last=is_last)
+        except ValueError as error:
+            request_id = request.request_id
+            log_warning('request-failed', request=request_id, error=repr(error))
+            fault = refusals.INTERNAL_FAULT.reply(request_id)
+            return request.encode(fault, is_last=is_last)
+
+    def _on_written(
+        self, turn: CallerTurn, _written: 'asyncio.Future[None]'
+    ) -> None:
+        if self._stream.closed():
+            return
+        self._listener.note_ended(turn.request)
+        self._idle_since = time.monotonic()
+        self._pipeline.sent()
+        if self._is_ending and not self._pipeline.open_count:
+            self._end(turn)
+        elif self._interim and not self._pipeline.open_count:
+            self._send_interim(self._interim)
+        self._wake()
+
+    def _send_interim(self, data: bytes) -> None:
+        """Send an interim response once the answers before it are sent."""
+        if self._pipeline.open_count:
+            self._interim = data
+        elif not self._is_ending:
+            self._interim = b''
+            self._stream.write(data)
+
+    def _end(self, turn: CallerTurn) -> None:
+        """Close the connection, whose last answer is sent.
+
+        While the caller may still be sending, its bytes are read and dropped:
+        to close a socket with unread bytes may destroy the answer on its way.
+        """
+        may_send = turn.task is None or (
+            self._has_pipelined and self._listener.is_stopping
+        )
+        if not may_send and not self._input.has_unread:
+            self._stream.close()
+            return
+        try:
+            self._stream.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._stream.close()
+            return
+        self._input.discard()
+        asyncio.get_running_loop().call_later(
+            LINGER_SECONDS, self._stream.close
+        )
+
+    def _on_head(self, request: CallerRequest) -> None:
+        self._listener.note_open(request)
+
+    def _take_body(
+        self, request: CallerRequest, amount: int
+    ) -> Awaitable[None] | None:
+        if not self._takes(request, amount):
+            return self._take_later(request, amount)
+        return None
+
+    async def _take_later(self, request: CallerRequest, amount: int) -> None:
+        """Wait until body bytes may be held."""
+        self._listener.note_pause(Pause.held_bytes)
+        if not await self._until(partial(self._takes, request, amount)):
+            raise BodyRefused('the connection ends')
+
+    def _takes(self, request: CallerRequest, amount: int) -> bool:
+        """Reserve memory for body bytes; False if they have to wait.
+
+        Raises:
+            BodyRefused: No answer of this connection will free any.
+        """
+        if self._is_ending:
+            raise BodyRefused('the connection ends')
+        is_first = not self._pipeline.open_count
+        if self._memory.reserve(request, amount, is_first=is_first):
+            return True
+        if is_first:
+            request.refusal = refusals.NO_MEMORY
+            raise BodyRefused('the host holds as many bodies as it can')
+        return False
+
+    def _check_idle(self) -> None:
+        """Close the connection once it has been idle for too long."""
+        left = self._idle_seconds
+        if self.is_idle:
+            left += self._idle_since - time.monotonic()
+            if left <= 0:
+                self._stream.close()
+                return
+        self._idle_timer = asyncio.get_running_loop().call_later(
+            left, self._check_idle
+        )
+
+    def _on_close(self) -> None:
+        """Cancel and drop all requests of a connection that has closed."""
+        self._is_ending = True
+        self._input.unwatch()
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+        for turn in self._pipeline.clear():
+            assert isinstance(turn, CallerTurn)
+            self._memory.release_answer(turn)
+            if turn.task is None or turn.task.done():
+                self._listener.note_ended(turn.request)
+            else:
+                turn.task.cancel()
+        if self._reading is not None:
+            self._memory.release(self._reading)
+            self._listener.note_ended(self._reading)
+            self._reading = None
+        self._listener.on_closed(self)
+        self._wake()
--- /dev/null
+++ b/src/wardstair/gateway/caller_memory.py
@@ -0,0 +1,69 @@
+"""Accounts for the memory that one connection of a caller holds."""
+
+from wardstair.decisions.pipelining import MAX_HELD_BYTES
+from wardstair.gateway.bodies import BodyCapacity
+from wardstair.gateway.caller_requests import CallerRequest, CallerTurn
+
+
+class CallerMemory:
+    """Bytes held for a connection: bodies, and answers waiting for their turn.
+
+    Attributes:
+        held_bytes: Their number.
+    """
+
+    __slots__ = ('_bodies', 'held_bytes')
+
+    def __init__(self, bodies: BodyCapacity) -> None:
+        """Create an account without any bytes.
+
+        Args:
+            bodies: Capacity of the host.
+        """
+        self.held_bytes = 0
+        self._bodies = bodies
+
+    def reserve(
+        self, request: CallerRequest, amount: int, *, is_first: bool
+    ) -> bool:
+        """Reserve memory for body bytes; return False and reserve none if it
+        is too little.
+
+        Args:
+            request: The request that is being received.
+            amount: Number of bytes.
+            is_first: Whether no request before it is open. Then only the host's
+                capacity limits it, as nothing else of the connection is held.
+        """
+        has_room = self.held_bytes + amount <= MAX_HELD_BYTES
+        if not (is_first or has_room) or not self._bodies.reserve(amount):
+            return False
+        self.held_bytes += amount
+        request.held_bytes += amount
+        return True
+
+    def release(self, request: CallerRequest) -> None:
+        """Release the memory of a request's body."""
+        self._bodies.release(request.held_bytes)
+        self.held_bytes -= request.held_bytes
+        request.held_bytes = 0
+        request.drop_body()
+
+    def hold_answer(self, turn: CallerTurn, amount: int) -> None:
+        """Count an answer that waits for its turn.
+
+        It is held even beyond the capacity; reading pauses then.
+
+        Args:
+            turn: Turn of the request.
+            amount: Number of bytes.
+        """
+        self._bodies.hold(amount)
+        self.held_bytes += amount
+        turn.waiting_bytes = amount
+
+    def release_answer(self, turn: CallerTurn) -> None:
+        """Release the memory of an answer that is sent or dropped."""
+        self._bodies.release(turn.waiting_bytes)
+        self.held_bytes -= turn.waiting_bytes
+        turn.waiting_bytes = 0
--- /dev/null
+++ b/src/wardstair/gateway/caller_requests.py
@@ -0,0 +1,239 @@
+"""Collects one request of a caller and encodes its answer."""
+
+import asyncio
+import re
+import time
+from collections.abc import Awaitable, Callable
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+
+from wardstair.connection.pipeline import Turn
+from wardstair.gateway.messages import Inbound, Reply
+from wardstair.gateway.refusals import GatewayRefusal
+from wardstair.platform.headers import CallerFields, decode_caller
+
+# Timeout of requests whose caller does not state one.
+DEFAULT_WAIT_SECONDS = 30.0
+_LINE_BREAK = re.compile('[\r\n]')
+
+
+class BodyRefused(HTTPInputError):
+    """A body is not read to its end; ends the parsing of its request."""
+
+
+class CallerRequest(HTTPMessageDelegate):
+    """One request of a caller, as it is parsed.
+
+    Attributes:
+        parser: The parser; ends as soon as the request is complete.
+        received_at: Monotonic time at which the head was received; 0 until
+            then.
+        held_bytes: Bytes of the body that are held.
+        is_complete: Whether head and body are received.
+        refusal: Why the body is not read; None unless it is refused.
+    """
+
+    def __init__(
+        self,
+        on_head: Callable[['CallerRequest'], None],
+        take_body: Callable[['CallerRequest', int], Awaitable[None] | None],
+    ) -> None:
+        """Create a request that expects its head.
+
+        Args:
+            on_head: Called when the head is received.
+            take_body: Reserves memory for a number of body bytes, at once or
+                once they may be held; raises `BodyRefused`.
+        """
+        self.parser: HTTP1Connection | None = None
+        self.received_at = 0.0
+        self.held_bytes = 0
+        self.is_complete = False
+        self.refusal: GatewayRefusal | None = None
+        self._on_head = on_head
+        self._take_body = take_body
+        self._line: RequestStartLine | None = None
+        self._headers = HTTPHeaders()
+        self._chunks: list[bytes] = []
+
+    @property
+    def has_head(self) -> bool:
+        """Whether the head is received."""
+        return self._line is not None
+
+    @property
+    def is_persistent(self) -> bool:
+        """Whether the caller keeps the connection open after the answer."""
+        line = self._line
+        assert line is not None
+        options = {
+            option.strip().lower()
+            for option in self._headers.get('Connection', '').split(',')
+        }
+        if line.version == 'HTTP/1.1':
+            return 'close' not in options
+        has_length = (
+            line.method in {'GET', 'HEAD'}
+            or 'Content-Length' in self._headers
+            or 'Transfer-Encoding' in self._headers
+        )
+        return has_length and 'keep-alive' in options
+
+    @property
+    def host(self) -> str:
+        """Host name, lower case, without a port."""
+        return self._headers.get('Host', '').lower().partition(':')[0]
+
+    @property
+    def path(self) -> str:
+        """Path without the query."""
+        assert self._line is not None
+        return self._line.path.partition('?')[0]
+
+    @property
+    def request_id(self) -> str:
+        """The caller's id for this attempt; empty if there is none."""
+        return self._fields().request_id
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> Awaitable[None] | None:
+        """Store the request line and headers."""
+        assert isinstance(start_line, RequestStartLine)
+        self.received_at = time.monotonic()
+        self._line = start_line
+        self._headers = headers
+        self._on_head(self)
+        return None
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Store body bytes once they may be held."""
+        taking = self._take_body(self, len(chunk))
+        if taking is None:
+            self._chunks.append(chunk)
+            return None
+        return self._store_later(taking, chunk)
+
+    def finish(self) -> None:
+        """Note that the request is complete, and end its parser.
+
+        The parser would otherwise wait for the answer to be written.
+        """
+        self.is_complete = True
+        assert self.parser is not None
+        self.parser.detach()
+        self.parser = None
+
+    def on_connection_close(self) -> None:
+        """Do nothing; the connection drops its requests itself."""
+
+    def drop_body(self) -> None:
+        """Forget the body."""
+        self._chunks = []
+
+    def inbound(self) -> Inbound | None:
+        """Return the complete request; None if it has no id.
+
+        The body is handed over: a second call returns an empty one.
+        """
+        line = self._line
+        assert line is not None
+        fields = self._fields()
+        if not fields.request_id:
+            return None
+        wait = fields.seconds_left
+        body = b''.join(self._chunks)
+        self._chunks = []
+        return Inbound(
+            request_id=fields.request_id,
+            method=line.method,
+            target=line.path,
+            path=self.path,
+            host=self.host,
+            key=fields.key,
+            headers=fields.forwarded_headers,
+            body=body,
+            received_at=self.received_at,
+            seconds=DEFAULT_WAIT_SECONDS if wait is None else wait,
+            api_keys=fields.api_keys,
+        )
+
+    def encode(self, reply: Reply, *, is_last: bool) -> bytes:
+        """Return the bytes of an answer to this request.
+
+        Args:
+            reply: The answer.
+            is_last: Whether the connection closes after it.
+
+        Raises:
+            ValueError: A header cannot be sent.
+        """
+        line = self._line
+        headers = HTTPHeaders()
+        try:
+            for name, text in reply.headers:
+                headers.add(name, text)
+        except HTTPInputError as error:
+            raise ValueError(str(error)) from error
+        headers['Content-Length'] = str(len(reply.body))
+        if is_last:
+            headers['Connection'] = 'close'
+        elif line is not None and line.version == 'HTTP/1.0':
+            headers['Connection'] = 'Keep-Alive'
+        lines = [f'HTTP/1.1 {reply.status} {reply.reason}']
+        lines.extend(f'{name}: {text}' for name, text in headers.get_all())
+        for one in lines:
+            if _LINE_BREAK.search(one):
+                raise ValueError(f'line break in a header: {one!r}')
+        head = '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n'
+        if line is not None and line.method == 'HEAD':
+            return head
+        return head + reply.body
+
+    async def _store_later(self, taking: Awaitable[None], chunk: bytes) -> None:
+        await taking
+        self._chunks.append(chunk)
+
+    def _fields(self) -> CallerFields:
+        return decode_caller(list(self._headers.get_all()))
+
+
+class CallerTurn(Turn[Reply]):
+    """The place of one request among those of its connection.
+
+    Attributes:
+        request: The request.
+        task: Serves it; None before it starts, and for a request that is
+            refused unread.
+        waiting_bytes: Bytes of its answer while that waits for its turn.
+    """
+
+    __slots__ = ('request', 'task', 'waiting_bytes')
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        *,
+        runs_alone: bool = False,
+        is_final: bool = False,
+    ) -> None:
+        """Create the place of a request.
+
+        Args:
+            request: The request.
+            runs_alone: Whether it may run only once.
+            is_final: Whether nothing is read behind it.
+        """
+        super().__init__(runs_alone, is_final)
+        self.request = request
+        self.task: asyncio.Task[None] | None = None
+        self.waiting_bytes = 0
--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -96,6 +96,19 @@
         'Requests of callers that are not answered yet',
         lambda: [(float(host.callers.open_count), {})],
     )
+    metrics.add_count(
+        'wardstair_requests_pipelined',
+        'Requests started beside an earlier one of their connection',
+        lambda: [(float(host.callers.pipelined), {})],
+    )
+    metrics.add_count(
+        'wardstair_caller_reading_pauses',
+        'Pauses in reading connections of callers that sent more, by reason',
+        lambda: [
+            (float(count), {'reason': reason.value})
+            for reason, count in host.callers.pauses.items()
+        ],
+    )
     metrics.add_gauge(
         'wardstair_upstreams',
         'Upstreams by service and state',
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -327,6 +327,7 @@
             self._serve_caller,
             body_capacity(settings.memory_bytes),
             reporter.body_refused,
+            self._is_repeatable,
         )
         self.peer_request_server = PeerRequestServer(
             self._serve_peer_request, self.callers.bodies
@@ -575,6 +576,10 @@
             # sweep.
             self.views.refresh_loads()
 
+    def _is_repeatable(self, host: str, path: str) -> bool:
+        steering = self.local_state.steering
+        return steering is not None and steering.is_repeatable(host, path)
+
     async def _serve_caller(self, inbound: Inbound) -> Reply:
         if not self.local_state.reachability.is_cut_off:
             # A host that is cut off forwards the request to a peer, which
--- a/src/wardstair/gateway/listeners.py
+++ b/src/wardstair/gateway/listeners.py
@@ -1,6 +1,5 @@
 """The TCP listeners of a gateway."""
 
-from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
@@ -23,7 +22,7 @@
         Args:
             callers: Handles the requests of callers.
         """
-        self._callers = HTTPServer(callers)
+        self._callers = callers
         self._others: list[HTTPServer] = []
 
     def open_callers(self, listener: Listener) -> None:
@@ -51,10 +50,10 @@
         Args:
             limits: Limits on sizes and times of requests.
         """
-        self._callers.conn_params = HTTP1ConnectionParameters(
-            header_timeout=limits.idle_seconds * IDLE_FACTOR,
-            max_header_size=limits.header_bytes,
-            max_body_size=limits.body_bytes,
+        self._callers.limit(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.idle_seconds * IDLE_FACTOR,
         )
 
     def stop_callers(self) -> None:
@@ -63,6 +62,8 @@
 
     async def close(self) -> None:
         """Close all listeners and their connections."""
-        for server in (self._callers, *self._others):
+        self._callers.stop()
+        await self._callers.close_connections()
+        for server in self._others:
             server.stop()
             await server.close_all_connections()
--- a/src/wardstair/gateway/refusals.py
+++ b/src/wardstair/gateway/refusals.py
@@ -66,6 +66,11 @@
     RefusalKind.bad_header,
     f'the request carries no {REQUEST_ID}; send one',
 )
+MALFORMED = GatewayRefusal(
+    400,
+    RefusalKind.bad_header,
+    'the request is malformed or exceeds a limit; correct it',
+)
 NO_ROUTE = GatewayRefusal(
     404,
     RefusalKind.no_route,
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -136,6 +136,12 @@
         'an internal error of this program; the caller got a 500',
         'request error',
     ),
+    _kind(
+        'caller-connection-failed',
+        'an internal error of this program; the connection of the caller was '
+        'closed',
+        'error',
+    ),
     _kind(
         'configuration-adopted',
         'a newer version is in force on this host',
--- a/src/wardstair/version/steering.py
+++ b/src/wardstair/version/steering.py
@@ -149,6 +149,16 @@
                 return route
         return None
 
+    def is_repeatable(self, host: str, path: str) -> bool:
+        """Return whether a request may run more than once.
+
+        Args:
+            host: Host name that the caller sent, without the port.
+            path: Path without the query.
+        """
+        route = self.find_route(host, path)
+        return route is not None and route.is_repeatable
+
 
 def index_routes(
     routes: tuple[SteeredRoute, ...],
