Hold less for idle connections and copy fewer bytes of bodies

Change: a list in place of a deque, slots, no header table before a head is received; the read buffer keeps what was read without a copy. A lingering connection no longer counts as idle, and a request is not lost from the count when its connection closes before it starts.

--- a/src/wardstair/connection/pipeline.py
+++ b/src/wardstair/connection/pipeline.py
@@ -4,7 +4,6 @@
 before it have been sent completely. Sending is left to the owner.
 """
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Generic, TypeVar
@@ -30,6 +29,8 @@
 class Pipeline(Generic[A]):
     """The open requests of a connection, oldest first."""
 
+    __slots__ = ('_is_advancing', '_send', '_sending', '_turns')
+
     def __init__(self, send: Callable[[Turn[A], A], None]) -> None:
         """Create an empty pipeline.
 
@@ -38,7 +39,8 @@
                 all bytes are sent, which may be at once.
         """
         self._send = send
-        self._turns: deque[Turn[A]] = deque()
+        # A list, as an empty one takes less memory than a deque.
+        self._turns: list[Turn[A]] = []
         self._sending: Turn[A] | None = None
         self._is_advancing = False
 
@@ -70,7 +72,7 @@
         """Note that the answer being sent is sent completely."""
         assert self._sending is not None
         self._sending = None
-        self._turns.popleft()
+        self._turns.pop(0)
         self._advance()
 
     def clear(self) -> list[Turn[A]]:
--- a/src/wardstair/gateway/caller_connections.py
+++ b/src/wardstair/gateway/caller_connections.py
@@ -44,6 +44,26 @@
 class CallerConnection:
     """A connection of a caller, from its acceptance to its close."""
 
+    # A host may have thousands of idle connections.
+    __slots__ = (
+        '__weakref__',
+        '_changed',
+        '_has_pipelined',
+        '_idle_seconds',
+        '_idle_since',
+        '_idle_timer',
+        '_input',
+        '_interim',
+        '_is_ending',
+        '_listener',
+        '_memory',
+        '_params',
+        '_pipeline',
+        '_reading',
+        '_serving',
+        '_stream',
+    )
+
     def __init__(
         self,
         listener: 'CallerListener',
@@ -80,7 +100,9 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is open and none is being received."""
+        """Whether no request is open, being received or the last one."""
+        if self._is_ending:
+            return False
         reading = self._reading
         is_receiving = reading is not None and reading.has_head
         return not self._pipeline.open_count and not is_receiving
@@ -124,6 +146,10 @@
             may_begin = partial(self._may_begin, request)
             if not await self._until(may_begin):
                 return
+            if self._stream.closed():
+                # The caller cannot get the reply and may send the request
+                # again, so it must not run.
+                return
             self._begin(request)
             if not request.is_persistent:
                 return
@@ -186,10 +212,6 @@
 
     def _begin(self, request: CallerRequest) -> None:
         """Serve a complete request."""
-        if self._stream.closed():
-            # The caller cannot get the reply and may send the request again, so
-            # it must not run.
-            return
         self._reading = None
         if self._pipeline.open_count:
             self._has_pipelined = True
--- a/src/wardstair/gateway/caller_requests.py
+++ b/src/wardstair/gateway/caller_requests.py
@@ -21,6 +21,8 @@
 
 # Timeout of requests whose caller does not state one.
 DEFAULT_WAIT_SECONDS = 30.0
+# Shared by the requests whose heads are not received yet.
+_NO_HEADERS = HTTPHeaders()
 _LINE_BREAK = re.compile('[\r\n]')
 
 
@@ -60,7 +62,7 @@
         self._on_head = on_head
         self._take_body = take_body
         self._line: RequestStartLine | None = None
-        self._headers = HTTPHeaders()
+        self._headers = _NO_HEADERS
         self._chunks: list[bytes] = []
 
     @property
--- a/src/wardstair/gateway/caller_stream.py
+++ b/src/wardstair/gateway/caller_stream.py
@@ -32,6 +32,18 @@
         max_buffer_size: Largest body without a limit of its own, in bytes.
     """
 
+    __slots__ = (
+        '_buffer',
+        '_direct',
+        '_filling',
+        '_is_discarding',
+        '_is_watching',
+        '_on_interim',
+        '_poll',
+        '_stream',
+        'max_buffer_size',
+    )
+
     def __init__(
         self,
         stream: IOStream,
--- a/src/wardstair/gateway/read_buffer.py
+++ b/src/wardstair/gateway/read_buffer.py
@@ -10,7 +10,7 @@
 
     def __init__(self) -> None:
         """Create an empty buffer."""
-        self._data = bytearray()
+        self._data = b''
         # Bytes before it are taken; they are dropped when bytes are added.
         self._start = 0
 
@@ -20,10 +20,9 @@
 
     def append(self, received: bytes) -> None:
         """Add bytes at the end."""
-        if self._start:
-            self._data = self._data[self._start :]
-            self._start = 0
-        self._data += received
+        # Without a copy if the buffer is empty.
+        self._data = self._data[self._start :] + received
+        self._start = 0
 
     def end_of_match(self, pattern: 're.Pattern[bytes]') -> int:
         """Return the number of bytes up to the end of a match; 0 for none."""
@@ -37,17 +36,15 @@
 
     def take(self, amount: int) -> bytes:
         """Remove and return a number of bytes."""
-        if amount == len(self._data):
-            taken = bytes(self._data)
-        else:
-            end = self._start + amount
-            taken = bytes(self._data[self._start : end])
-        self._start += amount
-        if self._start == len(self._data):
+        end = self._start + amount
+        taken = self._data[self._start : end]
+        if end == len(self._data):
             self.clear()
+        else:
+            self._start = end
         return taken
 
     def clear(self) -> None:
         """Drop all bytes."""
-        self._data = bytearray()
+        self._data = b''
         self._start = 0
--- a/tests/functional/test_organisations.py
+++ b/tests/functional/test_organisations.py
@@ -182,3 +182,51 @@
         assert not near.seen
 
     run(test, near, far)
+
+
+def test_requests_of_one_connection_are_counted_for_their_organisations() -> (
+    None
+):
+    north, south = UpstreamStandin('i-north'), UpstreamStandin('i-south')
+    senders = [KEY, SOUTH_KEY, 'unknown', SOUTH_KEY, KEY, KEY]
+
+    async def test(rig: Rig) -> None:
+        entry = upstream_spec(south.port, zone='south-a')
+        rig.store.put('servers', 'i-south', entry)
+        catalog = rig.gateway.local_state.catalog
+        await rig.until(
+            lambda: catalog.upstreams['i-south'].entry.zone == 'south-a',
+        )
+        with_quotas = configuration(3, KEY)
+        tenants = with_quotas['tenants']
+        assert isinstance(tenants, dict)
+        tenants['choir'].update(rate_per_s=100, burst=10)
+        tenants['band'].update(rate_per_s=100, burst=10)
+        rig.store.put('config', 'main', with_quotas)
+        await rig.until(
+            lambda: rig.gateway.local_state.versions.configuration == 3
+        )
+        caller = await Caller.connect(rig)
+        for number, api_key in enumerate(senders):
+            await caller.send(
+                '/read/x', request_id=f'r{number}', Wardstair_Credential=api_key
+            )
+        answers = [await caller.answer() for _ in senders]
+        statuses = [answer.status for answer in answers]
+        assert statuses == [200, 200, 401, 200, 200, 200]
+        received = {
+            seen.request_id: seen.header('Wardstair-Tenant')
+            for seen in north.seen + south.seen
+        }
+        assert received == {
+            'r0': 'choir',
+            'r1': 'band',
+            'r3': 'band',
+            'r4': 'choir',
+            'r5': 'choir',
+        }
+        counts = rig.gateway.quotas.own_counts()
+        assert sorted(counts.values()) == [2, 3]
+        caller.close()
+
+    run(test, north, south)
