Add the messages and the gate of roll-outs

Purpose: hosts have to bound what a version under test receives, whichever messages are lost and whichever hosts are cut off. Counts are reported when they change and again in turn, so that reports stay small without joining upstreams. Times are compared with what is expected of an upstream that is not slow; otherwise a slow version would raise its own expectation. Resends of a test go to old upstreams first. Ruled out: sums over upstreams without bad answers, as the verdict needs the number of distinct upstreams over all hosts.

--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -32,6 +32,7 @@
 from wardstair.gateway.distances import Distances
 from wardstair.gateway.key_ranking import KeyRanking, RankingQuery, TransferSize
 from wardstair.gateway.limited_sends import MAX_WAIT_SECONDS, LimitedSends
+from wardstair.gateway.rollouts import RolloutGate
 from wardstair.gateway.settings import LiveSettings
 from wardstair.gateway.splitting import TrafficSplitter
 from wardstair.process.log import log_event
@@ -106,12 +107,14 @@
         cold_seconds: Expected seconds if the key turns out not to be warm at
             the upstream; the expected time of the choice if this host knows
             that the key is warm.
+        placed_at: Monotonic time in seconds of the choice.
     """
 
     upstream: Upstream
     choice: Choice
     choices: int
     cold_seconds: float
+    placed_at: float = 0.0
 
 
 class Chooser:
@@ -135,7 +138,8 @@
         self._settings = settings
         self._local_state = local_state
         self._distances = distances
-        self._key_ranking = KeyRanking(settings, local_state)
+        self.rollouts = RolloutGate()
+        self._key_ranking = KeyRanking(settings, local_state, self.rollouts)
         self.cold_sends = ColdSends(settings, local_state, lambda: self.view)
         self.load_view = LoadView(own.name, own.zone)
         self.limited_sends = LimitedSends(
@@ -195,12 +199,34 @@
         now = time.monotonic()
         self._key_ranking.step(now)
         self._step_limits(now)
-        for group in self._candidate_groups(query, now):
+        *preferred, last = self._ranked_groups(query)
+        groups = [
+            group
+            for ranked in preferred
+            for group in self._candidate_groups(
+                ranked, query, now, has_alternative=True
+            )
+        ]
+        groups.extend(self._candidate_groups(last, query, now))
+        for group in groups:
             placed = self._choose_among(group, query, now)
             if placed is not None:
                 return placed
         return None
 
+    def may_use(self, upstream: Upstream, now: float) -> bool:
+        """Return whether this host may send to an upstream at present.
+
+        Args:
+            upstream: The upstream.
+            now: Monotonic time in seconds.
+        """
+        if upstream.entry.zone in self._local_state.evacuated:
+            return False
+        if self._is_avoided(upstream, now) or not upstream.takes_work:
+            return False
+        return not upstream.is_cold(now) or self.cold_sends.is_sender(upstream)
+
     def limit_wait(self, query: UpstreamQuery) -> float | None:
         """Return the wait until limits allow another request.
 
@@ -243,17 +269,27 @@
 
     def _candidate_groups(
         self,
+        permitted: list[Upstream],
         query: UpstreamQuery,
         now: float,
+        *,
+        has_alternative: bool = False,
     ) -> list[list[tuple[int, Upstream]]]:
         """Return ranked upstreams in groups, to be tried in order.
 
         Upstreams that are avoided get no rank, so that the next one is the
         preferred upstream meanwhile.
+
+        Args:
+            permitted: The upstreams, the preferred one first.
+            query: The request.
+            now: Monotonic time in seconds.
+            has_alternative: Whether other upstreams can take the request if
+                all of these are avoided.
         """
         ranked = [
             upstream
-            for upstream in self._within_limits(self.ranked(query), query, now)
+            for upstream in self._within_limits(permitted, query, now)
             if not upstream.is_cold(now)
             or self.cold_sends.may_send(upstream, now)
         ]
@@ -264,7 +300,8 @@
             # leave out only those that failed recently.
             usable = [one for one in ranked if now >= one.avoided_until]
         # An upstream that failed recently is better than none.
-        usable = usable or ranked
+        if not has_alternative:
+            usable = usable or ranked
         numbered = [
             (position, upstream)
             for position, upstream in enumerate(usable)
@@ -305,14 +342,27 @@
 
     def ranked(self, query: UpstreamQuery) -> list[Upstream]:
         """Return the upstreams for a request, the preferred one first."""
-        return self._available(
-            self._key_ranking.ranked(self._ranking_query(query))
+        return [one for group in self._ranked_groups(query) for one in group]
+
+    def _ranked_groups(self, query: UpstreamQuery) -> list[list[Upstream]]:
+        """Return the upstreams in groups by version, to be tried in order."""
+        return [self._available(group) for group in self._by_version(query)]
+
+    def _by_version(self, query: UpstreamQuery) -> list[list[Upstream]]:
+        return self.rollouts.groups(
+            self._key_ranking.ranked(self._ranking_query(query)),
+            query.key,
+            is_resend=bool(query.tried),
         )
 
+    def _permitted(self, query: UpstreamQuery) -> list[Upstream]:
+        """Return the upstreams for a request, also those that accept none."""
+        return [one for group in self._by_version(query) for one in group]
+
     def are_all_closed(self, query: UpstreamQuery) -> bool:
         """Return whether no upstream for a request accepts new requests."""
         notices = self._local_state.notices
-        ranked = self._key_ranking.ranked(self._ranking_query(query))
+        ranked = self._permitted(query)
         return bool(ranked) and all(
             notices.availability(one) is Availability.closed for one in ranked
         )
@@ -324,7 +374,7 @@
             return []
         return [
             one.name
-            for one in self._key_ranking.ranked(self._ranking_query(query))
+            for one in self._permitted(query)
             if notices.availability(one) in UNAVAILABLE
         ]
 
@@ -344,7 +394,7 @@
         notices = self._local_state.notices
         if notices.is_idle or self.ranked(query):
             return None
-        ranked = self._key_ranking.ranked(self._ranking_query(query))
+        ranked = self._permitted(query)
         left = shortest_pause(map(notices.notice_of, ranked), time.monotonic())
         if left is None:
             return None
@@ -402,7 +452,7 @@
         if query.route.is_sticky and not upstream.warm.has(query.key, now):
             cold = replace(choice.candidate, is_warm=False)
             cold_seconds = expected_seconds(cold, request.work)
-        return Placement(upstream, choice, len(candidates), cold_seconds)
+        return Placement(upstream, choice, len(candidates), cold_seconds, now)
 
     def _candidate(
         self,
--- a/src/wardstair/gateway/cold_sends.py
+++ b/src/wardstair/gateway/cold_sends.py
@@ -48,6 +48,10 @@
         is_due = self._limiter_of(upstream).is_due(now)
         return is_due and self._rate(upstream) > 0
 
+    def is_sender(self, upstream: Upstream) -> bool:
+        """Return whether this host sends to an upstream while it is cold."""
+        return self._rate(upstream) > 0
+
     def take(self, upstream: Upstream, now: float) -> None:
         """Count a request that is sent to a cold upstream."""
         rate = self._rate(upstream)
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -368,6 +368,7 @@
     ) -> ResendReason:
         """Record a send that has not left this host; return the reason."""
         progress.sends -= 1
+        self._chooser.rollouts.note_unsent(placement.upstream)
         match unsent:
             case Withheld():
                 return ResendReason.withheld
@@ -635,6 +636,12 @@
             ),
         )
         progress.running[task] = placement
+        rollouts = self._chooser.rollouts
+        if rollouts.is_in_use:
+            rollouts.note_sent(placement.upstream)
+            task.add_done_callback(
+                lambda _task: rollouts.note_ended(placement.upstream)
+            )
 
     def _report_notice(
         self,
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -308,7 +308,12 @@
             self.local_state,
             self.chooser,
             Transports(
-                Sender(self.pool, distances, self.local_state),
+                Sender(
+                    self.pool,
+                    distances,
+                    self.local_state,
+                    self.chooser.rollouts,
+                ),
                 self.peer_forwarder,
             ),
             self.live_settings,
--- /dev/null
+++ b/src/wardstair/gateway/host_rollout.py
@@ -0,0 +1,171 @@
+"""What this host counts and follows of one running roll-out."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from wardstair.decisions.rollout_verdict import AnswerTally, TallyKey
+from wardstair.decisions.rollouts import RolloutStage
+from wardstair.fleet.rollout_messages import RolloutPlan
+from wardstair.state.revision import NO_REVISION, Revision
+from wardstair.state.rollouts import RolloutOrder, RolloutRecord
+
+# A host that has heard no plan for this long sends nothing to a version that is
+# not proved.
+LEASE_SECONDS = 1.0
+# Time for which changed counts are repeated in reports, as some get lost.
+REPEAT_SECONDS = 2.0
+# Counts in each report that have not changed lately, so that a new sentinel
+# gets all of them within seconds.
+UNCHANGED_ROWS = 6
+
+
+@dataclass(slots=True)
+class AnswerCounts:
+    """Answers of one version, by route and upstream."""
+
+    _rows: dict[TallyKey, AnswerTally] = field(default_factory=dict)
+    _changed_at: dict[TallyKey, float] = field(default_factory=dict)
+    _next: int = 0
+
+    @property
+    def rows(self) -> Mapping[TallyKey, AnswerTally]:
+        """All counts."""
+        return self._rows
+
+    @property
+    def total(self) -> AnswerTally:
+        """The sum of all counts."""
+        return sum(self._rows.values(), AnswerTally())
+
+    def add(self, key: TallyKey, tally: AnswerTally, now: float) -> None:
+        """Add answers.
+
+        Args:
+            key: Their route and upstream.
+            tally: The answers.
+            now: Monotonic time in seconds.
+        """
+        self._rows[key] = self._rows.get(key, AnswerTally()) + tally
+        self._changed_at[key] = now
+
+    def reportable(self, now: float) -> dict[TallyKey, AnswerTally]:
+        """Return the counts for the next report.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        since = now - REPEAT_SECONDS
+        keys = list(self._rows)
+        chosen = {key for key in keys if self._changed_at[key] >= since}
+        turn = keys[self._next : self._next + UNCHANGED_ROWS]
+        self._next += UNCHANGED_ROWS
+        if self._next >= len(keys):
+            self._next = 0
+        return {key: self._rows[key] for key in chosen.union(turn)}
+
+
+@dataclass(slots=True)
+class HostRollout:
+    """A roll-out as this host follows it.
+
+    Attributes:
+        order: The operator's order.
+        stage: The stage that it follows; it never goes back.
+        share: Share of the keys that goes to the new version.
+        group: Numbers of the upstreams under test.
+        term: Term of the last plan.
+        plan: Number of the last plan.
+        reason: Why the roll-out is at this stage.
+        lease_until: Monotonic time until which the last plan is in force.
+        allowed: Requests that this process may ever send to the new version
+            while that is under test.
+        requests: Requests of the service sent since the order was known.
+        sent: Requests among them that were sent to the new version.
+        new: Answers of the new version.
+        old: Answers of the old version.
+        has_news: Whether a bad answer of the new version is not reported yet.
+        has_lapsed: Whether it was logged that no plan arrives.
+    """
+
+    order: RolloutOrder
+    stage: RolloutStage = RolloutStage.testing
+    share: float = 0.0
+    group: frozenset[int] = frozenset()
+    term: Revision = NO_REVISION
+    plan: int = 0
+    reason: str = ''
+    lease_until: float = float('-inf')
+    allowed: int = 0
+    requests: int = 0
+    sent: int = 0
+    new: AnswerCounts = field(default_factory=AnswerCounts)
+    old: AnswerCounts = field(default_factory=AnswerCounts)
+    has_news: bool = False
+    has_lapsed: bool = False
+
+    @property
+    def left(self) -> int:
+        """Requests that it may still send to the version under test."""
+        return max(0, self.allowed - self.sent)
+
+    @property
+    def needs_lease(self) -> bool:
+        """Whether it may send to the new version only on a recent plan."""
+        return self.stage < RolloutStage.switched
+
+    def has_lease(self, now: float) -> bool:
+        """Return whether a plan was heard recently.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        return now < self.lease_until
+
+    def may_use_new(self, now: float) -> bool:
+        """Return whether requests may be sent to the new version now.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        match self.stage:
+            case RolloutStage.stopped:
+                return False
+            case RolloutStage.switched:
+                return True
+        return self.has_lease(now)
+
+    def note_record(self, record: RolloutRecord | None) -> None:
+        """Follow the stage that is recorded in the store.
+
+        While the record says `switched`, `complete` may be written at any
+        time, and the old upstreams then stop at once. Earlier stages are
+        entered by plans only.
+        """
+        if record is not None and record.stage >= RolloutStage.switched:
+            self.stage = max(self.stage, record.stage)
+
+    def follow(self, plan: RolloutPlan, number: int, now: float) -> bool:
+        """Follow a plan.
+
+        Args:
+            plan: The plan; older ones than the last are ignored.
+            number: Number of this run of this host.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Whether the plan is newer than the last one.
+        """
+        if (plan.term, plan.number) < (self.term, self.plan):
+            return False
+        is_newer = (plan.term, plan.number) > (self.term, self.plan)
+        self.term = plan.term
+        self.plan = plan.number
+        self.stage = max(self.stage, plan.stage)
+        self.share = plan.share
+        self.group = plan.group
+        self.reason = plan.reason
+        self.allowed = max(self.allowed, plan.allowances.get(number, 0))
+        if is_newer:
+            self.lease_until = now + LEASE_SECONDS
+            self.has_lapsed = False
+        return is_newer
--- a/src/wardstair/gateway/key_ranking.py
+++ b/src/wardstair/gateway/key_ranking.py
@@ -22,6 +22,7 @@
 )
 from wardstair.decisions.region_moves import odds_factor
 from wardstair.gateway.region_moves import RegionMoves
+from wardstair.gateway.rollouts import RolloutGate
 from wardstair.gateway.settings import LiveSettings
 from wardstair.process.log import log_event
 from wardstair.state.local_state import LocalState
@@ -83,13 +84,20 @@
 class KeyRanking:
     """Ranks upstreams for keys; one per process."""
 
-    def __init__(self, settings: LiveSettings, local_state: LocalState) -> None:
+    def __init__(
+        self,
+        settings: LiveSettings,
+        local_state: LocalState,
+        rollouts: RolloutGate | None = None,
+    ) -> None:
         """Create an empty ranking.
 
         Args:
             settings: Settings of this host.
             local_state: State known to this host.
+            rollouts: Bars upstreams by their versions; None to bar none.
         """
+        self._rollouts = rollouts or RolloutGate()
         self._settings = settings
         self._local_state = local_state
         self._ranked: dict[RankingQuery, list[Upstream]] = {}
@@ -99,7 +107,7 @@
         self._region_moves = RegionMoves()
         self._now = 0.0
         self._moved_at = 0.0
-        self._generation = -1
+        self._generation = (-1, -1)
         self._ranked_settings = settings.current
         self._rebalanced_at = 0.0
 
@@ -210,7 +218,10 @@
 
     def _drop_outdated(self) -> None:
         """Drop rankings computed for other upstreams or settings."""
-        generation = self._local_state.catalog.generation
+        generation = (
+            self._local_state.catalog.generation,
+            self._rollouts.generation,
+        )
         settings = self._settings.current
         if self._generation == generation and self._ranked_settings is settings:
             return
@@ -292,6 +303,8 @@
         zone = upstream.entry.zone
         if zone in self._local_state.evacuated:
             return False
+        if self._rollouts.is_barred(upstream.entry):
+            return False
         if not regions:
             return True
         return self._settings.current.zones.get(zone) in regions
--- a/src/wardstair/gateway/outcomes.py
+++ b/src/wardstair/gateway/outcomes.py
@@ -7,6 +7,7 @@
 from wardstair.decisions.answer_times import slowdown_ratio
 from wardstair.decisions.mechanisms import Mechanism
 from wardstair.decisions.placement import expected_seconds
+from wardstair.decisions.rollout_verdict import is_slow
 from wardstair.gateway.choosing import Chooser, ColdReason, Placement
 from wardstair.gateway.exit_detection import ExitDetector
 from wardstair.gateway.reporting import AttemptHistory
@@ -106,6 +107,7 @@
                     upstream.note_load(reported_load, now)
                 if is_failure(outcome):
                     upstream.note_error(now)
+                    self._count_answer(attempt, is_failed=True)
                 else:
                     self._record_time(attempt, seconds, now)
             case RejectedByUpstream(is_misdirected=True):
@@ -170,6 +172,63 @@
         if attempt.placement.upstream.is_overdue(now):
             self._avoid(attempt, 'silent', now)
             self._reachability.note_failed(attempt.placement.upstream.entry)
+        if self._chooser.rollouts.running:
+            self._count_unawaited(attempt, now)
+
+    def _count_answer(
+        self,
+        attempt: SendAttempt,
+        *,
+        is_failed: bool = False,
+        is_slow: bool = False,
+    ) -> None:
+        """Count an answer for the comparison of versions."""
+        self._chooser.rollouts.note_answer(
+            attempt.placement.upstream,
+            attempt.route.name,
+            is_failed=is_failed,
+            is_slow=is_slow,
+        )
+
+    def _count_unawaited(self, attempt: SendAttempt, now: float) -> None:
+        """Count a send whose answer was not awaited if it was slow.
+
+        If the zone of its upstream cannot be reached, this shows nothing about
+        the version.
+        """
+        upstream = attempt.placement.upstream
+        if self._reachability.is_zone_lost(upstream.entry.zone):
+            return
+        seconds = now - attempt.placement.placed_at
+        was_warm = upstream.warm.has(attempt.key, now)
+        if self._is_slow(attempt, seconds, was_warm=was_warm):
+            self._count_answer(attempt, is_slow=True)
+
+    def _count_time(
+        self, attempt: SendAttempt, seconds: float, *, was_warm: bool
+    ) -> None:
+        if self._chooser.rollouts.running:
+            is_late = self._is_slow(attempt, seconds, was_warm=was_warm)
+            self._count_answer(attempt, is_slow=is_late)
+
+    def _is_slow(
+        self, attempt: SendAttempt, seconds: float, *, was_warm: bool
+    ) -> bool:
+        """Return whether an answer was slow, whatever its upstream did before.
+
+        A cold upstream is slow in any version.
+        """
+        upstream = attempt.placement.upstream
+        if upstream.is_cold(time.monotonic()):
+            return False
+        candidate = replace(attempt.placement.choice.candidate, slowness=1.0)
+        work = self._chooser.work_of(attempt.route).seconds
+        return is_slow(
+            seconds,
+            warm=expected_seconds(replace(candidate, is_warm=True), work),
+            cold=expected_seconds(replace(candidate, is_warm=False), work),
+            is_known_warm=was_warm or not attempt.route.is_sticky,
+        )
 
     def _avoid(self, attempt: SendAttempt, reason: str, now: float) -> None:
         upstream = attempt.placement.upstream
@@ -187,6 +246,7 @@
         upstream = attempt.placement.upstream
         was_warm = upstream.warm.has(attempt.key, now)
         attempt.history.was_warm = was_warm
+        self._count_time(attempt, seconds, was_warm=was_warm)
         upstream.warm.note(attempt.key, now)
         candidate = attempt.placement.choice.candidate
         work = self._chooser.work_of(attempt.route)
@@ -201,6 +261,7 @@
         if slowdown is None:
             upstream.note_answer()
             return
-        if candidate.load < candidate.slots:
+        is_usual = not self._chooser.rollouts.is_on_trial(upstream)
+        if is_usual and candidate.load < candidate.slots:
             work.note(max(seconds - candidate.round_trip, _MIN_WORK_SECONDS))
         upstream.note_success(candidate.slowness * slowdown, now)
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -20,6 +20,7 @@
 from wardstair.gateway.choosing import Placement
 from wardstair.gateway.distances import Distances
 from wardstair.gateway.messages import Inbound
+from wardstair.gateway.rollouts import RolloutGate
 from wardstair.gateway.send_outcomes import (
     Delivered,
     Lost,
@@ -59,6 +60,7 @@
         pool: UpstreamPool,
         distances: Distances,
         local_state: LocalState,
+        rollouts: RolloutGate,
     ) -> None:
         """Create a sender.
 
@@ -68,7 +70,9 @@
             local_state: State known to this host. Supplies the availability of
                 upstreams, and records which of them answer and what their
                 answers report.
+            rollouts: Permits upstreams by their versions.
         """
+        self._rollouts = rollouts
         self._local_state = local_state
         self._pool = pool
         self._distances = distances
@@ -216,9 +220,11 @@
     def _is_withdrawn(self, upstream: Upstream) -> bool:
         """Return whether an upstream must not be used any more.
 
-        It may have been removed, or its zone evacuated, while the connection
-        was opened.
+        It may have been removed, its zone evacuated, or its version stopped,
+        while the connection was opened.
         """
+        if not self._rollouts.may_send(upstream):
+            return True
         is_evacuated = upstream.entry.zone in self._local_state.evacuated
         return is_evacuated or not upstream.takes_work
 
