Decode orders of roll-outs and keep a table of them

Purpose: hosts have to know which versions may receive requests, whatever the store lists later.

Change: validated models for orders, records, bounds and the version of an upstream; KnownRollouts combines the listing with what is remembered (the first end of a target, withdrawn targets, orders that a restored store lacks, versions that are in order), RolloutTable derives roles from it. An end holds by service and version; a completion holds until a later one of the service. A version without an order is withheld until all orders up to the revision of its first entry are known, and while a restore is recent if others serve. The record of a refusal ends no roll-out, so that an operator may correct an order.

Ruled out: taking each version known at the first listing as in order whatever its revision; an order may have been written between the two reads. Hosts learn from each other which versions are in order instead.

--- a/src/wardstair/errors.py
+++ b/src/wardstair/errors.py
@@ -4,7 +4,7 @@
 answer is sufficient to act on; exceptions also have a context.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 
@@ -114,10 +114,17 @@
 
 @dataclass(frozen=True)
 class VersionConflict:
-    """A conditional update named a version that is not the current one."""
+    """A conditional update named a version that is not the current one.
+
+    Attributes:
+        name: The object or the call.
+        hint: The remedy.
+        body: The answer, which may contain the current object.
+    """
 
     name: str
     hint: str = 'read the object again and decide anew'
+    body: bytes = field(default=b'', repr=False)
 
 
 @dataclass(frozen=True)
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -67,6 +67,7 @@
 from wardstair.state.refreshing import StateRefresher
 from wardstair.state.registration import Registration
 from wardstair.state.roles import RoleLog, Roles
+from wardstair.state.rollouts import RolloutTable
 from wardstair.state.suspect_sharing import SuspectSharing
 from wardstair.state.sync import StoreSync
 from wardstair.state.watching import KindWatcher
@@ -123,7 +124,13 @@
         )
         self._processor_pressure = ProcessorPressure()
         self._random = random
-        self.local_state = LocalState(clock, Catalog(clock))
+        self.local_state = LocalState(
+            clock,
+            Catalog(clock),
+            rollouts=RolloutTable(
+                is_in_use=settings.rollout_bounds is not None
+            ),
+        )
         self.local_state.on_steering = self._on_steering
         self.local_state.restoration.period = lambda: (
             self.live_settings.current.heartbeat.expiry_seconds
--- a/src/wardstair/platform/bounds.py
+++ b/src/wardstair/platform/bounds.py
@@ -1,8 +1,9 @@
 """Decodes the operators' bounds from the settings file."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+from wardstair.decisions.rollouts import RolloutBounds
 from wardstair.errors import ConfigurationError
 from wardstair.gateway.settings import Bounds, Gap, OrganisationBounds
 
@@ -21,11 +22,13 @@
         divisor: Number by which a value in the platform's unit is divided to
             convert it to the internal unit.
         minimum: Smallest valid value, in the platform's unit.
+        maximum: Largest valid value, in the platform's unit.
     """
 
     name: str
     divisor: int = 1
     minimum: float = 0.0
+    maximum: float = math.inf
 
 
 # The platform's bounds by field of `Bounds`.
@@ -54,6 +57,15 @@
     # Number of requests.
     'quota_slack': _Bound('quota_slack'),
 }
+_ROLLOUTS = {
+    'share': _Bound('expose_share', maximum=1),
+    # Number of requests.
+    'slack': _Bound('expose_slack'),
+    'rollback_seconds': _Bound('rollback_ms', _MILLISECONDS, minimum=1),
+}
+# Used for a missing one if others are given: nothing beyond the stated bounds,
+# and the shortest time that hosts can keep.
+_STRICT_ROLLOUTS = RolloutBounds(share=0.0, slack=0.0, rollback_seconds=1.0)
 # Whether the time limit for revocations also applies to hosts without contact.
 _STRICT_REVOKE = 'strict_revoke'
 _FLAGS = {'true': True, 'false': False}
@@ -72,6 +84,19 @@
     gaps: tuple[Gap, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class DecodedRolloutBounds:
+    """Decoded bounds of roll-outs and the missing ones.
+
+    Attributes:
+        bounds: The bounds; None if roll-outs are not in use.
+        gaps: Missing bounds, for which the default applies.
+    """
+
+    bounds: RolloutBounds | None
+    gaps: tuple[Gap, ...] = ()
+
+
 def decode_bounds(texts: tuple[str, ...]) -> DecodedBounds:
     """Decode the bounds; a missing one gets its strict default.
 
@@ -118,6 +143,34 @@
     return OrganisationBounds(**decoded)
 
 
+def decode_rollout_bounds(texts: tuple[str, ...]) -> DecodedRolloutBounds:
+    """Decode the bounds of roll-outs, which are in use if any is given.
+
+    Args:
+        texts: As for `decode_bounds`.
+
+    Raises:
+        ConfigurationError: A value is invalid.
+    """
+    given = dict(_split_entry(text) for text in texts)
+    decoded = {
+        field: _decode(bound, given[bound.name])
+        for field, bound in _ROLLOUTS.items()
+        if bound.name in given
+    }
+    if not decoded:
+        return DecodedRolloutBounds(None)
+    gaps = tuple(
+        Gap(
+            f'bounds.{bound.name}',
+            getattr(_STRICT_ROLLOUTS, field) * bound.divisor,
+        )
+        for field, bound in _ROLLOUTS.items()
+        if field not in decoded
+    )
+    return DecodedRolloutBounds(replace(_STRICT_ROLLOUTS, **decoded), gaps)
+
+
 def _decode_flag(text: str) -> bool:
     if text not in _FLAGS:
         raise ConfigurationError(
@@ -145,13 +198,17 @@
         number = float(text)
     except ValueError as error:
         raise _invalid_value(bound, text) from error
-    if not math.isfinite(number) or number < bound.minimum:
+    is_in_range = bound.minimum <= number <= bound.maximum
+    if not (math.isfinite(number) and is_in_range):
         raise _invalid_value(bound, text)
     return number / bound.divisor
 
 
 def _invalid_value(bound: _Bound, text: str) -> ConfigurationError:
+    valid = f'{bound.minimum:g} or greater'
+    if math.isfinite(bound.maximum):
+        valid = f'from {bound.minimum:g} to {bound.maximum:g}'
     return ConfigurationError(
         f'the bound {bound.name} has an invalid value: {text}',
-        f'write it as {bound.name}=number, {bound.minimum:g} or greater',
+        f'write it as {bound.name}=number, {valid}',
     )
--- a/src/wardstair/platform/settings.py
+++ b/src/wardstair/platform/settings.py
@@ -21,6 +21,7 @@
 from wardstair.platform.bounds import (
     decode_bounds,
     decode_organisation_bounds,
+    decode_rollout_bounds,
 )
 from wardstair.version.document import faults_of
 
@@ -98,6 +99,7 @@
             'add the zone with its region to [zones]',
         )
     decoded = decode_bounds(parsed.bounds)
+    rollouts = decode_rollout_bounds(parsed.bounds)
     return GatewaySettings(
         name=parsed.name,
         address=parsed.address,
@@ -119,11 +121,13 @@
         switched_off=parsed.switched_off,
         bounds=decoded.bounds,
         organisation_bounds=decode_organisation_bounds(parsed.bounds),
+        rollout_bounds=rollouts.bounds,
         heartbeat=_heartbeat(parsed.heartbeat_milliseconds),
         gaps=(
             *_limit_gaps(parsed.limits),
             *_heartbeat_gaps(parsed.heartbeat_milliseconds),
             *decoded.gaps,
+            *rollouts.gaps,
         ),
     )
 
--- a/src/wardstair/platform/store.py
+++ b/src/wardstair/platform/store.py
@@ -20,12 +20,17 @@
 from wardstair.connection.client import close_client, make_client
 from wardstair.connection.silence import notice_silence_of
 from wardstair.decisions.adaptive_timeout import AdaptiveTimeout
-from wardstair.errors import PlatformError, PlatformUnavailable
+from wardstair.errors import (
+    PlatformError,
+    PlatformUnavailable,
+    VersionConflict,
+)
 from wardstair.platform.objects import StoredObject
 from wardstair.platform.store_answers import (
     Answer,
     Changes,
     Listing,
+    StatusWrite,
     read_body,
     read_changes,
     read_object,
@@ -58,10 +63,12 @@
     listing = 'list'
     stale_listing = 'stale-list'
     stale_read = 'stale-read'
+    read = 'read'
     watch = 'watch'
     check = 'check'
     creation = 'create'
     replacement = 'replace'
+    status_replacement = 'replace-status'
     removal = 'delete'
 
 
@@ -272,6 +279,42 @@
         answered = await self._call('PUT', _path(kind, name), document)
         return answered.map(read_written)
 
+    async def replace_status(
+        self,
+        kind: str,
+        name: str,
+        status: Mapping[str, object],
+        revision: int,
+    ) -> Result[StatusWrite, PlatformError]:
+        """Replace an object's status if it still has the given revision."""
+        self._count(CallKind.status_replacement, kind)
+        document = {
+            'metadata': {'name': name, 'revision': revision},
+            'status': status,
+        }
+        path = f'{_path(kind, name)}/status'
+        match await self._call('PUT', path, document):
+            case Ok(answer):
+                return Ok(StatusWrite(True, read_written(answer)))
+            case Err(VersionConflict(body=body)):
+                held = read_written(Answer(body, self.era))
+                return Ok(StatusWrite(False, held))
+            case Err(error):
+                return Err(error)
+
+    async def read(
+        self, kind: str, name: str
+    ) -> Result[StoredObject, PlatformError]:
+        """Read an object.
+
+        Args:
+            kind: The kind of the object.
+            name: The name of the object.
+        """
+        self._count(CallKind.read, kind)
+        answered = await self._call('GET', _path(kind, name))
+        return answered.and_then(read_object)
+
     async def delete(
         self,
         kind: str,
--- a/src/wardstair/platform/store_answers.py
+++ b/src/wardstair/platform/store_answers.py
@@ -85,6 +85,19 @@
     revision: Revision
 
 
+@dataclass(frozen=True, slots=True)
+class StatusWrite:
+    """Outcome of a conditional write that the store has answered.
+
+    Attributes:
+        is_written: Whether the condition held.
+        stored: The object as it is now; None if the answer lacks it.
+    """
+
+    is_written: bool
+    stored: StoredObject | None
+
+
 @dataclass(frozen=True, slots=True)
 class Page:
     """A page of a listing.
@@ -118,7 +131,7 @@
         case 404:
             return Err(ObjectMissing(call))
         case 409:
-            return Err(VersionConflict(call))
+            return Err(VersionConflict(call, body=response.body or b''))
         case 410:
             return Err(WatchForgotten(0))
         case _:
--- a/src/wardstair/platform/upstream_entries.py
+++ b/src/wardstair/platform/upstream_entries.py
@@ -13,6 +13,7 @@
 from pydantic import (
     AfterValidator,
     BaseModel,
+    BeforeValidator,
     ConfigDict,
     Field,
     StrictInt,
@@ -43,6 +44,11 @@
     return address
 
 
+def _version_text(version: object) -> str:
+    """Return a version as text; '' for none."""
+    return '' if version is None else str(version)
+
+
 class _Model(BaseModel):
     model_config = ConfigDict(extra='ignore', frozen=True)
 
@@ -51,6 +57,8 @@
     service: _Name
     zone: _Name
     slots: StrictInt = Field(ge=1, le=MAX_SLOTS)
+    # Older upstreams do not state it, and not all state it as text.
+    version: Annotated[str, BeforeValidator(_version_text)] = ''
 
 
 class _Status(_Model):
@@ -111,6 +119,7 @@
         cold_seconds=spec.status.cold_left_ms / _MILLISECONDS,
         revision=stored.revision,
         born=spec.born,
+        version=spec.info.version,
     )
 
 
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -151,6 +151,26 @@
         'a stored version is invalid; the previous one stays in force',
         'source revision reason',
     ),
+    _kind(
+        'rollouts-changed',
+        'orders of roll-outs, their records or what is known of them have '
+        'changed; `rollouts`: service, target version and state of each; '
+        '`kept`: services whose order a restored store lacks and may be '
+        'written again; `withdrawn`: targets whose order is gone',
+        'rollouts kept withdrawn revision source',
+    ),
+    _kind(
+        'rollout-refused',
+        'an order of a roll-out cannot be carried out: `field` is not as '
+        '`expected`',
+        'service target field expected revision',
+    ),
+    _kind(
+        'rollout-status-unreadable',
+        'the record on an order of a roll-out is not valid; an end counts, '
+        'anything else does not',
+        'service field expected revision',
+    ),
     _kind(
         'evacuations-changed',
         'the set of evacuated zones has changed; `kept`: those that a '
--- a/src/wardstair/state/catalog.py
+++ b/src/wardstair/state/catalog.py
@@ -98,6 +98,15 @@
         """Return the upstreams of a service that accept work."""
         return self._by_service.get(service, [])
 
+    def versions_in_service(self, service: str) -> frozenset[str]:
+        """Return the versions of a service's upstreams that accept work."""
+        upstreams = self._by_service.get(service, [])
+        return frozenset(upstream.entry.version for upstream in upstreams)
+
+    def note_roles(self) -> None:
+        """Record that other upstreams may be used, by their versions."""
+        self.generation += 1
+
     @property
     def in_service(self) -> list[UpstreamEntry]:
         """Entries of all upstreams that accept work."""
--- a/src/wardstair/state/local_state.py
+++ b/src/wardstair/state/local_state.py
@@ -28,6 +28,7 @@
 from wardstair.state.reachability import ReachabilityTable
 from wardstair.state.restoration import Restoration
 from wardstair.state.revision import NO_REVISION, Revision
+from wardstair.state.rollouts import RolloutTable
 from wardstair.state.suspects import SuspectTable
 from wardstair.version.steering import Steering
 
@@ -37,6 +38,10 @@
 STEERING_KINDS = (CONFIGURATION_KIND, EVACUATION_KIND, UPSTREAM_KIND)
 
 
+def _make_unused_table() -> RolloutTable:
+    return RolloutTable(is_in_use=False)
+
+
 @dataclass(slots=True)
 class LocalState:
     """The state of one host.
@@ -56,6 +61,7 @@
         suspects: Requests during which upstream processes exited.
         limits: Rate limits announced by upstreams.
         notices: Notices about further requests from upstreams.
+        rollouts: Roll-outs of versions; not in use by default.
         on_steering: Called when a configuration version is adopted.
         reachability: Which upstreams this host can reach.
         age: Time up to which the state is known to be complete.
@@ -73,6 +79,7 @@
     suspects: SuspectTable = field(default_factory=SuspectTable)
     limits: LimitTable = field(default_factory=LimitTable)
     notices: NoticeTable = field(default_factory=NoticeTable)
+    rollouts: RolloutTable = field(default_factory=_make_unused_table)
     on_steering: Callable[[], None] = field(default=lambda: None)
     reachability: ReachabilityTable = field(init=False)
     age: StateAge = field(init=False)
@@ -84,6 +91,12 @@
         """Create the tables that depend on other fields."""
         self.reachability = ReachabilityTable(self.catalog)
         self.age = StateAge(self.clock, STEERING_KINDS)
+        self.rollouts.attach(
+            self.restoration,
+            self.catalog.versions_in_service,
+            self._knows_service,
+        )
+        self.rollouts.on_roles = self.catalog.note_roles
 
     @property
     def has_quotas(self) -> bool:
@@ -151,6 +164,7 @@
                 version=steering.version,
                 missing=','.join(steering.defaulted_fields),
             )
+        self.rollouts.note_configuration()
         self.on_steering()
         return True
 
@@ -234,7 +248,8 @@
             self._evacuate(kept, PEER_SOURCE_PREFIX)
 
     def expire_kept_zones(self) -> None:
-        """Drop kept zones that were not written again after a restore."""
+        """Drop what was kept but not written again after a restore."""
+        self.rollouts.expire_kept()
         if self.kept_zones and not self.restoration.is_recent:
             self._evacuate(frozenset(), 'not-written-again')
 
@@ -280,6 +295,10 @@
         seconds = max(entry.cold_seconds, self._cold_seconds(entry.service))
         return replace(entry, cold_seconds=seconds)
 
+    def _knows_service(self, service: str) -> bool:
+        """Return whether the configuration has a service, if one is known."""
+        return self.steering is None or service in self.steering.services
+
     def _cold_seconds(self, service: str) -> float:
         if self.steering is None:
             return 0.0
--- a/src/wardstair/state/rollouts.py
+++ b/src/wardstair/state/rollouts.py
@@ -1,13 +1,36 @@
 """Roll-outs of versions as this host knows them."""
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+import time
+from collections.abc import Callable, Collection, Iterable
 from enum import Enum
 
-from wardstair.decisions.rollouts import RolloutStage, RolloutState
+from wardstair.process.log import log_event
 from wardstair.state.entries import UpstreamEntry
+from wardstair.state.known_rollouts import KnownRollouts
+from wardstair.state.restoration import Restoration
 from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.roles import ignore
+from wardstair.state.rollout_log import RefusalLog, log_rollouts
+from wardstair.state.rollout_orders import (
+    Rollout,
+    RolloutOrder,
+    RolloutRecord,
+    ServiceVersion,
+    UnusableRollout,
+)
+from wardstair.state.shared_rollouts import SharedRollouts
+
+__all__ = (
+    'Rollout',
+    'RolloutOrder',
+    'RolloutRecord',
+    'RolloutTable',
+    'UnusableRollout',
+    'VersionRole',
+)
+
+# The kind in log lines about ignored listings.
+_KIND = 'rollouts'
 
 
 class VersionRole(Enum):
@@ -25,113 +48,313 @@
     excluded = 'excluded'
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutOrder:
-    """An operator's order.
+def _no_versions(_service: str) -> Collection[str]:
+    return ()
 
-    Attributes:
-        service: The service.
-        version: The target version.
-        seconds: Time in which the roll-out is to be complete.
-    """
 
-    service: str
-    version: str
-    seconds: float
+def _knows_all(_service: str) -> bool:
+    return True
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutRecord:
-    """What the fleet has recorded of a roll-out in the store.
+class RolloutTable:
+    """The roll-outs of all services; one per process.
 
     Attributes:
-        version: The target version that it concerns.
-        state: The state.
-        stage: The stage that the coordinator had reached.
-        reserved: Sum of the allowances that hosts may have been given.
-        requests: Requests of the service that back that sum.
-        began_at: Unix time in seconds at which the roll-out began.
-        coordinator: Name of the host that wrote it.
-        reason: Why the roll-out is at this stage, or has ended.
+        on_change: Called after orders, records or the roles of versions have
+            changed.
+        on_roles: Called before `on_change`.
+        is_in_use: Whether the settings call for roll-outs. Otherwise the table
+            stays empty, and the version of an upstream has no effect.
     """
 
-    version: str
-    state: RolloutState
-    stage: RolloutStage = RolloutStage.testing
-    reserved: int = 0
-    requests: int = 0
-    began_at: float = 0.0
-    coordinator: str = ''
-    reason: str = ''
+    def __init__(self, *, is_in_use: bool = True) -> None:
+        """Create an empty table.
 
+        Args:
+            is_in_use: Whether the settings call for roll-outs.
+        """
+        self.on_change: Callable[[], None] = ignore
+        self.on_roles: Callable[[], None] = ignore
+        self.is_in_use = is_in_use
+        self._versions_in_service: Callable[[str], Collection[str]] = (
+            _no_versions
+        )
+        self._knows_service: Callable[[str], bool] = _knows_all
+        self._known = KnownRollouts(Restoration(time.monotonic))
+        self._refusal_log = RefusalLog()
+        # Revision of the last object that a call of this host has returned.
+        self._written_to = NO_REVISION
 
-@dataclass(frozen=True, slots=True)
-class Rollout:
-    """An order with its record.
+    def attach(
+        self,
+        restoration: Restoration,
+        versions_in_service: Callable[[str], Collection[str]],
+        knows_service: Callable[[str], bool],
+    ) -> None:
+        """Connect the table with the rest of the host's state.
 
-    Attributes:
-        order: The order.
-        record: The record; None if there is none yet. It may concern an
-            earlier order for the service.
-        revision: Revision of the object that holds both.
-    """
+        Args:
+            restoration: The last restore of the store.
+            versions_in_service: Returns the versions of a service's upstreams
+                that accept work.
+            knows_service: Returns whether the configuration has a service.
+        """
+        self._known.restoration = restoration
+        self._versions_in_service = versions_in_service
+        self._knows_service = knows_service
 
-    order: RolloutOrder
-    record: RolloutRecord | None
-    revision: Revision
+    @property
+    def revision(self) -> Revision:
+        """Store revision up to which all orders are known."""
+        return self._known.revision
 
     @property
-    def own_record(self) -> RolloutRecord | None:
-        """The record, if it concerns this order."""
-        record = self.record
-        if record is None or record.version != self.order.version:
-            return None
-        return record
+    def digest(self) -> int:
+        """Checksum of what hosts may know beyond the listing; 0 for nothing."""
+        return self._known.digest
 
     @property
-    def state(self) -> RolloutState:
-        """The state of this order's roll-out."""
-        record = self.own_record
-        return RolloutState.running if record is None else record.state
+    def shared(self) -> SharedRollouts:
+        """All that other hosts may lack."""
+        return self._known.shared
 
+    @property
+    def running(self) -> tuple[Rollout, ...]:
+        """The roll-outs that have not ended."""
+        return tuple(
+            rollout
+            for service, rollout in sorted(self._known.current.items())
+            if not rollout.state.is_final and self._knows_service(service)
+        )
 
-class RolloutTable:
-    """The roll-outs of all services; one per process.
+    @property
+    def refused(self) -> tuple[UnusableRollout, ...]:
+        """The orders that cannot be carried out, with the reasons."""
+        unknown = (
+            UnusableRollout(
+                'service',
+                'a service of the configuration',
+                service,
+                rollout.order.version,
+                rollout.record,
+                rollout.revision,
+            )
+            for service, rollout in sorted(self._known.current.items())
+            if not self._knows_service(service)
+        )
+        return (*self._known.refused.values(), *unknown)
 
-    Attributes:
-        revision: Store revision up to which all orders are known.
-        on_change: Called after orders or records have changed.
-    """
+    @property
+    def refusals_to_record(self) -> tuple[Rollout, ...]:
+        """Refused orders whose object does not say so yet.
 
-    def __init__(self) -> None:
-        """Create an empty table."""
-        self.revision: Revision = NO_REVISION
-        self.on_change: Callable[[], None] = ignore
+        Each has the record to write and the revision of the object.
+        """
+        return tuple(
+            Rollout(
+                RolloutOrder(service, one.version, 0.0),
+                one.refusal,
+                one.revision,
+            )
+            for service, one in sorted(self._known.refused.items())
+            if one.refusal is not None
+        )
 
-    def of_service(self, service: str) -> Rollout | None:
-        """Return the roll-out of a service; None without an order."""
-        raise NotImplementedError
+    @property
+    def records_to_restore(self) -> tuple[Rollout, ...]:
+        """Roll-outs whose object lacks the record that holds.
+
+        Each has this record and the revision of the object.
+        """
+        return tuple(
+            rollout
+            for service, rollout in sorted(self._known.current.items())
+            if self._known.is_record_missing(service)
+        )
 
     @property
-    def running(self) -> tuple[Rollout, ...]:
-        """The roll-outs that have not ended."""
-        raise NotImplementedError
+    def has_withheld(self) -> bool:
+        """Whether a version is withheld that a check may put in order."""
+        return self._known.versions.has_pending
+
+    def of_service(self, service: str) -> Rollout | None:
+        """Return the roll-out of a service; None without an order.
+
+        An order for a service that the configuration lacks does not count until
+        a configuration has it.
+        """
+        rollout = self._known.current.get(service)
+        if rollout is None or not self._knows_service(service):
+            return None
+        return rollout
 
     def role_of(self, entry: UpstreamEntry) -> VersionRole:
         """Return whether an upstream may receive requests, by its version."""
-        raise NotImplementedError
+        if not self.is_in_use:
+            return VersionRole.usual
+        target = ServiceVersion(entry.service, entry.version)
+        running = self._running_version(entry.service)
+        if running and running == entry.version:
+            return VersionRole.new
+        if self._is_excluded(target, running):
+            return VersionRole.excluded
+        if not self._is_in_order(target, entry.revision):
+            return VersionRole.withheld
+        return VersionRole.old if running else VersionRole.usual
+
+    def needs_check(self, entry: UpstreamEntry) -> bool:
+        """Return whether an order for the version of an entry may be missing.
+
+        A sentinel then asks the store for orders.
+        """
+        return self.role_of(entry) is VersionRole.withheld
 
     def replace_all(
-        self, rollouts: Iterable[Rollout], revision: Revision, source: str
+        self,
+        rollouts: Iterable[Rollout],
+        revision: Revision,
+        source: str,
+        refused: Iterable[UnusableRollout] = (),
     ) -> bool:
         """Replace all roll-outs by a listing of the store or of a peer.
 
+        The revision stays that of the last change: peers fetch the table from
+        whoever has a later revision.
+
         Args:
-            rollouts: All roll-outs.
+            rollouts: All usable roll-outs.
             revision: Store revision of the listing.
             source: Where it came from, for the log.
+            refused: Orders that cannot be carried out.
 
         Returns:
             Whether anything has changed.
         """
-        raise NotImplementedError
+        listing = SharedRollouts(revision, tuple(rollouts), tuple(refused))
+        if self._ignores(listing, source):
+            return False
+        if self._known.is_known(listing):
+            # Peers lack what a call of this host has written.
+            is_written = self.revision < self._written_to <= revision
+            if is_written:
+                self.raise_revision(revision)
+            return is_written
+        self._known.replace(listing)
+        self._note_change(source)
+        return True
+
+    def raise_revision(self, revision: Revision) -> None:
+        """Record that all orders up to a later revision are known."""
+        is_later = revision > self.revision
+        if not (is_later and self._known.is_of_this_era(revision)):
+            return
+        self._known.revision = revision
+        if self._known.advance_versions():
+            self._announce()
+
+    def adopt(self, stored: Rollout | UnusableRollout) -> None:
+        """Adopt an object that a call to the store has returned.
+
+        An object of a later era counts from the listing of that era on.
+        """
+        service = stored.service
+        known = self._known.listed.get(service) or self._known.refused.get(
+            service
+        )
+        is_known = known is not None and known.revision >= stored.revision
+        if is_known or not self._known.is_of_this_era(stored.revision):
+            return
+        self._written_to = stored.revision
+        self._known.replace_one(stored)
+        self._note_change('store')
+
+    def merge_peer(self, shared: SharedRollouts, source: str) -> None:
+        """Merge what another host knows.
+
+        Args:
+            shared: The other host's table.
+            source: The other host, for the log.
+        """
+        if not self.is_in_use:
+            return
+        known = self._known
+        before = (known.digest, known.current, known.refused)
+        if not self._ignores(shared, source):
+            known.replace(shared)
+        known.merge_knowledge(shared)
+        if before != (known.digest, known.current, known.refused):
+            self._note_change(source)
+
+    def note_configuration(self) -> None:
+        """Apply that the configuration may have other services."""
+        if self._known.current:
+            self._announce()
+
+    def expire_kept(self) -> None:
+        """End what is in force only while a restore of the store is recent."""
+        if self._known.restoration.is_recent:
+            return
+        if self._known.kept:
+            self._known.refresh()
+            self._note_change('not-written-again')
+        elif self.has_withheld and self._known.advance_versions():
+            self._announce()
+
+    def _ignores(self, listing: SharedRollouts, source: str) -> bool:
+        """Return whether a listing is older than the known one; log it."""
+        if listing.revision >= self.revision:
+            return False
+        log_event(
+            'news-ignored',
+            kind=_KIND,
+            revision=listing.revision,
+            known=self.revision,
+            source=source,
+        )
+        return True
+
+    def _running_version(self, service: str) -> str:
+        """Return the target of the service's running roll-out, or ''."""
+        rollout = self._known.current.get(service)
+        if rollout is None or rollout.state.is_final:
+            return ''
+        return rollout.order.version
+
+    def _is_in_order(self, target: ServiceVersion, seen_at: Revision) -> bool:
+        known = self._known
+        if not target.version or target in known.ordered:
+            return True
+        if target not in known.versions.in_order:
+            known.versions.note(target, seen_at)
+            known.advance_versions()
+        return target in known.versions.in_order
+
+    def _is_excluded(self, target: ServiceVersion, running: str) -> bool:
+        """Return whether others serve requests instead of a version.
+
+        Args:
+            target: The version.
+            running: The target of the service's running roll-out, or ''.
+        """
+        known = self._known
+        if not known.ordered:
+            return False
+        service = target.service
+        barred = known.past.barred(service)
+        refused = known.refused.get(service)
+        if refused is not None and refused.version:
+            barred |= {refused.version}
+        usable = set(self._versions_in_service(service)) - barred - {running}
+        if target.version in barred:
+            return bool(usable)
+        completed = known.past.completed(service)
+        return target.version != completed and completed in usable
+
+    def _note_change(self, source: str) -> None:
+        log_rollouts(self._known, source)
+        self._announce()
+
+    def _announce(self) -> None:
+        self._refusal_log.refresh(self.refused)
+        self.on_roles()
+        self.on_change()
--- a/tests/unit/test_bounds.py
+++ b/tests/unit/test_bounds.py
@@ -9,10 +9,15 @@
 from lib.template import BOUNDS, entries, filled
 
 from wardstair.cli.check import check
+from wardstair.decisions.rollouts import RolloutBounds
 from wardstair.errors import ConfigurationError
 from wardstair.gateway.settings import Bounds, GatewaySettings
 from wardstair.platform.bounds import BOUNDS as DECODED
-from wardstair.platform.bounds import decode_bounds, decode_organisation_bounds
+from wardstair.platform.bounds import (
+    decode_bounds,
+    decode_organisation_bounds,
+    decode_rollout_bounds,
+)
 from wardstair.platform.settings import load_settings
 
 ROOT = Path(__file__).parents[2]
@@ -161,3 +166,70 @@
 ) -> None:
     with pytest.raises(ConfigurationError, match='revoke'):
         decode_organisation_bounds(texts)
+
+
+ROLLOUT_TEXTS = {
+    'expose_share': '0.1',
+    'expose_slack': '50',
+    'rollback_ms': '3000',
+}
+
+
+def test_the_bounds_of_roll_outs_are_taken_from_the_deployment(
+    tmp_path: Path,
+) -> None:
+    settings = settings_of(tmp_path, {**BOUNDS, **ROLLOUT_TEXTS})
+    assert settings.rollout_bounds == RolloutBounds(0.1, 50.0, 3.0)
+    assert not settings.gaps
+
+
+def test_roll_outs_are_not_in_use_without_their_bounds(tmp_path: Path) -> None:
+    settings = settings_of(tmp_path, BOUNDS)
+    assert settings.rollout_bounds is None
+    assert not settings.gaps
+
+
+@pytest.mark.parametrize(
+    ('missing', 'bounds', 'used'),
+    [
+        ('expose_share', RolloutBounds(0.0, 50.0, 3.0), 0),
+        ('expose_slack', RolloutBounds(0.1, 0.0, 3.0), 0),
+        ('rollback_ms', RolloutBounds(0.1, 50.0, 1.0), 1000),
+    ],
+)
+def test_a_missing_bound_of_roll_outs_is_strict_and_named(
+    tmp_path: Path, missing: str, bounds: RolloutBounds, used: float
+) -> None:
+    rest = {key: one for key, one in ROLLOUT_TEXTS.items() if key != missing}
+    settings = settings_of(tmp_path, {**BOUNDS, **rest})
+    assert settings.rollout_bounds == bounds
+    (gap,) = settings.gaps
+    assert (gap.name, gap.used) == (f'bounds.{missing}', used)
+    page = (ROOT / 'docs' / 'reference' / 'settings.md').read_text()
+    assert f'| `{missing}` |' in page
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        'expose_share=1.01',
+        'expose_share=-0.1',
+        'expose_share=most',
+        'expose_slack=-1',
+        'expose_slack=inf',
+        'rollback_ms=0',
+        'rollback_ms=nan',
+    ],
+)
+def test_an_invalid_bound_of_roll_outs_is_rejected(text: str) -> None:
+    name = text.partition('=')[0]
+    with pytest.raises(ConfigurationError, match=name) as raised:
+        decode_rollout_bounds((text,))
+    assert f'{name}=number' in raised.value.hint
+
+
+@pytest.mark.parametrize('share', ['0', '1'])
+def test_a_share_may_be_none_or_all(share: str) -> None:
+    decoded = decode_rollout_bounds((f'expose_share={share}',))
+    assert decoded.bounds is not None
+    assert decoded.bounds.share == float(share)
--- a/tests/unit/test_upstream_entries.py
+++ b/tests/unit/test_upstream_entries.py
@@ -109,6 +109,18 @@
     assert decoded(spec, {'status': status}) == complete
 
 
+@pytest.mark.parametrize(
+    ('value', 'version'),
+    [('v2', 'v2'), ('', ''), (MISSING, ''), (None, ''), (2, '2'), (2.5, '2.5')],
+)
+def test_the_version_of_an_upstream_is_text_and_may_be_missing(
+    value: object, version: str
+) -> None:
+    entry = decoded(spec_with('info.version', value))
+    assert isinstance(entry, UpstreamEntry)
+    assert entry.version == version
+
+
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda inner: (
