Watch, write and share roll-outs

Purpose: sentinels read orders and records from the store and tell the others; records are written on condition of the object's revision.

Change: a watcher of the kind on sentinels, which takes part in the checks for silent watches; a new version without an order is checked by one poll, or by the watch's revision if that covers it. Versions and SharedState carry the roll-outs (heartbeat format 13, state format 8). The stand-in takes writes of a status with faults.

--- a/src/wardstair/fleet/heartbeats.py
+++ b/src/wardstair/fleet/heartbeats.py
@@ -18,7 +18,7 @@
 
 # Hosts drop datagrams of another format, so that two versions of the program in
 # one fleet do not misread each other.
-_FORMAT = 12
+_FORMAT = 13
 _DECODE_ERRORS = (cbor2.CBORDecodeError, ValueError, TypeError, LookupError)
 # Maximum number of hosts named in one datagram, so that it stays small.
 MAX_NAMED = 16
@@ -71,6 +71,10 @@
             store; 0 for none.
         listed: Digest of the upstreams that the store lists at the revision
             `upstreams`.
+        rollouts: Store revision up to which it knows all orders of roll-outs;
+            none if they are not in use.
+        past_rollouts: Digest of what it knows of roll-outs beyond the store's
+            list; 0 for nothing.
     """
 
     configuration: int = -1
@@ -80,6 +84,8 @@
     limits: int = 0
     kept: int = 0
     listed: int = 0
+    rollouts: Revision = NO_REVISION
+    past_rollouts: int = 0
 
     @property
     def listed_state(self) -> ListedState:
@@ -99,6 +105,9 @@
             self.limits,
             self.kept,
             self.listed,
+            self.rollouts.era,
+            self.rollouts.number,
+            self.past_rollouts,
         ]
 
 
@@ -112,7 +121,8 @@
     evacuations_era, evacuations, *rest = rest
     upstreams_era, upstreams, *rest = rest
     suspects, limits, *rest = rest
-    kept, listed = rest
+    kept, listed, *rest = rest
+    rollouts_era, rollouts, past_rollouts = rest
     return Versions(
         configuration,
         Revision(evacuations_era, evacuations),
@@ -121,6 +131,8 @@
         limits,
         kept,
         listed,
+        Revision(rollouts_era, rollouts),
+        past_rollouts,
     )
 
 
--- a/src/wardstair/fleet/sharing.py
+++ b/src/wardstair/fleet/sharing.py
@@ -1,8 +1,8 @@
 """Encoding of the state that an entry host sends to one that is behind.
 
 The configuration is sent complete and compressed, since its routes are similar.
-The evacuations are sent complete, the upstreams as changes since the revision
-that the other host has.
+The evacuations and the roll-outs are sent complete, the upstreams as changes
+since the revision that the other host has.
 """
 
 import zlib
@@ -15,13 +15,15 @@
 from wardstair.decisions.state_age import ReportedAge
 from wardstair.decisions.suspicion import Evidence
 from wardstair.fleet.heartbeats import Versions, age_of, age_row, versions_of
+from wardstair.fleet.rollout_rows import rollouts_of, rollouts_row
 from wardstair.state.catalog import CatalogChanges
 from wardstair.state.entries import UpstreamEntry, UpstreamPhase
 from wardstair.state.limits import SharedLimit
 from wardstair.state.removals import Gap, Removal
 from wardstair.state.revision import Revision
+from wardstair.state.shared_rollouts import SharedRollouts
 
-_FORMAT = 7
+_FORMAT = 8
 _DECODE_ERRORS = (
     cbor2.CBORDecodeError,
     zlib.error,
@@ -91,6 +93,7 @@
     limits: Mapping[str, SharedLimit] = field(default_factory=dict)
     restore: SharedRestore | None = None
     age: ReportedAge | None = None
+    rollouts: SharedRollouts | None = None
 
 
 @dataclass(slots=True)
@@ -128,6 +131,7 @@
                 ],
                 state.restore and _restore_row(state.restore),
                 age_row(state.age),
+                state.rollouts and rollouts_row(state.rollouts),
             ]
         )
 
@@ -153,6 +157,7 @@
             _limits(row[5]),
             row[6] and _restore(*row[6]),
             age_of(row[7]),
+            row[8] and rollouts_of(row[8]),
         )
     except _DECODE_ERRORS:
         return None
@@ -299,6 +304,7 @@
         round(entry.cold_seconds, 3),
         *_revision_row(entry.revision),
         entry.born,
+        entry.version,
     ]
 
 
@@ -306,7 +312,8 @@
     name, service, *rest = row
     host, port, zone, *rest = rest
     slots, phase, *rest = rest
-    cold, era, number, born = rest
+    cold, era, number, *rest = rest
+    born, version = rest
     return UpstreamEntry(
         name=name,
         service=service,
@@ -318,4 +325,5 @@
         cold_seconds=float(cold),
         revision=Revision(int(era), int(number)),
         born=int(born),
+        version=str(version),
     )
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -387,6 +387,8 @@
         spawn('configuration', self._run_when_ready(self.sync.configuration))
         spawn('evacuations', self._run_when_ready(self.sync.evacuations))
         spawn('upstreams', self._watch_upstreams)
+        if self.sync.rollouts is not None:
+            spawn('rollouts', self._run_when_ready(self.sync.rollouts.watcher))
         sharing = self.suspect_sharing
         spawn('suspects', self._run_when_ready(sharing.watcher))
         spawn('suspect-sharing', sharing.run)
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -159,6 +159,23 @@
         'written again; `withdrawn`: targets whose order is gone',
         'rollouts kept withdrawn revision source',
     ),
+    _kind(
+        'rollouts-checked',
+        'all orders up to a later revision are known, so that versions of '
+        'upstreams without an order may be used',
+        'revision before',
+    ),
+    _kind(
+        'rollout-recorded',
+        'the store holds a record of a roll-out',
+        'service target state stage reserved revision reason',
+    ),
+    _kind(
+        'rollout-not-recorded',
+        'a record of a roll-out was refused by the store or by this host, or '
+        'the store has not answered',
+        'service target state stage reserved revision outcome reason',
+    ),
     _kind(
         'rollout-refused',
         'an order of a roll-out cannot be carried out: `field` is not as '
--- a/src/wardstair/state/exchange.py
+++ b/src/wardstair/state/exchange.py
@@ -43,7 +43,9 @@
 from wardstair.state.contact import StoreContact
 from wardstair.state.limits import SharedLimit
 from wardstair.state.local_state import PEER_SOURCE_PREFIX, LocalState
+from wardstair.state.revision import Revision
 from wardstair.state.roles import Roles, ignore
+from wardstair.state.shared_rollouts import SharedRollouts
 
 STATE_PATH = '/v1/state'
 # Source in the log for state that arrived unrequested.
@@ -114,6 +116,7 @@
     suspects: int
     limits: int
     kept: int
+    past_rollouts: int
 
 
 class StateExchange:
@@ -227,9 +230,19 @@
             limits,
             local_state.shared_restore,
             self._local_state.age.reportable,
+            self._rollouts_for(theirs),
         )
         return self._encoder.encode(state)
 
+    def _rollouts_for(self, theirs: Versions) -> SharedRollouts | None:
+        """Return what this host knows of roll-outs if another may lack it."""
+        own = self._local_state.versions
+        is_newer = own.rollouts > theirs.rollouts
+        differs = own.past_rollouts not in {0, theirs.past_rollouts}
+        if not (is_newer or differs):
+            return None
+        return self._local_state.rollouts.shared
+
     def take_update(self) -> StateUpdate | None:
         """Return what has changed since the last call; None if nothing has.
 
@@ -246,13 +259,17 @@
         upstreams = None
         if own.upstreams > announced.upstreams:
             upstreams = local_state.upstreams_since(announced.upstreams)
-        if evacuations is None and upstreams is None:
+        rollouts = None
+        if own.rollouts > announced.rollouts:
+            rollouts = local_state.rollouts.shared
+        if evacuations is None and upstreams is None and rollouts is None:
             is_newer = own.configuration > announced.configuration
             return StateUpdate() if is_newer else None
         state = SharedState(
             evacuations=evacuations,
             upstreams=upstreams,
             restore=local_state.shared_restore,
+            rollouts=rollouts,
         )
         encoded = self._encoder.encode(state)
         return StateUpdate(
@@ -277,6 +294,9 @@
         evacuations = state.evacuations
         if evacuations is not None and evacuations.revision > own.evacuations:
             return True
+        rollouts = state.rollouts
+        if rollouts is not None and self._is_later(rollouts.revision):
+            return True
         upstreams = state.upstreams
         if upstreams is None or upstreams.revision <= own.upstreams:
             return False
@@ -329,7 +349,11 @@
         has_suspects = theirs.suspects not in {0, own.suspects}
         has_limits = theirs.limits not in {0, own.limits}
         has_kept = theirs.kept not in {0, own.kept}
-        return has_suspects or has_limits or has_kept
+        has_past = (
+            self._local_state.rollouts.is_in_use
+            and theirs.past_rollouts not in {0, own.past_rollouts}
+        )
+        return has_suspects or has_limits or has_kept or has_past
 
     def _includes(self, theirs: Versions) -> bool:
         """Return whether this host knows all that another one does."""
@@ -343,8 +367,15 @@
             return True
         if theirs.evacuations > own.evacuations:
             return True
+        if self._is_later(theirs.rollouts):
+            return True
         return theirs.upstreams > own.upstreams
 
+    def _is_later(self, rollouts: Revision) -> bool:
+        """Return whether a peer may know orders that this host lacks."""
+        known = self._local_state.rollouts
+        return known.is_in_use and rollouts > known.revision
+
     async def _catch_up(self) -> None:
         """Fetch from hosts that are ahead, hedging late fetches.
 
@@ -548,6 +579,9 @@
             )
         if restore is not None:
             local_state.keep_evacuated(restore.zones, restore.era)
+        if state.rollouts is not None:
+            # Before the upstreams, whose versions may concern an order.
+            local_state.rollouts.merge_peer(state.rollouts, source)
         is_complete = self._merge_upstreams(state.upstreams, source)
         self.on_update()
         return is_complete
@@ -585,7 +619,12 @@
 
 
 def _digests_of(versions: Versions) -> _Digests:
-    return _Digests(versions.suspects, versions.limits, versions.kept)
+    return _Digests(
+        versions.suspects,
+        versions.limits,
+        versions.kept,
+        versions.past_rollouts,
+    )
 
 
 def _is_over(task: asyncio.Task[None] | None) -> bool:
--- a/src/wardstair/state/known_rollouts.py
+++ b/src/wardstair/state/known_rollouts.py
@@ -11,6 +11,7 @@
 from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.rollout_orders import (
     Rollout,
+    RolloutRecord,
     ServiceVersion,
     UnusableRollout,
 )
@@ -58,6 +59,7 @@
         self.past = PastRollouts()
         self.versions = KnownVersions()
         self.restoration = restoration
+        self._digest: int | None = None
 
     @property
     def shared(self) -> SharedRollouts:
@@ -75,13 +77,10 @@
     @property
     def digest(self) -> int:
         """Checksum of what hosts may know beyond the listing; 0 for nothing."""
-        rows = [
-            *(f'{one.target} {one.record.state}' for one in self.past.ends),
-            *(f'{one} withdrawn' for one in self.past.withdrawn),
-            *(f'{one} in order' for one in self.versions.in_order),
-            *(f'{one.order.target} kept' for one in self.kept.values()),
-        ]
-        return crc32('\n'.join(sorted(rows)).encode()) if rows else 0
+        if self._digest is None:
+            rows = '\n'.join(sorted(self._digest_rows()))
+            self._digest = crc32(rows.encode()) if rows else 0
+        return self._digest
 
     def is_of_this_era(self, revision: Revision) -> bool:
         """Return whether a listing of the era of a revision is known."""
@@ -170,6 +169,7 @@
 
     def rebuild(self) -> None:
         """Derive the orders in force."""
+        self._digest = None
         self.current = {
             service: self._with_known_record(rollout)
             for service, rollout in {**self.listed, **self.kept}.items()
@@ -186,11 +186,14 @@
 
     def advance_versions(self) -> bool:
         """Recognise versions that are in order; return whether any is new."""
-        return self.versions.advance(
+        has_advanced = self.versions.advance(
             self.revision,
             self.ordered,
             is_store_complete=not self.restoration.is_recent,
         )
+        if has_advanced:
+            self._digest = None
+        return has_advanced
 
     def is_record_missing(self, service: str) -> bool:
         """Return whether the store lacks the record that holds for an order.
@@ -207,6 +210,32 @@
         has_ended = own is not None and own.state.is_final
         return not has_ended and own != known.record
 
+    def accepts(self, rollout: Rollout, record: RolloutRecord) -> bool:
+        """Return whether a record may be written; see `RolloutTable`."""
+        if record.is_refusal:
+            return rollout.service in self.refused
+        if record.version != rollout.order.version:
+            return False
+        listed = self.listed.get(rollout.service)
+        if listed is not None and listed.order.target == rollout.order.target:
+            own = listed.own_record
+            if own is not None and own.state.is_final:
+                return False
+        known = self.past.known(rollout.order.target)
+        if known is None or not known.record.state.is_final:
+            return True
+        return known.record.state is record.state
+
+    def _digest_rows(self) -> Iterable[str]:
+        for known in self.past.ends:
+            yield f'{known.service} {known.record.version} {known.record.state}'
+        for target in self.past.withdrawn:
+            yield f'{target.service} {target.version} withdrawn'
+        for version in self.versions.in_order:
+            yield f'{version.service} {version.version} in-order'
+        for service, rollout in self.kept.items():
+            yield f'{service} {rollout.order.version} kept'
+
     def _with_later_writes(self, listing: SharedRollouts) -> _Orders:
         """Return a listing, without undoing what was written after it."""
         rollouts = _by_service(listing.rollouts)
--- a/src/wardstair/state/known_versions.py
+++ b/src/wardstair/state/known_versions.py
@@ -24,9 +24,13 @@
         self._seen_at: dict[ServiceVersion, Revision] = {}
 
     @property
-    def has_pending(self) -> bool:
-        """Whether a version is not known to be in order yet."""
-        return bool(self._seen_at)
+    def pending_at(self) -> Revision | None:
+        """Revision up to which orders have to be known to decide on all.
+
+        Returns:
+            The revision; None if all known versions are in order.
+        """
+        return max(self._seen_at.values(), default=None)
 
     def note(self, version: ServiceVersion, seen_at: Revision) -> None:
         """Record an upstream of a version that is not known to be in order.
--- a/src/wardstair/state/local_state.py
+++ b/src/wardstair/state/local_state.py
@@ -121,6 +121,8 @@
             self.limits.digest,
             _digest_of(self.kept_zones),
             self.catalog.listed.digest,
+            self.rollouts.revision,
+            self.rollouts.digest,
         )
 
     def offer_configuration(self, stored: StoredObject, source: str) -> bool:
--- a/src/wardstair/state/rollouts.py
+++ b/src/wardstair/state/rollouts.py
@@ -173,9 +173,13 @@
         )
 
     @property
-    def has_withheld(self) -> bool:
-        """Whether a version is withheld that a check may put in order."""
-        return self._known.versions.has_pending
+    def withheld_at(self) -> Revision | None:
+        """Revision up to which orders have to be known to withhold no version.
+
+        Returns:
+            The revision; None if no version is withheld.
+        """
+        return self._known.versions.pending_at
 
     def of_service(self, service: str) -> Rollout | None:
         """Return the roll-out of a service; None without an order.
@@ -252,16 +256,30 @@
         if self._known.advance_versions():
             self._announce()
 
+    def stored_revision(self, service: str) -> Revision | None:
+        """Return the revision of a service's object; None without one."""
+        known = self._known
+        stored = known.listed.get(service) or known.refused.get(service)
+        return None if stored is None else stored.revision
+
+    def accepts(self, rollout: Rollout, record: RolloutRecord) -> bool:
+        """Return whether a record may be written.
+
+        An end is never written over an end, and `running` never over an end.
+
+        Args:
+            rollout: The roll-out.
+            record: The record to write.
+        """
+        return self._known.accepts(rollout, record)
+
     def adopt(self, stored: Rollout | UnusableRollout) -> None:
         """Adopt an object that a call to the store has returned.
 
         An object of a later era counts from the listing of that era on.
         """
-        service = stored.service
-        known = self._known.listed.get(service) or self._known.refused.get(
-            service
-        )
-        is_known = known is not None and known.revision >= stored.revision
+        known = self.stored_revision(stored.service)
+        is_known = known is not None and known >= stored.revision
         if is_known or not self._known.is_of_this_era(stored.revision):
             return
         self._written_to = stored.revision
@@ -297,7 +315,7 @@
         if self._known.kept:
             self._known.refresh()
             self._note_change('not-written-again')
-        elif self.has_withheld and self._known.advance_versions():
+        elif self._known.advance_versions():
             self._announce()
 
     def _ignores(self, listing: SharedRollouts, source: str) -> bool:
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -28,6 +28,7 @@
 from wardstair.state.local_state import LocalState
 from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.roles import Roles, ignore
+from wardstair.state.rollout_sync import RolloutSync
 from wardstair.state.watching import (
     WATCH_SECONDS,
     KindWatcher,
@@ -41,7 +42,7 @@
 
 
 class StoreSync:
-    """Watches the three steering kinds and checks contact with the store."""
+    """Watches the steering kinds and checks contact with the store."""
 
     def __init__(
         self,
@@ -117,15 +118,32 @@
             ),
         )
 
+        # None if roll-outs are not in use.
+        self.rollouts: RolloutSync | None = None
+        if local_state.rollouts.is_in_use:
+            self.rollouts = RolloutSync(
+                store,
+                contact,
+                local_state.rollouts,
+                roles,
+                self._note_revision,
+            )
+            self.rollouts.on_update = self._update
+
     @property
     def watchers(self) -> tuple[KindWatcher, ...]:
-        """The watchers of the three steering kinds."""
-        return self.configuration, self.evacuations, self.upstreams
+        """The watchers of the steering kinds, and of roll-outs if in use."""
+        steering = (self.configuration, self.evacuations, self.upstreams)
+        if self.rollouts is None:
+            return steering
+        return (*steering, self.rollouts.watcher)
 
     def close(self) -> None:
-        """Cancel a check that is in progress."""
+        """Cancel checks that are in progress."""
         if self._checking is not None:
             self._checking.cancel()
+        if self.rollouts is not None:
+            self.rollouts.close()
 
     def update_role(self) -> bool:
         """Start short watches if this host has just become a sentinel.
@@ -238,6 +256,13 @@
         behind = self._behind(revision)
         await asyncio.gather(*(watcher.check() for watcher in behind))
 
+    def _update(self) -> None:
+        self.on_update()
+
+    def _check_versions(self, entries: Iterable[UpstreamEntry]) -> None:
+        if self.rollouts is not None:
+            self.rollouts.check_versions(entries)
+
     def _list_configuration(self, listing: Listing) -> None:
         for stored in listing.objects:
             self._offer(stored, 'listing')
@@ -292,6 +317,7 @@
             count=len(entries),
             used=len(catalog.in_service),
         )
+        self._check_versions(entries)
         if is_newer:
             self.on_update()
 
@@ -341,6 +367,7 @@
             removed=len(deleted),
             used=len(catalog.in_service),
         )
+        self._check_versions(entries)
         self.on_update()
 
     def _correct_upstreams(self, changes: Changes) -> None:
@@ -360,9 +387,9 @@
             and (catalog.is_present(name) or catalog.is_missing(name))
         ]
         kept = [one.stored for one in last.values() if not one.is_deleted]
-        changed = [
-            entry for entry in self._decode_all(kept) if catalog.lacks(entry)
-        ]
+        entries = self._decode_all(kept)
+        self._check_versions(entries)
+        changed = [entry for entry in entries if catalog.lacks(entry)]
         if not deleted and not changed:
             return
         log_event(
--- a/tests/lib/store_standin.py
+++ b/tests/lib/store_standin.py
@@ -7,6 +7,7 @@
 import json
 from copy import deepcopy
 from dataclasses import dataclass, field
+from enum import Enum
 
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
@@ -15,6 +16,31 @@
 from lib.specs import ADDRESS, Stored
 
 
+class StatusFault(Enum):
+    """What happens to a write of a status.
+
+    Attributes:
+        unanswered: It is done, but its answer is lost.
+        late: Its answer is lost, and it is done when `finish_late_writes` is
+            called, if its condition still holds.
+        refused: It is not done; the answer says so.
+    """
+
+    unanswered = 'unanswered'
+    late = 'late'
+    refused = 'refused'
+
+
+@dataclass(frozen=True)
+class StatusWrite:
+    """A write of a status, as received."""
+
+    kind: str
+    name: str
+    status: object
+    revision: int | None
+
+
 @dataclass
 class StoredKind:
     """Objects and change history of one kind."""
@@ -47,6 +73,9 @@
         self.is_ending_watches = False
         # Whether answers to writes lack the object.
         self.hides_written = False
+        # Faults of the next writes of a status, in order.
+        self.status_faults: list[StatusFault] = []
+        self._late_writes: list[StatusWrite] = []
         self.changed = asyncio.Event()
         self.port = 0
         self._server: HTTPServer | None = None
@@ -54,8 +83,14 @@
     def start(self) -> None:
         sockets = bind_sockets(0, ADDRESS)
         self.port = sockets[0].getsockname()[1]
-        handler = (r'/objects/([^/]+)(?:/([^/]+))?', _Handler, {'store': self})
-        application = Application([handler], log_function=_skip_access_log)
+        handlers = [
+            (r'/objects/([^/]+)/([^/]+)/status', _StatusHandler),
+            (r'/objects/([^/]+)(?:/([^/]+))?', _Handler),
+        ]
+        application = Application(
+            [(path, handler, {'store': self}) for path, handler in handlers],
+            log_function=_skip_access_log,
+        )
         self._server = HTTPServer(application)
         self._server.add_sockets(sockets)
 
@@ -71,11 +106,38 @@
 
     def put(self, kind: str, name: str, spec: object) -> None:
         """Write an object as an operator or an upstream does."""
+        before = self.kind(kind).objects.get(name)
+        self._store(kind, name, spec, before and before['status'])
+
+    def put_status(self, write: StatusWrite) -> bool:
+        """Write a status; return whether the condition holds."""
+        before = self.kind(write.kind).objects.get(write.name)
+        if before is None:
+            return False
+        if write.revision is not None and not _has_revision(
+            before, write.revision
+        ):
+            return False
+        if before['status'] != write.status:
+            self._store(write.kind, write.name, before['spec'], write.status)
+        return True
+
+    def put_late(self, write: StatusWrite) -> None:
+        self._late_writes.append(write)
+
+    def finish_late_writes(self) -> list[bool]:
+        """Do the late writes; return which conditions still hold."""
+        writes, self._late_writes = self._late_writes, []
+        return [self.put_status(write) for write in writes]
+
+    def _store(
+        self, kind: str, name: str, spec: object, status: object
+    ) -> None:
         self.revision += 1
         stored: Stored = {
             'metadata': {'name': name, 'revision': self.revision},
             'spec': spec,
-            'status': None,
+            'status': status,
         }
         held = self.kind(kind)
         held.objects[name] = stored
@@ -238,6 +300,39 @@
         self.finish(json.dumps(self._store.kind(kind).objects[name]))
 
 
+class _StatusHandler(_Handler):
+    def put(self, kind: str, name: str | None) -> None:
+        assert name is not None
+        store = self._store
+        document = json.loads(self.request.body)
+        write = StatusWrite(
+            kind,
+            name,
+            document['status'],
+            document.get('metadata', {}).get('revision'),
+        )
+        fault = store.status_faults.pop(0) if store.status_faults else None
+        if fault is StatusFault.refused:
+            self.set_status(503)
+            return
+        if fault is StatusFault.late:
+            store.put_late(write)
+            self.detach().close()
+            return
+        is_done = store.put_status(write)
+        if fault is StatusFault.unanswered:
+            self.detach().close()
+            return
+        if name not in store.kind(kind).objects:
+            self.set_status(404)
+            return
+        if not is_done:
+            self.set_status(409)
+            self.finish(json.dumps(store.kind(kind).objects[name]))
+            return
+        self._finish_write(kind, name)
+
+
 def _has_revision(held: Stored | None, revision: int) -> bool:
     metadata = None if held is None else held['metadata']
     return isinstance(metadata, dict) and metadata['revision'] == revision
--- a/tests/unit/test_rollout_table.py
+++ b/tests/unit/test_rollout_table.py
@@ -109,7 +109,7 @@
     late = entry_of('v2', number=20)
     assert host.table.role_of(late) is WITHHELD
     assert host.table.needs_check(late)
-    assert host.table.has_withheld
+    assert host.table.withheld_at == at(20)
     before = host.changes
     host.table.raise_revision(at(19))
     assert host.table.role_of(late) is WITHHELD
