Choose the keys and upstreams of a roll-out's test

A version may be bad under load only, so few upstreams take the test's requests: as many as bear about the load of an old one, at least two. The key hash has a prefix of its own, as otherwise the keys in the share would be those of a few old upstreams.

--- a/src/wardstair/decisions/rollout_candidates.py
+++ b/src/wardstair/decisions/rollout_candidates.py
@@ -1,7 +1,17 @@
-"""Decides which version serves a key during a roll-out."""
+"""Decides which version serves a key during a roll-out.
+
+A version may be bad under load only, while the test has few requests. They go
+to so few upstreams that each bears the load it would have in service.
+"""
 
 from collections.abc import Mapping
 
+from wardstair.decisions.membership import rendezvous
+from wardstair.decisions.ranking import unit_hash
+
+# One upstream may be bad by itself, which only a second one shows.
+MIN_UNDER_TEST = 2
+
 
 def is_in_share(key: str, service: str, share: float) -> bool:
     """Return whether a key goes to the new version.
@@ -13,7 +23,8 @@
         service: The service.
         share: Share of the keys, from 0 to 1.
     """
-    raise NotImplementedError
+    # The prefix makes the hash independent of the ranking of upstreams.
+    return unit_hash(f'rollout {service} {key}') < share
 
 
 def group_under_test(
@@ -31,4 +42,15 @@
         share: Share of the service's requests that the test gets.
         old_slots: Sum of the slots of the old upstreams.
     """
-    raise NotImplementedError
+    usable = [name for name, number in slots.items() if number > 0]
+    if old_slots <= 0:
+        return frozenset(usable)
+    needed = share * old_slots
+    group: list[str] = []
+    for name in rendezvous(usable, 'rollout test', len(usable)):
+        # Taken if more than half of its slots would bear the usual load.
+        if len(group) >= MIN_UNDER_TEST and needed <= slots[name] / 2:
+            break
+        group.append(name)
+        needed -= slots[name]
+    return frozenset(group)
