Coordinate roll-outs on the first sentinel

Purpose: a version has to move to its upstreams in time or stop within the bounds, over all hosts and whichever of them is lost. Change: an endpoint for reports, bundles and plans; a book of all reports, also of dead hosts; a coordinator that takes over by a record, records stages and reserves before it tells hosts, and stops a bad version by plan first. Writes run beside the plans, since the store may take seconds. Another sentinel takes over once no plan is heard for 0.6 s: hosts differ for seconds on who is the first one, and terms went from host to host when one was lost. While a completion may have been recorded, a stop waits for its record. Metrics, log lines and /v1/rollouts show all of it. It is assembled only if the settings have bounds of roll-outs. Ruled out: dropping the term with the role, as the store may be away for all hosts and the roll-out would stand still.

--- a/src/wardstair/fleet/rollout_messages.py
+++ b/src/wardstair/fleet/rollout_messages.py
@@ -159,13 +159,20 @@
     reason: str = ''
     is_forwarded: bool = False
 
-    def parts(self) -> Iterator['RolloutPlan']:
-        """Return plans of some allowances each, which fit into a datagram."""
+    def parts(self, *, is_forwarded: bool) -> Iterator['RolloutPlan']:
+        """Return plans of some allowances each, which fit into a datagram.
+
+        Args:
+            is_forwarded: Whether they go to the hosts of the zone, not to a
+                relay.
+        """
         names = sorted(self.allowances)
         for start in range(0, max(1, len(names)), MAX_ALLOWANCES):
             part = names[start : start + MAX_ALLOWANCES]
             yield replace(
-                self, allowances={name: self.allowances[name] for name in part}
+                self,
+                allowances={name: self.allowances[name] for name in part},
+                is_forwarded=is_forwarded,
             )
 
 
--- a/src/wardstair/gateway/endpoints.py
+++ b/src/wardstair/gateway/endpoints.py
@@ -13,6 +13,7 @@
 from wardstair.fleet.sharing import decode_versions
 from wardstair.gateway.peer_forwarding import PEER_REQUEST_PATH
 from wardstair.gateway.peer_server import PeerRequestHandler, PeerRequestServer
+from wardstair.gateway.rollout_listing import RolloutRow
 from wardstair.gateway.settings import LiveSettings
 from wardstair.platform.lookups import (
     LOOKUP_PATH,
@@ -29,6 +30,7 @@
 # cache an answer three times as long.
 LOOKUP_TTL_SECONDS = 2.0
 METRICS_PATH = '/metrics'
+ROLLOUTS_PATH = '/v1/rollouts'
 SUSPECTS_PATH = '/v1/suspects/?([0-9a-f]*)'
 
 
@@ -170,6 +172,15 @@
         log_event('request-lifted', content=request, by=self.request.remote_ip)
 
 
+class _RolloutsHandler(RequestHandler):
+    def initialize(self, listing: Callable[[], list[RolloutRow]]) -> None:
+        self._listing = listing
+
+    def get(self) -> None:
+        self.set_header('Content-Type', 'application/json')
+        self.finish(json.dumps([asdict(row) for row in self._listing()]))
+
+
 class _MetricsHandler(RequestHandler):
     def initialize(self, render: Callable[[], bytes]) -> None:
         self._render = render
@@ -195,6 +206,7 @@
     exchange: StateExchange,
     suspects: SuspectTable,
     peer_request_server: PeerRequestServer,
+    rollouts: Callable[[], list[RolloutRow]],
 ) -> Application:
     """Return the endpoints for other entry hosts and for operators.
 
@@ -203,11 +215,13 @@
         suspects: Requests during which upstreams exited. Operators can list
             and lift them.
         peer_request_server: Serves requests that other hosts forward.
+        rollouts: Returns the roll-outs known to this host.
     """
     return Application(
         [
             (STATE_PATH, _StateHandler, {'exchange': exchange}),
             (SUSPECTS_PATH, _SuspectsHandler, {'suspects': suspects}),
+            (ROLLOUTS_PATH, _RolloutsHandler, {'listing': rollouts}),
             (
                 PEER_REQUEST_PATH,
                 PeerRequestHandler,
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -47,6 +47,7 @@
 from wardstair.gateway.quotas import Quotas
 from wardstair.gateway.reachability import ReachabilityMonitor
 from wardstair.gateway.reporting import Reporter
+from wardstair.gateway.rollout_parts import make_rollout_parts
 from wardstair.gateway.sending import Sender
 from wardstair.gateway.settings import (
     GatewaySettings,
@@ -172,7 +173,7 @@
         roles = Roles(
             lambda: self.members.is_relay,
             lambda: self.is_sentinel,
-            lambda: self._sentinel_rank == 0,
+            lambda: self.is_first_sentinel,
         )
         self._role_log = RoleLog(roles)
         self.heartbeat_endpoint.state_age = lambda: (
@@ -345,6 +346,7 @@
         )
         self.views = FleetViews(self.members, self.loads, self.chooser)
         self.views.refresh()
+        self.rollouts = make_rollout_parts(self, random)
         add_gauges(self)
         self._supervisor = Supervisor(self.metrics.task_failures.add)
         self._listeners = Listeners(self.callers)
@@ -361,6 +363,11 @@
         """Whether this host is a sentinel, which watches the store closely."""
         return self._sentinel_rank is not None
 
+    @property
+    def is_first_sentinel(self) -> bool:
+        """Whether this host is the first of the sentinels."""
+        return self._sentinel_rank == 0
+
     @property
     def _sentinel_rank(self) -> int | None:
         return self.members.sentinel_rank(
@@ -379,11 +386,15 @@
         listeners.open(metrics, settings.metrics)
         await self.heartbeat_endpoint.start(settings.address)
         await self.demand_endpoint.start(settings.address)
+        rollouts = self.rollouts
+        if rollouts is not None:
+            await rollouts.start(self._supervisor.spawn)
         listeners.open(
             state_application(
                 self.exchange,
                 self.local_state.suspects,
                 self.peer_request_server,
+                list if rollouts is None else rollouts.listing,
             ),
             Listener(settings.address, settings.fleet_ports[0]),
         )
@@ -462,6 +473,8 @@
         await self._listeners.close()
         self.heartbeat_endpoint.stop()
         self.demand_endpoint.stop()
+        if self.rollouts is not None:
+            self.rollouts.close()
         self.pool.close()
         self.peer_forwarder.close()
         self.exchange.close()
--- a/src/wardstair/gateway/host_rollout.py
+++ b/src/wardstair/gateway/host_rollout.py
@@ -12,6 +12,9 @@
 # A host that has heard no plan for this long sends nothing to a version that is
 # not proved.
 LEASE_SECONDS = 1.0
+# Time without a plan after which another sentinel may take over. Hosts differ
+# for seconds on who the first sentinel is when one is lost or joins.
+LEAD_SECONDS = 0.6
 # Time for which changed counts are repeated in reports, as some get lost.
 REPEAT_SECONDS = 2.0
 # Counts in each report that have not changed lately, so that a new sentinel
@@ -70,7 +73,10 @@
 
     Attributes:
         order: The operator's order.
-        stage: The stage that it follows; it never goes back.
+        planned: Stage of the last plan.
+        recorded: Stage in the record.
+        is_stopped: Whether a plan or the record has stopped it, which is never
+            taken back.
         share: Share of the keys that goes to the new version.
         group: Numbers of the upstreams under test.
         term: Term of the last plan.
@@ -88,7 +94,9 @@
     """
 
     order: RolloutOrder
-    stage: RolloutStage = RolloutStage.testing
+    planned: RolloutStage = RolloutStage.testing
+    recorded: RolloutStage = RolloutStage.testing
+    is_stopped: bool = False
     share: float = 0.0
     group: frozenset[int] = frozenset()
     term: Revision = NO_REVISION
@@ -108,10 +116,29 @@
         """Requests that it may still send to the version under test."""
         return max(0, self.allowed - self.sent)
 
-    @property
-    def needs_lease(self) -> bool:
-        """Whether it may send to the new version only on a recent plan."""
-        return self.stage < RolloutStage.switched
+    def stage(self, now: float) -> RolloutStage:
+        """Return the stage that this host follows.
+
+        Once the record says `switched`, `complete` may be written at any time,
+        and the old upstreams then stop at once. A host that hears no plans
+        therefore stays at the switch.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        if self.is_stopped:
+            return RolloutStage.stopped
+        if self.has_lease(now):
+            return self.planned
+        return max(self.planned, self.recorded)
+
+    def is_led(self, now: float) -> bool:
+        """Return whether a coordinator is at work.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        return now < self.lease_until - LEASE_SECONDS + LEAD_SECONDS
 
     def has_lease(self, now: float) -> bool:
         """Return whether a plan was heard recently.
@@ -127,22 +154,21 @@
         Args:
             now: Monotonic time in seconds.
         """
-        match self.stage:
+        match self.stage(now):
             case RolloutStage.stopped:
                 return False
             case RolloutStage.switched:
                 return True
-        return self.has_lease(now)
+            case _:
+                return self.has_lease(now)
 
     def note_record(self, record: RolloutRecord | None) -> None:
-        """Follow the stage that is recorded in the store.
-
-        While the record says `switched`, `complete` may be written at any
-        time, and the old upstreams then stop at once. Earlier stages are
-        entered by plans only.
-        """
-        if record is not None and record.stage >= RolloutStage.switched:
-            self.stage = max(self.stage, record.stage)
+        """Take in the stage that is recorded in the store."""
+        if record is None:
+            return
+        self.recorded = record.stage
+        if record.stage is RolloutStage.stopped:
+            self.is_stopped = True
 
     def follow(self, plan: RolloutPlan, number: int, now: float) -> bool:
         """Follow a plan.
@@ -160,7 +186,9 @@
         is_newer = (plan.term, plan.number) > (self.term, self.plan)
         self.term = plan.term
         self.plan = plan.number
-        self.stage = max(self.stage, plan.stage)
+        self.planned = plan.stage
+        if plan.stage is RolloutStage.stopped:
+            self.is_stopped = True
         self.share = plan.share
         self.group = plan.group
         self.reason = plan.reason
--- a/src/wardstair/gateway/reporting.py
+++ b/src/wardstair/gateway/reporting.py
@@ -158,6 +158,7 @@
             late=is_late,
             seconds=round(took, 3),
             upstream=placement.upstream.name,
+            upstream_version=placement.upstream.entry.version,
             upstream_seconds=round(delivered.seconds, 3),
             expected=round(placement.choice.seconds, 3),
             rank=candidate.rank,
--- a/src/wardstair/gateway/rollouts.py
+++ b/src/wardstair/gateway/rollouts.py
@@ -4,6 +4,7 @@
 """
 
 import time
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -20,7 +21,7 @@
 from wardstair.gateway.host_rollout import HostRollout
 from wardstair.process.log import log_warning
 from wardstair.state.entries import UpstreamEntry
-from wardstair.state.revision import NO_REVISION, Revision
+from wardstair.state.revision import NO_REVISION
 from wardstair.state.roles import ignore
 from wardstair.state.rollouts import RolloutTable, VersionRole
 from wardstair.state.upstream import Upstream
@@ -61,6 +62,8 @@
     Attributes:
         running: The running roll-outs by service.
         lapsed: Number of times that no plan arrived in time.
+        sent: Requests sent to new versions, by service.
+        bad: Bad answers of new versions, by service and kind.
         on_news: Called when a bad answer of a new version has arrived.
         on_change: Called when roll-outs have begun, changed or ended.
     """
@@ -69,6 +72,8 @@
         """Create a gate without roll-outs; `attach` gives it some."""
         self.running: dict[str, HostRollout] = {}
         self.lapsed = 0
+        self.sent = Counter[str]()
+        self.bad = Counter[tuple[str, str]]()
         self.on_news: Callable[[], None] = ignore
         self.on_change: Callable[[], None] = ignore
         self._table: RolloutTable | None = None
@@ -76,8 +81,6 @@
         self._generation = 0
         self._roles: dict[str, tuple[UpstreamEntry, VersionRole]] = {}
         self._numbers: dict[str, int] = {}
-        # Revision of the orders at which an upstream was withheld.
-        self._withheld_at: Revision | None = None
         self._open: dict[str, _OpenSends] = {}
         self._reported = 0
         self._upstream_generation: Callable[[], int] = int
@@ -91,18 +94,12 @@
     @property
     def generation(self) -> int:
         """Grows when the set of permitted upstreams may have changed."""
-        withheld_at = self._withheld_at
-        is_later = withheld_at is not None and self._known_to != withheld_at
         # Whether a version is excluded depends on the others in service.
-        if is_later or self._upstreams != self._upstream_generation():
+        if self._upstreams != self._upstream_generation():
             self._upstreams = self._upstream_generation()
             self._forget_roles()
         return self._generation
 
-    @property
-    def _known_to(self) -> Revision:
-        return NO_REVISION if self._table is None else self._table.revision
-
     @property
     def identity(self) -> GateIdentity:
         """How this host names itself in reports."""
@@ -172,9 +169,10 @@
             return [ranked]
         new = [one for one in ranked if self._is_new(one)]
         old = [one for one in ranked if not self._is_new(one)]
-        if not rollout.may_use_new(time.monotonic()):
+        now = time.monotonic()
+        if not rollout.may_use_new(now):
             return [old]
-        match rollout.stage:
+        match rollout.stage(now):
             case RolloutStage.switched:
                 return [new or old]
             case RolloutStage.testing:
@@ -228,6 +226,7 @@
         rollout.requests += 1
         if self._is_new(upstream):
             rollout.sent += 1
+            self.sent[upstream.entry.service] += 1
 
     def note_ended(self, upstream: Upstream) -> None:
         """Count a request that is no longer under way.
@@ -254,6 +253,7 @@
         rollout.requests = max(0, rollout.requests - 1)
         if self._is_new(upstream):
             rollout.sent = max(0, rollout.sent - 1)
+            self.sent[upstream.entry.service] -= 1
 
     def note_answer(
         self, upstream: Upstream, route: str, *, is_failed: bool, is_slow: bool
@@ -275,6 +275,8 @@
         counts = rollout.new if is_new else rollout.old
         counts.add(key, tally, time.monotonic())
         if is_new and tally.bad:
+            kind = 'failed' if is_failed else 'slow'
+            self.bad[upstream.entry.service, kind] += 1
             rollout.has_news = True
             self.on_news()
 
@@ -300,17 +302,29 @@
         rollout = self.running.get(plan.service)
         if rollout is None or rollout.order.version != plan.version:
             return False
-        before = rollout.stage
-        is_newer = rollout.follow(plan, self._own.number, time.monotonic())
-        if rollout.stage is not before:
+        now = time.monotonic()
+        before = rollout.stage(now)
+        is_newer = rollout.follow(plan, self._own.number, now)
+        if rollout.stage(now) is not before:
             self.on_news()
         return is_newer
 
+    def is_led(self, service: str) -> bool:
+        """Return whether a coordinator of a service's roll-out is heard.
+
+        Args:
+            service: The service.
+        """
+        rollout = self.running.get(service)
+        return rollout is not None and rollout.is_led(time.monotonic())
+
     def check_plans(self) -> None:
         """Log roll-outs for which no plan arrives any more."""
         now = time.monotonic()
         for service, rollout in self.running.items():
-            is_followed = rollout.needs_lease and rollout.term != NO_REVISION
+            stage = rollout.stage(now)
+            needs_lease = stage < RolloutStage.switched
+            is_followed = needs_lease and rollout.term != NO_REVISION
             if rollout.has_lapsed or not is_followed or rollout.has_lease(now):
                 continue
             rollout.has_lapsed = True
@@ -318,8 +332,8 @@
             log_warning(
                 'rollout-plan-lapsed',
                 service=service,
-                version=rollout.order.version,
-                stage=rollout.stage.name,
+                target=rollout.order.version,
+                stage=stage.name,
                 term=rollout.term,
                 plan=rollout.plan,
             )
@@ -360,7 +374,7 @@
             can_use_more=can_use_more,
             term=rollout.term,
             plan=rollout.plan,
-            stage=rollout.stage,
+            stage=rollout.stage(now),
             waiting=self.waiting(rollout.order.service),
             is_urgent=is_urgent,
             new=rollout.new.reportable(now),
@@ -375,7 +389,7 @@
         rollout = self.running.get(upstream.entry.service)
         if rollout is None:
             return False
-        is_testing = rollout.stage is RolloutStage.testing
+        is_testing = rollout.planned is RolloutStage.testing
         return not is_testing or self._is_tested(rollout, upstream)
 
     def _is_tested(self, rollout: HostRollout, upstream: Upstream) -> bool:
@@ -396,16 +410,11 @@
         if self._table is None:
             return VersionRole.usual
         role = self._table.role_of(entry)
-        if role is VersionRole.withheld:
-            # It ends without a change of the orders, once they are known up to
-            # a later revision.
-            self._withheld_at = self._table.revision
         self._roles[entry.name] = (entry, role)
         return role
 
     def _forget_roles(self) -> None:
         self._generation += 1
-        self._withheld_at = None
         self._roles.clear()
         if not self.running:
             self._numbers.clear()
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -32,9 +32,9 @@
         'an upstream answered; thinned if the answer was good and in time; '
         'what this host knew as it sent: the revision of the `entry` of the '
         'upstream, the revision of all upstreams (`state`) and its age',
-        'request route version status late seconds upstream upstream_seconds '
-        'expected rank warm load load_age slots slowness sends entry state '
-        'state_age',
+        'request route version status late seconds upstream upstream_version '
+        'upstream_seconds expected rank warm load load_age slots slowness '
+        'sends entry state state_age',
     ),
     _kind(
         'request-resent',
@@ -551,6 +551,46 @@
         'a datagram is not a valid heartbeat',
         'source size',
     ),
+    _kind(
+        'rollout-taken-over',
+        'this host coordinates a roll-out from now on; `term`: revision of its '
+        'record, `reserved`: requests that may have been allowed so far, '
+        '`before`: the coordinator until then',
+        'service target term stage reserved before',
+    ),
+    _kind(
+        'rollout-stood-down',
+        'another host coordinates a roll-out in place of this one',
+        'service target term',
+    ),
+    _kind(
+        'rollout-stage',
+        'the stage of a roll-out, its share or the reason for them has '
+        'changed; the other fields are what this rests on, for the whole '
+        'fleet: `sent` to the new version at most, `bad` of its `answers`, '
+        '`evidence` above 0 speaks for a bad version, `waiting` hosts, '
+        '`capacity` of the new version as a share of the requests, '
+        '`reports_age` of the oldest report of a host in touch',
+        'service target stage share reason requests sent reserved answers bad '
+        'old_bad_share evidence waiting capacity rate age reports_age',
+    ),
+    _kind(
+        'rollout-ended',
+        'this host has recorded the end of a roll-out',
+        'service target state reason requests sent reserved answers bad '
+        'seconds',
+    ),
+    _kind(
+        'rollout-plan-lapsed',
+        'this host hears no plan for a roll-out any more and sends nothing to '
+        'the new version',
+        'service target stage term plan',
+    ),
+    _kind(
+        'rollout-unreadable',
+        'a datagram is not a valid message about a roll-out',
+        'source size',
+    ),
     _kind(
         'task-failed', 'a task failed and is restarted', 'task error file line'
     ),
