Keep the counts and the share of a roll-out when another host takes over

Cause: a successor that had no reports yet counted the recorded reserve beside the allowances that hosts reported later, and began the move at a share of 0; it then waited for the deadline. Change: what hosts report of earlier allowances is taken from the reserve; the share is that of the last plan heard. Requests are not fewer than the record says. A changed time of the order keeps term and counts. The first seconds of a stage wait for live hosts that do not report, by name, as dead hosts are counted in the fleet for hours.

--- a/src/wardstair/gateway/rollout_coordinator.py
+++ b/src/wardstair/gateway/rollout_coordinator.py
@@ -16,17 +16,17 @@
 from wardstair.fleet.rollout_messages import RolloutPlan, RolloutReport
 from wardstair.gateway.rollout_events import log_end, log_stage, log_taken_over
 from wardstair.gateway.rollout_lead import RolloutLead
-from wardstair.gateway.rollout_reports import ReportBook, waiting_hosts
+from wardstair.gateway.rollout_reports import (
+    HostReports,
+    ReportBook,
+    waiting_hosts,
+)
 from wardstair.gateway.rollout_scene import RolloutScene, VersionsInService
 from wardstair.gateway.rollout_writes import RecordWrites, Writer
 from wardstair.process.log import log_event
+from wardstair.state.rollout_orders import ServiceVersion
 from wardstair.state.rollout_records import RecordOutcome, RecordWritten
-from wardstair.state.rollouts import (
-    Rollout,
-    RolloutOrder,
-    RolloutRecord,
-    RolloutTable,
-)
+from wardstair.state.rollouts import Rollout, RolloutRecord, RolloutTable
 
 STEP_SECONDS = 0.25
 # Time for which reports are collected before an early step.
@@ -37,7 +37,7 @@
     """Coordinates the running roll-outs; active on one sentinel at a time.
 
     Attributes:
-        books: Reports of all hosts by order; all sentinels keep them.
+        books: Reports of all hosts by target; all sentinels keep them.
         send_plan: Sends the plans of all zones.
     """
 
@@ -51,19 +51,21 @@
             scene: What this host knows of the fleet and of the upstreams.
             write: Writes a record to the store.
         """
-        self.books: dict[RolloutOrder, ReportBook] = {}
+        self.books: dict[ServiceVersion, ReportBook] = {}
         self.send_plan: Callable[[PlanOfZone], None] = _ignore_plan
         self._table = table
         self._scene = scene
-        self._leads: dict[RolloutOrder, RolloutLead] = {}
+        self._leads: dict[ServiceVersion, RolloutLead] = {}
         self._prompted = asyncio.Event()
         self._writes = RecordWrites(write, self.prompt)
 
     @property
-    def leads(self) -> dict[RolloutOrder, RolloutLead]:
+    def leads(self) -> dict[ServiceVersion, RolloutLead]:
         """The roll-outs that this host has taken over."""
         return {
-            order: lead for order, lead in self._leads.items() if lead.has_term
+            target: lead
+            for target, lead in self._leads.items()
+            if lead.has_term
         }
 
     def take_report(self, report: RolloutReport) -> None:
@@ -75,7 +77,7 @@
         rollout = self._table.of_service(report.service)
         if rollout is None or rollout.order.version != report.version:
             return
-        book = self.books.setdefault(rollout.order, ReportBook())
+        book = self.books.setdefault(rollout.order.target, ReportBook())
         book.take(report, time.monotonic())
         if report.is_urgent:
             self.prompt()
@@ -86,11 +88,9 @@
         Args:
             plan: A plan of any coordinator.
         """
-        for order, lead in tuple(self.leads.items()):
-            target = (order.service, order.version)
-            is_same = target == (plan.service, plan.version)
-            if is_same and plan.term > lead.term:
-                self._stand_down(order)
+        lead = self.leads.get(ServiceVersion(plan.service, plan.version))
+        if lead is not None and plan.term > lead.term:
+            self._stand_down(lead)
 
     def prompt(self) -> None:
         """Take a step soon, since something has happened."""
@@ -116,16 +116,19 @@
 
     def step(self) -> None:
         """Take the next step of each roll-out."""
-        running = {rollout.order: rollout for rollout in self._table.running}
+        running = {one.order.target: one for one in self._table.running}
         self.books = {
-            order: self.books.get(order, ReportBook()) for order in running
+            target: self.books.get(target, ReportBook()) for target in running
         }
         self._leads = {
-            order: self._leads.get(order, RolloutLead(order, book))
-            for order, book in self.books.items()
+            target: self._leads.get(target)
+            or RolloutLead(rollout.order, self.books[target])
+            for target, rollout in running.items()
         }
-        for order, rollout in running.items():
-            self._step(self._leads[order], rollout)
+        for target, rollout in running.items():
+            # The operator may have changed the time.
+            self._leads[target].order = rollout.order
+            self._step(self._leads[target], rollout)
         if not self._scene.may_write():
             return
         for missing in self._to_restore():
@@ -144,7 +147,7 @@
                 self._take_over(lead, rollout)
             return
         if self._is_replaced(rollout, lead):
-            self._stand_down(rollout.order)
+            self._stand_down(lead)
             return
         if not self._scene.is_sentinel():
             # It gets no reports. Its term goes on if it becomes a sentinel
@@ -152,7 +155,7 @@
             return
         now = time.monotonic()
         in_touch = lead.book.in_touch(now, self._scene.contact_seconds())
-        progress = self._progress(lead, len(in_touch), now)
+        progress = self._progress(lead, in_touch, now)
         self._follow(lead, rollout, progress)
         if lead.end is not None:
             self._record_end(lead, rollout)
@@ -178,7 +181,8 @@
         def end(outcome: RecordOutcome) -> None:
             match outcome:
                 case RecordWritten(rollout=written):
-                    lead.take_over(taken, written.revision)
+                    share = self._scene.share(rollout.order.service)
+                    lead.take_over(taken, written.revision, share)
                     log_taken_over(lead, before)
 
         self._writes.begin(rollout, taken, end)
@@ -189,19 +193,19 @@
             return False
         return record.coordinator != self._scene.own
 
-    def _stand_down(self, order: RolloutOrder) -> None:
-        lead = self._leads[order]
+    def _stand_down(self, lead: RolloutLead) -> None:
+        order = lead.order
         log_event(
             'rollout-stood-down',
             service=order.service,
             target=order.version,
             term=lead.term,
         )
-        self._leads[order] = RolloutLead(order, lead.book)
+        self._leads[order.target] = RolloutLead(order, lead.book)
         self._writes.delay(order.service)
 
     def _progress(
-        self, lead: RolloutLead, in_touch: int, now: float
+        self, lead: RolloutLead, in_touch: list[HostReports], now: float
     ) -> RolloutProgress:
         scene = self._scene
         service = lead.order.service
@@ -210,13 +214,12 @@
         versions = VersionsInService.of(self._table, scene.upstreams(service))
         lead.group = versions.group(lead.share or scene.bounds().share)
         lead.judgement = lead.trial.judge(book.new, book.old, now)
-        waiting = waiting_hosts(
-            book.in_touch(now, scene.contact_seconds()), lead.stage
-        )
+        waiting = waiting_hosts(in_touch, lead.stage)
         stage_age = now - lead.stage_at
         if stage_age < scene.contact_seconds():
             # Hosts that know the order report at once; others may not know it.
-            waiting += max(0, scene.fleet_size() - in_touch)
+            reporting = {host.last.sender for host in in_touch}
+            waiting += len(scene.live_hosts() - reporting)
         return RolloutProgress(
             stage=lead.stage,
             share=lead.share,
@@ -224,7 +227,7 @@
             age=max(0.0, time.time() - lead.began_at),
             stage_age=stage_age,
             judgement=lead.judgement,
-            requests=book.requests,
+            requests=lead.requests,
             sent=lead.sent_at_most,
             rate=rate,
             bounds=scene.bounds(),
@@ -306,7 +309,7 @@
             return
         lead.give_allowances()
         room = sum(usage.room for usage in lead.usages())
-        limit = max_exposure(self._scene.bounds(), lead.book.requests)
+        limit = max_exposure(self._scene.bounds(), lead.requests)
         reserve = next_reserve(lead.reserved, lead.given + room, limit)
         if reserve <= lead.reserved:
             return
@@ -324,7 +327,7 @@
             RolloutState.running,
             lead.stage,
             lead.reserved,
-            lead.book.requests,
+            lead.requests,
             lead.began_at,
             self._scene.own,
             lead.reason,
--- a/src/wardstair/gateway/rollout_lead.py
+++ b/src/wardstair/gateway/rollout_lead.py
@@ -1,6 +1,7 @@
 """The coordination of one roll-out: what the hosts are told and allowed."""
 
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -58,12 +59,13 @@
     group: frozenset[int] = frozenset()
     judgement: Judgement = Judgement(Verdict.undecided)
     trial: RolloutTrial = field(default_factory=RolloutTrial)
-    # Allowances given by this host, by number of the host that got them.
+    # Allowances given by this host, by number of the host that got them, and
+    # how much it has added to those of earlier coordinators.
     _allowances: dict[int, int] = field(default_factory=dict)
-    # Sum of all allowances that may have been given.
-    _given: int = 0
-    # What earlier coordinators had reserved and no host has reported.
-    _unaccounted: int = 0
+    _added: Counter[int] = field(default_factory=Counter)
+    # What earlier coordinators may have given, and the requests that back it.
+    _earlier: int = 0
+    _backing: int = 0
     _number: int = 0
     _logged: tuple[tuple[RolloutStage, str], float] | None = None
     # Stage and time of the last plan.
@@ -78,32 +80,45 @@
     @property
     def given(self) -> int:
         """Sum of all allowances that may have been given."""
-        return self._given
+        return self._earlier + self._added.total()
+
+    @property
+    def requests(self) -> int:
+        """Requests of the service since the order, as far as known."""
+        return max(self.book.requests, self._backing)
 
     @property
     def sent_at_most(self) -> int:
-        """Requests that may have been sent to the new version."""
+        """Requests that may have been sent to the new version.
+
+        Earlier allowances that no host has reported count as sent, since a host
+        that is not heard may have them.
+        """
+        hosts = self.book.hosts.values()
         counted = sum(
-            max(host.last.sent, self._allowed(host))
-            for host in self.book.hosts.values()
+            max(host.last.sent, self._allowed(host)) for host in hosts
+        )
+        earlier = sum(
+            self._allowed(host) - self._added[host.number] for host in hosts
         )
-        return counted + self._unaccounted
+        return counted + max(0, self._earlier - earlier)
 
-    def take_over(self, record: RolloutRecord, term: Revision) -> None:
+    def take_over(
+        self, record: RolloutRecord, term: Revision, share: float
+    ) -> None:
         """Begin the term of this host.
 
-        Allowances of earlier coordinators that no host has reported count as
-        given, since a host that is not heard may have them.
-
         Args:
             record: The record that this host has written.
             term: Its revision.
+            share: The share in the last plan that this host has heard.
         """
         self.term = term
         self.began_at = record.began_at
         self.reserved = record.reserved
-        self._given = max(record.reserved, self.book.allowed)
-        self._unaccounted = self._given - self.book.allowed
+        self.share = share
+        self._earlier = max(record.reserved, self.book.allowed)
+        self._backing = record.requests
         # A stop may not have been recorded.
         self.enter(max(record.stage, self.book.stage), record.reason)
 
@@ -147,9 +162,9 @@
         usages = self.usages()
         before = {usage.host: usage.allowed for usage in usages}
         name = f'{self.order.service} {self.order.version}'
-        given = next_allowances(self.reserved - self._given, usages, name)
+        given = next_allowances(self.reserved - self.given, usages, name)
         for host, allowance in given.items():
-            self._given += allowance - before[host]
+            self._added[int(host)] += allowance - before[host]
             self._allowances[int(host)] = allowance
 
     def plans(self) -> Callable[[str], RolloutPlan]:
--- a/src/wardstair/gateway/rollout_listing.py
+++ b/src/wardstair/gateway/rollout_listing.py
@@ -92,7 +92,7 @@
             rollout.order.version, rollout.state
         )
         own = self._gate.running.get(rollout.service)
-        book = self._coordinator.books.get(rollout.order)
+        book = self._coordinator.books.get(rollout.order.target)
         has_reports = book is not None and bool(book.hosts)
         tally = AnswerTally()
         if book is not None:
--- a/src/wardstair/gateway/rollout_scene.py
+++ b/src/wardstair/gateway/rollout_scene.py
@@ -25,7 +25,8 @@
         has_contact: Returns whether it is in contact with the store.
         bounds: Returns the limits of the exposure.
         contact_seconds: Returns the time in which a host in touch reports.
-        fleet_size: Returns the number of known hosts.
+        live_hosts: Returns the names of the hosts that are heard.
+        share: Returns the share in the last plan for a service.
         upstreams: Returns the upstreams of a service that get requests.
         work_seconds: Returns the usual seconds of work for a request.
         cold_rate: Returns the requests per second that a cold upstream takes.
@@ -38,7 +39,8 @@
     has_contact: Callable[[], bool]
     bounds: Callable[[], RolloutBounds]
     contact_seconds: Callable[[], float]
-    fleet_size: Callable[[], int]
+    live_hosts: Callable[[], set[str]]
+    share: Callable[[str], float]
     upstreams: Callable[[str], Iterable[Upstream]]
     work_seconds: Callable[[str], float]
     cold_rate: Callable[[str], float]
--- a/src/wardstair/gateway/rollouts.py
+++ b/src/wardstair/gateway/rollouts.py
@@ -309,6 +309,15 @@
             self.on_news()
         return is_newer
 
+    def share(self, service: str) -> float:
+        """Return the share in the last plan for a service.
+
+        Args:
+            service: The service.
+        """
+        rollout = self.running.get(service)
+        return 0.0 if rollout is None else rollout.share
+
     def is_led(self, service: str) -> bool:
         """Return whether a coordinator of a service's roll-out is heard.
 
