Test the sharing of roll-outs and the writes of records

A new version waits during a recent restore only if an accepted version of its service is in service, seen by a test: a host that starts then withheld the only version that could serve. What a peer keeps is kept also if its roll-out has ended, so that digests of hosts agree.

--- a/src/wardstair/state/known_rollouts.py
+++ b/src/wardstair/state/known_rollouts.py
@@ -1,6 +1,6 @@
 """Orders and records of roll-outs: what is listed, kept and remembered."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
 from typing import TypeVar
 from zlib import crc32
@@ -42,6 +42,8 @@
         past: Records and withdrawn targets.
         versions: Versions that are in order without an order.
         restoration: The last restore of the store.
+        versions_in_service: Returns the versions of a service's upstreams that
+            accept work.
     """
 
     def __init__(self, restoration: Restoration) -> None:
@@ -59,6 +61,9 @@
         self.past = PastRollouts()
         self.versions = KnownVersions()
         self.restoration = restoration
+        self.versions_in_service: Callable[[str], Collection[str]] = (
+            _no_versions
+        )
         self._digest: int | None = None
 
     @property
@@ -189,7 +194,7 @@
         has_advanced = self.versions.advance(
             self.revision,
             self.ordered,
-            is_store_complete=not self.restoration.is_recent,
+            self._may_lack_orders,
         )
         if has_advanced:
             self._digest = None
@@ -226,6 +231,24 @@
             return True
         return known.record.state is record.state
 
+    def _may_lack_orders(self, service: str) -> bool:
+        """Return whether new versions of a service have to wait.
+
+        A store that was just restored may lack an order for them; another
+        version serves meanwhile.
+        """
+        if not self.restoration.is_recent:
+            return False
+        accepted = {
+            one.version
+            for one in self.versions.in_order
+            if one.service == service
+        }
+        accepted.add(self.past.completed(service) or '')
+        return any(
+            version in accepted for version in self.versions_in_service(service)
+        )
+
     def _digest_rows(self) -> Iterable[str]:
         for known in self.past.ends:
             yield f'{known.service} {known.record.version} {known.record.state}'
@@ -281,7 +304,7 @@
             rollout.service: rollout
             for rollout in offered
             if self._outlives(rollout)
-            and not self.past.is_past(rollout.order.target)
+            and rollout.order.target not in self.past.withdrawn
         }
 
     def _with_known_record(self, rollout: Rollout) -> Rollout:
@@ -291,5 +314,9 @@
         return replace(rollout, record=known.record)
 
 
+def _no_versions(_service: str) -> Collection[str]:
+    return ()
+
+
 def _by_service(objects: Iterable[_Stored]) -> dict[str, _Stored]:
     return {one.service: one for one in objects}
--- a/src/wardstair/state/known_versions.py
+++ b/src/wardstair/state/known_versions.py
@@ -1,6 +1,6 @@
 """Versions of services that may receive requests without an order."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.rollout_orders import ServiceVersion
@@ -46,8 +46,7 @@
         self,
         complete_to: Revision,
         ordered: Iterable[ServiceVersion],
-        *,
-        is_store_complete: bool,
+        waits: Callable[[str], bool],
     ) -> bool:
         """Recognise versions that are in order up to a revision.
 
@@ -55,9 +54,8 @@
             complete_to: Revision up to which all orders are known.
             ordered: Versions that orders concern; they are never in order by
                 this.
-            is_store_complete: Whether the store has all orders. A store that
-                was just restored may lack the order for a version; other
-                versions of the service serve meanwhile, if there are any.
+            waits: Returns whether new versions of a service have to wait
+                nevertheless.
 
         Returns:
             Whether there are any.
@@ -66,13 +64,10 @@
             self._seen_at.pop(version, None)
         if complete_to == NO_REVISION:
             return False
-        served = set()
-        if not is_store_complete:
-            served = {one.service for one in (*self.in_order, *ordered)}
         return self.add(
             version
             for version, seen_at in self._seen_at.items()
-            if seen_at <= complete_to and version.service not in served
+            if seen_at <= complete_to and not waits(version.service)
         )
 
     def add(self, versions: Iterable[ServiceVersion]) -> bool:
--- a/src/wardstair/state/rollouts.py
+++ b/src/wardstair/state/rollouts.py
@@ -48,10 +48,6 @@
     excluded = 'excluded'
 
 
-def _no_versions(_service: str) -> Collection[str]:
-    return ()
-
-
 def _knows_all(_service: str) -> bool:
     return True
 
@@ -76,9 +72,6 @@
         self.on_change: Callable[[], None] = ignore
         self.on_roles: Callable[[], None] = ignore
         self.is_in_use = is_in_use
-        self._versions_in_service: Callable[[str], Collection[str]] = (
-            _no_versions
-        )
         self._knows_service: Callable[[str], bool] = _knows_all
         self._known = KnownRollouts(Restoration(time.monotonic))
         self._refusal_log = RefusalLog()
@@ -100,7 +93,7 @@
             knows_service: Returns whether the configuration has a service.
         """
         self._known.restoration = restoration
-        self._versions_in_service = versions_in_service
+        self._known.versions_in_service = versions_in_service
         self._knows_service = knows_service
 
     @property
@@ -362,7 +355,7 @@
         refused = known.refused.get(service)
         if refused is not None and refused.version:
             barred |= {refused.version}
-        usable = set(self._versions_in_service(service)) - barred - {running}
+        usable = set(known.versions_in_service(service)) - barred - {running}
         if target.version in barred:
             return bool(usable)
         completed = known.past.completed(service)
