--- a/tests/lib/store_standin.py
+++ b/tests/lib/store_standin.py
@@ -317,11 +317,11 @@
             return
         if fault is StatusFault.late:
             store.put_late(write)
-            self.detach().close()
+            self._lose_answer()
             return
         is_done = store.put_status(write)
         if fault is StatusFault.unanswered:
-            self.detach().close()
+            self._lose_answer()
             return
         if name not in store.kind(kind).objects:
             self.set_status(404)
@@ -332,6 +332,15 @@
             return
         self._finish_write(kind, name)
 
+    def _lose_answer(self) -> None:
+        """End the connection within the answer; curl would repeat the call.
+
+        It repeats a call if a connection ends before the answer begins.
+        """
+        stream = self.detach()
+        stream.write(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n')
+        stream.close()
+
 
 def _has_revision(held: Stored | None, revision: int) -> bool:
     metadata = None if held is None else held['metadata']
