Check versions that only a peer has reported

Cause: a sentinel checked a new version only when it read the upstream itself. One that a peer reads and reports before it loses the store would have stayed withheld until the next answer about the orders, up to 25 s.

Change: each answer to a watch, every 0.8 s on the first sentinel, raises the revision of the table or starts a check while a version waits. The test timed out without the call.

--- a/src/wardstair/state/rollout_sync.py
+++ b/src/wardstair/state/rollout_sync.py
@@ -67,20 +67,25 @@
     def check_versions(self, entries: Iterable[UpstreamEntry]) -> None:
         """Ask the store for orders that upstreams of new versions need.
 
-        The store is not asked if all orders up to the entries are known here;
-        other hosts then learn that from the revision of the table.
-
         Args:
             entries: Entries that the store has just reported.
         """
-        needed = [one for one in entries if self._table.needs_check(one)]
-        if not needed or not self._roles.is_sentinel():
+        waiting = [one for one in entries if self._table.needs_check(one)]
+        if waiting:
+            self.refresh()
+
+    def refresh(self) -> None:
+        """Ask the store for orders if a version waits for them.
+
+        The store is not asked if all orders up to the entries are known here;
+        other hosts then learn that from the revision of the table.
+        """
+        if not (self._lacks_orders and self._roles.is_sentinel()):
             return
         if self.watcher.has_listed:
             self._raise_revision(self.watcher.revision)
-        if self._lacks_orders and (
-            self._checking is None or self._checking.done()
-        ):
+        is_checking = self._checking is not None and not self._checking.done()
+        if self._lacks_orders and not is_checking:
             self._checking = asyncio.ensure_future(self._check())
 
     @property
--- a/src/wardstair/state/sync.py
+++ b/src/wardstair/state/sync.py
@@ -239,6 +239,9 @@
 
     def _note_revision(self, revision: Revision) -> None:
         """Check the kinds whose watches are behind the store's revision."""
+        if self.rollouts is not None:
+            # Another host may have sent an upstream of a new version.
+            self.rollouts.refresh()
         behind = self._behind(revision)
         if not behind or not self._roles.is_sentinel():
             return
--- a/tests/functional/test_rollout_store.py
+++ b/tests/functional/test_rollout_store.py
@@ -86,6 +86,9 @@
         """End the watch of the orders, as if its connection were silent."""
         self._tasks[-1].cancel()
 
+    def stop_watching_upstreams(self) -> None:
+        self._tasks[2].cancel()
+
     async def stop(self) -> None:
         for task in self._tasks:
             task.cancel()
@@ -448,6 +451,28 @@
     run(test)
 
 
+def test_a_version_that_only_a_peer_reports_is_checked_too(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Checks for silent watches would help as well.
+    monkeypatch.setattr(sync, 'LAG_SECONDS', 60.0)
+
+    async def test() -> None:
+        async with watching_hosts(1) as (store, (sentinel,)):
+            reader = WatchingHost(store.port, 7)
+            reader.fetch_from(sentinel)
+            sentinel.stop_watching_upstreams()
+            register(store, 'v2')
+            assert await reader.sync.list_upstreams()
+            sentinel.fetch_from(reader)
+            expected = {'v1': USUAL, 'v2': USUAL}
+            await until(lambda: sentinel.roles() == expected)
+            assert sentinel.table.revision.number >= store.revision
+            await reader.stop()
+
+    run(test)
+
+
 @pytest.mark.parametrize('is_in_use', [False, True])
 def test_a_gateway_reads_orders_only_where_roll_outs_are_in_use(
     *, is_in_use: bool
