Test records of hosts that are behind and writes without change

Three guards had no test that failed without them: a superseded completion that a peer offers, a record known before its listing, an unanswered write beside one that changes nothing.

--- a/tests/unit/test_rollout_records.py
+++ b/tests/unit/test_rollout_records.py
@@ -187,6 +187,26 @@
     run(monkeypatch, test)
 
 
+def test_a_write_that_changes_nothing_leaves_an_earlier_one_open(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test(writer: _Writer) -> None:
+        running = rollout_of('v2', at(13), RUNNING)
+        writer.host.read(at(13), running)
+        same = stored(13, RUNNING)
+        writer.held = Ok(same)
+        unchanged = Ok(StatusWrite(True, same))
+        writer.answers = [unchanged]
+        await writer.records.write(running, RUNNING)
+        assert not writer.records.may_take_effect('views')
+        writer.answers = [LOST, unchanged]
+        for _ in range(2):
+            await writer.records.write(running, RUNNING)
+        assert writer.records.may_take_effect('views')
+
+    run(monkeypatch, test)
+
+
 def test_a_lost_write_alone_does_not_end_contact(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/unit/test_rollout_table.py
+++ b/tests/unit/test_rollout_table.py
@@ -16,12 +16,14 @@
 from lib.upstreams import Clock
 
 from wardstair.decisions.rollouts import RolloutState
+from wardstair.state.past_rollouts import KnownRecord
 from wardstair.state.revision import NO_REVISION
 from wardstair.state.rollouts import (
     RolloutTable,
     UnusableRollout,
     VersionRole,
 )
+from wardstair.state.shared_rollouts import SharedRollouts
 
 USUAL = VersionRole.usual
 OLD = VersionRole.old
@@ -233,6 +235,31 @@
     assert not host.table.records_to_restore
 
 
+def test_a_host_that_is_behind_does_not_complete_a_new_roll_out() -> None:
+    host = host_with_both()
+    behind = host_with_both()
+    first = rollout_of('v2', at(14), record_of('v2', COMPLETE))
+    for one in (host, behind):
+        one.read(at(14), first)
+    back = replace(record_of('v1', COMPLETE), began_at=20.0)
+    host.read(at(18), rollout_of('v1', at(18), back))
+    again = replace(record_of('v2', RUNNING), began_at=30.0)
+    host.read(at(21), rollout_of('v2', at(21), again))
+    host.hear(behind)
+    assert host.roles('v1', 'v2') == [OLD, NEW]
+    assert host.table.running[0].record == again
+    assert again in {one.record for one in host.table.shared.records}
+
+
+def test_a_record_that_is_known_before_its_listing_is_not_missing() -> None:
+    host = host_with_both()
+    host.read(at(12), rollout_of('v2', at(11)))
+    later = KnownRecord(SERVICE, record_of('v2', reserved=9), at(13))
+    host.table.merge_peer(SharedRollouts(at(9), records=(later,)), 'host:a')
+    assert host.table.running[0].record == later.record
+    assert not host.table.records_to_restore
+
+
 def test_a_restored_store_does_not_undo_a_later_completion() -> None:
     host = host_with_both()
     first = rollout_of('v2', at(14), record_of('v2', COMPLETE))
