Compare versions by slices of time against a base that is remembered

The base now depends on the slices before, and slow answers do not count while the old version has too few answers to show the load.

--- a/src/wardstair/decisions/rollout_trial.py
+++ b/src/wardstair/decisions/rollout_trial.py
@@ -5,15 +5,20 @@
 version has most of the requests would count against it.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
-from wardstair.decisions.rollout_verdict import (
+from wardstair.decisions.rollout_tallies import (
     AnswerTally,
-    Judgement,
     Tallies,
     TallyKey,
+    without_outliers,
+)
+from wardstair.decisions.rollout_verdict import (
+    Comparison,
+    Judgement,
     TallySlice,
+    compare,
     judge_slices,
 )
 
@@ -29,6 +34,9 @@
     """The answers of both versions since the order, by slices of time."""
 
     _slices: list[TallySlice] = field(default_factory=list)
+    _comparisons: list[Comparison] = field(default_factory=list)
+    _kept_new: frozenset[int] = frozenset()
+    _kept_old: frozenset[int] = frozenset()
     _ended_new: Mapping[TallyKey, AnswerTally] = field(default_factory=dict)
     _ended_old: Mapping[TallyKey, AnswerTally] = field(default_factory=dict)
     _ended_at: float | None = None
@@ -49,11 +57,14 @@
             _difference(old, self._ended_old),
             self._ended_number,
         )
-        judgement = judge_slices([*self._slices, current])
+        self._compare_ended(without_outliers(new), without_outliers(old))
+        comparison = self._compare(current, self._comparisons)
+        judgement = judge_slices([*self._comparisons, comparison])
         answers = sum(tally.answers for tally in current.new.values())
         is_long = now - self._ended_at >= SLICE_SECONDS
         if is_long and answers >= SLICE_ANSWERS:
             self._slices.append(current)
+            self._comparisons.append(comparison)
             self._ended_new = dict(new)
             self._ended_old = dict(old)
             self._ended_at = now
@@ -61,6 +72,27 @@
             self._join_slices()
         return judgement
 
+    def _compare_ended(
+        self,
+        kept_new: frozenset[int],
+        kept_old: frozenset[int],
+    ) -> None:
+        if (kept_new, kept_old) == (self._kept_new, self._kept_old):
+            return
+        self._kept_new = kept_new
+        self._kept_old = kept_old
+        self._comparisons = []
+        for one in self._slices:
+            self._comparisons.append(self._compare(one, self._comparisons))
+
+    def _compare(
+        self,
+        one: TallySlice,
+        before: Sequence[Comparison],
+    ) -> Comparison:
+        last = before[-1] if before else Comparison()
+        return compare(one, self._kept_new, self._kept_old, last)
+
     def _join_slices(self) -> None:
         if len(self._slices) < MAX_SLICES:
             return
@@ -79,6 +111,11 @@
             _sum(one.old, other.old),
             one.number,
         )
+        self._comparisons.pop(first + 1)
+        self._comparisons[first] = self._compare(
+            self._slices[first],
+            self._comparisons[:first],
+        )
 
 
 def _difference(tallies: Tallies, earlier: Tallies) -> Tallies:
--- a/src/wardstair/decisions/rollout_verdict.py
+++ b/src/wardstair/decisions/rollout_verdict.py
@@ -14,7 +14,7 @@
 
 import math
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from itertools import accumulate
 
@@ -22,8 +22,29 @@
 from wardstair.decisions.rollout_evidence import (
     Counts,
     LogLikelihoods,
+    Memory,
     log_likelihoods,
 )
+from wardstair.decisions.rollout_tallies import (
+    AnswerTally,
+    Tallies,
+    TallyKey,
+    without_outliers,
+)
+
+__all__ = (
+    'AnswerTally',
+    'Comparison',
+    'Judgement',
+    'Tallies',
+    'TallyKey',
+    'TallySlice',
+    'Verdict',
+    'compare',
+    'is_slow',
+    'judge',
+    'judge_slices',
+)
 
 # Probability that a good version is judged bad during its roll-out.
 FALSE_ALARM_RATE = 0.002
@@ -35,66 +56,13 @@
 # Routes with a smaller share of the answers may have any number of them when a
 # version is judged good.
 MIN_ROUTE_SHARE = 0.05
-# Upstreams that are left out at most: a fraction, and for few upstreams a
-# number, but not more than half of them.
-LEFT_OUT_FRACTION = 0.2
-LEFT_OUT_FEW = 2
-# Log likelihood ratio by which the bad answers of an upstream have to differ
-# from those of the others for it to be left out.
-OUTLIER_EVIDENCE = 4.0
-# Answers assumed in addition to those of the other upstreams, half a bad one
-# among them.
-_ASSUMED_ANSWERS = 10
-_ASSUMED_BAD = 0.5
+# Answers of the old version relative to those of the new one without which
+# slow answers do not count.
+MIN_OLD_RATIO = 0.2
 # Work varies; the longest takes about three times the mean.
 SLOW_RATIO = 3.0
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerTally:
-    """Answers of one upstream on one route.
-
-    Attributes:
-        answers: All answers, including failed and slow ones.
-        failed: Answers by which the upstream reported a failure.
-        slow: Other answers that took a multiple of the expected time, also
-            those that had not arrived when the host stopped waiting.
-    """
-
-    answers: int = 0
-    failed: int = 0
-    slow: int = 0
-
-    @property
-    def bad(self) -> int:
-        """Failed and slow answers."""
-        return self.failed + self.slow
-
-    def __add__(self, other: 'AnswerTally') -> 'AnswerTally':
-        """Return the sum of two tallies."""
-        return AnswerTally(
-            self.answers + other.answers,
-            self.failed + other.failed,
-            self.slow + other.slow,
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class TallyKey:
-    """What a tally counts.
-
-    Attributes:
-        route: Number that identifies the route.
-        upstream: Number that identifies the incarnation of the upstream.
-    """
-
-    route: int
-    upstream: int
-
-
-Tallies = Mapping[TallyKey, AnswerTally]
-
-
 class Verdict(StrEnum):
     """What the answers so far show of the new version."""
 
@@ -141,37 +109,103 @@
     number: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Comparison:
+    """Comparison of the answers in a slice of time by route.
+
+    Attributes:
+        number: Number of slices that began before.
+        counts: The answers that count.
+        likelihoods: Their likelihoods.
+        memory: Answers of the old version until the end of the slice.
+    """
+
+    number: int = 0
+    counts: Mapping[int, Counts] = field(default_factory=dict)
+    likelihoods: Mapping[int, LogLikelihoods] = field(default_factory=dict)
+    memory: Mapping[int, Memory] = field(default_factory=dict)
+
+
 def judge(new: Tallies, old: Tallies) -> Judgement:
     """Compare the answers of two versions since the order.
 
+    If the load or the share of the new version changes, the new version has its
+    answers at another time than the old one; `RolloutTrial` allows for that.
+
     Args:
         new: Answers of the new version.
         old: Answers of the old version in the same time.
     """
-    return judge_slices([TallySlice(new, old)])
-
+    comparison = compare(
+        TallySlice(new, old),
+        without_outliers(new),
+        without_outliers(old),
+        Comparison(),
+    )
+    return judge_slices([comparison])
 
-def judge_slices(slices: Sequence[TallySlice]) -> Judgement:
-    """Compare the answers of two versions, each slice of time by itself.
 
-    Slices are needed if the load or the share of the new version changes, as
-    the new version then has its answers at another time than the old one.
+def compare(
+    one: TallySlice,
+    kept_new: Collection[int],
+    kept_old: Collection[int],
+    before: Comparison,
+) -> Comparison:
+    """Compare the answers in a slice of time.
 
     Args:
-        slices: The slices since the order in order of time.
+        one: The slice.
+        kept_new: Upstreams of the new version that count.
+        kept_old: The same for the old version.
+        before: The comparison of the slice before.
     """
-    kept_new = _without_outliers(one.new for one in slices)
-    kept_old = _without_outliers(one.old for one in slices)
-    compared = [
-        _Compared(
-            one.number,
-            _counts_by_route(one, kept_new, kept_old),
-        )
-        for one in slices
-    ]
-    routes = sorted({route for one in compared for route in one.routes})
-    tests = [_route_test(route, compared) for route in routes]
-    tests.append(_test_of_all(tests, compared))
+    new = _by_route(one.new, kept_new)
+    old = _by_route(one.old, kept_old)
+    none = AnswerTally()
+    counts = {
+        route: _comparable(new.get(route, none), old.get(route, none))
+        for route in new.keys() | old.keys()
+    }
+    memory = dict(before.memory)
+    likelihoods = {}
+    for route, found in counts.items():
+        known = memory.get(route, Memory())
+        likelihoods[route] = log_likelihoods(found, known)
+        memory[route] = known.after(found)
+    return Comparison(one.number, counts, likelihoods, memory)
+
+
+def _by_route(
+    tallies: Tallies,
+    kept: Collection[int],
+) -> dict[int, AnswerTally]:
+    sums: dict[int, list[int]] = {}
+    for key, tally in tallies.items():
+        if key.upstream in kept:
+            one = sums.setdefault(key.route, [0, 0, 0])
+            one[0] += tally.answers
+            one[1] += tally.failed
+            one[2] += tally.slow
+    return {route: AnswerTally(*one) for route, one in sums.items()}
+
+
+def _comparable(new: AnswerTally, old: AnswerTally) -> Counts:
+    if old.answers >= new.answers * MIN_OLD_RATIO:
+        return Counts(new.answers, new.bad, old.answers, old.bad)
+    # Load makes answers slow, and too few of the old version show the load.
+    return Counts(
+        new.answers - new.slow,
+        new.failed,
+        old.answers - old.slow,
+        old.failed,
+    )
+
+
+def judge_slices(slices: Sequence[Comparison]) -> Judgement:
+    """Return the judgement on the slices since the order in order of time."""
+    routes = sorted({route for one in slices for route in one.counts})
+    tests = [_route_test(route, slices) for route in routes]
+    tests.append(_test_of_all(tests, slices))
     worst = max(tests, key=lambda test: test.for_bad)
     penalty = math.log(len(tests))
     if worst.for_bad - penalty >= -math.log(FALSE_ALARM_RATE):
@@ -208,12 +242,6 @@
     return ratio is not None and ratio > SLOW_RATIO
 
 
-@dataclass(frozen=True, slots=True)
-class _Compared:
-    number: int
-    routes: Mapping[int, Counts]
-
-
 @dataclass(frozen=True, slots=True)
 class _Test:
     """The comparison on one route, or on all routes if it is None.
@@ -249,31 +277,27 @@
         )
 
 
-def _route_test(route: int, compared: Sequence[_Compared]) -> _Test:
-    by_slice = [one.routes.get(route, Counts()) for one in compared]
+def _route_test(route: int, slices: Sequence[Comparison]) -> _Test:
     return _test(
         route,
-        [log_likelihoods(counts) for counts in by_slice],
-        _sum_of(by_slice),
-        compared,
+        [one.likelihoods.get(route, LogLikelihoods()) for one in slices],
+        _sum_of(one.counts.get(route, Counts()) for one in slices),
+        slices,
     )
 
 
 def _test_of_all(
     tests: Sequence[_Test],
-    compared: Sequence[_Compared],
+    slices: Sequence[Comparison],
 ) -> _Test:
-    by_slice = [LogLikelihoods() for _ in compared]
-    for test in tests:
-        by_slice = [
-            one + another
-            for one, another in zip(by_slice, test.likelihoods, strict=True)
-        ]
     return _test(
         None,
-        by_slice,
+        [
+            sum(one.likelihoods.values(), start=LogLikelihoods())
+            for one in slices
+        ],
         _sum_of(test.counts for test in tests),
-        compared,
+        slices,
     )
 
 
@@ -281,12 +305,12 @@
     route: int | None,
     likelihoods: Sequence[LogLikelihoods],
     counts: Counts,
-    compared: Sequence[_Compared],
+    slices: Sequence[Comparison],
 ) -> _Test:
     # Start k may raise a false alarm with a probability of 1 / (k + 1) (k + 2)
     # of the total; these fractions add up to 1.
     suffixes = accumulate(reversed(likelihoods))
-    numbers = [one.number for one in reversed(compared)]
+    numbers = [one.number for one in reversed(slices)]
     return _Test(
         route,
         likelihoods,
@@ -309,36 +333,6 @@
     )
 
 
-def _counts_by_route(
-    one: TallySlice,
-    kept_new: Collection[int],
-    kept_old: Collection[int],
-) -> dict[int, Counts]:
-    new = _by_route(one.new, kept_new)
-    old = _by_route(one.old, kept_old)
-    none = AnswerTally()
-    return {
-        route: Counts(
-            new.get(route, none).answers,
-            new.get(route, none).bad,
-            old.get(route, none).answers,
-            old.get(route, none).bad,
-        )
-        for route in new.keys() | old.keys()
-    }
-
-
-def _by_route(
-    tallies: Tallies,
-    kept: Collection[int],
-) -> dict[int, AnswerTally]:
-    sums: dict[int, AnswerTally] = {}
-    for key, tally in tallies.items():
-        if key.upstream in kept:
-            sums[key.route] = sums.get(key.route, AnswerTally()) + tally
-    return sums
-
-
 def _sum_of(counts: Iterable[Counts]) -> Counts:
     total = Counts()
     for one in counts:
@@ -349,43 +343,3 @@
             total.old_bad + one.old_bad,
         )
     return total
-
-
-def _without_outliers(slices: Iterable[Tallies]) -> frozenset[int]:
-    by_upstream: dict[int, AnswerTally] = {}
-    for tallies in slices:
-        for key, tally in tallies.items():
-            by_upstream[key.upstream] = (
-                by_upstream.get(key.upstream, AnswerTally()) + tally
-            )
-    answered = sorted(
-        (name for name, tally in by_upstream.items() if tally.answers),
-        key=lambda name: by_upstream[name].bad / by_upstream[name].answers,
-    )
-    usual_number = len(answered) - _most_left_out(len(answered))
-    usual = sum(
-        (by_upstream[name] for name in answered[:usual_number]),
-        start=AnswerTally(),
-    )
-    return frozenset(answered[:usual_number]) | {
-        name
-        for name in answered[usual_number:]
-        if not _is_outlier(by_upstream[name], usual)
-    }
-
-
-def _most_left_out(upstreams: int) -> int:
-    fraction = math.ceil(upstreams * LEFT_OUT_FRACTION)
-    return min(upstreams // 2, max(fraction, LEFT_OUT_FEW))
-
-
-def _is_outlier(tally: AnswerTally, others: AnswerTally) -> bool:
-    usual = (others.bad + _ASSUMED_BAD) / (others.answers + _ASSUMED_ANSWERS)
-    share = tally.bad / tally.answers
-    if share <= usual:
-        return False
-    evidence = tally.bad * math.log(share / usual)
-    if share < 1:
-        good = tally.answers - tally.bad
-        evidence += good * math.log((1 - share) / (1 - usual))
-    return evidence > OUTLIER_EVIDENCE
