Do not judge by one upstream that alone has answered

A lone upstream counts from 20 answers. The likelihood ratio for an outlier is raised to 6: with 4, upstreams of a version that is bad on a rare route were left out.

--- a/src/wardstair/decisions/rollout_tallies.py
+++ b/src/wardstair/decisions/rollout_tallies.py
@@ -14,7 +14,10 @@
 LEFT_OUT_FEW = 2
 # Log likelihood ratio by which the bad answers of an upstream have to differ
 # from those of the others for it to be left out.
-OUTLIER_EVIDENCE = 4.0
+OUTLIER_EVIDENCE = 6.0
+# Answers that an upstream needs if no other one of its version has answered: it
+# may be bad by itself.
+ALONE_ANSWERS = 20
 # Answers assumed in addition to those of the other upstreams, half a bad one
 # among them.
 _ASSUMED_ANSWERS = 10
@@ -79,6 +82,8 @@
         (name for name, one in by_upstream.items() if one.answers),
         key=lambda name: by_upstream[name].bad / by_upstream[name].answers,
     )
+    if len(answered) == 1 and by_upstream[answered[0]].answers < ALONE_ANSWERS:
+        return frozenset()
     usual_number = len(answered) - _most_left_out(len(answered))
     usual = _Sum()
     for name in answered[:usual_number]:
