Let an end that is learned late replace a withdrawal

Cause: a host that saw an order's removal but not its end before kept the target as withdrawn beside the end that others told it, so the digests of hosts never agreed. Found by a property test over random courses of orders, writes, copies and restores at three hosts (4,000 examples, a trial).

Change: an end that holds removes the withdrawal. The test keeps the course as an example; it failed with the change left out.

Run: test_rollout_agreement at 300 examples, and as a trial at 6,000, passed.

--- a/src/wardstair/state/past_rollouts.py
+++ b/src/wardstair/state/past_rollouts.py
@@ -66,6 +66,9 @@
         if known is not None and not self._prevails(offered, known):
             return False
         self._records[offered.target] = offered
+        if offered.record.state.is_final and not self._is_superseded(offered):
+            # The order was removed after the end, which was not known here.
+            self.withdrawn -= {offered.target}
         return True
 
     def known(self, target: ServiceVersion) -> KnownRecord | None:
