--- a/src/wardstair/decisions/rollout_tallies.py
+++ b/src/wardstair/decisions/rollout_tallies.py
@@ -14,14 +14,14 @@
 LEFT_OUT_FEW = 2
 # Log likelihood ratio by which the bad answers of an upstream have to differ
 # from those of the others for it to be left out.
-OUTLIER_EVIDENCE = 6.0
+OUTLIER_EVIDENCE = 4.0
 # Answers that an upstream needs if no other one of its version has answered: it
 # may be bad by itself.
 ALONE_ANSWERS = 20
-# Answers assumed in addition to those of the other upstreams, half a bad one
+# Answers assumed in addition to those of the other upstreams, 0.2 bad ones
 # among them.
 _ASSUMED_ANSWERS = 10
-_ASSUMED_BAD = 0.5
+_ASSUMED_BAD = 0.2
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wardstair/decisions/rollout_verdict.py
+++ b/src/wardstair/decisions/rollout_verdict.py
@@ -47,7 +47,7 @@
 )
 
 # Probability that a good version is judged bad during its roll-out.
-FALSE_ALARM_RATE = 0.002
+FALSE_ALARM_RATE = 0.0005
 # Probability that a bad version is judged good before it is judged bad.
 MISS_RATE = 0.01
 # The same for a version that is bad on one route only. A route with a tenth of
--- a/tests/unit/test_rollout_verdict.py
+++ b/tests/unit/test_rollout_verdict.py
@@ -26,8 +26,8 @@
 SEEDS = range(9)
 # Numbers of upstreams of the new version, by seed.
 UPSTREAMS = (2, 5, 12)
-# A false alarm may happen in one of 500 roll-outs. Two in the runs of a case
-# have a probability under 0.0002.
+# A false alarm may happen in one of 2,000 roll-outs. Two in the runs of a case
+# have a probability under 0.00001.
 MAX_FALSE_ALARMS = 1
 GREY = 0.45
 
