--- a/src/wardstair/gateway/rollout_reports.py
+++ b/src/wardstair/gateway/rollout_reports.py
@@ -16,8 +16,16 @@
 
 @dataclass(slots=True)
 class _Sum:
-    """A tally that is added to in place, as there are many reports."""
+    """A tally that is added to in place, as there are many reports.
 
+    Attributes:
+        key: What it counts; all hosts share it, which saves memory.
+        answers: All answers.
+        failed: Failed ones among them.
+        slow: Slow ones among them.
+    """
+
+    key: TallyKey
     answers: int = 0
     failed: int = 0
     slow: int = 0
@@ -162,8 +170,11 @@
         if tally.answers <= before.answers:
             # Counts only grow; the report is older than the last one.
             continue
-        known[key] = tally
-        total = sums.setdefault(key, _Sum())
+        total = sums.get(key)
+        if total is None:
+            total = _Sum(key)
+            sums[key] = total
+        known[total.key] = tally
         total.answers += tally.answers - before.answers
         total.failed += tally.failed - before.failed
         total.slow += tally.slow - before.slow
--- a/tests/functional/test_explain.py
+++ b/tests/functional/test_explain.py
@@ -86,6 +86,14 @@
     assert any(line.event == 'upstream-changed' for line in history.context)
 
 
+def test_the_version_that_answered_is_named() -> None:
+    async def test(rig: Rig) -> None:
+        assert (await rig.ask()).status == 200
+
+    history = history_of(test, UpstreamStandin('i-1'))
+    assert 'upstream_version=v1' in history.lines[-1].text()
+
+
 @pytest.mark.parametrize(
     ('before', 'cause'),
     [([], Cause.late_cold), (['r0'], Cause.late_slow)],
