Let a gateway be ready only once it knows the orders of roll-outs

Until then it may use no upstream, and would refuse all requests. Where roll-outs are not in use nothing changes.

--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -349,7 +349,9 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers should connect to this host."""
-        return self.local_state.steering is not None and not self._is_stopping
+        state = self.local_state
+        is_informed = state.steering is not None and state.rollouts.is_known
+        return is_informed and not self._is_stopping
 
     @property
     def is_sentinel(self) -> bool:
--- a/src/wardstair/state/rollouts.py
+++ b/src/wardstair/state/rollouts.py
@@ -101,6 +101,14 @@
         """Store revision up to which all orders are known."""
         return self._known.revision
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the orders are known, or roll-outs are not in use.
+
+        Until then no version may be used.
+        """
+        return not self.is_in_use or self.revision != NO_REVISION
+
     @property
     def digest(self) -> int:
         """Checksum of what hosts may know beyond the listing; 0 for nothing."""
--- a/tests/functional/test_rollout_store.py
+++ b/tests/functional/test_rollout_store.py
@@ -8,6 +8,7 @@
 from random import Random
 
 import pytest
+from lib.revisions import at
 from lib.rig import gateway_settings, until
 from lib.rollouts import PERIOD, SERVICE, order_spec, record_of
 from lib.specs import ADDRESS, configuration_spec, upstream_spec
@@ -17,6 +18,7 @@
 from wardstair.decisions.timing import timing_for
 from wardstair.fleet.heartbeats import Versions
 from wardstair.gateway.host import GatewayHost
+from wardstair.platform.objects import Metadata, StoredObject
 from wardstair.platform.store import CallKind, CallLabels, Store
 from wardstair.state import sync
 from wardstair.state.catalog import Catalog
@@ -503,3 +505,21 @@
             await store.stop()
 
     run(test)
+
+
+def test_a_gateway_is_ready_once_the_orders_are_known() -> None:
+    async def test() -> None:
+        bounds = RolloutBounds(0.1, 50.0, 3.0)
+        settings = replace(gateway_settings(1), rollout_bounds=bounds)
+        host = GatewayHost(settings, Random(1))
+        stored = StoredObject(
+            metadata=Metadata(name='main', revision=1),
+            spec=configuration_spec(1),
+        )
+        assert host.local_state.offer_configuration(stored, 'test')
+        assert not host.is_ready
+        host.local_state.rollouts.replace_all([], at(2), 'listing')
+        assert host.is_ready
+        await host.close()
+
+    run(test)
