Split the gate of roll-outs, and try later groups only if needed

Change: requests under way and reports are counted in modules of their own; the upstreams of a later group are ranked only if an earlier one takes no request.

--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
@@ -199,21 +200,23 @@
         now = time.monotonic()
         self._key_ranking.step(now)
         self._step_limits(now)
-        *preferred, last = self._ranked_groups(query)
-        groups = [
-            group
-            for ranked in preferred
-            for group in self._candidate_groups(
-                ranked, query, now, has_alternative=True
-            )
-        ]
-        groups.extend(self._candidate_groups(last, query, now))
-        for group in groups:
+        for group in self._groups_to_try(query, now):
             placed = self._choose_among(group, query, now)
             if placed is not None:
                 return placed
         return None
 
+    def _groups_to_try(
+        self, query: UpstreamQuery, now: float
+    ) -> Iterator[list[tuple[int, Upstream]]]:
+        """Return groups of ranked upstreams, to be tried in order."""
+        *preferred, last = self._ranked_groups(query)
+        for ranked in preferred:
+            yield from self._candidate_groups(
+                ranked, query, now, has_alternative=True
+            )
+        yield from self._candidate_groups(last, query, now)
+
     def may_use(self, upstream: Upstream, now: float) -> bool:
         """Return whether this host may send to an upstream at present.
 
--- a/src/wardstair/gateway/host_rollout.py
+++ b/src/wardstair/gateway/host_rollout.py
@@ -5,7 +5,11 @@
 
 from wardstair.decisions.rollout_verdict import AnswerTally, TallyKey
 from wardstair.decisions.rollouts import RolloutStage
-from wardstair.fleet.rollout_messages import RolloutPlan
+from wardstair.fleet.rollout_messages import (
+    RolloutPlan,
+    RolloutReport,
+    number_of_host,
+)
 from wardstair.state.revision import NO_REVISION, Revision
 from wardstair.state.rollouts import RolloutOrder, RolloutRecord
 
@@ -22,6 +26,26 @@
 UNCHANGED_ROWS = 4
 
 
+@dataclass(frozen=True, slots=True)
+class GateIdentity:
+    """How this host names itself in reports.
+
+    Attributes:
+        name: Name of the host.
+        zone: Its availability zone.
+        run: Identifies the run of its process.
+    """
+
+    name: str
+    zone: str
+    run: int
+
+    @property
+    def number(self) -> int:
+        """Number of this run of the host in plans."""
+        return number_of_host(self.name, self.run)
+
+
 @dataclass(slots=True)
 class AnswerCounts:
     """Answers of one version, by route and upstream."""
@@ -197,3 +221,43 @@
             self.lease_until = now + LEASE_SECONDS
             self.has_lapsed = False
         return is_newer
+
+    def report(
+        self,
+        own: GateIdentity,
+        number: int,
+        now: float,
+        *,
+        waiting: int,
+        can_use_more: bool,
+    ) -> RolloutReport:
+        """Return the next report.
+
+        Args:
+            own: How this host names itself.
+            number: Sequence number of the report.
+            now: Monotonic time in seconds.
+            waiting: Requests under way at old upstreams.
+            can_use_more: Whether an upstream of the new version may be used.
+        """
+        is_urgent = self.has_news
+        self.has_news = False
+        return RolloutReport(
+            sender=own.name,
+            zone=own.zone,
+            run=own.run,
+            number=number,
+            service=self.order.service,
+            version=self.order.version,
+            requests=self.requests,
+            sent=self.sent,
+            allowed=self.allowed,
+            can_use_more=can_use_more,
+            term=self.term,
+            plan=self.plan,
+            stage=self.stage(now),
+            waiting=waiting,
+            is_urgent=is_urgent,
+            new=self.new.reportable(now),
+            old=self.old.reportable(now),
+        )
--- a/src/wardstair/gateway/rollout_parts.py
+++ b/src/wardstair/gateway/rollout_parts.py
@@ -8,11 +8,11 @@
 from wardstair.decisions.rollouts import RolloutBounds
 from wardstair.fleet.rollout_endpoint import RolloutEndpoint
 from wardstair.fleet.rollout_messages import RolloutPlan, RolloutReport
+from wardstair.gateway.host_rollout import GateIdentity
 from wardstair.gateway.rollout_coordinator import RolloutCoordinator
 from wardstair.gateway.rollout_gauges import add_rollout_gauges
 from wardstair.gateway.rollout_listing import RolloutListing, RolloutRow
 from wardstair.gateway.rollout_scene import RolloutScene
-from wardstair.gateway.rollouts import GateIdentity
 from wardstair.state.rollout_records import RolloutRecords
 from wardstair.state.upstream import Upstream
 
--- a/src/wardstair/gateway/rollouts.py
+++ b/src/wardstair/gateway/rollouts.py
@@ -6,7 +6,6 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from wardstair.decisions.rollout_candidates import is_in_share
 from wardstair.decisions.rollout_verdict import AnswerTally, TallyKey
@@ -14,11 +13,11 @@
 from wardstair.fleet.rollout_messages import (
     RolloutPlan,
     RolloutReport,
-    number_of_host,
     number_of_route,
     number_of_upstream,
 )
-from wardstair.gateway.host_rollout import HostRollout
+from wardstair.gateway.host_rollout import GateIdentity, HostRollout
+from wardstair.gateway.open_sends import OpenSends
 from wardstair.process.log import log_warning
 from wardstair.state.entries import UpstreamEntry
 from wardstair.state.revision import NO_REVISION
@@ -30,32 +29,6 @@
 _BARRED = frozenset((VersionRole.withheld, VersionRole.excluded))
 
 
-@dataclass(frozen=True, slots=True)
-class GateIdentity:
-    """How this host names itself in reports.
-
-    Attributes:
-        name: Name of the host.
-        zone: Its availability zone.
-        run: Identifies the run of its process.
-    """
-
-    name: str
-    zone: str
-    run: int
-
-    @property
-    def number(self) -> int:
-        """Number of this run of the host in plans."""
-        return number_of_host(self.name, self.run)
-
-
-@dataclass(slots=True)
-class _OpenSends:
-    entry: UpstreamEntry
-    amount: int = 0
-
-
 class RolloutGate:
     """Permits upstreams by their versions, and counts; one per process.
 
@@ -82,7 +55,7 @@
         self._generation = 0
         self._roles: dict[str, tuple[UpstreamEntry, VersionRole]] = {}
         self._numbers: dict[str, int] = {}
-        self._open: dict[str, _OpenSends] = {}
+        self._open = OpenSends()
         self._reported = 0
         self._upstream_generation: Callable[[], int] = int
         self._upstreams = 0
@@ -219,10 +192,7 @@
         Args:
             upstream: The upstream.
         """
-        opened = self._open.setdefault(
-            upstream.incarnation, _OpenSends(upstream.entry)
-        )
-        opened.amount += 1
+        self._open.begin(upstream)
         rollout = self.running.get(upstream.entry.service)
         if rollout is None:
             return
@@ -237,12 +207,7 @@
         Args:
             upstream: The upstream.
         """
-        opened = self._open.get(upstream.incarnation)
-        if opened is None:
-            return
-        opened.amount -= 1
-        if opened.amount <= 0:
-            self._open.pop(upstream.incarnation)
+        self._open.end(upstream)
 
     def note_unsent(self, upstream: Upstream) -> None:
         """Take back a counted request of which no byte was sent.
@@ -288,11 +253,11 @@
         Args:
             service: The service.
         """
-        return sum(
-            opened.amount
-            for opened in self._open.values()
-            if opened.entry.service == service
-            and self._role(opened.entry) is not VersionRole.new
+        return self._open.count(
+            lambda entry: (
+                entry.service == service
+                and self._role(entry) is not VersionRole.new
+            )
         )
 
     def follow(self, plan: RolloutPlan) -> bool:
@@ -361,37 +326,18 @@
             for one in usable
             if self._is_new(one) and self._is_usable(one)
         }
+        self._reported += 1
         return [
-            self._report(rollout, now, can_use_more=service in services)
+            rollout.report(
+                self._own,
+                self._reported,
+                now,
+                waiting=self.waiting(service),
+                can_use_more=service in services,
+            )
             for service, rollout in self.running.items()
         ]
 
-    def _report(
-        self, rollout: HostRollout, now: float, *, can_use_more: bool
-    ) -> RolloutReport:
-        self._reported += 1
-        is_urgent = rollout.has_news
-        rollout.has_news = False
-        return RolloutReport(
-            sender=self._own.name,
-            zone=self._own.zone,
-            run=self._own.run,
-            number=self._reported,
-            service=rollout.order.service,
-            version=rollout.order.version,
-            requests=rollout.requests,
-            sent=rollout.sent,
-            allowed=rollout.allowed,
-            can_use_more=can_use_more,
-            term=rollout.term,
-            plan=rollout.plan,
-            stage=rollout.stage(now),
-            waiting=self.waiting(rollout.order.service),
-            is_urgent=is_urgent,
-            new=rollout.new.reportable(now),
-            old=rollout.old.reportable(now),
-        )
-
     def _is_new(self, upstream: Upstream) -> bool:
         return self._role(upstream.entry) is VersionRole.new
 
--- a/tests/unit/test_rollout_gate.py
+++ b/tests/unit/test_rollout_gate.py
@@ -11,7 +11,8 @@
 from wardstair.decisions.rollouts import RolloutStage, RolloutState
 from wardstair.fleet.rollout_messages import RolloutPlan, number_of_upstream
 from wardstair.gateway import rollouts
-from wardstair.gateway.rollouts import GateIdentity, RolloutGate
+from wardstair.gateway.host_rollout import GateIdentity
+from wardstair.gateway.rollouts import RolloutGate
 from wardstair.state.entries import UpstreamEntry
 from wardstair.state.rollouts import (
     Rollout,
