--- a/tests/functional/test_pipelining.py
+++ b/tests/functional/test_pipelining.py
@@ -24,20 +24,37 @@
 
 
 class Gate:
-    """Script that holds requests until they are released by their ids."""
+    """Script that holds requests until they are released by their ids.
+
+    Attributes:
+        lost: Ids of requests whose first sends end with a reset.
+        running: Ids of the requests received, in order.
+        cancelled: Ids of the requests whose connections the gateway closed.
+    """
 
     def __init__(self) -> None:
+        self.lost: set[str] = set()
         self.running: list[str] = []
         self.cancelled: list[str] = []
         self._released: dict[str, asyncio.Event] = {}
 
     async def __call__(
         self,
-        _upstream: UpstreamStandin,
+        upstream: UpstreamStandin,
         seen: Seen,
         writer: asyncio.StreamWriter,
     ) -> None:
         name = seen.request_id
+        if not name:
+            # A health check: held ones would pass for unreachable upstreams.
+            healthy = f'Wardstair-Instance-Id: {upstream.name}\r\n'
+            writer.write(whole_answer('', b'', extra=healthy))
+            await writer.drain()
+            return
+        if name in self.lost:
+            self.lost.remove(name)
+            writer.transport.abort()
+            return
         self.running.append(name)
         try:
             await self._event(name).wait()
@@ -138,6 +155,22 @@
     run(test, *upstreams)
 
 
+def test_a_resent_request_holds_only_the_order_of_the_answers() -> None:
+    gate, upstreams = gated()
+    gate.lost.add('r0')
+
+    async def test(rig: Rig) -> None:
+        caller = await Caller.connect(rig)
+        names = await send_all(caller, READ, READ, READ)
+        await rig.until(lambda: len(gate.running) == 3)
+        gate.release(*names)
+        answers = [await caller.answer() for _ in names]
+        assert [answer.body.decode() for answer in answers] == names
+        caller.close()
+
+    run(test, *upstreams)
+
+
 @pytest.mark.parametrize('once', [ORDER, SEND])
 def test_what_may_run_once_runs_alone_on_its_connection(once: str) -> None:
     gate, upstreams = gated()
