Show that a close and unread bytes are handled, not the deadline

The tests of a close were green without any watch, as the deadline ended the requests. They now fail without it (tried: no poll, no watch), and one fails if unread bytes reset the connection of a last answer.

--- a/tests/functional/test_pipelining.py
+++ b/tests/functional/test_pipelining.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 import pytest
+from lib.logs import logged
 from lib.rig import Caller, Rig
 from lib.upstream_standin import Seen, UpstreamStandin, whole_answer
 
@@ -206,11 +207,13 @@
         await rig.until(lambda: len(gate.running) == 4)
         gate.release('r1')
         await rig.until(lambda: rig.gateway.callers.bodies.held_bytes > 0)
-        caller.writer.close()
-        await rig.until(lambda: not rig.gateway.callers.open_count)
-        assert rig.gateway.callers.bodies.held_bytes == 0
-        await rig.until(lambda: len(gate.cancelled) == 3)
+        with logged() as lines:
+            caller.writer.close()
+            await rig.until(lambda: not rig.gateway.callers.open_count)
+            assert rig.gateway.callers.bodies.held_bytes == 0
+            await rig.until(lambda: len(gate.cancelled) == 3)
         assert set(gate.cancelled) == set(names) - {'r1'}
+        assert not any('request-refused' in line for line in lines)
 
     run(test, *upstreams)
 
@@ -225,9 +228,12 @@
         await rig.until(lambda: gate.running == ['r0'])
         caller.writer.write(b'GET /read/x HTTP/1.1\r\n'.ljust(amount, b'x'))
         await caller.writer.drain()
-        caller.writer.close()
-        await rig.until(lambda: gate.cancelled == ['r0'])
+        with logged() as lines:
+            caller.writer.close()
+            await rig.until(lambda: gate.cancelled == ['r0'])
         assert not rig.gateway.callers.open_count
+        # It was not the deadline that ended the request.
+        assert not any('request-refused' in line for line in lines)
 
     run(test, *upstreams)
 
@@ -447,6 +453,21 @@
     run(test, *upstreams)
 
 
+def test_unread_bytes_do_not_reset_the_connection_of_a_last_answer() -> None:
+    one = UpstreamStandin('i-1')
+
+    async def test(rig: Rig) -> None:
+        caller = await Caller.connect(rig)
+        caller.writer.write(b'nonsense\r\n\r\n' + b'x' * 200_000)
+        assert (await caller.answer()).status == 400
+        caller.writer.write(b'x' * 200_000)
+        # Raises if the connection was reset.
+        assert await caller.reader.read() == b''
+        caller.close()
+
+    run(test, one)
+
+
 @pytest.mark.parametrize(
     ('version', 'option', 'said'),
     [
