Keep notices of an upstream that answered before its new entry was read

Cause: an upstream that ends and starts again under its name answers before a host has read its new entry, as while the store is away. A notice in such an answer was recorded for the life that had ended. With the new entry the host knew of none, and sent requests again. If it had found that the life had ended, it recorded nothing at all. So a host that had passed on an answer which says that the upstream leaves went on sending to it.

Change: a notice holds for a later life as well if that life had started when the answer came, by the start time in its entry; each kind of notice has a time of its own. Answers after a proved end record notices, still no limits. A peer's notice of a newer life than the known one is taken in.

Both rows of the new functional test fail on the code before.

Ruled out: that the notice gets lost with the removal of the entry, which has a test. Not changed: a limit that an upstream names has the same gap until its next answer.

--- a/src/wardstair/gateway/peer_notices.py
+++ b/src/wardstair/gateway/peer_notices.py
@@ -47,7 +47,8 @@
     """
     for one in notices:
         upstream = local_state.catalog.upstreams.get(one.upstream)
-        if upstream is None or upstream.entry.born != one.born:
+        # The peer may have read the entry of a newer incarnation earlier.
+        if upstream is None or upstream.entry.born > one.born:
             log_event('peer-notice-ignored', upstream=one.upstream, host=host)
             continue
         if one.is_leaving:
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -201,8 +201,8 @@
                     connection.keep_alive_seconds = fields.keep_seconds
                 self._pool.give_back(upstream.name, connection)
                 outcome = _classify(answer, fields, seconds, state)
-                if _is_from(upstream, outcome):
-                    self._record_reported(upstream, answer.status, fields)
+                if _is_addressed(outcome):
+                    self._record_reported(upstream, outcome, fields, answer)
                 return outcome
 
     def _state_for(self, upstream: Upstream) -> StateAtSend:
@@ -237,15 +237,22 @@
     def _record_reported(
         self,
         upstream: Upstream,
-        status: int,
+        outcome: SendOutcome,
         fields: UpstreamFields,
+        answer: RawAnswer,
     ) -> None:
-        """Record what an upstream reports about itself in an answer."""
-        self._local_state.limits.note(upstream, fields.limit)
+        """Record what an upstream reports about itself in an answer.
+
+        After the end of its incarnation the next one has answered, whose entry
+        is not known yet. Notices hold for that one as well.
+        """
+        notices = self._local_state.notices
+        if not upstream.has_ended or isinstance(outcome, RejectedByUpstream):
+            self._local_state.limits.note(upstream, fields.limit)
         if fields.is_leaving:
-            self._local_state.notices.note_leaving(upstream)
-        if status in _PAUSE_STATUSES and fields.retry_after is not None:
-            self._local_state.notices.note_pause(upstream, fields.retry_after)
+            notices.note_leaving(upstream)
+        if answer.status in _PAUSE_STATUSES and fields.retry_after is not None:
+            notices.note_pause(upstream, fields.retry_after)
 
     async def _connection(
         self,
@@ -290,14 +297,14 @@
     return Delivered(answer, fields, seconds, state)
 
 
-def _is_from(upstream: Upstream, outcome: SendOutcome) -> bool:
-    """Return whether an answer comes from the intended upstream."""
+def _is_addressed(outcome: SendOutcome) -> bool:
+    """Return whether an answer is of an upstream with the intended name."""
     match outcome:
         case RejectedByUpstream(is_misdirected=is_misdirected):
             return not is_misdirected
         case Lost(reason=BreakReason.malformed):
             return False
-    return not upstream.has_ended
+    return True
 
 
 def _is_own(pairs: Pairs, request_id: str) -> bool:
--- a/tests/functional/test_upstream_notices.py
+++ b/tests/functional/test_upstream_notices.py
@@ -34,6 +34,7 @@
 PAUSE_TOLERANCE_SECONDS = 0.5
 DRAIN_SECONDS = 0.5
 REQUESTS = 12
+MILLISECONDS = 1000
 
 
 @dataclass
@@ -132,6 +133,31 @@
 ]
 
 
+@pytest.mark.parametrize('has_ended', [False, True])
+def test_a_leaving_notice_outlasts_the_late_entry_of_its_incarnation(
+    *,
+    has_ended: bool,
+) -> None:
+    async def test() -> None:
+        notifier = leaver()
+        upstream = UpstreamStandin('i-1', notifier.answer)
+        bounds = Bounds(drain_seconds=0.01)
+        async with Rig(upstream, bounds=bounds) as rig:
+            catalog = rig.gateway.local_state.catalog
+            known = catalog.upstreams['i-1']
+            if has_ended:
+                catalog.note_ended(known.incarnation)
+            born = int(time.time() * MILLISECONDS)
+            assert (await rig.ask('/read/x')).status == 200
+            entry = upstream_spec(upstream.port)
+            rig.store.put('servers', 'i-1', {**entry, 'born': born})
+            await rig.until(lambda: catalog.upstreams['i-1'].entry.born == born)
+            await rig.ask('/read/x')
+            assert len(notifier.arrivals) == 1
+
+    run(test)
+
+
 @pytest.mark.parametrize('other', OTHER_BEHAVIOURS)
 def test_an_upstream_that_leaves_gets_no_request_after_the_drain_time(
     other: Script,
--- a/tests/unit/test_notices.py
+++ b/tests/unit/test_notices.py
@@ -17,6 +17,7 @@
 )
 from wardstair.platform.headers import decode_upstream
 from wardstair.state.notices import (
+    MAX_CARRIED_SECONDS,
     MAX_PAUSE_SECONDS,
     REMEMBERED_SECONDS,
     NoticeTable,
@@ -247,6 +248,44 @@
     assert table.notice_of(upstream_of(born=2)).leaving_since is None
 
 
+@pytest.mark.parametrize(
+    ('born', 'later', 'is_known'),
+    [
+        pytest.param(999_000, 0, True, id='had started'),
+        pytest.param(999_000, MAX_CARRIED_SECONDS, True, id='still held'),
+        pytest.param(999_000, MAX_CARRIED_SECONDS + 1, False, id='too old'),
+        pytest.param(1_000_001, 0, False, id='started later'),
+        pytest.param(2, 0, False, id='another clock'),
+    ],
+)
+def test_a_notice_holds_for_an_incarnation_whose_entry_came_later(
+    born: int,
+    later: float,
+    *,
+    is_known: bool,
+) -> None:
+    clock = Clock()
+    table = NoticeTable(clock, time_of_day=lambda: 1000.0)
+    table.note_leaving(upstream_of())
+    table.note_pause(upstream_of(), 3 * MAX_CARRIED_SECONDS)
+    clock.now += later
+    notice = table.notice_of(upstream_of(born))
+    assert notice == (table.notice_of(upstream_of()) if is_known else Notice())
+    table.note_pause(upstream_of(born), 1)
+    is_leaving = table.notice_of(upstream_of(born)).leaving_since is not None
+    assert is_leaving is is_known
+
+
+def test_only_what_the_next_incarnation_said_is_carried() -> None:
+    times = iter((900.0, 1000.0))
+    table = NoticeTable(Clock(), time_of_day=lambda: next(times))
+    table.note_leaving(upstream_of())
+    table.note_pause(upstream_of(), 3)
+    notice = table.notice_of(upstream_of(born=950_000))
+    assert notice.leaving_since is None
+    assert notice.paused_until > 0
+
+
 def test_expired_pause_is_removed() -> None:
     clock = Clock()
     table = NoticeTable(clock)
