Tell the soak's host that an upstream leaves by that upstream's answer only

Cause: the soak takes a host for told when a request that a leaving upstream answered got status 200 at its caller, whoever's answer that was. An answer that is lost on the way, or comes after that of another upstream, tells the host nothing; the rule binds a host that has passed on such an answer.

Change: the caller's answer has to name the upstream that leaves. That is the rule to the letter, and as strict: each answer that a host passes on counts, also one that came through a peer. Pauses are counted as before. The row of the existing test gets the body that every answer of the soak has; the new row fails without the change.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -377,7 +377,7 @@
     *,
     is_broken: bool,
 ) -> None:
-    answered = Try('r0', Kind.safe, gateway, status=200)
+    answered = Try('r0', Kind.safe, gateway, status=200, body='r0 i-1')
     came = tries_at(sent_at)
     spans = [] if fault is None else [Span(fault, 0.1, 0.2)]
     leaving = Leaving('i-1', came, [answered])
@@ -385,6 +385,21 @@
     assert bool(found) is is_broken
 
 
+@pytest.mark.parametrize(
+    ('body', 'is_broken'),
+    [('r0 i-1', True), ('r0 i-2', False)],
+)
+def test_a_host_is_told_that_an_upstream_leaves_by_that_upstream_only(
+    body: str,
+    *,
+    is_broken: bool,
+) -> None:
+    answered = Try('r0', Kind.safe, 'host/1', status=200, body=body)
+    leaving = Leaving('i-1', tries_at(DRAIN_SECONDS + 0.1), [answered])
+    found = Ledger(notices=[leaving]).check()
+    assert bool(found) is is_broken
+
+
 @pytest.mark.parametrize(
     ('sent_at', 'fault', 'is_broken'),
     [
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -89,6 +89,11 @@
     body: str = ''
     runs: list[Run] = field(default_factory=list)
 
+    @property
+    def upstream(self) -> str:
+        """Name of the upstream whose answer the caller got."""
+        return self.body.partition(' ')[-1]
+
 
 @dataclass
 class Span:
@@ -304,8 +309,8 @@
     if one.status in PROMISES and one.kind is Kind.once and one.runs:
         found.append(f'told that it has not run, but it has: {one}')
     if one.status == 200:
-        request_id, _, upstream = one.body.partition(' ')
+        request_id = one.body.partition(' ')[0]
         ran_at = {run.upstream for run in one.runs}
-        if request_id != one.request_id or upstream not in ran_at:
+        if request_id != one.request_id or one.upstream not in ran_at:
             found.append(f'got an answer that is not its own: {one}')
     return found
--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -56,10 +56,14 @@
     answered: list['Try'] = field(default_factory=list)
 
     def check(self, spans: list['Span']) -> list[str]:
-        """Return a description of each request sent too late after a notice."""
+        """Return a description of each request sent too late after a notice.
+
+        A gateway is told by an answer that it passes on. An answer that is lost
+        on the way, or comes after that of another upstream, tells it nothing.
+        """
         notified_at: dict[str, float] = {}
         for one in self.answered:
-            if one.status == 200:
+            if one.status == 200 and one.upstream == self.upstream:
                 known = notified_at.get(one.gateway, one.ended_at)
                 notified_at[one.gateway] = min(known, one.ended_at)
         return [
