Keep open connections while probes on new ones fail

Cause: while new connections of a host are reset and its open ones work, it probes an upstream on a new connection each half second, and each failure counted for the open connections as well. A host with few requests had three such failures with no answer between, took itself for cut off from all upstreams and closed its idle connections, which it cannot open again. Then it serves only by peers, or not at all.

Change: a probe uses an idle connection beside the new one if there is one; an answer on either says that the upstream is reached, and only one on the new connection says that new ones work. A failed new connection, of a probe or a request, does not count against an upstream to which other connections are open, unless nothing was heard in time, as a cut that hangs is not shown by those.

--- a/src/wardstair/gateway/reachability.py
+++ b/src/wardstair/gateway/reachability.py
@@ -14,7 +14,7 @@
     ConnectFailed,
     UpstreamPool,
 )
-from wardstair.connection.upstream import RawAnswer
+from wardstair.connection.upstream import RawAnswer, UpstreamConnection
 from wardstair.decisions.reachability import ALL, zone_group
 from wardstair.state.entries import UpstreamEntry
 from wardstair.state.local_state import LocalState
@@ -31,6 +31,9 @@
 # again.
 RECHECK_FRACTION = 0.2
 _DEFAULT_PROBE_PATH = '/'
+# Whether a connection is kept after a probe.
+_CLOSE = 'close'
+_KEEP = 'keep-alive'
 
 
 class ReachabilityMonitor:
@@ -160,36 +163,87 @@
         await asyncio.gather(*map(self._probe, entries))
 
     async def _probe(self, entry: UpstreamEntry) -> None:
-        """Probe one upstream on a new connection; any answer is a success."""
+        """Probe one upstream; any answer is a success.
+
+        New connections may fail while open ones work. So an idle connection is
+        probed as well, and a failure counts against the upstream only if no
+        open connection may still work.
+        """
         self.probes += 1
+        idle = self._pool.borrow(entry.name, is_once=False)
+        is_in_use = idle is None and self._pool.is_connected(entry.name)
+        is_open, is_reached = await asyncio.gather(
+            self._answers_on_new(entry),
+            self._answers_on(idle, entry),
+        )
+        if is_open or is_reached:
+            self._reachability.note_reached(entry)
+        elif is_open is not None and not (
+            is_in_use and self._reachability.is_sound
+        ):
+            self._reachability.note_failed(entry)
+        if is_open:
+            self._reachability.note_opened(entry)
+        elif is_open is not None:
+            self._reachability.note_unopened(entry)
+
+    async def _answers_on_new(self, entry: UpstreamEntry) -> bool | None:
+        """Return whether an upstream answers on a new connection.
+
+        Returns:
+            None if there may be no further connection to it.
+        """
         try:
             async with asyncio.timeout(self._reachability.times().probe):
-                has_answered = await self._exchange(entry)
+                connected = await self._pool.connect(
+                    entry.name,
+                    entry.host,
+                    entry.port,
+                )
+                if isinstance(connected, ConnectFailed):
+                    is_full = connected.reason == CONNECTION_LIMIT
+                    return None if is_full else False
+                return await self._exchange(connected, entry, _CLOSE)
         except TimeoutError:
-            has_answered = False
+            return False
+
+    async def _answers_on(
+        self,
+        idle: UpstreamConnection | None,
+        entry: UpstreamEntry,
+    ) -> bool:
+        """Return whether an upstream answers on an idle connection, if any."""
+        if idle is None:
+            return False
+        try:
+            async with asyncio.timeout(self._reachability.times().probe):
+                has_answered = await self._exchange(idle, entry, _KEEP)
+        except TimeoutError:
+            return False
         if has_answered:
-            self._reachability.note_reached(entry)
-            self._reachability.note_opened(entry)
-        elif has_answered is not None:
-            self._reachability.note_failed(entry)
-            self._reachability.note_unopened(entry)
+            self._pool.give_back(entry.name, idle)
+        return has_answered
 
-    async def _exchange(self, entry: UpstreamEntry) -> bool | None:
-        """Return whether an upstream answers; None if no probe was possible."""
-        connected = await self._pool.connect(entry.name, entry.host, entry.port)
-        if isinstance(connected, ConnectFailed):
-            return None if connected.reason == CONNECTION_LIMIT else False
-        head = _probe_head(self._path_of(entry.service), entry)
+    async def _exchange(
+        self,
+        connection: UpstreamConnection,
+        entry: UpstreamEntry,
+        persistence: str,
+    ) -> bool:
+        """Return whether an upstream answers a health check."""
+        sent = connection.send(
+            _probe_head(self._path_of(entry.service), entry, persistence),
+            b'',
+            is_own=lambda _pairs: True,
+            is_head_only=False,
+        )
+        has_answered = False
         try:
-            outcome = await connected.send(
-                head,
-                b'',
-                is_own=lambda _pairs: True,
-                is_head_only=False,
-            )
+            has_answered = isinstance(await sent, RawAnswer)
         finally:
-            connected.close()
-        return isinstance(outcome, RawAnswer)
+            if persistence == _CLOSE or not has_answered:
+                connection.close()
+        return has_answered
 
     def _path_of(self, service: str) -> str:
         steering = self._local_state.steering
@@ -197,7 +251,7 @@
         return _DEFAULT_PROBE_PATH if known is None else known.health_path
 
 
-def _probe_head(path: str, entry: UpstreamEntry) -> bytes:
+def _probe_head(path: str, entry: UpstreamEntry, persistence: str) -> bytes:
     lines = [f'GET {path} HTTP/1.1', f'Host: {entry.host}:{entry.port}']
-    lines.append('Connection: close')
+    lines.append(f'Connection: {persistence}')
     return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1')
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -228,11 +228,27 @@
         if is_new:
             self._local_state.reachability.note_opened(upstream.entry)
 
-    def _record_failed(self, upstream: Upstream, *, is_new: bool) -> None:
-        """Record a connection that failed to open or ended in an exchange."""
-        self._local_state.reachability.note_failed(upstream.entry)
+    def _record_failed(
+        self,
+        upstream: Upstream,
+        *,
+        is_new: bool,
+        is_silent: bool = False,
+    ) -> None:
+        """Record a connection that failed to open or ended in an exchange.
+
+        Args:
+            upstream: The upstream.
+            is_new: Whether it had not completed any exchange.
+            is_silent: Whether nothing was heard in time, which open connections
+                would not show.
+        """
+        reachability = self._local_state.reachability
+        # New connections may be refused or reset while open ones work.
+        if is_silent or not (is_new and self._pool.is_connected(upstream.name)):
+            reachability.note_failed(upstream.entry)
         if is_new:
-            self._local_state.reachability.note_unopened(upstream.entry)
+            reachability.note_unopened(upstream.entry)
 
     def _record_reported(
         self,
@@ -275,7 +291,11 @@
         if not isinstance(made, ConnectFailed):
             self._distances.note(entry.zone, time.monotonic() - started)
         elif made.reason != CONNECTION_LIMIT:
-            self._record_failed(upstream, is_new=True)
+            self._record_failed(
+                upstream,
+                is_new=True,
+                is_silent=made.reason == TimeoutError.__name__,
+            )
         return made
 
 
--- a/tests/functional/test_cut_off_hosts.py
+++ b/tests/functional/test_cut_off_hosts.py
@@ -199,3 +199,29 @@
             assert not any(one.is_avoided(now) for one in upstreams)
 
     run(test)
+
+
+def test_probes_on_new_connections_do_not_cut_off_open_ones() -> None:
+    async def test(fleet: CutFleet) -> None:
+        host = fleet.hosts[0]
+        caller = await Caller.connect_to(host.settings.callers)
+        for number in range(24):
+            await caller.ask(request_id=f'r{number}', key=str(number))
+        entries = host.local_state.catalog.in_service
+        assert all(
+            host.pool.has_idle(entry.name, is_once=False) for entry in entries
+        )
+        fleet.cut([host], Cut.reset_new)
+        reachability = host.local_state.reachability
+        for entry in entries:
+            reachability.note_unopened(entry)
+        probed = host.reachability_monitor.probes
+        # The group of all upstreams is lost after three failed probes.
+        await until(
+            lambda: host.reachability_monitor.probes > probed + 8,
+        )
+        assert not reachability.lost
+        answer = await caller.ask(request_id='last', key='1')
+        assert answer.status == 200
+
+    run(test)
