Measure the bounds of cut off hosts in the time that their process runs

Cause: these tests run six hosts, six upstreams and 48 callers in one process, which needs 0.4 to 0.5 of a processor, and counted the time in which it got none against the hosts.

Change: the clock of these tests counts the processor time that the process uses and its waits for timers, and not the time in which it waits for a processor. Load, bounds and shares are unchanged. The work of the hosts still counts.

--- a/tests/functional/test_cut_off_hosts.py
+++ b/tests/functional/test_cut_off_hosts.py
@@ -8,6 +8,7 @@
 import pytest
 from lib.cut_fleet import NORTH, Cut, CutFleet, CutLoad, running_cut_fleet
 from lib.rig import Caller, until
+from lib.running_time import run_in_running_time
 from lib.upstream_standin import Seen, UpstreamStandin, answer_ok
 
 from wardstair.gateway.host import GatewayHost
@@ -38,13 +39,16 @@
 
 
 def run(test: Callable[[CutFleet], Awaitable[None]]) -> None:
-    """Run a test on a fleet with a time limit."""
+    """Run a test on a fleet with a time limit.
+
+    All times are those for which this process could run.
+    """
 
     async def main() -> None:
         async with running_cut_fleet(BOUNDS) as fleet, asyncio.timeout(60):
             await test(fleet)
 
-    asyncio.run(main())
+    run_in_running_time(main)
 
 
 def two_hosts(fleet: CutFleet) -> list[GatewayHost]:
