--- a/src/wardstair/gateway/reachability.py
+++ b/src/wardstair/gateway/reachability.py
@@ -16,6 +16,7 @@
 )
 from wardstair.connection.upstream import RawAnswer, UpstreamConnection
 from wardstair.decisions.reachability import ALL, zone_group
+from wardstair.gateway.bodies import AnswerLease, BodyCapacity
 from wardstair.state.entries import UpstreamEntry
 from wardstair.state.local_state import LocalState
 from wardstair.state.roles import ignore
@@ -30,7 +31,7 @@
 # Fraction of the silence timeout after which an ongoing silence is checked
 # again.
 RECHECK_FRACTION = 0.2
-# Maximum length of a piece of the answer to a probe, whose body is not used.
+# Maximum length of the answer to a probe, which is not used further.
 MAX_PROBE_BYTES = 262144
 _DEFAULT_PROBE_PATH = '/'
 # Whether a connection is kept after a probe.
@@ -238,7 +239,7 @@
             b'',
             is_own=lambda _pairs: True,
             is_head_only=False,
-            take_bytes=MAX_PROBE_BYTES.__ge__,
+            take_bytes=AnswerLease(BodyCapacity(MAX_PROBE_BYTES)).take,
         )
         has_answered = False
         try:
--- a/tests/functional/test_endless_answers.py
+++ b/tests/functional/test_endless_answers.py
@@ -3,13 +3,19 @@
 import asyncio
 import json
 import os
+import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
 from lib.logs import logged
 from lib.rig import Answer, Caller, Rig
-from lib.upstream_standin import Script, Seen, UpstreamStandin
+from lib.upstream_standin import (
+    Script,
+    Seen,
+    UpstreamStandin,
+    whole_answer,
+)
 
 from wardstair.connection.upstream import MAX_HEAD_BYTES, BreakReason
 from wardstair.gateway.bodies import COPIES_PER_BODY
@@ -22,6 +28,9 @@
 CAPACITY_BYTES = 4194304
 OTHER_BYTES = 50331648
 CALLERS = 48
+# Pieces of an answer that the buffers of the kernel can't hold.
+LARGE_PIECES = 256
+LARGE_CAPACITY_BYTES = 67108864
 
 
 def endless(begin: bytes, piece: bytes, pause: float = 0.0) -> Script:
@@ -215,6 +224,37 @@
     run(test, broken)
 
 
+async def answer_large(
+    _upstream: UpstreamStandin,
+    seen: Seen,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Answer with more than the buffers of a connection hold."""
+    writer.write(whole_answer(seen.request_id, PIECE * LARGE_PIECES))
+    await writer.drain()
+
+
+def test_capacity_is_free_again_when_a_caller_leaves_its_answer_unread() -> (
+    None
+):
+    async def test(rig: Rig) -> None:
+        bodies = rig.gateway.callers.bodies
+        bodies.max_bytes = LARGE_CAPACITY_BYTES
+        caller = await Caller.connect(rig)
+        transport = caller.writer.transport
+        assert isinstance(transport, asyncio.Transport)
+        transport.pause_reading()
+        receiver = caller.writer.get_extra_info('socket')
+        receiver.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        await caller.send('/read/x')
+        await rig.until(lambda: bodies.held_bytes > len(PIECE) * LARGE_PIECES)
+        await rig.until(lambda: not rig.gateway.callers.open_count)
+        assert bodies.held_bytes > len(PIECE) * LARGE_PIECES
+        caller.close()
+
+    run(test, UpstreamStandin('i-1', answer_large))
+
+
 def test_capacity_is_free_again_once_answers_are_passed_on() -> None:
     async def test(rig: Rig) -> None:
         bodies = rig.gateway.callers.bodies
