Load the checks of documents only where documents are read

A gateway process read one function, faults_of, from the module with the models of steering documents, which it never uses. The function moves to a module of its own.

--- a/src/wardstair/platform/settings.py
+++ b/src/wardstair/platform/settings.py
@@ -22,7 +22,7 @@
     decode_bounds,
     decode_organisation_bounds,
 )
-from wardstair.version.document import faults_of
+from wardstair.version.faults import faults_of
 
 _MEGABYTE = 1048576
 _MILLISECONDS = 1000
--- a/src/wardstair/process/settings.py
+++ b/src/wardstair/process/settings.py
@@ -7,7 +7,8 @@
 from result import Err, Ok, Result
 
 from wardstair.errors import Fault
-from wardstair.version.document import Address, Name, faults_of, read_toml
+from wardstair.version.document import Address, Name, read_toml
+from wardstair.version.faults import faults_of
 
 LOOPBACK_PREFIX = '127.'
 
--- a/src/wardstair/version/document.py
+++ b/src/wardstair/version/document.py
@@ -16,6 +16,7 @@
 from result import Err, Ok, Result
 
 from wardstair.errors import Fault
+from wardstair.version.faults import faults_of
 
 Name = Annotated[str, Field(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
 Address = Annotated[
@@ -188,31 +189,6 @@
     return Err(faults) if faults else Ok(document)
 
 
-def faults_of(error: ValidationError, source: str) -> list[Fault]:
-    """Convert validation errors into faults that name the remedy."""
-    return [
-        Fault(
-            source,
-            '.'.join(map(str, detail['loc'])) or '(file)',
-            detail['msg'],
-            _remedy(detail['type']),
-        )
-        for detail in error.errors()
-    ]
-
-
-def _remedy(error_type: str) -> str:
-    match error_type:
-        case 'extra_forbidden':
-            return 'remove the key or correct its spelling'
-        case 'missing':
-            return 'add the key'
-        case 'string_pattern_mismatch':
-            return 'use the format given in the reference page'
-        case _:
-            return 'give a value of the right type and range'
-
-
 def _consistency_faults(
     document: SteeringDocument, source: str
 ) -> Iterator[Fault]:
