Bound the cache of rankings by the memory of the host

A ranking of 196 upstreams takes 1.6 KB, and 20,000 of them were kept on any host. Now one 256th of the host's memory is used, the oldest ranking goes first in place of all at once, and a ranking is a tuple without spare places. A ranking that was dropped is computed again with the same result, so that choices are as before.

--- a/src/wardstair/decisions/ranking.py
+++ b/src/wardstair/decisions/ranking.py
@@ -12,6 +12,15 @@
 
 from xxhash import xxh64_intdigest
 
+# Part of a process's memory that rankings may use: one in so many bytes.
+RANKINGS_DIVISOR = 256
+# Bytes of a ranking apart from its upstreams: the query with its key, the tuple
+# and the entry in the table.
+RANKING_BASE_BYTES = 400
+POINTER_BYTES = 8
+# Number of rankings kept on any host, however small or large.
+MIN_RANKINGS = 256
+MAX_RANKINGS = 20000
 _HASH_RANGE = float(2**64)
 
 
@@ -59,6 +68,18 @@
     return [name for _, name in scored]
 
 
+def ranking_capacity(memory_bytes: int, upstreams: int) -> int:
+    """Return how many rankings a process may keep.
+
+    Args:
+        memory_bytes: Memory that the process may use.
+        upstreams: Number of upstreams in a ranking at most.
+    """
+    ranking_bytes = RANKING_BASE_BYTES + POINTER_BYTES * upstreams
+    capacity = memory_bytes // RANKINGS_DIVISOR // ranking_bytes
+    return min(MAX_RANKINGS, max(MIN_RANKINGS, capacity))
+
+
 def unit_hash(text: str) -> float:
     """Hash a text to a number strictly between 0 and 1, equal on all hosts."""
     return (xxh64_intdigest(text.encode()) + 0.5) / _HASH_RANGE
--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
@@ -229,10 +230,10 @@
 
     def _within_limits(
         self,
-        ranked: list[Upstream],
+        ranked: Sequence[Upstream],
         query: UpstreamQuery,
         now: float,
-    ) -> list[Upstream]:
+    ) -> Sequence[Upstream]:
         """Return the upstreams whose limits allow a request from this host."""
         limited = self.limited_sends
         if limited.is_idle or not ranked:
@@ -303,7 +304,7 @@
             return upstream.is_avoided(now)
         return now < upstream.avoided_until
 
-    def ranked(self, query: UpstreamQuery) -> list[Upstream]:
+    def ranked(self, query: UpstreamQuery) -> Sequence[Upstream]:
         """Return the upstreams for a request, the preferred one first."""
         return self._available(
             self._key_ranking.ranked(self._ranking_query(query))
@@ -360,7 +361,7 @@
             name if self._key_ranking.is_moving(name) else '',
         )
 
-    def _available(self, ranked: list[Upstream]) -> list[Upstream]:
+    def _available(self, ranked: Sequence[Upstream]) -> Sequence[Upstream]:
         """Leave out upstreams that announced that they accept no requests."""
         notices = self._local_state.notices
         if notices.is_idle:
--- a/src/wardstair/gateway/key_ranking.py
+++ b/src/wardstair/gateway/key_ranking.py
@@ -14,7 +14,12 @@
     local_weight_factor,
 )
 from wardstair.decisions.mechanisms import Mechanism
-from wardstair.decisions.ranking import ProximityFactors, WeightedUpstream, rank
+from wardstair.decisions.ranking import (
+    ProximityFactors,
+    WeightedUpstream,
+    rank,
+    ranking_capacity,
+)
 from wardstair.decisions.rebalancing import (
     WEIGHT_STEP_SECONDS,
     UpstreamUtilization,
@@ -28,9 +33,6 @@
 from wardstair.state.upstream import Upstream
 from wardstair.version.steering import SteeredRoute
 
-# Number of rankings cached. A change of the upstreams or of their weights
-# clears the cache.
-MAX_RANKINGS = 20000
 # Load reports older than this are not used to detect overload.
 MAX_LOAD_AGE_SECONDS = 4.0
 # A region keeps at most seven tenths of its keys, and no more work for each
@@ -92,7 +94,10 @@
         """
         self._settings = settings
         self._local_state = local_state
-        self._ranked: dict[RankingQuery, list[Upstream]] = {}
+        # The oldest one first. A change of the upstreams or of their weights
+        # clears it.
+        self._ranked: dict[RankingQuery, tuple[Upstream, ...]] = {}
+        self._capacity = ranking_capacity(settings.current.memory_bytes, 0)
         self._proximity: dict[
             tuple[str, frozenset[str], TransferSize], ProximityFactors
         ] = {}
@@ -103,7 +108,7 @@
         self._ranked_settings = settings.current
         self._rebalanced_at = 0.0
 
-    def ranked(self, query: RankingQuery) -> list[Upstream]:
+    def ranked(self, query: RankingQuery) -> tuple[Upstream, ...]:
         """Return the upstreams that may serve a key, the preferred one first.
 
         Args:
@@ -112,8 +117,8 @@
         self._drop_outdated()
         known = self._ranked.get(query)
         if known is None:
-            if len(self._ranked) >= MAX_RANKINGS:
-                self._ranked.clear()
+            if len(self._ranked) >= self._capacity:
+                self._ranked.pop(next(iter(self._ranked)))
             known = self._rank(query)
             self._ranked[query] = known
         return known
@@ -216,6 +221,9 @@
             return
         self._generation = generation
         self._ranked_settings = settings
+        self._capacity = ranking_capacity(
+            settings.memory_bytes, len(self._local_state.catalog.upstreams)
+        )
         self._ranked.clear()
         self._proximity.clear()
 
@@ -252,7 +260,7 @@
             if self._is_permitted(query.regions, upstream)
         ]
 
-    def _rank(self, query: RankingQuery) -> list[Upstream]:
+    def _rank(self, query: RankingQuery) -> tuple[Upstream, ...]:
         upstreams = self._permitted(query)
         factors = self._proximity_factors(query, upstreams)
         offset = self._offset(query.route)
@@ -271,7 +279,7 @@
         key: str,
         by_name: dict[str, Upstream],
         factors: ProximityFactors,
-    ) -> list[Upstream]:
+    ) -> tuple[Upstream, ...]:
         places = [
             WeightedUpstream(
                 name,
@@ -282,7 +290,7 @@
             )
             for name, upstream in by_name.items()
         ]
-        return [by_name[name] for name in rank(key, places)]
+        return tuple(map(by_name.__getitem__, rank(key, places)))
 
     def _is_permitted(
         self,
--- a/tests/unit/test_key_ranking.py
+++ b/tests/unit/test_key_ranking.py
@@ -10,6 +10,11 @@
 from lib.upstreams import ENTRY, Clock
 
 from wardstair.decisions.mechanisms import Mechanism
+from wardstair.decisions.ranking import (
+    MAX_RANKINGS,
+    MIN_RANKINGS,
+    ranking_capacity,
+)
 from wardstair.decisions.rebalancing import WEIGHT_STEP, WEIGHT_STEP_SECONDS
 from wardstair.gateway.key_ranking import (
     LOCAL_KEY_LIMITS,
@@ -162,3 +167,34 @@
         loads = {name: round(keys * 0.15) for name, keys in counts.items()}
         fleet.report_loads(loads.__getitem__, 1)
     assert (before, max_keys_per_upstream(fleet)) == (24, 21)
+
+
+@pytest.mark.parametrize(
+    ('memory_bytes', 'upstreams', 'capacity'),
+    [
+        (200 * 2**20, 120, 602),
+        (200 * 2**20, 1200, MIN_RANKINGS),
+        (2**20, 10, MIN_RANKINGS),
+        (2**40, 10, MAX_RANKINGS),
+    ],
+)
+def test_the_number_of_rankings_follows_the_memory(
+    memory_bytes: int, upstreams: int, capacity: int
+) -> None:
+    assert ranking_capacity(memory_bytes, upstreams) == capacity
+
+
+def test_rankings_beyond_the_capacity_replace_the_oldest() -> None:
+    fleet = Fleet()
+    fleet.live_settings.current = replace(
+        fleet.live_settings.current, memory_bytes=2**20
+    )
+    query = RankingQuery('views', 'first', frozenset(), TransferSize.light)
+    first = fleet.ranking.ranked(query)
+    for number in range(MIN_RANKINGS - 1):
+        fleet.ranked(f'other {number}')
+    assert fleet.ranking.ranked(query) is first
+    fleet.ranked('one more')
+    again = fleet.ranking.ranked(query)
+    assert again is not first
+    assert again == first
