--- a/src/wardstair/gateway/choosing.py
+++ b/src/wardstair/gateway/choosing.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
@@ -258,10 +258,10 @@
 
     def _within_limits(
         self,
-        ranked: list[Upstream],
+        ranked: Sequence[Upstream],
         query: UpstreamQuery,
         now: float,
-    ) -> list[Upstream]:
+    ) -> Sequence[Upstream]:
         """Return the upstreams whose limits allow a request from this host."""
         limited = self.limited_sends
         if limited.is_idle or not ranked:
@@ -272,7 +272,7 @@
 
     def _candidate_groups(
         self,
-        permitted: list[Upstream],
+        permitted: Sequence[Upstream],
         query: UpstreamQuery,
         now: float,
         *,
@@ -343,15 +343,15 @@
             return upstream.is_avoided(now)
         return now < upstream.avoided_until
 
-    def ranked(self, query: UpstreamQuery) -> list[Upstream]:
+    def ranked(self, query: UpstreamQuery) -> Sequence[Upstream]:
         """Return the upstreams for a request, the preferred one first."""
         return [one for group in self._ranked_groups(query) for one in group]
 
-    def _ranked_groups(self, query: UpstreamQuery) -> list[list[Upstream]]:
+    def _ranked_groups(self, query: UpstreamQuery) -> list[Sequence[Upstream]]:
         """Return the upstreams in groups by version, to be tried in order."""
         return [self._available(group) for group in self._by_version(query)]
 
-    def _by_version(self, query: UpstreamQuery) -> list[list[Upstream]]:
+    def _by_version(self, query: UpstreamQuery) -> list[Sequence[Upstream]]:
         return self.rollouts.groups(
             self._key_ranking.ranked(self._ranking_query(query)),
             query.key,
@@ -413,7 +413,7 @@
             name if self._key_ranking.is_moving(name) else '',
         )
 
-    def _available(self, ranked: list[Upstream]) -> list[Upstream]:
+    def _available(self, ranked: Sequence[Upstream]) -> Sequence[Upstream]:
         """Leave out upstreams that announced that they accept no requests."""
         notices = self._local_state.notices
         if notices.is_idle:
--- a/src/wardstair/gateway/rollouts.py
+++ b/src/wardstair/gateway/rollouts.py
@@ -5,7 +5,7 @@
 
 import time
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from wardstair.decisions.rollout_candidates import is_in_share
 from wardstair.decisions.rollout_verdict import AnswerTally, TallyKey
@@ -126,8 +126,8 @@
         return self._table is not None and self._role(entry) in _BARRED
 
     def groups(
-        self, ranked: list[Upstream], key: str, *, is_resend: bool
-    ) -> list[list[Upstream]]:
+        self, ranked: Sequence[Upstream], key: str, *, is_resend: bool
+    ) -> list[Sequence[Upstream]]:
         """Return the permitted upstreams in groups, to be tried in order.
 
         Args:
--- a/src/wardstair/platform/settings.py
+++ b/src/wardstair/platform/settings.py
@@ -23,7 +23,7 @@
     decode_organisation_bounds,
     decode_rollout_bounds,
 )
-from wardstair.version.document import faults_of
+from wardstair.version.faults import faults_of
 
 _MEGABYTE = 1048576
 _MILLISECONDS = 1000
