Count no dropped request as open, and split the idle timer off

Cause: a request that was read and not started when the last answer was sent counted as open until its connection had closed, up to 1 s at a stop; a network error of a read was logged as an error of the program.

Change: it is dropped as the last answer is sent; any OSError of the stream ends the connection quietly.

--- a/src/wardstair/gateway/caller_connections.py
+++ b/src/wardstair/gateway/caller_connections.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import socket
-import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import TYPE_CHECKING, cast
@@ -30,6 +29,7 @@
     CallerTurn,
 )
 from wardstair.gateway.caller_stream import CallerStream
+from wardstair.gateway.idle_timer import IdleTimer
 from wardstair.gateway.messages import Reply
 from wardstair.process.log import log_warning
 
@@ -49,8 +49,6 @@
         '__weakref__',
         '_changed',
         '_has_pipelined',
-        '_idle_seconds',
-        '_idle_since',
         '_idle_timer',
         '_input',
         '_interim',
@@ -83,7 +81,6 @@
         self._listener = listener
         self._stream = stream
         self._params = params
-        self._idle_seconds = idle_seconds
         self._input = CallerStream(stream, self._send_interim)
         self._pipeline: Pipeline[Reply] = Pipeline(self._send)
         self._reading: CallerRequest | None = None
@@ -94,8 +91,9 @@
         self._is_ending = False
         self._has_pipelined = False
         self._changed: asyncio.Future[None] | None = None
-        self._idle_since = time.monotonic()
-        self._idle_timer: asyncio.TimerHandle | None = None
+        self._idle_timer = IdleTimer(
+            idle_seconds, lambda: self.is_idle, stream.close
+        )
         self._serving: asyncio.Task[None] | None = None
 
     @property
@@ -111,7 +109,7 @@
         """Start reading requests."""
         self._stream.set_nodelay(True)
         self._stream.set_close_callback(self._on_close)
-        self._check_idle()
+        self._idle_timer.start()
         self._serving = asyncio.ensure_future(self._serve())
 
     def close(self) -> None:
@@ -128,8 +126,9 @@
             await self._read_requests()
             # Notices a caller that leaves before the last answer.
             await self._until(lambda: False)
-        except StreamClosedError:
-            return
+        except OSError:
+            # The caller closed the connection, or its network failed.
+            self._stream.close()
         except Exception as error:
             self._fail(error)
 
@@ -281,7 +280,7 @@
         assert isinstance(turn, CallerTurn)
         self._memory.release_answer(turn)
         is_last = closes(self._state(), is_final=turn.is_final)
-        data = self._encode(turn.request, reply, is_last=is_last)
+        data = turn.request.encode(reply, is_last=is_last)
         if is_last:
             self._is_ending = True
         try:
@@ -296,24 +295,13 @@
         else:
             written.add_done_callback(on_written)
 
-    def _encode(
-        self, request: CallerRequest, reply: Reply, *, is_last: bool
-    ) -> bytes:
-        try:
-            return request.encode(reply, is_last=is_last)
-        except ValueError as error:
-            request_id = request.request_id
-            log_warning('request-failed', request=request_id, error=repr(error))
-            fault = refusals.INTERNAL_FAULT.reply(request_id)
-            return request.encode(fault, is_last=is_last)
-
     def _on_written(
         self, turn: CallerTurn, _written: 'asyncio.Future[None]'
     ) -> None:
         if self._stream.closed():
             return
         self._listener.note_ended(turn.request)
-        self._idle_since = time.monotonic()
+        self._idle_timer.note_activity()
         self._pipeline.sent()
         if self._is_ending and not self._pipeline.open_count:
             self._end(turn)
@@ -335,6 +323,7 @@
         While the caller may still be sending, its bytes are read and dropped:
         to close a socket with unread bytes may destroy the answer on its way.
         """
+        self._drop_unstarted()
         may_send = turn.task is None or (
             self._has_pipelined and self._listener.is_stopping
         )
@@ -352,14 +341,15 @@
         )
 
     def _on_head(self, request: CallerRequest) -> None:
-        self._listener.note_open(request)
+        if not self._is_ending:
+            self._listener.note_open(request)
 
     def _take_body(
         self, request: CallerRequest, amount: int
     ) -> Awaitable[None] | None:
-        if not self._takes(request, amount):
-            return self._take_later(request, amount)
-        return None
+        if self._takes(request, amount):
+            return None
+        return self._take_later(request, amount)
 
     async def _take_later(self, request: CallerRequest, amount: int) -> None:
         """Wait until body bytes may be held."""
@@ -383,24 +373,11 @@
             raise BodyRefused('the host holds as many bodies as it can')
         return False
 
-    def _check_idle(self) -> None:
-        """Close the connection once it has been idle for too long."""
-        left = self._idle_seconds
-        if self.is_idle:
-            left += self._idle_since - time.monotonic()
-            if left <= 0:
-                self._stream.close()
-                return
-        self._idle_timer = asyncio.get_running_loop().call_later(
-            left, self._check_idle
-        )
-
     def _on_close(self) -> None:
         """Cancel and drop all requests of a connection that has closed."""
         self._is_ending = True
         self._input.unwatch()
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
+        self._idle_timer.cancel()
         for turn in self._pipeline.clear():
             assert isinstance(turn, CallerTurn)
             self._memory.release_answer(turn)
@@ -408,9 +385,13 @@
                 self._listener.note_ended(turn.request)
             else:
                 turn.task.cancel()
+        self._drop_unstarted()
+        self._listener.on_closed(self)
+        self._wake()
+
+    def _drop_unstarted(self) -> None:
+        """Drop the request that is being received or waits for its start."""
         if self._reading is not None:
             self._memory.release(self._reading)
             self._listener.note_ended(self._reading)
             self._reading = None
-        self._listener.on_closed(self)
-        self._wake()
--- a/src/wardstair/gateway/caller_requests.py
+++ b/src/wardstair/gateway/caller_requests.py
@@ -15,9 +15,10 @@
 )
 
 from wardstair.connection.pipeline import Turn
+from wardstair.gateway import refusals
 from wardstair.gateway.messages import Inbound, Reply
-from wardstair.gateway.refusals import GatewayRefusal
 from wardstair.platform.headers import CallerFields, decode_caller
+from wardstair.process.log import log_warning
 
 # Timeout of requests whose caller does not state one.
 DEFAULT_WAIT_SECONDS = 30.0
@@ -58,7 +59,7 @@
         self.received_at = 0.0
         self.held_bytes = 0
         self.is_complete = False
-        self.refusal: GatewayRefusal | None = None
+        self.refusal: refusals.GatewayRefusal | None = None
         self._on_head = on_head
         self._take_body = take_body
         self._line: RequestStartLine | None = None
@@ -138,10 +139,6 @@
     def on_connection_close(self) -> None:
         """Do nothing; the connection drops its requests itself."""
 
-    def drop_body(self) -> None:
-        """Forget the body."""
-        self._chunks = []
-
     def inbound(self) -> Inbound | None:
         """Return the complete request; None if it has no id.
 
@@ -172,13 +169,25 @@
     def encode(self, reply: Reply, *, is_last: bool) -> bytes:
         """Return the bytes of an answer to this request.
 
+        If a header cannot be sent, they are those of an internal fault.
+
         Args:
             reply: The answer.
             is_last: Whether the connection closes after it.
-
-        Raises:
-            ValueError: A header cannot be sent.
         """
+        try:
+            return self._encode(reply, is_last=is_last)
+        except ValueError as error:
+            request_id = self.request_id
+            log_warning('request-failed', request=request_id, error=repr(error))
+            fault = refusals.INTERNAL_FAULT.reply(request_id)
+            return self._encode(fault, is_last=is_last)
+
+    def drop_body(self) -> None:
+        """Forget the body."""
+        self._chunks = []
+
+    def _encode(self, reply: Reply, *, is_last: bool) -> bytes:
         line = self._line
         headers = HTTPHeaders()
         try:
--- a/src/wardstair/gateway/caller_stream.py
+++ b/src/wardstair/gateway/caller_stream.py
@@ -13,7 +13,7 @@
 from collections.abc import Awaitable, Callable
 
 from tornado.httputil import HTTPInputError
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream
 
 from wardstair.gateway.read_buffer import ReadBuffer
 
@@ -238,8 +238,8 @@
             return
         try:
             self._start_filling()
-        except StreamClosedError:
-            # The connection's owner is told of the close.
+        except OSError:
+            # The stream has closed, and its close callback is called.
             return
         if self._filling is None:
             # In its own turn of the loop, as a caller may send without end.
--- a/tests/unit/test_caller_stream.py
+++ b/tests/unit/test_caller_stream.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from tornado.iostream import IOStream
@@ -30,11 +31,13 @@
         listener: The listener.
         served: Paths and bodies of the requests, in the order of their start.
         open: Paths of the requests that run at present.
+        headers: Headers of each answer.
     """
 
     def __init__(self) -> None:
         self.served: list[tuple[str, bytes]] = []
         self.open: list[str] = []
+        self.headers: tuple[tuple[str, str], ...] = ()
         self.listener = CallerListener(
             self._serve,
             BodyCapacity(1_000_000),
@@ -62,7 +65,7 @@
         for _ in range(3):
             await asyncio.sleep(0)
         self.open.remove(inbound.path)
-        return Reply(200, 'OK', (), inbound.path.encode())
+        return Reply(200, 'OK', self.headers, inbound.path.encode())
 
 
 def run(test: Callable[[], Awaitable[None]]) -> None:
@@ -114,6 +117,23 @@
     run(test)
 
 
+@pytest.mark.parametrize(
+    'headers', [(('Bad', 'a\r\nb'),), (('Bad', '\u2713'),), (('a b', 'c'),)]
+)
+def test_an_answer_that_cannot_be_sent_is_an_internal_fault(
+    headers: tuple[tuple[str, str], ...],
+) -> None:
+    raw = READ.replace(b'Host', b'Connection: close\r\nHost') % (0, 0)
+
+    async def test() -> None:
+        exchange = Exchange()
+        exchange.headers = headers
+        answered = await exchange(raw)
+        assert answered.startswith(b'HTTP/1.1 500 ')
+
+    run(test)
+
+
 @given(
     pieces=st.lists(st.binary(max_size=20)),
     amounts=st.lists(st.integers(1, 30)),
