Let the soak's callers pipeline requests

Answers are matched by position, so one out of turn is not its request's own. Two breaks are found: answers sent as soon as they are known, and a host that closes at any answer of a stop and starts what runs once beside others. Planned stops make up the faults of the kind: with all planned work drawn equally, one stop in 4 s did not show the second break.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -51,6 +51,7 @@
     with_limits=False,
     with_notices=False,
     with_restores=False,
+    with_pipelining=False,
 )
 # No faults, only the configuration changes at the end of each run.
 QUIET = replace(SHORT, seconds=0)
@@ -82,7 +83,10 @@
     cold_seconds=0.1,
 )
 CUTS = replace(SHORT, only_cuts=True, seconds=1, gap=2, callers=24)
+# Callers pipeline requests while hosts stop and start.
+PIPELINING = replace(SHORT, only_pipelining=True, seconds=4, gap=0.5)
 PLANS = [
+    PIPELINING,
     SILENCE,
     SHORT_LIVES,
     *(replace(CUTS, cut_way=way) for way in CutWay),
@@ -125,6 +129,7 @@
         f'{"-restores" * plan.only_restores}'
         f'{"-silence" * plan.only_silence}{"-cuts" * plan.only_cuts}'
         f'{"-short-lives" * plan.only_short_lives}'
+        f'{"-pipelining" * plan.only_pipelining}'
         f'{"" if plan.cut_way is None else "-" + plan.cut_way}'
     ),
 )
@@ -162,6 +167,8 @@
         ('harm', replace(HARM, callers=1, upstreams=24), 'ended too late'),
         ('keys', QUIET, 'carries its API key'),
         ('dropped', QUIET, 'has dropped'),
+        ('closing', PIPELINING, 'ran 2 times'),
+        ('order', PIPELINING, 'not its own'),
     ],
 )
 def test_a_break_that_was_put_in_is_found(
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -24,6 +24,7 @@
     only_silence: bool = False,
     only_short_lives: bool = False,
     only_cuts: bool = False,
+    only_pipelining: bool = False,
 ) -> None:
     """Run a play per seed in sequence; exit with 1 if a guarantee was violated.
 
@@ -39,6 +40,8 @@
             after they have started.
         only_cuts: Whether the only fault is that hosts are cut off from
             upstreams.
+        only_pipelining: Whether all callers send requests before earlier ones
+            are answered, during planned stops and reloads only.
     """
     drawn = SystemRandom()
     chosen = [int(one) for one in str(seeds).strip('()').split(',') if one]
@@ -55,6 +58,7 @@
             only_silence=only_silence,
             only_short_lives=only_short_lives,
             only_cuts=only_cuts,
+            only_pipelining=only_pipelining,
         )
         folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
         began = time.monotonic()
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -7,11 +7,18 @@
 from tornado.httpclient import HTTPResponse
 
 from wardstair.cli import gateway
-from wardstair.connection import pool
+from wardstair.connection import pipeline, pool
 from wardstair.connection.upstream import UpstreamConnection
 from wardstair.decisions.cold_upstreams import HostView
+from wardstair.decisions.pipelining import PipelineState
 from wardstair.decisions.suspicion import Evidence
-from wardstair.gateway import fleet_views, peer_forwarding, refusals, splitting
+from wardstair.gateway import (
+    caller_connections,
+    fleet_views,
+    peer_forwarding,
+    refusals,
+    splitting,
+)
 from wardstair.platform import headers, store
 from wardstair.platform.objects import StoredObject
 from wardstair.state import (
@@ -208,6 +215,36 @@
     table.owner_of = owner_of  # type: ignore[method-assign]
 
 
+def close_before_started() -> None:
+    """Start requests that run once beside others, and close at any answer."""
+
+    def may_start(state: PipelineState, *, is_repeatable: bool) -> bool:
+        return True
+
+    def closes(state: PipelineState, *, is_final: bool) -> bool:
+        return is_final or state.is_stopping
+
+    setattr(caller_connections, 'may_start', may_start)  # noqa: B010
+    setattr(caller_connections, 'closes', closes)  # noqa: B010
+
+
+def answer_in_any_order() -> None:
+    """Send answers as soon as they are known."""
+    finish = pipeline.Pipeline.finish
+
+    def swap(
+        self: pipeline.Pipeline[object],
+        turn: pipeline.Turn[object],
+        answer: object,
+    ) -> None:
+        if self._sending is None:
+            self._turns.remove(turn)
+            self._turns.insert(0, turn)
+        finish(self, turn, answer)
+
+    pipeline.Pipeline.finish = swap  # type: ignore[method-assign, assignment]
+
+
 def bind_address(address: str) -> None:
     """Open connections to upstreams from a given source address.
 
@@ -279,4 +316,8 @@
             forward_api_keys()
         case 'dropped':
             accept_removed_api_keys()
+        case 'closing':
+            close_before_started()
+        case 'order':
+            answer_in_any_order()
     gateway.main()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -45,9 +45,11 @@
         self._caller: Caller | None = None
         self._gateway = gateways[0]
         self._gateway_name = ''
+        self._is_over: Callable[[], bool] = lambda: False
 
     async def run(self, is_over: Callable[[], bool]) -> None:
         """Send requests until the play is over; the last one is completed."""
+        self._is_over = is_over
         while not is_over():
             kind = self._random.choice((Kind.safe, Kind.divided, Kind.once))
             await self.ask(kind)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -462,6 +462,8 @@
     ail_upstream,
     evacuate,
 )
+# Planned stops, at which callers that pipeline keep their open connections.
+PIPELINING_FAULTS: tuple[Fault, ...] = (stop_gateway, stop_gateway, hang_up)
 # Restarts after which hosts have to discover each other again.
 HERDS: tuple[Fault, ...] = (
     kill_all,
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -22,6 +22,7 @@
     HERDS,
     LIMIT_FAULTS,
     NOTICE_FAULTS,
+    PIPELINING_FAULTS,
     PLANNED,
     POWER,
     SHORT_LIFE_FAULTS,
@@ -33,6 +34,7 @@
 )
 from soak.ledger import Kind, Ledger
 from soak.notices import ENTRY_BOUNDS
+from soak.pipelining import PipeliningCaller
 from soak.processes import GatewayProcess, choose_places
 from soak.proxy import CutWay, Proxy
 from soak.restores import check_evacuation, restore_store
@@ -47,6 +49,8 @@
 ZONES = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
 # The store is restored from a copy, alone or along with other faults.
 RESTORE_FAULTS: tuple[Fault, ...] = (restore_store,)
+# Share of callers that pipeline requests.
+PIPELINING_SHARE = 1 / 3
 # Timeout of the recovery after the last fault. The guaranteed bounds are a
 # tenth of it; this only ends a play that has failed.
 RECOVERY_SECONDS = 60.0
@@ -87,6 +91,10 @@
             after they have started.
         only_cuts: Whether the only fault is that hosts are cut off from
             upstreams.
+        with_pipelining: Whether a third of the callers, drawn from the seed,
+            send requests before earlier ones are answered.
+        only_pipelining: Whether all callers do, while the only faults are
+            planned stops and reloads.
         cut_way: How connections are cut; drawn if None.
     """
 
@@ -113,6 +121,8 @@
     only_silence: bool = False
     only_short_lives: bool = False
     only_cuts: bool = False
+    with_pipelining: bool = True
+    only_pipelining: bool = False
     cut_way: CutWay | None = None
 
     @property
@@ -126,6 +136,13 @@
         has_entry_checks = self.only_silence or self.only_short_lives
         return ENTRY_BOUNDS if has_entry_checks else None
 
+    @property
+    def pipelining_share(self) -> float:
+        """Probability that a caller pipelines requests."""
+        if self.only_pipelining:
+            return 1.0
+        return PIPELINING_SHARE * self.with_pipelining
+
     @property
     def groups(self) -> tuple[tuple[Fault, ...], ...]:
         """Groups of faults to draw from; all groups are equally likely."""
@@ -145,6 +162,8 @@
             return (SHORT_LIFE_FAULTS,)
         if self.only_cuts:
             return (CUT_FAULTS,)
+        if self.only_pipelining:
+            return (PIPELINING_FAULTS,)
         herds = HERDS * self.with_herds
         harm = HARM_FAULTS * self.with_harm
         power = POWER * self.with_power
@@ -304,15 +323,19 @@
         return self._is_over
 
     def _callers(self) -> list[CallerTask]:
-        return [
-            CallerTask(
-                f'caller-{number}',
-                self._gateways,
-                self.ledger,
-                Random(self._plan.seed * 7919 + number),
-            )
-            for number in range(self._plan.callers)
-        ]
+        return [self._caller(number) for number in range(self._plan.callers)]
+
+    def _caller(self, number: int) -> CallerTask:
+        # A source of its own, so that other draws of a seed stay the same.
+        draw = Random(f'{self._plan.seed} pipelining {number}').random()
+        is_pipelining = draw < self._plan.pipelining_share
+        caller = PipeliningCaller if is_pipelining else CallerTask
+        return caller(
+            f'caller-{number}',
+            self._gateways,
+            self.ledger,
+            Random(self._plan.seed * 7919 + number),
+        )
 
     async def _wait_until_serving(
         self,
