Play endless answers, storms of configurations and kills after adoption

Three kinds of faults, drawn among the others and each alone:

- an upstream sends a head, a body or one byte at a time without an end.
No gateway process may take more than the 128 MB of its settings (VmHWM), and no caller may wait beyond its deadline while nothing else is at fault;
- the configuration changes each 0.05 to 0.2 s for 3 s.
Each version has to be in force on each host after 2.5 s, and none goes back;
- the first host that logs the adoption of a change is killed at once, and the next change is made while it is down.
The same holds for the others.

Breaks that are found: answers after the deadline, answers that are kept, configurations ignored for 4 s (by storms and by kills). A host with one sentinel that is not replaced was not found late, also if it trusted silent watches: relays watch the store then; that break was dropped.

Kills right after a write to the store under a condition are not played: the log does not show such a write.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -52,6 +52,8 @@
     with_notices=False,
     with_restores=False,
     with_pipelining=False,
+    with_endless=False,
+    with_storms=False,
 )
 # No faults, only the configuration changes at the end of each run.
 QUIET = replace(SHORT, seconds=0)
@@ -85,8 +87,16 @@
 CUTS = replace(SHORT, only_cuts=True, seconds=1, gap=2, callers=24)
 # Callers pipeline requests while hosts stop and start.
 PIPELINING = replace(SHORT, only_pipelining=True, seconds=4, gap=0.5)
+# Upstreams send answers without an end.
+ENDLESS = replace(SHORT, only_endless=True, seconds=4, gap=1.0, upstreams=8)
+# Configurations in quick succession.
+STORMS = replace(SHORT, only_storms=True, seconds=0.1)
+# Hosts are killed right after they have adopted a configuration.
+ADOPTIONS = replace(SHORT, only_adoptions=True, seconds=0.1)
 PLANS = [
     PIPELINING,
+    STORMS,
+    ADOPTIONS,
     SILENCE,
     SHORT_LIVES,
     *(replace(CUTS, cut_way=way) for way in CutWay),
@@ -130,6 +140,8 @@
         f'{"-silence" * plan.only_silence}{"-cuts" * plan.only_cuts}'
         f'{"-short-lives" * plan.only_short_lives}'
         f'{"-pipelining" * plan.only_pipelining}'
+        f'{"-endless" * plan.only_endless}{"-storms" * plan.only_storms}'
+        f'{"-adoptions" * plan.only_adoptions}'
         f'{"" if plan.cut_way is None else "-" + plan.cut_way}'
     ),
 )
@@ -167,6 +179,10 @@
         ('harm', replace(HARM, callers=1, upstreams=24), 'ended too late'),
         ('keys', QUIET, 'carries its API key'),
         ('dropped', QUIET, 'has dropped'),
+        ('overdue', ENDLESS, 'got no answer within its time'),
+        ('memory', ENDLESS, 'of memory'),
+        ('seldom', STORMS, 'in time'),
+        ('seldom', ADOPTIONS, 'in time'),
         ('closing', PIPELINING, 'ran 2 times'),
         ('order', PIPELINING, 'not its own'),
     ],
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -25,6 +25,9 @@
     only_short_lives: bool = False,
     only_cuts: bool = False,
     only_pipelining: bool = False,
+    only_endless: bool = False,
+    only_storms: bool = False,
+    only_adoptions: bool = False,
 ) -> None:
     """Run a play per seed in sequence; exit with 1 if a guarantee was violated.
 
@@ -42,6 +45,12 @@
             upstreams.
         only_pipelining: Whether all callers send requests before earlier ones
             are answered, during planned stops and reloads only.
+        only_endless: Whether the only fault is that upstreams send answers
+            without an end.
+        only_storms: Whether the only fault is that configurations follow in
+            quick succession.
+        only_adoptions: Whether the only fault is that hosts are killed right
+            after they have adopted a configuration.
     """
     drawn = SystemRandom()
     chosen = [int(one) for one in str(seeds).strip('()').split(',') if one]
@@ -59,6 +68,9 @@
             only_short_lives=only_short_lives,
             only_cuts=only_cuts,
             only_pipelining=only_pipelining,
+            only_endless=only_endless,
+            only_storms=only_storms,
+            only_adoptions=only_adoptions,
         )
         folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
         began = time.monotonic()
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -1,6 +1,7 @@
 """Deliberate defects of a gateway that a play has to detect."""
 
 import asyncio
+import time
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 
@@ -8,6 +9,7 @@
 
 from wardstair.cli import gateway
 from wardstair.connection import pipeline, pool
+from wardstair.connection import upstream as upstream_connections
 from wardstair.connection.upstream import UpstreamConnection
 from wardstair.decisions.cold_upstreams import HostView
 from wardstair.decisions.pipelining import PipelineState
@@ -15,6 +17,7 @@
 from wardstair.gateway import (
     caller_connections,
     fleet_views,
+    forwarding,
     peer_forwarding,
     refusals,
     splitting,
@@ -38,6 +41,9 @@
 from wardstair.version import organisations
 from wardstair.version.steering import SteeredRoute
 
+# How late hosts are that do something late.
+LATE_SECONDS = 4.0
+
 
 def misreport_as_not_run() -> None:
     """Report to callers that a request has not run although it may have."""
@@ -245,6 +251,43 @@
     pipeline.Pipeline.finish = swap  # type: ignore[method-assign, assignment]
 
 
+def ignore_deadlines() -> None:
+    """Answer callers some seconds after the deadlines of their requests."""
+    forwarding.REPLY_MARGIN_SECONDS = -LATE_SECONDS
+
+
+def keep_answers() -> None:
+    """Keep all bytes of the bodies of answers."""
+    on_body = upstream_connections._Reading.on_body
+    kept: list[bytes] = []
+
+    def keep(self: upstream_connections._Reading, body: bytes) -> None:
+        kept.append(body)
+        on_body(self, body)
+
+    upstream_connections._Reading.on_body = keep  # type: ignore[method-assign]
+
+
+def adopt_seldom() -> None:
+    """Ignore configurations for some seconds after each one."""
+    adopt = local_state.LocalState.offer_configuration
+    adopted_at = [0.0]
+
+    def offer(
+        self: local_state.LocalState,
+        stored: StoredObject,
+        source: str,
+    ) -> bool:
+        if time.monotonic() < adopted_at[0] + LATE_SECONDS:
+            return False
+        adopted = adopt(self, stored, source)
+        if adopted:
+            adopted_at[0] = time.monotonic()
+        return adopted
+
+    local_state.LocalState.offer_configuration = offer  # type: ignore[method-assign]
+
+
 def bind_address(address: str) -> None:
     """Open connections to upstreams from a given source address.
 
@@ -316,6 +359,12 @@
             forward_api_keys()
         case 'dropped':
             accept_removed_api_keys()
+        case 'overdue':
+            ignore_deadlines()
+        case 'memory':
+            keep_answers()
+        case 'seldom':
+            adopt_seldom()
         case 'closing':
             close_before_started()
         case 'order':
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -71,7 +71,9 @@
             async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS):
                 await caller.send(TARGETS[kind], 'POST', body, name, key)
                 answer = await caller.answer()
-        except (TimeoutError, ConnectionError):
+        except (TimeoutError, ConnectionError) as error:
+            made.is_overdue = isinstance(error, TimeoutError)
+            made.ended_at = time.monotonic()
             # The caller disconnects without an outcome for the request.
             self._drop()
             return made
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import signal
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -12,10 +13,12 @@
 from lib.store_standin import StoreStandin
 
 from soak.cuts import cut_off
+from soak.endless import EndlessWay
 from soak.ledger import Kind, Ledger, Naming
 from soak.notices import Departure, Leaving, Pausing, Removed
 from soak.processes import SEEDS, GatewayProcess
 from soak.proxy import CutWay, Mode, Proxy
+from soak.storms import kill_after_adoption, storm_configurations
 from soak.upstreams import HARMFUL, Habits, SoakUpstream
 from soak.versions import marked_configuration
 
@@ -67,6 +70,7 @@
     restoring: asyncio.Lock = field(default_factory=asyncio.Lock)
     silencing: asyncio.Lock = field(default_factory=asyncio.Lock)
     cutting: asyncio.Lock = field(default_factory=asyncio.Lock)
+    storming: asyncio.Lock = field(default_factory=asyncio.Lock)
     # How connections of hosts to upstreams are cut; drawn if None.
     cut_way: CutWay | None = None
 
@@ -82,6 +86,7 @@
             marked_configuration(self.version + 1),
         )
         self.version += 1
+        self.ledger.put_at.append((time.monotonic(), self.version))
 
     def evacuate(self, zone: str) -> None:
         """Evacuate a zone, as the operator does."""
@@ -414,6 +419,14 @@
     upstream.habits = Habits()
 
 
+async def answer_endlessly(scene: Scene) -> None:
+    """Have an upstream send answers without an end."""
+    upstream = scene.random.choice(scene.upstreams)
+    upstream.habits = Habits(endless=scene.random.choice(list(EndlessWay)))
+    await asyncio.sleep(scene.draw_seconds())
+    upstream.habits = Habits()
+
+
 async def configure(scene: Scene) -> None:
     """Write a few versions in quick succession."""
     for _ in range(scene.random.randint(1, 4)):
@@ -489,6 +502,13 @@
 LIMIT_FAULTS: tuple[Fault, ...] = (name_limit,)
 
 
+# Answers without an end, configurations in quick succession, and hosts that are
+# killed right after they have adopted one.
+ENDLESS_FAULTS: tuple[Fault, ...] = (answer_endlessly,)
+STORM_FAULTS: tuple[Fault, ...] = (storm_configurations,)
+ADOPTION_FAULTS: tuple[Fault, ...] = (kill_after_adoption,)
+
+
 # Open connections to the store carry no more data while new ones work.
 SILENCE_FAULTS: tuple[Fault, ...] = (silence_connections,)
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from soak.cuts import CutOff
+from soak.endless import check_memory
 from soak.notices import Arrival, Departure, Leaving, Pausing, Removed
 
 # Requests per second that a cold upstream may receive: the rate of 4, plus half
@@ -22,6 +23,8 @@
 PROPAGATION_SECONDS = 4.0
 ENDED_BEFORE = 3
 MOST_ENDED_LATE = 3
+# Name of the fault in which an upstream sends answers without an end.
+ENDLESS = 'answer_endlessly'
 # Name of the fault in which an upstream announces a rate limit, and the
 # requests that it tolerates: in any window of 4 s, one and a half times the
 # limit plus 5 requests, from 4 s after the first announcement. Requests from
@@ -78,6 +81,7 @@
             -1 if the caller got no outcome.
         body: Body of its answer.
         runs: Its executions by upstreams.
+        is_overdue: Whether the caller waited beyond the request's deadline.
     """
 
     request_id: str
@@ -88,6 +92,7 @@
     status: int = -1
     body: str = ''
     runs: list[Run] = field(default_factory=list)
+    is_overdue: bool = False
 
 
 @dataclass
@@ -136,6 +141,8 @@
         ended: Monotonic times at which upstreams exited, by harmful request.
         named: Rate limits that upstreams announced.
         notices: Notices that upstreams sent.
+        resident: Peak resident bytes of gateways, by name of the process.
+        put_at: Monotonic times at which versions were written, and these.
     """
 
     tries: dict[str, Try] = field(default_factory=dict)
@@ -151,6 +158,9 @@
         default_factory=list,
     )
 
+    resident: dict[str, int] = field(default_factory=dict)
+    put_at: list[tuple[float, int]] = field(default_factory=list)
+
     def begin(self, request_id: str, kind: Kind, gateway: str) -> Try:
         """Record a request that is about to be sent."""
         made = Try(request_id, kind, gateway, sent_at=time.monotonic())
@@ -204,6 +214,8 @@
         found.extend(self._check_cold())
         found.extend(self._check_ended())
         found.extend(self._check_limits())
+        found.extend(check_memory(self.resident))
+        found.extend(self._check_overdue())
         for notice in self.notices:
             found.extend(notice.check(self.spans))
         callers = [
@@ -249,6 +261,13 @@
                 )
         return found
 
+    def _check_overdue(self) -> list[str]:
+        return [
+            f'got no answer within its time: {one}'
+            for one in self.tries.values()
+            if one.is_overdue and self._is_undisturbed(one.ended_at, ENDLESS)
+        ]
+
     def _check_limits(self) -> list[str]:
         return [
             f'{most} requests in {LIMIT_SECONDS} s came to '
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -16,8 +16,11 @@
 from lib.store_standin import StoreStandin
 
 from soak.callers import CallerTask
+from soak.endless import watch_memory
 from soak.faults import (
+    ADOPTION_FAULTS,
     CUT_FAULTS,
+    ENDLESS_FAULTS,
     HARM_FAULTS,
     HERDS,
     LIMIT_FAULTS,
@@ -27,6 +30,7 @@
     POWER,
     SHORT_LIFE_FAULTS,
     SILENCE_FAULTS,
+    STORM_FAULTS,
     UNPLANNED,
     Fault,
     Scene,
@@ -95,6 +99,12 @@
             send requests before earlier ones are answered.
         only_pipelining: Whether all callers do, while the only faults are
             planned stops and reloads.
+        with_endless: Whether faults include answers without an end.
+        only_endless: Whether these are the only faults.
+        with_storms: Whether faults include configurations in quick succession
+            and hosts that are killed right after they have adopted one.
+        only_storms: Whether such configurations are the only faults.
+        only_adoptions: Whether such kills are the only faults.
         cut_way: How connections are cut; drawn if None.
     """
 
@@ -123,6 +133,11 @@
     only_cuts: bool = False
     with_pipelining: bool = True
     only_pipelining: bool = False
+    with_endless: bool = True
+    only_endless: bool = False
+    with_storms: bool = True
+    only_storms: bool = False
+    only_adoptions: bool = False
     cut_way: CutWay | None = None
 
     @property
@@ -134,8 +149,14 @@
     def bounds(self) -> Bounds | None:
         """Bounds of the gateways; None for the defaults."""
         has_entry_checks = self.only_silence or self.only_short_lives
+        has_entry_checks = has_entry_checks or self.has_due_versions
         return ENTRY_BOUNDS if has_entry_checks else None
 
+    @property
+    def has_due_versions(self) -> bool:
+        """Whether no fault excuses a version that is late."""
+        return self.only_storms or self.only_adoptions
+
     @property
     def pipelining_share(self) -> float:
         """Probability that a caller pipelines requests."""
@@ -164,6 +185,12 @@
             return (CUT_FAULTS,)
         if self.only_pipelining:
             return (PIPELINING_FAULTS,)
+        if self.only_endless:
+            return (ENDLESS_FAULTS,)
+        if self.only_storms:
+            return (STORM_FAULTS,)
+        if self.only_adoptions:
+            return (ADOPTION_FAULTS,)
         herds = HERDS * self.with_herds
         harm = HARM_FAULTS * self.with_harm
         power = POWER * self.with_power
@@ -171,6 +198,8 @@
         notices = NOTICE_FAULTS * self.with_notices
         restores = RESTORE_FAULTS * self.with_restores
         drawn = herds + power + harm + limits + notices + restores
+        drawn += ENDLESS_FAULTS * self.with_endless
+        drawn += (STORM_FAULTS + ADOPTION_FAULTS) * self.with_storms
         return (PLANNED, UNPLANNED + drawn)
 
 
@@ -269,13 +298,22 @@
             self._random,
             cut_way=self._plan.cut_way,
         )
+        bounds = self._plan.bounds
+        has_due = bounds is not None and self._plan.has_due_versions
+        due_seconds = bounds.apply_seconds if bounds and has_due else None
         probes = [
-            VersionProbe(gateway, self.ledger, lambda: scene.version)
+            VersionProbe(
+                gateway,
+                self.ledger,
+                lambda: scene.version,
+                due_seconds,
+            )
             for gateway in self._gateways
         ]
         await self._wait_until_serving(probes, 'start', START_SECONDS)
         running = [
             *(probe.run(self._has_ended) for probe in probes),
+            watch_memory(self._gateways, self.ledger, self._has_ended),
             *(caller.run(self._has_ended) for caller in self._callers()),
         ]
         asked = asyncio.gather(*running)
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -68,6 +68,11 @@
         """Where callers connect."""
         return Listener(self.place.address, self.place.ports[0])
 
+    @property
+    def process_id(self) -> int:
+        """Id of its current process; 0 before the first one."""
+        return 0 if self._process is None else self._process.pid
+
     @property
     def is_running(self) -> bool:
         """Whether the process is running."""
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -9,6 +9,7 @@
 from lib.specs import ADDRESS, upstream_spec
 from lib.upstream_standin import Seen, whole_answer
 
+from soak.endless import EndlessWay, answer_without_end
 from soak.keys import ORGANISATION, PRIVATE
 from soak.ledger import Ledger, Naming, Run
 from soak.notices import Arrival, Departure, Leaving, Pausing, Removed
@@ -42,12 +43,14 @@
         lost_share: Share of answers that it loses after running the request.
         surplus_share: Share of answers that it sends twice.
         is_mute: Whether it accepts requests but answers none.
+        endless: What its answers send without an end, if anything.
     """
 
     slowness: float = 1.0
     lost_share: float = LOST_SHARE
     surplus_share: float = 0.0
     is_mute: bool = False
+    endless: EndlessWay | None = None
 
 
 class SoakUpstream:
@@ -211,6 +214,10 @@
             # Waits until the gateway times out and closes the connection.
             await reader.read(1)
             return
+        if self.habits.endless is not None:
+            self._mark_faulted(run)
+            await answer_without_end(self.habits.endless, name, writer)
+            return
         await self._write(name, writer, run)
 
     async def _write(
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 from itertools import count
 
@@ -73,6 +74,7 @@
         gateway: GatewayProcess,
         ledger: Ledger,
         newest: Callable[[], int],
+        due_seconds: float | None = None,
     ) -> None:
         """Create a probe.
 
@@ -80,11 +82,14 @@
             gateway: The gateway.
             ledger: Where violations are recorded.
             newest: Returns the version that the store acknowledged last.
+            due_seconds: Time after which a version has to be in force, if no
+                fault excuses a delay.
         """
         self.in_force = 0
         self._gateway = gateway
         self._ledger = ledger
         self.newest = newest
+        self._due_seconds = due_seconds
         self._numbers = count()
         self._gateway_name = ''
 
@@ -109,11 +114,31 @@
                 self.in_force = newest
                 await self._check_keys(gateway_name, newest)
             return
+        await self._check_due(gateway_name)
         known = self.in_force
         if not known or await self._status(known) != NOT_FOUND:
             return
         self._note_broken(gateway_name, f'went back from {known}')
 
+    async def _check_due(self, gateway_name: str) -> None:
+        """Check that a version whose time is over is in force."""
+        due = self._due()
+        if not self.in_force or due <= self.in_force:
+            # A process that has just started may have no version yet.
+            return
+        status = await self._status(due)
+        if status == NOT_FOUND:
+            self._note_broken(gateway_name, f'had no version {due} in time')
+        elif status == 200 and gateway_name == self._gateway.name:
+            self.in_force = due
+
+    def _due(self) -> int:
+        if self._due_seconds is None:
+            return 0
+        latest = time.monotonic() - self._due_seconds
+        versions = (one for at, one in self._ledger.put_at if at <= latest)
+        return max(versions, default=0)
+
     async def _check_keys(self, gateway_name: str, version: int) -> None:
         """Check that the API keys of a version, and no others, are in force.
 
