--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -95,6 +95,7 @@
 ADOPTIONS = replace(SHORT, only_adoptions=True, seconds=0.1)
 PLANS = [
     PIPELINING,
+    ENDLESS,
     STORMS,
     ADOPTIONS,
     SILENCE,
