--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -47,6 +47,7 @@
 from wardstair.gateway.quotas import Quotas
 from wardstair.gateway.reachability import ReachabilityMonitor
 from wardstair.gateway.reporting import Reporter
+from wardstair.gateway.rollout_parts import make_rollout_parts
 from wardstair.gateway.sending import Sender
 from wardstair.gateway.settings import (
     GatewaySettings,
@@ -67,6 +68,7 @@
 from wardstair.state.refreshing import StateRefresher
 from wardstair.state.registration import Registration
 from wardstair.state.roles import RoleLog, Roles
+from wardstair.state.rollouts import RolloutTable
 from wardstair.state.suspect_sharing import SuspectSharing
 from wardstair.state.sync import StoreSync
 from wardstair.state.watching import KindWatcher
@@ -123,7 +125,13 @@
         )
         self._processor_pressure = ProcessorPressure()
         self._random = random
-        self.local_state = LocalState(clock, Catalog(clock))
+        self.local_state = LocalState(
+            clock,
+            Catalog(clock),
+            rollouts=RolloutTable(
+                is_in_use=settings.rollout_bounds is not None
+            ),
+        )
         self.local_state.on_steering = self._on_steering
         self.local_state.restoration.period = lambda: (
             self.live_settings.current.heartbeat.expiry_seconds
@@ -165,7 +173,7 @@
         roles = Roles(
             lambda: self.members.is_relay,
             lambda: self.is_sentinel,
-            lambda: self._sentinel_rank == 0,
+            lambda: self.is_first_sentinel,
         )
         self._role_log = RoleLog(roles)
         self.heartbeat_endpoint.state_age = lambda: (
@@ -308,7 +316,12 @@
             self.local_state,
             self.chooser,
             Transports(
-                Sender(self.pool, distances, self.local_state),
+                Sender(
+                    self.pool,
+                    distances,
+                    self.local_state,
+                    self.chooser.rollouts,
+                ),
                 self.peer_forwarder,
             ),
             self.live_settings,
@@ -334,6 +347,7 @@
         )
         self.views = FleetViews(self.members, self.loads, self.chooser)
         self.views.refresh()
+        self.rollouts = make_rollout_parts(self, random)
         add_gauges(self)
         self._supervisor = Supervisor(self.metrics.task_failures.add)
         self._listeners = Listeners(self.callers)
@@ -343,13 +357,20 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers should connect to this host."""
-        return self.local_state.steering is not None and not self._is_stopping
+        state = self.local_state
+        is_informed = state.steering is not None and state.rollouts.is_known
+        return is_informed and not self._is_stopping
 
     @property
     def is_sentinel(self) -> bool:
         """Whether this host is a sentinel, which watches the store closely."""
         return self._sentinel_rank is not None
 
+    @property
+    def is_first_sentinel(self) -> bool:
+        """Whether this host is the first of the sentinels."""
+        return self._sentinel_rank == 0
+
     @property
     def _sentinel_rank(self) -> int | None:
         return self.members.sentinel_rank(
@@ -368,11 +389,15 @@
         listeners.open(metrics, settings.metrics)
         await self.heartbeat_endpoint.start(settings.address)
         await self.demand_endpoint.start(settings.address)
+        rollouts = self.rollouts
+        if rollouts is not None:
+            await rollouts.start(self._supervisor.spawn)
         listeners.open(
             state_application(
                 self.exchange,
                 self.local_state.suspects,
                 self.peer_request_server,
+                list if rollouts is None else rollouts.listing,
             ),
             Listener(settings.address, settings.fleet_ports[0]),
         )
@@ -381,6 +406,8 @@
         spawn('configuration', self._run_when_ready(self.sync.configuration))
         spawn('evacuations', self._run_when_ready(self.sync.evacuations))
         spawn('upstreams', self._watch_upstreams)
+        if self.sync.rollouts is not None:
+            spawn('rollouts', self._run_when_ready(self.sync.rollouts.watcher))
         sharing = self.suspect_sharing
         spawn('suspects', self._run_when_ready(sharing.watcher))
         spawn('suspect-sharing', sharing.run)
@@ -449,6 +476,8 @@
         await self._listeners.close()
         self.heartbeat_endpoint.stop()
         self.demand_endpoint.stop()
+        if self.rollouts is not None:
+            self.rollouts.close()
         self.pool.close()
         self.peer_forwarder.close()
         self.exchange.close()
