Play zones that are cut off from the others

The gateways of the kind run soak.bound, which drops datagrams and state fetches between the hosts that a file lists and the others. Callers, upstreams and the store stay in reach. Callers have to be served as at hosts that reach no upstream, and a version written during the cut is in force everywhere in 2.5 s. Requests that one host forwards to another are not cut.

Run: test_soak.py -k 'zones or (seldom and in)', 4 passed.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -93,7 +93,10 @@
 STORMS = replace(SHORT, only_storms=True, seconds=0.1)
 # Hosts are killed right after they have adopted a configuration.
 ADOPTIONS = replace(SHORT, only_adoptions=True, seconds=0.1)
+# The hosts of a zone are cut off from all others.
+ZONE_CUTS = replace(SHORT, only_zones=True, seconds=0.1, callers=24)
 PLANS = [
+    ZONE_CUTS,
     PIPELINING,
     ENDLESS,
     STORMS,
@@ -143,6 +146,7 @@
         f'{"-pipelining" * plan.only_pipelining}'
         f'{"-endless" * plan.only_endless}{"-storms" * plan.only_storms}'
         f'{"-adoptions" * plan.only_adoptions}'
+        f'{"-zones" * plan.only_zones}'
         f'{"" if plan.cut_way is None else "-" + plan.cut_way}'
     ),
 )
@@ -184,6 +188,7 @@
         ('memory', ENDLESS, 'of memory'),
         ('seldom', STORMS, 'in time'),
         ('seldom', ADOPTIONS, 'in time'),
+        ('seldom', ZONE_CUTS, 'in time'),
         ('closing', PIPELINING, 'ran 2 times'),
         ('order', PIPELINING, 'not its own'),
     ],
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -28,6 +28,7 @@
     only_endless: bool = False,
     only_storms: bool = False,
     only_adoptions: bool = False,
+    only_zones: bool = False,
 ) -> None:
     """Run a play per seed in sequence; exit with 1 if a guarantee was violated.
 
@@ -51,6 +52,8 @@
             quick succession.
         only_adoptions: Whether the only fault is that hosts are killed right
             after they have adopted a configuration.
+        only_zones: Whether the only fault is that the hosts of a zone are cut
+            off from all other hosts.
     """
     drawn = SystemRandom()
     chosen = [int(one) for one in str(seeds).strip('()').split(',') if one]
@@ -71,6 +74,7 @@
             only_endless=only_endless,
             only_storms=only_storms,
             only_adoptions=only_adoptions,
+            only_zones=only_zones,
         )
         folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
         began = time.monotonic()
--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -36,7 +36,7 @@
     """
 
     hosts: frozenset[str]
-    way: CutWay
+    way: str
     begin: float = field(
         default_factory=lambda: time.monotonic() + CONTACT_SECONDS,
     )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -21,6 +21,7 @@
 from soak.storms import kill_after_adoption, storm_configurations
 from soak.upstreams import HARMFUL, Habits, SoakUpstream
 from soak.versions import marked_configuration
+from soak.zones import cut_zone
 
 # Longest duration of a fault; the shortest is a tenth of it.
 LONGEST_SECONDS = 4.0
@@ -517,6 +518,10 @@
 SHORT_LIFE_FAULTS: tuple[Fault, ...] = (leave_after_start,)
 
 
+# The hosts of a zone are cut off from all other hosts.
+ZONE_FAULTS: tuple[Fault, ...] = (cut_zone,)
+
+
 # Hosts are cut off from all upstreams.
 CUT_FAULTS: tuple[Fault, ...] = (cut_off,)
 
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -32,6 +32,7 @@
     SILENCE_FAULTS,
     STORM_FAULTS,
     UNPLANNED,
+    ZONE_FAULTS,
     Fault,
     Scene,
     Schedule,
@@ -105,6 +106,8 @@
             and hosts that are killed right after they have adopted one.
         only_storms: Whether such configurations are the only faults.
         only_adoptions: Whether such kills are the only faults.
+        only_zones: Whether the only fault is that the hosts of a zone are cut
+            off from all other hosts.
         cut_way: How connections are cut; drawn if None.
     """
 
@@ -138,12 +141,13 @@
     with_storms: bool = True
     only_storms: bool = False
     only_adoptions: bool = False
+    only_zones: bool = False
     cut_way: CutWay | None = None
 
     @property
     def program(self) -> str:
         """Module to run; cuts need one that binds a source address."""
-        return BOUND if self.only_cuts else self.module
+        return BOUND if self.only_cuts or self.only_zones else self.module
 
     @property
     def bounds(self) -> Bounds | None:
@@ -155,7 +159,7 @@
     @property
     def has_due_versions(self) -> bool:
         """Whether no fault excuses a version that is late."""
-        return self.only_storms or self.only_adoptions
+        return self.only_storms or self.only_adoptions or self.only_zones
 
     @property
     def pipelining_share(self) -> float:
@@ -187,6 +191,8 @@
             return (PIPELINING_FAULTS,)
         if self.only_endless:
             return (ENDLESS_FAULTS,)
+        if self.only_zones:
+            return (ZONE_FAULTS,)
         if self.only_storms:
             return (STORM_FAULTS,)
         if self.only_adoptions:
