Load the tests of a cut zone beyond the bounds of the fleet

With 120 requests per second, hosts that ignored each other and named limits stayed at 18 of 29 permitted in 4 s, and at 12 of 11 at a cold upstream, so the first test could not fail.

--- a/tests/functional/test_zone_cut.py
+++ b/tests/functional/test_zone_cut.py
@@ -52,6 +52,8 @@
 COLD_RATE = 4.0
 COLD_SECONDS = 6.0
 MOST_COLD = COLD_RATE * BOUNDS.cold_overshoot + BOUNDS.cold_slack
+# Requests per second that exceed these bounds if hosts ignore each other.
+BUSY_RATE = 300.0
 VERSIONS = 30
 VERSION_SECONDS = 0.1
 
@@ -168,7 +170,7 @@
     async def test(fleet: CutFleet, cut: ZoneCut) -> None:
         times: list[float] = []
         fleet.upstreams[0].script = partial(_answer_with_limit, times)
-        load = CutLoad(fleet)
+        load = CutLoad(fleet, rate=BUSY_RATE, callers=96)
         seconds = 2 * BOUNDS.contact_seconds + CUT_SECONDS
         playing = asyncio.ensure_future(load.play(seconds))
         await asyncio.sleep(BOUNDS.contact_seconds)
@@ -201,7 +203,7 @@
         times: list[float] = []
         cold = UpstreamStandin('i-cold', partial(_note_cold, times))
         await cold.start()
-        load = CutLoad(fleet)
+        load = CutLoad(fleet, rate=BUSY_RATE, callers=96)
         playing = asyncio.ensure_future(load.play(CUT_SECONDS + COLD_SECONDS))
         cut.begin(with_upstreams=False)
         await asyncio.sleep(BOUNDS.contact_seconds)
