--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -24,6 +24,11 @@
     only_silence: bool = False,
     only_short_lives: bool = False,
     only_cuts: bool = False,
+    only_pipelining: bool = False,
+    only_endless: bool = False,
+    only_storms: bool = False,
+    only_adoptions: bool = False,
+    only_zones: bool = False,
 ) -> None:
     """Run a play per seed in sequence; exit with 1 if a guarantee was violated.
 
@@ -39,6 +44,16 @@
             after they have started.
         only_cuts: Whether the only fault is that hosts are cut off from
             upstreams.
+        only_pipelining: Whether all callers send requests before earlier ones
+            are answered, during planned stops and reloads only.
+        only_endless: Whether the only fault is that upstreams send answers
+            without an end.
+        only_storms: Whether the only fault is that configurations follow in
+            quick succession.
+        only_adoptions: Whether the only fault is that hosts are killed right
+            after they have adopted a configuration.
+        only_zones: Whether the only fault is that the hosts of a zone are cut
+            off from all other hosts.
     """
     drawn = SystemRandom()
     chosen = [int(one) for one in str(seeds).strip('()').split(',') if one]
@@ -55,6 +70,11 @@
             only_silence=only_silence,
             only_short_lives=only_short_lives,
             only_cuts=only_cuts,
+            only_pipelining=only_pipelining,
+            only_endless=only_endless,
+            only_storms=only_storms,
+            only_adoptions=only_adoptions,
+            only_zones=only_zones,
         )
         folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
         began = time.monotonic()
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -1,17 +1,27 @@
 """Deliberate defects of a gateway that a play has to detect."""
 
 import asyncio
+import time
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 
 from tornado.httpclient import HTTPResponse
 
 from wardstair.cli import gateway
-from wardstair.connection import pool
+from wardstair.connection import pipeline, pool
+from wardstair.connection import upstream as upstream_connections
 from wardstair.connection.upstream import UpstreamConnection
 from wardstair.decisions.cold_upstreams import HostView
+from wardstair.decisions.pipelining import PipelineState
 from wardstair.decisions.suspicion import Evidence
-from wardstair.gateway import fleet_views, peer_forwarding, refusals, splitting
+from wardstair.gateway import (
+    caller_connections,
+    fleet_views,
+    forwarding,
+    peer_forwarding,
+    refusals,
+    splitting,
+)
 from wardstair.platform import headers, store
 from wardstair.platform.objects import StoredObject
 from wardstair.state import (
@@ -31,6 +41,9 @@
 from wardstair.version import organisations
 from wardstair.version.steering import SteeredRoute
 
+# How late hosts are that do something late.
+LATE_SECONDS = 4.0
+
 
 def misreport_as_not_run() -> None:
     """Report to callers that a request has not run although it may have."""
@@ -208,6 +221,73 @@
     table.owner_of = owner_of  # type: ignore[method-assign]
 
 
+def close_before_started() -> None:
+    """Start requests that run once beside others, and close at any answer."""
+
+    def may_start(state: PipelineState, *, is_repeatable: bool) -> bool:
+        return True
+
+    def closes(state: PipelineState, *, is_final: bool) -> bool:
+        return is_final or state.is_stopping
+
+    setattr(caller_connections, 'may_start', may_start)  # noqa: B010
+    setattr(caller_connections, 'closes', closes)  # noqa: B010
+
+
+def answer_in_any_order() -> None:
+    """Send answers as soon as they are known."""
+    finish = pipeline.Pipeline.finish
+
+    def swap(
+        self: pipeline.Pipeline[object],
+        turn: pipeline.Turn[object],
+        answer: object,
+    ) -> None:
+        if self._sending is None:
+            self._turns.remove(turn)
+            self._turns.insert(0, turn)
+        finish(self, turn, answer)
+
+    pipeline.Pipeline.finish = swap  # type: ignore[method-assign, assignment]
+
+
+def ignore_deadlines() -> None:
+    """Answer callers some seconds after the deadlines of their requests."""
+    forwarding.REPLY_MARGIN_SECONDS = -LATE_SECONDS
+
+
+def keep_answers() -> None:
+    """Keep all bytes of the bodies of answers."""
+    on_body = upstream_connections._Reading.on_body
+    kept: list[bytes] = []
+
+    def keep(self: upstream_connections._Reading, body: bytes) -> None:
+        kept.append(body)
+        on_body(self, body)
+
+    upstream_connections._Reading.on_body = keep  # type: ignore[method-assign]
+
+
+def adopt_seldom() -> None:
+    """Ignore configurations for some seconds after each one."""
+    adopt = local_state.LocalState.offer_configuration
+    adopted_at = [0.0]
+
+    def offer(
+        self: local_state.LocalState,
+        stored: StoredObject,
+        source: str,
+    ) -> bool:
+        if time.monotonic() < adopted_at[0] + LATE_SECONDS:
+            return False
+        adopted = adopt(self, stored, source)
+        if adopted:
+            adopted_at[0] = time.monotonic()
+        return adopted
+
+    local_state.LocalState.offer_configuration = offer  # type: ignore[method-assign]
+
+
 def bind_address(address: str) -> None:
     """Open connections to upstreams from a given source address.
 
@@ -279,4 +359,14 @@
             forward_api_keys()
         case 'dropped':
             accept_removed_api_keys()
+        case 'overdue':
+            ignore_deadlines()
+        case 'memory':
+            keep_answers()
+        case 'seldom':
+            adopt_seldom()
+        case 'closing':
+            close_before_started()
+        case 'order':
+            answer_in_any_order()
     gateway.main()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -45,9 +45,11 @@
         self._caller: Caller | None = None
         self._gateway = gateways[0]
         self._gateway_name = ''
+        self._is_over: Callable[[], bool] = lambda: False
 
     async def run(self, is_over: Callable[[], bool]) -> None:
         """Send requests until the play is over; the last one is completed."""
+        self._is_over = is_over
         while not is_over():
             kind = self._random.choice((Kind.safe, Kind.divided, Kind.once))
             await self.ask(kind)
@@ -69,7 +71,9 @@
             async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS):
                 await caller.send(TARGETS[kind], 'POST', body, name, key)
                 answer = await caller.answer()
-        except (TimeoutError, ConnectionError):
+        except (TimeoutError, ConnectionError) as error:
+            made.is_overdue = isinstance(error, TimeoutError)
+            made.ended_at = time.monotonic()
             # The caller disconnects without an outcome for the request.
             self._drop()
             return made
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -16,23 +16,30 @@
 from lib.store_standin import StoreStandin
 
 from soak.callers import CallerTask
+from soak.endless import watch_memory
 from soak.faults import (
+    ADOPTION_FAULTS,
     CUT_FAULTS,
+    ENDLESS_FAULTS,
     HARM_FAULTS,
     HERDS,
     LIMIT_FAULTS,
     NOTICE_FAULTS,
+    PIPELINING_FAULTS,
     PLANNED,
     POWER,
     SHORT_LIFE_FAULTS,
     SILENCE_FAULTS,
+    STORM_FAULTS,
     UNPLANNED,
+    ZONE_FAULTS,
     Fault,
     Scene,
     Schedule,
 )
 from soak.ledger import Kind, Ledger
 from soak.notices import ENTRY_BOUNDS
+from soak.pipelining import PipeliningCaller
 from soak.processes import GatewayProcess, choose_places
 from soak.proxy import CutWay, Proxy
 from soak.restores import check_evacuation, restore_store
@@ -47,6 +54,8 @@
 ZONES = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
 # The store is restored from a copy, alone or along with other faults.
 RESTORE_FAULTS: tuple[Fault, ...] = (restore_store,)
+# Share of callers that pipeline requests.
+PIPELINING_SHARE = 1 / 3
 # Timeout of the recovery after the last fault. The guaranteed bounds are a
 # tenth of it; this only ends a play that has failed.
 RECOVERY_SECONDS = 60.0
@@ -87,6 +96,18 @@
             after they have started.
         only_cuts: Whether the only fault is that hosts are cut off from
             upstreams.
+        with_pipelining: Whether a third of the callers, drawn from the seed,
+            send requests before earlier ones are answered.
+        only_pipelining: Whether all callers do, while the only faults are
+            planned stops and reloads.
+        with_endless: Whether faults include answers without an end.
+        only_endless: Whether these are the only faults.
+        with_storms: Whether faults include configurations in quick succession
+            and hosts that are killed right after they have adopted one.
+        only_storms: Whether such configurations are the only faults.
+        only_adoptions: Whether such kills are the only faults.
+        only_zones: Whether the only fault is that the hosts of a zone are cut
+            off from all other hosts.
         cut_way: How connections are cut; drawn if None.
     """
 
@@ -113,19 +134,40 @@
     only_silence: bool = False
     only_short_lives: bool = False
     only_cuts: bool = False
+    with_pipelining: bool = True
+    only_pipelining: bool = False
+    with_endless: bool = True
+    only_endless: bool = False
+    with_storms: bool = True
+    only_storms: bool = False
+    only_adoptions: bool = False
+    only_zones: bool = False
     cut_way: CutWay | None = None
 
     @property
     def program(self) -> str:
         """Module to run; cuts need one that binds a source address."""
-        return BOUND if self.only_cuts else self.module
+        return BOUND if self.only_cuts or self.only_zones else self.module
 
     @property
     def bounds(self) -> Bounds | None:
         """Bounds of the gateways; None for the defaults."""
         has_entry_checks = self.only_silence or self.only_short_lives
+        has_entry_checks = has_entry_checks or self.has_due_versions
         return ENTRY_BOUNDS if has_entry_checks else None
 
+    @property
+    def has_due_versions(self) -> bool:
+        """Whether no fault excuses a version that is late."""
+        return self.only_storms or self.only_adoptions or self.only_zones
+
+    @property
+    def pipelining_share(self) -> float:
+        """Probability that a caller pipelines requests."""
+        if self.only_pipelining:
+            return 1.0
+        return PIPELINING_SHARE * self.with_pipelining
+
     @property
     def groups(self) -> tuple[tuple[Fault, ...], ...]:
         """Groups of faults to draw from; all groups are equally likely."""
@@ -145,6 +187,16 @@
             return (SHORT_LIFE_FAULTS,)
         if self.only_cuts:
             return (CUT_FAULTS,)
+        if self.only_pipelining:
+            return (PIPELINING_FAULTS,)
+        if self.only_endless:
+            return (ENDLESS_FAULTS,)
+        if self.only_zones:
+            return (ZONE_FAULTS,)
+        if self.only_storms:
+            return (STORM_FAULTS,)
+        if self.only_adoptions:
+            return (ADOPTION_FAULTS,)
         herds = HERDS * self.with_herds
         harm = HARM_FAULTS * self.with_harm
         power = POWER * self.with_power
@@ -152,6 +204,8 @@
         notices = NOTICE_FAULTS * self.with_notices
         restores = RESTORE_FAULTS * self.with_restores
         drawn = herds + power + harm + limits + notices + restores
+        drawn += ENDLESS_FAULTS * self.with_endless
+        drawn += (STORM_FAULTS + ADOPTION_FAULTS) * self.with_storms
         return (PLANNED, UNPLANNED + drawn)
 
 
@@ -250,13 +304,22 @@
             self._random,
             cut_way=self._plan.cut_way,
         )
+        bounds = self._plan.bounds
+        has_due = bounds is not None and self._plan.has_due_versions
+        due_seconds = bounds.apply_seconds if bounds and has_due else None
         probes = [
-            VersionProbe(gateway, self.ledger, lambda: scene.version)
+            VersionProbe(
+                gateway,
+                self.ledger,
+                lambda: scene.version,
+                due_seconds,
+            )
             for gateway in self._gateways
         ]
         await self._wait_until_serving(probes, 'start', START_SECONDS)
         running = [
             *(probe.run(self._has_ended) for probe in probes),
+            watch_memory(self._gateways, self.ledger, self._has_ended),
             *(caller.run(self._has_ended) for caller in self._callers()),
         ]
         asked = asyncio.gather(*running)
@@ -304,15 +367,19 @@
         return self._is_over
 
     def _callers(self) -> list[CallerTask]:
-        return [
-            CallerTask(
-                f'caller-{number}',
-                self._gateways,
-                self.ledger,
-                Random(self._plan.seed * 7919 + number),
-            )
-            for number in range(self._plan.callers)
-        ]
+        return [self._caller(number) for number in range(self._plan.callers)]
+
+    def _caller(self, number: int) -> CallerTask:
+        # A source of its own, so that other draws of a seed stay the same.
+        draw = Random(f'{self._plan.seed} pipelining {number}').random()
+        is_pipelining = draw < self._plan.pipelining_share
+        caller = PipeliningCaller if is_pipelining else CallerTask
+        return caller(
+            f'caller-{number}',
+            self._gateways,
+            self.ledger,
+            Random(self._plan.seed * 7919 + number),
+        )
 
     async def _wait_until_serving(
         self,
