Show roll-outs to operators in wardstairctl

Operators could see roll-outs only by fetching /v1/rollouts by hand, without refused orders, and a host whose settings call for none answered with an empty list.

wardstairctl rollouts list and show ask gateways at their first fleet port. No token is sent, as the port asks for none. Exit codes are those of the other queries.

The listing names the host, the term, the revision and, for a refused order, the field and what was expected. Where roll-outs are not in use it answers 404 with the reason, which an empty list does not tell.

--- a/src/wardstair/cli/context.py
+++ b/src/wardstair/cli/context.py
@@ -30,10 +30,12 @@
         addresses = hosts or os.environ.get(HOSTS_VARIABLE, '')
         self.as_json = as_json
         self.operator = os.environ.get('USER', 'operator')
+        hosts_given = [host for host in addresses.split(',') if host]
         self.client = OperatorClient(
-            [host for host in addresses.split(',') if host],
-            os.environ.get(TOKEN_VARIABLE, ''),
+            hosts_given, os.environ.get(TOKEN_VARIABLE, '')
         )
+        # The fleet ports of gateways ask for no token, so they get none.
+        self.fleet_client = OperatorClient(hosts_given, '')
 
     def rows_of_all(self, path: str) -> list[HostAnswer]:
         """Query all hosts and return the successful answers.
--- a/src/wardstair/cli/ctl.py
+++ b/src/wardstair/cli/ctl.py
@@ -10,6 +10,7 @@
 from wardstair.cli.context import EXIT_REFUSED, Context
 from wardstair.cli.drain_commands import DrainCommands
 from wardstair.cli.policy_commands import PolicyCommands
+from wardstair.cli.rollout_commands import RolloutCommands
 from wardstair.cli.shift_commands import ShiftCommands
 from wardstair.cli.tables import keep_matching, print_rows
 
@@ -18,7 +19,8 @@
     """Query and control the entry hosts of wardstair.
 
     Give the addresses of operators' listeners, separated by commas, with
-    --hosts or in WARDSTAIR_HOSTS, and the token in WARDSTAIR_TOKEN. Exit codes:
+    --hosts or in WARDSTAIR_HOSTS, and the token in WARDSTAIR_TOKEN. `rollouts`
+    asks gateways instead: give the first fleet port of each. Exit codes:
     0 success, 1 refused, 2 no host answered, 3 partial success.
     """
 
@@ -36,6 +38,7 @@
         self.drain = DrainCommands(self._context)
         self.shift = ShiftCommands(self._context)
         self.policy = PolicyCommands(self._context)
+        self.rollouts = RolloutCommands(self._context)
 
     def status(self) -> None:
         """Print the version and the open and waiting requests of each host."""
--- a/src/wardstair/gateway/endpoints.py
+++ b/src/wardstair/gateway/endpoints.py
@@ -31,8 +31,12 @@
 LOOKUP_TTL_SECONDS = 2.0
 METRICS_PATH = '/metrics'
 ROLLOUTS_PATH = '/v1/rollouts'
+# Answered, with status 404, where roll-outs are not in use.
+NO_ROLLOUTS = 'the settings of this host call for no roll-outs'
 SUSPECTS_PATH = '/v1/suspects/?([0-9a-f]*)'
 
+RolloutLister = Callable[[], list[RolloutRow]]
+
 
 class Directory:
     """Answers look-ups with the addresses of live hosts.
@@ -173,11 +177,15 @@
 
 
 class _RolloutsHandler(RequestHandler):
-    def initialize(self, listing: Callable[[], list[RolloutRow]]) -> None:
+    def initialize(self, listing: RolloutLister | None) -> None:
         self._listing = listing
 
     def get(self) -> None:
         self.set_header('Content-Type', 'application/json')
+        if self._listing is None:
+            self.set_status(404)
+            self.finish(json.dumps({'error': NO_ROLLOUTS}))
+            return
         self.finish(json.dumps([asdict(row) for row in self._listing()]))
 
 
@@ -206,7 +214,7 @@
     exchange: StateExchange,
     suspects: SuspectTable,
     peer_request_server: PeerRequestServer,
-    rollouts: Callable[[], list[RolloutRow]],
+    rollouts: RolloutLister | None,
 ) -> Application:
     """Return the endpoints for other entry hosts and for operators.
 
@@ -215,7 +223,8 @@
         suspects: Requests during which upstreams exited. Operators can list
             and lift them.
         peer_request_server: Serves requests that other hosts forward.
-        rollouts: Returns the roll-outs known to this host.
+        rollouts: Returns the roll-outs known to this host; None if its
+            settings call for none.
     """
     return Application(
         [
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -393,7 +393,7 @@
                 self.exchange,
                 self.local_state.suspects,
                 self.peer_request_server,
-                list if rollouts is None else rollouts.listing,
+                None if rollouts is None else rollouts.listing,
             ),
             Listener(settings.address, settings.fleet_ports[0]),
         )
--- a/src/wardstair/gateway/rollout_listing.py
+++ b/src/wardstair/gateway/rollout_listing.py
@@ -10,18 +10,27 @@
 from wardstair.gateway.host_rollout import HostRollout
 from wardstair.gateway.rollout_coordinator import RolloutCoordinator
 from wardstair.gateway.rollouts import RolloutGate
-from wardstair.state.rollouts import Rollout, RolloutRecord, RolloutTable
+from wardstair.state.revision import NO_REVISION
+from wardstair.state.rollouts import (
+    Rollout,
+    RolloutRecord,
+    RolloutTable,
+    UnusableRollout,
+)
+
+# The state of an order that cannot be carried out.
+REFUSED = 'refused'
 
 
 @dataclass(frozen=True, slots=True)
 class RolloutRow:
-    """One roll-out.
+    """One roll-out, or an order that is refused.
 
     Attributes:
         service: The service.
-        version: The target version.
-        state: The recorded state.
-        stage: The stage.
+        version: The target version; empty if a refused order names none.
+        state: The recorded state, or `refused`.
+        stage: The stage; empty for a refused order.
         share: Share of the keys that goes to the new version.
         seconds_left: Time until the deadline; None after the end.
         reserved: The recorded sum of allowances.
@@ -33,21 +42,31 @@
         bad: Bad answers among them; None likewise.
         reason: Why it is at this stage, or has ended.
         coordinator: Name of the host that coordinates it.
+        host: Name of the host that lists it.
+        term: Term of the last plan that this host has heard.
+        revision: Revision of the order's object that this host knows.
+        field: Dotted path of the field for which the order is refused.
+        expected: Description of a valid value of that field.
     """
 
     service: str
     version: str
     state: str
     stage: str
-    share: float | None
-    seconds_left: float | None
-    reserved: int
-    sent: int | None
-    bound: int | None
-    answers: int | None
-    bad: int | None
     reason: str
     coordinator: str
+    host: str
+    term: str
+    revision: str
+    share: float | None = None
+    seconds_left: float | None = None
+    reserved: int = 0
+    sent: int | None = None
+    bound: int | None = None
+    answers: int | None = None
+    bad: int | None = None
+    field: str = ''
+    expected: str = ''
 
 
 class RolloutListing:
@@ -59,6 +78,7 @@
         gate: RolloutGate,
         coordinator: RolloutCoordinator,
         bounds: RolloutBounds,
+        host: str,
     ) -> None:
         """Create a listing.
 
@@ -67,19 +87,22 @@
             gate: What this host follows.
             coordinator: The reports of all hosts, on sentinels.
             bounds: The limits of the exposure.
+            host: Name of this host.
         """
         self._table = table
         self._gate = gate
         self._coordinator = coordinator
         self._bounds = bounds
+        self._host = host
 
     def rows(self, services: Iterable[str]) -> list[RolloutRow]:
-        """Return the roll-outs of services.
+        """Return the roll-outs of services and all refused orders.
 
         Args:
             services: Names of the services.
         """
-        return list(self._rows(services))
+        refused = [self._refused_row(order) for order in self._table.refused]
+        return [*self._rows(services), *refused]
 
     def _rows(self, services: Iterable[str]) -> Iterator[RolloutRow]:
         for service in sorted(services):
@@ -116,6 +139,24 @@
             bad=tally.bad if is_known else None,
             reason=_reason(own, record),
             coordinator=record.coordinator,
+            host=self._host,
+            term=str(NO_REVISION if own is None else own.term),
+            revision=str(rollout.revision),
+        )
+
+    def _refused_row(self, order: UnusableRollout) -> RolloutRow:
+        return RolloutRow(
+            service=order.service,
+            version=order.version,
+            state=REFUSED,
+            stage='',
+            reason=REFUSED,
+            coordinator='',
+            host=self._host,
+            term=str(NO_REVISION),
+            revision=str(order.revision),
+            field=order.field,
+            expected=order.expected,
         )
 
 
--- a/src/wardstair/gateway/rollout_parts.py
+++ b/src/wardstair/gateway/rollout_parts.py
@@ -78,7 +78,7 @@
         )
         self.coordinator.send_plan = self.endpoint.send_plan
         self._listing = RolloutListing(
-            self._table, self._gate, self.coordinator, bounds
+            self._table, self._gate, self.coordinator, bounds, settings.name
         )
         self.endpoint.far_addresses = lambda: (
             host.heartbeat_endpoint.far_addresses
@@ -113,7 +113,7 @@
         self.endpoint.stop()
 
     def listing(self) -> list[RolloutRow]:
-        """Return the known roll-outs, for operators."""
+        """Return the known roll-outs and refused orders, for operators."""
         steering = self._host.local_state.steering
         services = () if steering is None else tuple(steering.services)
         return self._listing.rows(services)
