Know the rate of requests when another sentinel takes a roll-out over

Cause: only the coordinator measured the rate, so at a successor's first step it was 0. Change: all sentinels measure the rate while a roll-out runs, and the plan takes the mean rate while no present one is measured. The limit still takes the lower one of both. Ruled out: the higher one of both for the share as well, which would hold it down after the rate has fallen. Both new tests fail without the change.

--- a/src/wardstair/decisions/rollout_plan.py
+++ b/src/wardstair/decisions/rollout_plan.py
@@ -223,7 +223,7 @@
     move = _cost_of(_rise(progress, progress.bounds.share, 0.0), progress)
     limit = _limit_after(progress, seconds)
     left = limit - progress.sent - move * MOVE_MARGIN
-    share = left / max(progress.rate * seconds, 1.0)
+    share = left / max(_known_rate(progress) * seconds, 1.0)
     share = min(max(share, 0.0), MAX_TEST_SHARE)
     if abs(share - progress.share) < share * MIN_SHARE_CHANGE:
         share = min(progress.share, MAX_TEST_SHARE)
@@ -260,7 +260,8 @@
 
 def _paced(progress: RolloutProgress, most: float) -> float:
     left = exposure_limit(progress) - progress.sent
-    requests = progress.rate * max(_seconds_left(progress), STEP_SECONDS)
+    seconds = max(_seconds_left(progress), STEP_SECONDS)
+    requests = _known_rate(progress) * seconds
     share = max(left, 0) / max(requests, 1.0)
     return max(min(share, most, 1.0), 0.0)
 
@@ -303,6 +304,11 @@
     return max(progress.seconds - progress.age, 0.0)
 
 
+def _known_rate(progress: RolloutProgress) -> float:
+    """Return the present rate, or the mean one while it is not measured."""
+    return progress.rate if progress.rate > 0 else _mean_rate(progress)
+
+
 def _mean_rate(progress: RolloutProgress) -> float:
     if progress.age < MIN_MEAN_SECONDS:
         return progress.rate
--- a/src/wardstair/gateway/rollout_coordinator.py
+++ b/src/wardstair/gateway/rollout_coordinator.py
@@ -125,6 +125,10 @@
             or RolloutLead(rollout.order, self.books[target])
             for target, rollout in running.items()
         }
+        now = time.monotonic()
+        for book in self.books.values():
+            # A successor needs the rate from its first step on.
+            book.measure(now)
         for target, rollout in running.items():
             # The operator may have changed the time.
             self._leads[target].order = rollout.order
@@ -210,7 +214,7 @@
         scene = self._scene
         service = lead.order.service
         book = lead.book
-        rate = book.rate(now)
+        rate = book.rate
         versions = VersionsInService.of(self._table, scene.upstreams(service))
         lead.group = versions.group(lead.share or scene.bounds().share)
         lead.judgement = lead.trial.judge(book.new, book.old, now)
--- a/src/wardstair/gateway/rollout_reports.py
+++ b/src/wardstair/gateway/rollout_reports.py
@@ -95,6 +95,16 @@
         """Sum of the allowances that hosts have reported."""
         return sum(host.last.allowed for host in self._hosts.values())
 
+    @property
+    def rate(self) -> float:
+        """Requests of the service per second; 0 until it is measured."""
+        if not self._totals:
+            return 0.0
+        began_at, before = self._totals[0]
+        ended_at, after = self._totals[-1]
+        seconds = ended_at - began_at
+        return (after - before) / seconds if seconds > 0 else 0.0
+
     @property
     def stage(self) -> RolloutStage:
         """The latest stage that any host follows."""
@@ -129,8 +139,8 @@
             if now - host.heard_at <= seconds
         ]
 
-    def rate(self, now: float) -> float:
-        """Return the requests of the service per second at present.
+    def measure(self, now: float) -> None:
+        """Note the requests so far, from which the rate is calculated.
 
         Args:
             now: Monotonic time in seconds.
@@ -138,9 +148,6 @@
         self._totals.append((now, self.requests))
         while now - self._totals[0][0] > RATE_SECONDS:
             self._totals.pop(0)
-        began_at, before = self._totals[0]
-        seconds = now - began_at
-        return (self.requests - before) / seconds if seconds > 0 else 0.0
 
 
 def waiting_hosts(hosts: Iterable[HostReports], stage: RolloutStage) -> int:
--- a/tests/unit/test_rollout_coordinator.py
+++ b/tests/unit/test_rollout_coordinator.py
@@ -514,3 +514,20 @@
     await host.go_on()
     assert store.record is not None
     assert store.record.state is RolloutState.rolled_back
+
+
+@in_loop
+async def test_a_successor_knows_the_rate_at_its_first_step(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    store = FakeStore()
+    host = make_host('host-2', store)
+    host.is_led = True
+    for turn in range(1, 5):
+        host.report(number=turn, requests=turn * 25)
+        later(monkeypatch, 0.25)
+        await host.go_on()
+    host.is_led = False
+    await host.go_on()
+    await host.go_on()
+    assert host.progress[0].rate > 0
--- a/tests/unit/test_rollout_plan.py
+++ b/tests/unit/test_rollout_plan.py
@@ -442,3 +442,23 @@
     player.run(10)
     player.progress = replace(player.progress, new_upstreams=3)
     assert player.run(14).end is RolloutState.complete
+
+
+@pytest.mark.parametrize('stage', [RolloutStage.testing, RolloutStage.moving])
+def test_share_does_not_jump_while_the_rate_is_not_measured(
+    stage: RolloutStage,
+) -> None:
+    """A new coordinator sent a third of the requests without backing."""
+    progress = replace(
+        PROGRESS,
+        stage=stage,
+        share=0.05,
+        age=9,
+        stage_age=0,
+        requests=5940,
+        sent=610,
+        judgement=GOOD,
+    )
+    known = next_step(progress)
+    unknown = next_step(replace(progress, rate=0))
+    assert unknown.share <= known.share
