Count no report from before the switch as following it

Cause: when the share has gone back from the switch (capacity) and the switch came again, a host's report from the first switch still counted, so that complete could be written while the host still followed the stage between and sent to old upstreams, which stop at once. Change: at the switch a host waits until it has been heard since it began, or is out of touch. Ruled out: comparing the plan in the report, as a host that hears no plan but knows the recorded switch would hold up the end for good. The new test fails without the change.

--- a/src/wardstair/gateway/rollout_coordinator.py
+++ b/src/wardstair/gateway/rollout_coordinator.py
@@ -218,7 +218,7 @@
         versions = VersionsInService.of(self._table, scene.upstreams(service))
         lead.group = versions.group(lead.share or scene.bounds().share)
         lead.judgement = lead.trial.judge(book.new, book.old, now)
-        waiting = waiting_hosts(in_touch, lead.stage)
+        waiting = waiting_hosts(in_touch, lead.stage, lead.stage_at)
         stage_age = now - lead.stage_at
         if stage_age < scene.contact_seconds():
             # Hosts that know the order report at once; others may not know it.
--- a/src/wardstair/gateway/rollout_reports.py
+++ b/src/wardstair/gateway/rollout_reports.py
@@ -150,22 +150,32 @@
             self._totals.pop(0)
 
 
-def waiting_hosts(hosts: Iterable[HostReports], stage: RolloutStage) -> int:
+def waiting_hosts(
+    hosts: Iterable[HostReports], stage: RolloutStage, stage_at: float
+) -> int:
     """Return how many hosts do not follow a stage yet.
 
-    At the switch a host with requests under way at old upstreams waits too.
+    At the switch a host with requests under way at old upstreams waits too,
+    and one that was last heard before: it may have followed another stage
+    since its report.
 
     Args:
         hosts: The hosts.
         stage: The stage.
+        stage_at: Monotonic time in seconds at which it began.
     """
-    return sum(_is_waiting(host.last, stage) for host in hosts)
+    return sum(_is_waiting(host, stage, stage_at) for host in hosts)
 
 
-def _is_waiting(report: RolloutReport, stage: RolloutStage) -> bool:
+def _is_waiting(
+    host: HostReports, stage: RolloutStage, stage_at: float
+) -> bool:
+    report = host.last
     if report.stage < stage:
         return True
-    return stage is RolloutStage.switched and report.waiting > 0
+    if stage is not RolloutStage.switched:
+        return False
+    return report.waiting > 0 or host.heard_at < stage_at
 
 
 def _merge(
--- a/tests/unit/test_rollout_coordinator.py
+++ b/tests/unit/test_rollout_coordinator.py
@@ -531,3 +531,26 @@
     await host.go_on()
     await host.go_on()
     assert host.progress[0].rate > 0
+
+
+@in_loop
+async def test_a_report_from_before_the_switch_does_not_count(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It was counted after a return to the stage before and a second switch."""
+    store = FakeStore()
+    host = make_host('host-1', store)
+    await host.go_on()
+    later(monkeypatch, 1)
+    host.step_is = SWITCH
+    await host.go_on()
+    host.report(stage=RolloutStage.switched)
+    for step in (MOVE, SWITCH):
+        later(monkeypatch, 1)
+        host.step_is = step
+        await host.go_on()
+    await host.go_on()
+    before = host.progress[-1].waiting_hosts
+    host.report(number=2, stage=RolloutStage.switched)
+    await host.go_on()
+    assert (before, host.progress[-1].waiting_hosts) == (1, 0)
