Accept only bytes as reports in a bundle

Cause: bytes(N) of a number returns N zeros, so that a datagram of a dozen bytes made a host allocate any amount of memory. Change: another type makes the datagram unreadable, which is logged. The new row of the test fails without the change.

--- a/src/wardstair/fleet/rollout_messages.py
+++ b/src/wardstair/fleet/rollout_messages.py
@@ -201,7 +201,7 @@
             case _Kind.report:
                 return RolloutReport(*_decoded(_REPORT_COLUMNS, row))
             case _Kind.bundle:
-                return ReportBundle(tuple(bytes(one) for one in row[0]))
+                return ReportBundle(tuple(map(_bytes, row[0])))
             case _Kind.plan:
                 return RolloutPlan(*_decoded(_PLAN_COLUMNS, row))
     except _DECODE_ERRORS:
@@ -294,6 +294,13 @@
     return int(number)
 
 
+def _bytes(encoded: object) -> bytes:
+    # Of a number, bytes() would return as many zeros.
+    if not isinstance(encoded, bytes):
+        raise TypeError('a bundled report consists of bytes')
+    return encoded
+
+
 def _share(share: float) -> float:
     if not 0 <= float(share) <= 1:
         raise ValueError('a share is from 0 to 1')
--- a/tests/unit/test_rollout_messages.py
+++ b/tests/unit/test_rollout_messages.py
@@ -80,6 +80,7 @@
         cbor2.dumps([2, 1]),
         cbor2.dumps([1, 9, 'kind']),
         cbor2.dumps([1, 2, 7]),
+        cbor2.dumps([1, 2, [2**20]]),
         cbor2.dumps([1, 3, 's', 'v', [0, 1], 1, 0, 1.5, [], {}, '', False]),
         cbor2.dumps([1, 3, 's', 'v', [0, 1], 1, 9, 0.5, [], {}, '', False]),
         cbor2.dumps([1, 3, 's', 'v', [0, 1], 1, 0, 0.5, [], {1: -1}, '', 0]),
