Bound the steps that are computed ahead for the rise of the share

Cause: each step of the coordinator computed all later steps of the rise, 4 a second for a seventh of the ordered time, which nothing bounds. Orders of less than 70 minutes are not affected. Ruled out: longer steps, as the cost is counted in steps of 0.25 s. The new test fails without the limit.

--- a/src/wardstair/decisions/rollout_plan.py
+++ b/src/wardstair/decisions/rollout_plan.py
@@ -23,6 +23,8 @@
 TEST_FRACTION = 0.55
 MOVE_FRACTION = 1 / 7
 LATE_FRACTION = 0.75
+# Longest rise of the share. The steps to come are computed at each step.
+MAX_MOVE_SECONDS = 600.0
 # Part of the time after which a version that is judged good gets all requests
 # in one step if a gradual rise would exceed the bound.
 LAST_FRACTION = 0.85
@@ -321,7 +323,8 @@
     stage_age: float,
 ) -> list[float]:
     """Return the shares of the next steps until all requests have moved."""
-    seconds = max(progress.seconds * MOVE_FRACTION, STEP_SECONDS)
+    seconds = min(progress.seconds * MOVE_FRACTION, MAX_MOVE_SECONDS)
+    seconds = max(seconds, STEP_SECONDS)
     shares: list[float] = []
     while not shares or share < 1:
         stage_age += STEP_SECONDS
--- a/tests/unit/test_rollout_plan.py
+++ b/tests/unit/test_rollout_plan.py
@@ -9,6 +9,7 @@
 from wardstair.decisions.rollout_exposure import max_exposure
 from wardstair.decisions.rollout_plan import (
     ENOUGH_CAPACITY_LATE,
+    MAX_MOVE_SECONDS,
     MAX_RISE,
     STEP_SECONDS,
     RolloutProgress,
@@ -462,3 +463,19 @@
     known = next_step(progress)
     unknown = next_step(replace(progress, rate=0))
     assert unknown.share <= known.share
+
+
+def test_rise_of_a_roll_out_of_weeks_takes_a_bounded_number_of_steps() -> None:
+    """Each step computed all later ones, which stopped the host for seconds."""
+    weeks = 4 * 7 * 86400.0
+    progress = replace(
+        PROGRESS,
+        stage=RolloutStage.moving,
+        share=0.9,
+        seconds=weeks,
+        age=weeks * 0.7,
+        stage_age=MAX_MOVE_SECONDS,
+        judgement=GOOD,
+        requests=int(660 * weeks * 0.7),
+    )
+    assert next_step(progress).stage is RolloutStage.switched
