Serve requests of a service whose only version is ordered

Cause: with an order for the version that all upstreams of a service have, or after all old ones have gone, hosts had no upstream that they may use until the coordinator had recorded the switch, and none while the store is away. Change: a host uses the new version if the catalogue has no other one for the service. A request that may only use some regions does not: the service has other versions then. Ruled out: to use the new version whenever no old one is left in the ranking, as regions, evacuations and notices would break the bound.

--- a/src/wardstair/gateway/rollouts.py
+++ b/src/wardstair/gateway/rollouts.py
@@ -136,15 +136,17 @@
             key: Affinity key of the request.
             is_resend: Whether the request was sent before.
         """
-        if not self.running or not ranked:
-            return [ranked]
-        rollout = self.running.get(ranked[0].entry.service)
+        rollout = None
+        if self.running and ranked:
+            rollout = self.running.get(ranked[0].entry.service)
         if rollout is None:
             return [ranked]
         new: list[Upstream] = []
         old: list[Upstream] = []
         for one in ranked:
             (new if self._is_new(one) else old).append(one)
+        if not old and self._is_alone(rollout):
+            return [new]
         now = time.monotonic()
         if not rollout.may_use_new(now):
             return [old]
@@ -184,7 +186,7 @@
         rollout = self.running.get(upstream.entry.service)
         if rollout is None or role is not VersionRole.new:
             return role not in _BARRED
-        return rollout.may_use_new(time.monotonic())
+        return rollout.may_use_new(time.monotonic()) or self._is_alone(rollout)
 
     def note_sent(self, upstream: Upstream) -> None:
         """Count a request that is being sent.
@@ -338,6 +340,12 @@
             for service, rollout in self.running.items()
         ]
 
+    def _is_alone(self, rollout: HostRollout) -> bool:
+        """Return whether the service has no other version than the new one."""
+        return self._table is not None and self._table.is_alone(
+            rollout.order.target
+        )
+
     def _is_new(self, upstream: Upstream) -> bool:
         return self._role(upstream.entry) is VersionRole.new
 
--- a/src/wardstair/state/rollouts.py
+++ b/src/wardstair/state/rollouts.py
@@ -193,6 +193,14 @@
             return None
         return rollout
 
+    def is_alone(self, target: ServiceVersion) -> bool:
+        """Return whether all upstreams of a service have a version.
+
+        Then no other version can take its requests.
+        """
+        versions = self._known.versions_in_service(target.service)
+        return set(versions) == {target.version}
+
     def role_of(self, entry: UpstreamEntry) -> VersionRole:
         """Return whether an upstream may receive requests, by its version."""
         if not self.is_in_use:
--- a/tests/unit/test_rollout_gate.py
+++ b/tests/unit/test_rollout_gate.py
@@ -14,6 +14,7 @@
 from wardstair.gateway.host_rollout import GateIdentity
 from wardstair.gateway.rollouts import RolloutGate
 from wardstair.state.entries import UpstreamEntry
+from wardstair.state.restoration import Restoration
 from wardstair.state.rollouts import (
     Rollout,
     RolloutOrder,
@@ -285,3 +286,22 @@
     assert not later.is_urgent
     assert not later.can_use_more
     assert later.number > report.number
+
+
+@pytest.mark.parametrize(
+    ('versions', 'permitted'),
+    [
+        (('v2',), NEW),
+        (('v1', 'v2'), []),
+    ],
+)
+def test_an_order_for_the_only_version_in_service_refuses_no_request(
+    versions: tuple[str, ...], permitted: list[Upstream]
+) -> None:
+    """All requests were refused until the switch was recorded."""
+    host = Host()
+    host.table.attach(
+        Restoration(time.monotonic), lambda _service: versions, bool
+    )
+    assert host.gate.groups(NEW, 'key', is_resend=False) == [permitted]
+    assert host.gate.may_send(NEW[0]) is bool(permitted)
