Name the upstreams under test only during the test

Cause: the group followed the share, so that plans named all upstreams of the new version at the end of the move, at 5 bytes each beside 80 allowances: with many upstreams more than MAX_DATAGRAM_BYTES, while hosts use it in the test only. Change: plans of later stages name none. The new test fails without the change.

--- a/src/wardstair/gateway/rollout_coordinator.py
+++ b/src/wardstair/gateway/rollout_coordinator.py
@@ -216,7 +216,10 @@
         book = lead.book
         rate = book.rate
         versions = VersionsInService.of(self._table, scene.upstreams(service))
-        lead.group = versions.group(lead.share or scene.bounds().share)
+        lead.group = frozenset()
+        if lead.stage is RolloutStage.testing:
+            # Later it would be all upstreams, too many for a datagram.
+            lead.group = versions.group(lead.share or scene.bounds().share)
         lead.judgement = lead.trial.judge(book.new, book.old, now)
         waiting = waiting_hosts(in_touch, lead.stage, lead.stage_at)
         stage_age = now - lead.stage_at
--- a/tests/unit/test_rollout_coordinator.py
+++ b/tests/unit/test_rollout_coordinator.py
@@ -554,3 +554,21 @@
     host.report(number=2, stage=RolloutStage.switched)
     await host.go_on()
     assert (before, host.progress[-1].waiting_hosts) == (1, 0)
+
+
+@in_loop
+async def test_plans_name_the_upstreams_under_test_only_during_the_test() -> (
+    None
+):
+    """Later it was all upstreams, and plans did not fit into a datagram."""
+    store = FakeStore()
+    host = make_host('host-1', store)
+    await host.go_on()
+    await host.go_on()
+    assert host.plans[-1].group
+    host.step_is = MOVE
+    await host.go_on()
+    await host.go_on()
+    await host.go_on()
+    assert host.stage is RolloutStage.moving
+    assert not host.coordinator.leads[ORDER.target].group
