--- a/src/wardstair/decisions/rollout_plan.py
+++ b/src/wardstair/decisions/rollout_plan.py
@@ -23,6 +23,8 @@
 TEST_FRACTION = 0.55
 MOVE_FRACTION = 1 / 7
 LATE_FRACTION = 0.75
+# Longest rise of the share. The steps to come are computed at each step.
+MAX_MOVE_SECONDS = 600.0
 # Part of the time after which a version that is judged good gets all requests
 # in one step if a gradual rise would exceed the bound.
 LAST_FRACTION = 0.85
@@ -223,7 +225,7 @@
     move = _cost_of(_rise(progress, progress.bounds.share, 0.0), progress)
     limit = _limit_after(progress, seconds)
     left = limit - progress.sent - move * MOVE_MARGIN
-    share = left / max(progress.rate * seconds, 1.0)
+    share = left / max(_known_rate(progress) * seconds, 1.0)
     share = min(max(share, 0.0), MAX_TEST_SHARE)
     if abs(share - progress.share) < share * MIN_SHARE_CHANGE:
         share = min(progress.share, MAX_TEST_SHARE)
@@ -260,7 +262,8 @@
 
 def _paced(progress: RolloutProgress, most: float) -> float:
     left = exposure_limit(progress) - progress.sent
-    requests = progress.rate * max(_seconds_left(progress), STEP_SECONDS)
+    seconds = max(_seconds_left(progress), STEP_SECONDS)
+    requests = _known_rate(progress) * seconds
     share = max(left, 0) / max(requests, 1.0)
     return max(min(share, most, 1.0), 0.0)
 
@@ -303,6 +306,11 @@
     return max(progress.seconds - progress.age, 0.0)
 
 
+def _known_rate(progress: RolloutProgress) -> float:
+    """Return the present rate, or the mean one while it is not measured."""
+    return progress.rate if progress.rate > 0 else _mean_rate(progress)
+
+
 def _mean_rate(progress: RolloutProgress) -> float:
     if progress.age < MIN_MEAN_SECONDS:
         return progress.rate
@@ -315,7 +323,8 @@
     stage_age: float,
 ) -> list[float]:
     """Return the shares of the next steps until all requests have moved."""
-    seconds = max(progress.seconds * MOVE_FRACTION, STEP_SECONDS)
+    seconds = min(progress.seconds * MOVE_FRACTION, MAX_MOVE_SECONDS)
+    seconds = max(seconds, STEP_SECONDS)
     shares: list[float] = []
     while not shares or share < 1:
         stage_age += STEP_SECONDS
--- a/src/wardstair/gateway/rollout_coordinator.py
+++ b/src/wardstair/gateway/rollout_coordinator.py
@@ -125,6 +125,10 @@
             or RolloutLead(rollout.order, self.books[target])
             for target, rollout in running.items()
         }
+        now = time.monotonic()
+        for book in self.books.values():
+            # A successor needs the rate from its first step on.
+            book.measure(now)
         for target, rollout in running.items():
             # The operator may have changed the time.
             self._leads[target].order = rollout.order
@@ -210,11 +214,14 @@
         scene = self._scene
         service = lead.order.service
         book = lead.book
-        rate = book.rate(now)
+        rate = book.rate
         versions = VersionsInService.of(self._table, scene.upstreams(service))
-        lead.group = versions.group(lead.share or scene.bounds().share)
+        lead.group = frozenset()
+        if lead.stage is RolloutStage.testing:
+            # Later it would be all upstreams, too many for a datagram.
+            lead.group = versions.group(lead.share or scene.bounds().share)
         lead.judgement = lead.trial.judge(book.new, book.old, now)
-        waiting = waiting_hosts(in_touch, lead.stage)
+        waiting = waiting_hosts(in_touch, lead.stage, lead.stage_at)
         stage_age = now - lead.stage_at
         if stage_age < scene.contact_seconds():
             # Hosts that know the order report at once; others may not know it.
--- a/src/wardstair/gateway/rollout_reports.py
+++ b/src/wardstair/gateway/rollout_reports.py
@@ -95,6 +95,16 @@
         """Sum of the allowances that hosts have reported."""
         return sum(host.last.allowed for host in self._hosts.values())
 
+    @property
+    def rate(self) -> float:
+        """Requests of the service per second; 0 until it is measured."""
+        if not self._totals:
+            return 0.0
+        began_at, before = self._totals[0]
+        ended_at, after = self._totals[-1]
+        seconds = ended_at - began_at
+        return (after - before) / seconds if seconds > 0 else 0.0
+
     @property
     def stage(self) -> RolloutStage:
         """The latest stage that any host follows."""
@@ -129,8 +139,8 @@
             if now - host.heard_at <= seconds
         ]
 
-    def rate(self, now: float) -> float:
-        """Return the requests of the service per second at present.
+    def measure(self, now: float) -> None:
+        """Note the requests so far, from which the rate is calculated.
 
         Args:
             now: Monotonic time in seconds.
@@ -138,27 +148,34 @@
         self._totals.append((now, self.requests))
         while now - self._totals[0][0] > RATE_SECONDS:
             self._totals.pop(0)
-        began_at, before = self._totals[0]
-        seconds = now - began_at
-        return (self.requests - before) / seconds if seconds > 0 else 0.0
 
 
-def waiting_hosts(hosts: Iterable[HostReports], stage: RolloutStage) -> int:
+def waiting_hosts(
+    hosts: Iterable[HostReports], stage: RolloutStage, stage_at: float
+) -> int:
     """Return how many hosts do not follow a stage yet.
 
-    At the switch a host with requests under way at old upstreams waits too.
+    At the switch a host with requests under way at old upstreams waits too,
+    and one that was last heard before: it may have followed another stage
+    since its report.
 
     Args:
         hosts: The hosts.
         stage: The stage.
+        stage_at: Monotonic time in seconds at which it began.
     """
-    return sum(_is_waiting(host.last, stage) for host in hosts)
+    return sum(_is_waiting(host, stage, stage_at) for host in hosts)
 
 
-def _is_waiting(report: RolloutReport, stage: RolloutStage) -> bool:
+def _is_waiting(
+    host: HostReports, stage: RolloutStage, stage_at: float
+) -> bool:
+    report = host.last
     if report.stage < stage:
         return True
-    return stage is RolloutStage.switched and report.waiting > 0
+    if stage is not RolloutStage.switched:
+        return False
+    return report.waiting > 0 or host.heard_at < stage_at
 
 
 def _merge(
--- a/tests/unit/test_rollout_coordinator.py
+++ b/tests/unit/test_rollout_coordinator.py
@@ -514,3 +514,61 @@
     await host.go_on()
     assert store.record is not None
     assert store.record.state is RolloutState.rolled_back
+
+
+@in_loop
+async def test_a_successor_knows_the_rate_at_its_first_step(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    store = FakeStore()
+    host = make_host('host-2', store)
+    host.is_led = True
+    for turn in range(1, 5):
+        host.report(number=turn, requests=turn * 25)
+        later(monkeypatch, 0.25)
+        await host.go_on()
+    host.is_led = False
+    await host.go_on()
+    await host.go_on()
+    assert host.progress[0].rate > 0
+
+
+@in_loop
+async def test_a_report_from_before_the_switch_does_not_count(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It was counted after a return to the stage before and a second switch."""
+    store = FakeStore()
+    host = make_host('host-1', store)
+    await host.go_on()
+    later(monkeypatch, 1)
+    host.step_is = SWITCH
+    await host.go_on()
+    host.report(stage=RolloutStage.switched)
+    for step in (MOVE, SWITCH):
+        later(monkeypatch, 1)
+        host.step_is = step
+        await host.go_on()
+    await host.go_on()
+    before = host.progress[-1].waiting_hosts
+    host.report(number=2, stage=RolloutStage.switched)
+    await host.go_on()
+    assert (before, host.progress[-1].waiting_hosts) == (1, 0)
+
+
+@in_loop
+async def test_plans_name_the_upstreams_under_test_only_during_the_test() -> (
+    None
+):
+    """Later it was all upstreams, and plans did not fit into a datagram."""
+    store = FakeStore()
+    host = make_host('host-1', store)
+    await host.go_on()
+    await host.go_on()
+    assert host.plans[-1].group
+    host.step_is = MOVE
+    await host.go_on()
+    await host.go_on()
+    await host.go_on()
+    assert host.stage is RolloutStage.moving
+    assert not host.coordinator.leads[ORDER.target].group
