Count answers of the same moment once in the rate of silence

A host doubted its reach (reach-doubted reason=silent) after 0.25 s in which 6 answers or more were expected by their rate. The rate took answers for independent; 8 to 16 pipelined requests are answered together, and the pause until the next of them was then taken for a loss.

Answers within 10 ms of one another count once. Ruled out: to expect answers only of requests beyond their expected time, which depends on estimates that are wrong while upstreams change.

test_reach: the new cases of 8, 16 and 64 answers fail without the change.

--- a/src/wardstair/decisions/reachability.py
+++ b/src/wardstair/decisions/reachability.py
@@ -32,6 +32,9 @@
 MISSED_ANSWERS = 6.0
 # Smoothing factor of the answer rate.
 RATE_SHARE = 0.3
+# Answers within this time of one another count once in the rate: their requests
+# may have been sent together, and together they are missing.
+SAME_MOMENT_SECONDS = 0.01
 
 
 def zone_group(zone: str) -> str:
@@ -240,27 +243,37 @@
     """Detects that answers have stopped arriving.
 
     Attributes:
-        rate: Average number of answers per second.
+        rate: Average number of answers per second, of which those of the same
+            moment count once.
     """
 
     rate: float = 0.0
     _answers: int = 0
+    _counted_at: float = float('-inf')
     _stepped_at: float = 0.0
 
-    def step(self, answers: int, now: float) -> None:
-        """Update the rate from the number of answers.
+    def note_answer(self, now: float) -> None:
+        """Count an answer, unless one of the same moment is counted.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        if now - self._counted_at >= SAME_MOMENT_SECONDS:
+            self._counted_at = now
+            self._answers += 1
+
+    def step(self, now: float) -> None:
+        """Update the rate from the answers counted since the last update.
 
         Args:
-            answers: Number of answers since the process started.
             now: Monotonic time in seconds.
         """
         seconds = now - self._stepped_at
-        came = answers - self._answers
         # A silence that is being checked must not lower the usual rate.
-        if came and seconds > 0:
-            self.rate += RATE_SHARE * (came / seconds - self.rate)
+        if self._answers and seconds > 0:
+            self.rate += RATE_SHARE * (self._answers / seconds - self.rate)
             self._stepped_at = now
-            self._answers = answers
+            self._answers = 0
 
     def is_unusual(self, silent_seconds: float, overdue: int) -> bool:
         """Return whether a silence is unlikely to be coincidence.
--- a/src/wardstair/state/reachability.py
+++ b/src/wardstair/state/reachability.py
@@ -104,7 +104,7 @@
 
     def looks_silent(self) -> bool:
         """Return whether answers seem to have stopped arriving."""
-        self._watch.step(self.answers, self.catalog.clock())
+        self._watch.step(self.catalog.clock())
         if self.silent_seconds < self.times().silence:
             return False
         now = self.catalog.clock()
@@ -135,6 +135,7 @@
         self.answers += 1
         self.is_suspect = False
         now = self.catalog.clock()
+        self._watch.note_answer(now)
         for group in self._groups_of(entry):
             group.note_reached(now)
         if self.lost and not self.lost.isdisjoint(_names_of(entry)):
--- a/tests/unit/test_reach.py
+++ b/tests/unit/test_reach.py
@@ -186,6 +186,25 @@
     assert host.reachability.looks_silent() is is_silent
 
 
+@pytest.mark.parametrize('amount', [1, 8, 16, 64])
+def test_answers_that_come_together_are_missed_together(amount: int) -> None:
+    """Pipelined requests of one moment made 0.3 s look like a silence."""
+    host = Host()
+    waiting = host.catalog.upstreams['o0-south']
+    for _ in range(40):
+        sent_at = host.now
+        for number in range(amount):
+            waiting.running[number] = RunningSend(sent_at, 0.3, 0.3)
+        host.now = sent_at + 0.28
+        assert not host.reachability.looks_silent()
+        for number in range(amount):
+            # They take a little longer one after the other.
+            host.now = sent_at + 0.3 + 0.02 * number / amount
+            host.answer('v0-north')
+        waiting.running.clear()
+        assert not host.reachability.looks_silent()
+
+
 @pytest.mark.parametrize('contact', [0.5, 3.0, 4.0, 10.0])
 def test_cut_is_detected_and_cleared_within_the_bound(contact: float) -> None:
     times = probe_times(contact)
