End no turn of the loop in a read that is already done

A host's process stood still for good, busy, when a caller's bytes came in the same turn of the loop in which the parsing of its connection went on: the parser waited for a read that was done and whose callback had not run yet. Such a wait returns at once, adds nothing and was repeated without end. Callers that send further requests behind one that runs alone, or behind 16, can bring it about.

The wait now takes over the bytes itself, and the callback does nothing for a read that is taken over. So each wait either adds bytes or raises.

The new unit test fails without the change.

--- a/src/wardstair/gateway/caller_stream.py
+++ b/src/wardstair/gateway/caller_stream.py
@@ -203,6 +203,8 @@
         filling = self._filling
         if filling is not None:
             await filling
+            # A read that was done already may not have called back yet.
+            self._on_filled(filling)
 
     def _start_filling(self) -> None:
         """Start a read; bytes that are there already are added at once."""
@@ -216,6 +218,8 @@
         future.add_done_callback(self._on_filled)
 
     def _on_filled(self, filled: 'asyncio.Future[bytes]') -> None:
+        if self._filling is not filled:
+            return
         self._filling = None
         self._add(filled)
         self._watch_on()
--- a/tests/unit/test_caller_stream.py
+++ b/tests/unit/test_caller_stream.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Generator
+from unittest.mock import Mock
 
 import pytest
 from hypothesis import given, settings
@@ -10,6 +11,7 @@
 from tornado.iostream import IOStream
 
 from wardstair.gateway.bodies import BodyCapacity
+from wardstair.gateway.caller_stream import CallerStream
 from wardstair.gateway.callers import CallerListener
 from wardstair.gateway.messages import Inbound, Reply
 from wardstair.gateway.read_buffer import ReadBuffer
@@ -76,6 +78,35 @@
     asyncio.run(main())
 
 
+class Received(asyncio.Future[bytes]):
+    """Bytes to be read, which count how often they are waited for."""
+
+    waits = 0
+
+    def __await__(self) -> Generator[None, None, bytes]:
+        self.waits += 1
+        assert self.waits == 1, 'waits again for what is done'
+        return super().__await__()
+
+
+def test_bytes_that_come_as_parsing_goes_on_are_read_once() -> None:
+    """Parsing that went on in the same turn of the loop never ended."""
+
+    async def test() -> None:
+        received = Received()
+        stream = Mock(max_buffer_size=100)
+        stream.read_bytes.side_effect = [received, asyncio.Future()]
+        caller_stream = CallerStream(stream, Mock())
+        caller_stream.watch()
+        received.set_result(b'one\r\ntwo\r\n')
+        caller_stream.unwatch()
+        assert await caller_stream.read_until(b'\r\n') == b'one\r\n'
+        await asyncio.sleep(0)
+        assert await caller_stream.read_until(b'\r\n') == b'two\r\n'
+
+    run(test)
+
+
 @settings(deadline=None, max_examples=60)
 @given(
     kinds=st.lists(st.sampled_from([READ, LENGTH, CHUNKED]), max_size=24),
