Keep a stopping host until its last answers are received

At the end of a stop the host closed all connections as soon as no request was open. A connection whose last answer was just sent and whose caller had sent more was closed with bytes unread, which resets it and drops what the kernel has not sent of the answer yet.

The listener is idle now only once such connections have closed; each does so after 1 s at most (LINGER_SECONDS), or as the caller closes, and the grace time bounds the wait as before. Ruled out: to keep the request counted as open, which would be logged as cut.

--- a/src/wardstair/gateway/caller_connections.py
+++ b/src/wardstair/gateway/caller_connections.py
@@ -338,6 +338,7 @@
         except OSError:
             self._stream.close()
             return
+        self._listener.note_lingering(self)
         self._input.discard()
         asyncio.get_running_loop().call_later(
             LINGER_SECONDS, self._stream.close
--- a/src/wardstair/gateway/callers.py
+++ b/src/wardstair/gateway/callers.py
@@ -76,6 +76,8 @@
         self._idle_seconds = DEFAULT_IDLE_SECONDS
         self._open_requests: set[CallerRequest] = set()
         self._connections: set[CallerConnection] = set()
+        # Connections whose last answer is sent while more may be received.
+        self._lingering: set[CallerConnection] = set()
         self._is_idle = asyncio.Event()
         self._is_idle.set()
 
@@ -111,6 +113,15 @@
     def on_closed(self, connection: CallerConnection) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
+        self._lingering.discard(connection)
+        self._note_idle()
+
+    def note_lingering(self, connection: CallerConnection) -> None:
+        """Record that the last answer of a connection is sent, which a close
+        at once might destroy.
+        """
+        self._lingering.add(connection)
+        self._is_idle.clear()
 
     def note_pause(self, pause: Pause) -> None:
         """Count a connection that holds as much as it may."""
@@ -125,11 +136,10 @@
     def note_ended(self, request: CallerRequest) -> None:
         """Record that a request is answered or its caller disconnected."""
         self._open_requests.discard(request)
-        if not self._open_requests:
-            self._is_idle.set()
+        self._note_idle()
 
     async def wait_idle(self, seconds: float) -> None:
-        """Wait until no request is open, at most for a given time.
+        """Wait until no request is open and no connection lingers.
 
         Args:
             seconds: Longest time to wait.
@@ -137,7 +147,9 @@
         # `host-stopped cut=` logs how many were still open after a timeout.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(seconds, 0)):
-                await self._is_idle.wait()
+                # A connection may begin to linger after its last request.
+                while not self._is_idle.is_set():
+                    await self._is_idle.wait()
 
     def close_idle(self) -> None:
         """Close all connections without an open request."""
@@ -152,3 +164,7 @@
             connection.close()
         for connection in connections:
             await connection.wait_closed()
+
+    def _note_idle(self) -> None:
+        if not self._open_requests and not self._lingering:
+            self._is_idle.set()
--- a/tests/functional/test_pipelining.py
+++ b/tests/functional/test_pipelining.py
@@ -10,6 +10,7 @@
 from lib.upstream_standin import Seen, UpstreamStandin, whole_answer
 
 from wardstair.decisions.pipelining import MAX_PIPELINED, Pause
+from wardstair.gateway import host
 
 Test = Callable[[Rig], Awaitable[None]]
 
@@ -266,6 +267,34 @@
     run(test, *upstreams)
 
 
+def test_the_end_of_a_stop_does_not_reset_a_last_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    gate, upstreams = gated()
+    monkeypatch.setattr(host, 'LINGER_SECONDS', 0.1)
+
+    async def test(rig: Rig) -> None:
+        caller = await Caller.connect(rig)
+        await send_all(caller, READ, READ)
+        await rig.until(lambda: len(gate.running) == 2)
+        stopping = asyncio.ensure_future(rig.gateway.stop())
+        await rig.until(lambda: rig.gateway.peer_request_server.is_stopping)
+        gate.release('r0')
+        gate.release('r1')
+        answers = [await caller.answer(), await caller.answer()]
+        assert [answer.body for answer in answers] == [b'r0', b'r1']
+        for _ in range(10):
+            caller.writer.write(b'x')
+            await caller.writer.drain()
+            await asyncio.sleep(0.02)
+        # Raises if the connection was reset.
+        assert await caller.reader.read() == b''
+        caller.close()
+        await stopping
+
+    run(test, *upstreams)
+
+
 def test_a_stop_cuts_no_slow_upload() -> None:
     gate, upstreams = gated()
 
