Refuse for the time of the pauses also at a host that is cut off

Cause: test_a_request_is_refused_at_once_if_all_upstreams_pause[True] got a Retry-After of 1.00 once beside load. The host knows that all upstreams pause for 30 s, gives up at once, but names the reason by whether it reaches the upstreams: once its checks have found that it is cut off it says no-upstream, come back after one second. Without load the four requests were over before the checks were, so the test saw the other order only.

Change: a host that knows by notices that no upstream accepts a request says that (upstreams-paused with the time left, or upstreams-leaving), cut off or not. The existing test is unchanged. A new one waits until the host knows that it is cut off.

Ruled out: UNREACHED (0.1 s) and STARTING (0.5 s) of a peer; the request isn't forwarded.

--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -715,7 +715,10 @@
             return self._deliver(progress, *progress.failure)
         if progress.may_have_run:
             return self._end(progress, refusals.OUTCOME_UNKNOWN)
-        if progress.history.unreachable or self._is_known_unreachable(progress):
+        # A host that is cut off still knows how long the upstreams pause.
+        if not self._chooser.is_declined(self._query(progress)) and (
+            progress.history.unreachable or self._is_known_unreachable(progress)
+        ):
             return self._end(progress, refusals.NO_UPSTREAM)
         return self._end(progress, self._no_capacity_refusal(progress))
 
--- a/tests/functional/test_forwarded_notices.py
+++ b/tests/functional/test_forwarded_notices.py
@@ -166,6 +166,23 @@
     run(test)
 
 
+def test_a_cut_off_host_refuses_for_the_time_that_all_upstreams_pause() -> None:
+    async def test(fleet: CutFleet) -> None:
+        host = fleet.hosts[0]
+        await cut_off(fleet, host)
+        for one in fleet.upstreams:
+            note_pause(host, known_to(host, one))
+        answers = await ask_all(host, 'later', 4)
+        assert {answer.status for answer in answers} == {503}
+        for answer in answers:
+            assert b'upstreams-paused' in answer.body
+            assert float(answer.headers['retry-after']) > 1
+        for one in fleet.upstreams:
+            assert not received(one, 'later')
+
+    run(test)
+
+
 def fail_two(host: GatewayHost) -> None:
     """Record failures of connections to two upstreams."""
     for entry in host.local_state.catalog.in_service[:2]:
