--- a/tests/functional/test_organisations.py
+++ b/tests/functional/test_organisations.py
@@ -176,7 +176,7 @@
             )
             assert answer.body == b'i-far'
         rig.store.delete('servers', 'i-far')
-        await rig.until(lambda: not catalog.upstreams['i-far'].takes_work)
+        await rig.until(lambda: not catalog.is_present('i-far'))
         answer = await rig.ask(request_id='r', Wardstair_Credential=SOUTH_KEY)
         assert answer.status == 503
         assert not near.seen
