Log by which counts a host withholds resends

An operator could see that a resend was withheld, not why: neither the sends in the window, nor the number of hosts that the limit is divided among, nor how long the host has been running. resends-spent says so once a second for each service, the gauge wardstair_resend_window at any time. The budgets of a host move into a class of their own for it; which resends are made does not change.

--- a/src/wardstair/decisions/resends.py
+++ b/src/wardstair/decisions/resends.py
@@ -31,6 +31,14 @@
     extra: float
     window: float
 
+    def allowed(self, firsts: int) -> float:
+        """Return the resends allowed in a window.
+
+        Args:
+            firsts: First sends in the window.
+        """
+        return self.ratio * firsts + self.extra
+
 
 def host_limit(limit: ResendLimit, hosts: int) -> ResendLimit:
     """Return a host's part of the fleet's limit.
@@ -71,13 +79,22 @@
             limit: This host's part of the limit.
             now: Monotonic time in seconds.
         """
-        self._forget(now - limit.window)
-        allowed = limit.ratio * len(self._firsts) + limit.extra
-        if len(self._resends) + 1 > allowed:
+        firsts, resends = self.counts(limit.window, now)
+        if resends + 1 > limit.allowed(firsts):
             return False
         self._resends.append(now)
         return True
 
+    def counts(self, window: float, now: float) -> tuple[int, int]:
+        """Return the first sends and the resends of a window that ends now.
+
+        Args:
+            window: Length of the window in seconds.
+            now: Monotonic time in seconds.
+        """
+        self._forget(now - window)
+        return len(self._firsts), len(self._resends)
+
     def _forget(self, before: float) -> None:
         for times in (self._firsts, self._resends):
             while times and times[0] < before:
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -18,11 +18,6 @@
 )
 from wardstair.decisions.queueing import queue_share
 from wardstair.decisions.reachability import ALL, service_group
-from wardstair.decisions.resends import (
-    ResendBudget,
-    ResendLimit,
-    host_limit,
-)
 from wardstair.fleet.peer_requests import PeerAnswer, PeerRequest
 from wardstair.gateway import refusals
 from wardstair.gateway.admission import Admission
@@ -42,6 +37,7 @@
 from wardstair.gateway.peer_notices import collect_notices
 from wardstair.gateway.reporting import AttemptHistory, Reporter
 from wardstair.gateway.request_progress import RequestProgress, ResendReason
+from wardstair.gateway.resend_budgets import ResendBudgets
 from wardstair.gateway.send_outcomes import (
     Delivered,
     Lost,
@@ -84,11 +80,13 @@
         sender: Sends requests to upstreams.
         peer_forwarder: Forwards requests to other entry hosts.
         bodies: Capacity for the answers.
+        resend_budgets: Limits on resends.
     """
 
     sender: Sender
     peer_forwarder: PeerForwarder
     bodies: BodyCapacity
+    resend_budgets: ResendBudgets
 
 
 class Forwarder:
@@ -110,7 +108,7 @@
             local_state: State known to this host.
             chooser: Chooses upstreams.
             transports: The outgoing paths of requests.
-            settings: Settings, with the fleet's limit of resends.
+            settings: Settings of this host.
             reporter: Logs and counts each request.
             exit_detector: Knows which requests make upstreams exit.
             admission: Checks the API keys and quotas of requests.
@@ -134,7 +132,7 @@
         self._sender = transports.sender
         self._settings = settings
         self._reporter = reporter
-        self._budgets: dict[str, ResendBudget] = {}
+        self._resend_budgets = transports.resend_budgets
 
     async def serve(self, inbound: Inbound) -> Reply:
         """Return the reply to a request of a caller."""
@@ -631,7 +629,7 @@
         reason: ResendReason | None,
     ) -> None:
         if progress.sends == 0 and reason is None:
-            self._budget(progress).note_first(time.monotonic())
+            self._resend_budgets.note_first(progress.service)
         if reason is not None:
             self._reporter.resent(progress.history, reason, placement)
         self._report_notice(progress, placement.upstream, reason)
@@ -673,21 +671,11 @@
             )
 
     def _take_resend(self, progress: RequestProgress) -> bool:
-        bounds = self._settings.current.bounds
-        fleet = ResendLimit(
-            bounds.retry_ratio,
-            bounds.retry_extra,
-            bounds.retry_window,
-        )
-        own = host_limit(fleet, self._chooser.view.fleet_size)
-        taken = self._budget(progress).take(own, time.monotonic())
+        taken = self._resend_budgets.take(progress.service)
         if not taken:
             self._reporter.resend_withheld(progress.history, 'budget-spent')
         return taken
 
-    def _budget(self, progress: RequestProgress) -> ResendBudget:
-        return self._budgets.setdefault(progress.service, ResendBudget())
-
     def _deliver(
         self,
         progress: RequestProgress,
--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -142,6 +142,11 @@
         'Requests sent to upstreams that name a limit, by service',
         lambda: _limited_sends(host),
     )
+    metrics.add_gauge(
+        'wardstair_resend_window',
+        'Sends to a service in the window of the limit on resends, by kind',
+        lambda: _resend_window(host),
+    )
     metrics.add_gauge(
         'wardstair_upstream_limits',
         'Requests a second that upstreams take from all hosts, as they name it',
@@ -270,6 +275,21 @@
     ]
 
 
+def _resend_window(host: 'GatewayHost') -> list[Row]:
+    rows: list[Row] = []
+    for usage in host.resend_budgets.usages():
+        kinds = {
+            'first': float(usage.firsts),
+            'resend': float(usage.resends),
+            'allowed': usage.allowed,
+        }
+        rows.extend(
+            (count, {'service': usage.service, 'kind': kind})
+            for kind, count in kinds.items()
+        )
+    return rows
+
+
 def _limited_sends(host: 'GatewayHost') -> list[Row]:
     return [
         (float(count), {'service': service})
--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -47,6 +47,7 @@
 from wardstair.gateway.quotas import Quotas
 from wardstair.gateway.reachability import ReachabilityMonitor
 from wardstair.gateway.reporting import Reporter
+from wardstair.gateway.resend_budgets import ResendBudgets
 from wardstair.gateway.rollout_parts import make_rollout_parts
 from wardstair.gateway.sending import Sender
 from wardstair.gateway.settings import (
@@ -316,10 +317,18 @@
         self.sender = Sender(
             self.pool, distances, self.local_state, self.chooser.rollouts
         )
+        self.resend_budgets = ResendBudgets(
+            self.live_settings, lambda: self.chooser.view.fleet_size, clock
+        )
         self.forwarder = Forwarder(
             self.local_state,
             self.chooser,
-            Transports(self.sender, self.peer_forwarder, bodies),
+            Transports(
+                self.sender,
+                self.peer_forwarder,
+                bodies,
+                self.resend_budgets,
+            ),
             self.live_settings,
             reporter,
             self.exit_detector,
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -90,6 +90,13 @@
         'a second send was needed but not allowed',
         'request reason sends',
     ),
+    _kind(
+        'resends-spent',
+        'this host may not resend to a service for now; its first sends and '
+        'resends in the window, the resends that it may make, the hosts that '
+        'the limit is divided among, and how long it has been running',
+        'service firsts resends allowed hosts running',
+    ),
     _kind(
         'request-refused',
         'this host ended the request itself; with `sends=0`, or if it was '
