--- a/src/wardstair/gateway/host.py
+++ b/src/wardstair/gateway/host.py
@@ -12,6 +12,7 @@
 from wardstair.decisions.notices import Availability
 from wardstair.decisions.processor_pressure import ProcessorPressure
 from wardstair.decisions.reachability import probe_times
+from wardstair.decisions.resends import ResendLimit
 from wardstair.decisions.state_age import RefreshTimes, refresh_times
 from wardstair.fleet.demand import DemandTable
 from wardstair.fleet.demand_endpoint import DemandEndpoint
@@ -318,7 +319,9 @@
             self.pool, distances, self.local_state, self.chooser.rollouts
         )
         self.resend_budgets = ResendBudgets(
-            self.live_settings, lambda: self.chooser.view.fleet_size, clock
+            self._fleet_resend_limit,
+            lambda: self.chooser.view.fleet_size,
+            clock,
         )
         self.forwarder = Forwarder(
             self.local_state,
@@ -515,6 +518,14 @@
         self.quotas.forget(steering.organisations.by_name)
         self._listeners.limit_callers(steering.limits)
 
+    def _fleet_resend_limit(self) -> ResendLimit:
+        bounds = self.live_settings.current.bounds
+        return ResendLimit(
+            bounds.retry_ratio,
+            bounds.retry_extra,
+            bounds.retry_window,
+        )
+
     def _max_connections(self, name: str) -> int:
         steering = self.local_state.steering
         upstream = self.local_state.catalog.upstreams.get(name)
--- a/src/wardstair/gateway/resend_budgets.py
+++ b/src/wardstair/gateway/resend_budgets.py
@@ -9,7 +9,6 @@
     ResendLimit,
     host_limit,
 )
-from wardstair.gateway.settings import LiveSettings
 from wardstair.process.log import log_event
 
 # Time between two lines on one service.
@@ -38,12 +37,12 @@
     """Counts the sends of this host; one per process.
 
     Attributes:
-        settings: Settings, with the fleet's limit.
+        fleet_limit: Returns the fleet's limit.
         fleet_size: Returns the number of hosts in the fleet.
         clock: Monotonic time in seconds.
     """
 
-    settings: LiveSettings
+    fleet_limit: Callable[[], ResendLimit]
     fleet_size: Callable[[], int]
     clock: Callable[[], float] = time.monotonic
     _budgets: dict[str, ResendBudget] = field(default_factory=dict)
@@ -76,13 +75,7 @@
         return self._budgets.setdefault(service, ResendBudget())
 
     def _limit(self) -> ResendLimit:
-        bounds = self.settings.current.bounds
-        fleet = ResendLimit(
-            bounds.retry_ratio,
-            bounds.retry_extra,
-            bounds.retry_window,
-        )
-        return host_limit(fleet, self.fleet_size())
+        return host_limit(self.fleet_limit(), self.fleet_size())
 
     def _usage(self, service: str, now: float) -> ResendUsage:
         limit = self._limit()
