Count the first send of a forwarded request once in the limit on resends

A host that reaches no upstream counted the first send that failed to leave, and the host that it forwarded the request to counted it again, so both resent by it: 7 first sends for 6 requests in the test, up to twice as many where each request fails first.

The first host takes its count back when it forwards a request that no upstream got, and counts it again if the hop does not leave. The test fails before (7 == 6).

--- a/src/wardstair/decisions/resends.py
+++ b/src/wardstair/decisions/resends.py
@@ -89,6 +89,11 @@
         self._forget(now - LONGEST_WINDOW)
         self._firsts.append(now)
 
+    def drop_first(self) -> None:
+        """Take back the last first send, if it is still counted."""
+        if self._firsts:
+            self._firsts.pop()
+
     def take(self, limit: ResendLimit, now: float) -> bool:
         """Use one resend of the budget; return False if none is left.
 
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -532,6 +532,10 @@
 
     def _forward(self, progress: RequestProgress) -> None:
         progress.hops += 1
+        if progress.sends == 0 and progress.is_counted:
+            # The peer makes the first send and counts it.
+            self._resend_budgets.drop_first(progress.service)
+            progress.is_counted = False
         progress.hop_lease = progress.lease_of(self._bodies)
         progress.hop = asyncio.ensure_future(
             self._peer_forwarder.send(
@@ -628,8 +632,9 @@
         placement: Placement,
         reason: ResendReason | None,
     ) -> None:
-        if progress.sends == 0 and reason is None:
+        if progress.sends == 0 and not progress.is_counted:
             self._resend_budgets.note_first(progress.service)
+            progress.is_counted = True
         if reason is not None:
             self._reporter.resent(progress.history, reason, placement)
         self._report_notice(progress, placement.upstream, reason)
--- a/src/wardstair/gateway/request_progress.py
+++ b/src/wardstair/gateway/request_progress.py
@@ -45,6 +45,7 @@
         organisation: Organisation of the caller; None if unknown.
         regions: The only regions that may serve the request; empty for all.
         sends: Number of sends to upstreams so far.
+        is_counted: Whether the limit on resends counts its first send.
         may_have_run: Whether an upstream may have run the request.
         rejected_with_capacity: Whether the last upstream that rejected the
             request had a free slot.
@@ -75,6 +76,7 @@
     organisation: Organisation | None = None
     regions: frozenset[str] = frozenset()
     sends: int = 0
+    is_counted: bool = False
     may_have_run: bool = False
     rejected_with_capacity: bool = False
     is_ended: bool = False
--- a/src/wardstair/gateway/resend_budgets.py
+++ b/src/wardstair/gateway/resend_budgets.py
@@ -58,6 +58,10 @@
         """Count the first send of a request to a service."""
         self._of(service).note_first(self.clock())
 
+    def drop_first(self, service: str) -> None:
+        """Take back the last first send, as another host makes it."""
+        self._of(service).drop_first()
+
     def take(self, service: str) -> bool:
         """Use one resend to a service; return False if none is left."""
         now = self.clock()
--- a/tests/functional/test_handing_on.py
+++ b/tests/functional/test_handing_on.py
@@ -131,6 +131,24 @@
     )
 
 
+def test_a_request_counts_as_one_first_send_in_the_limit_on_resends() -> None:
+    async def test(fleet: CutFleet) -> None:
+        cut = fleet.hosts[0]
+        fleet.cut([cut], Cut.refuse)
+        for number in range(6):
+            answer = await ask(cut, '/read/x', request_id=f'r{number}')
+            assert answer.status == 200
+        assert taken(fleet.hosts)
+        usages = [
+            usage
+            for host in fleet.hosts
+            for usage in host.resend_budgets.usages()
+        ]
+        assert sum(usage.firsts for usage in usages) == 6
+
+    run(test)
+
+
 def test_work_ends_when_the_caller_of_the_first_host_disconnects() -> None:
     async def test(fleet: CutFleet) -> None:
         cut = fleet.hosts[0]
