Keep quotas when hosts restart while an organisation exceeds its own

Cause: the same as of repeats beyond the limit, counts of a window that end with the process. The old life admits the quota, the new one again.

Change: a host that has run for less than a window extrapolates its counts to one, for itself and in its reports. Demand that fits in the quota is admitted. If it does not fit, the host admits its part of 0.7 of the reserve (what hosts never admit together), as its former life may have admitted its part of the quota.

Nothing changes on the wire. Rigs whose hosts stand for running ones skip the first window.

--- a/src/wardstair/decisions/quota.py
+++ b/src/wardstair/decisions/quota.py
@@ -16,12 +16,16 @@
 # Fraction of `QuotaBound.unrestricted` divided among hosts when demand exceeds
 # it. The rest covers demand that has not yet been reported to other hosts.
 SHARED_FRACTION = 0.97
+# Fraction of `QuotaBound.reserve` divided among hosts that have just started.
+RESERVE_FRACTION = 0.7
 # Upper bound of the factor by which demand on other hosts is assumed to have
 # grown since their reports; the factor is estimated from the growth on this
 # host. Without the bound, callers who move to one host would look like a rise
 # on all hosts.
 MAX_GROWTH = 1.3
 BUCKETS_PER_WINDOW = 50
+# Fraction of a window below which its events are not extrapolated any further.
+MIN_COUNTED_FRACTION = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +61,11 @@
         """Requests in a window below which all are admitted."""
         return max(self.guaranteed, self.max_per_window * MAX_FRACTION_USED)
 
+    @property
+    def reserve(self) -> float:
+        """Requests in a window that hosts never admit together."""
+        return self.max_per_window - self.unrestricted
+
 
 @dataclass(frozen=True, slots=True)
 class DemandView:
@@ -71,6 +80,8 @@
             no longer report.
         assumed_hosts: Number of hosts assumed to have callers before this one
             has received a report; 0 afterwards.
+        is_starting: Whether this host has run for less than a window. Before
+            it restarted, it may have admitted its share of the quota.
     """
 
     own: int
@@ -79,13 +90,15 @@
     admitted: int = 0
     reserved: float = 0.0
     assumed_hosts: int = 0
+    is_starting: bool = False
 
 
 def allowed_requests(bound: QuotaBound, view: DemandView) -> float:
     """Return how many requests this host may admit in a window.
 
     If total demand fits in the quota, every request is admitted. Otherwise
-    hosts divide the quota in proportion to their demand. While the quota is
+    hosts divide the quota in proportion to their demand, and hosts that have
+    just started the requests that the quota leaves over. While the quota is
     used up, no host admits requests, since a host whose demand starts late
     cannot determine which requests came before its own.
 
@@ -94,18 +107,33 @@
         view: The demand.
     """
     if view.assumed_hosts:
+        if view.is_starting:
+            return bound.reserve * RESERVE_FRACTION / view.assumed_hosts
         return bound.unrestricted * SHARED_FRACTION / view.assumed_hosts
     available = bound.unrestricted * (1 - view.reserved)
     growth = view.own / max(view.earlier, 1)
     growth = min(max(growth, 1.0), MAX_GROWTH)
     if view.own + view.others * growth <= available:
         return available - view.others
+    if view.is_starting:
+        share = view.own / (view.own + view.others)
+        return bound.reserve * RESERVE_FRACTION * share
     if view.admitted >= available:
         return 0.0
     own = min(view.own, max(view.earlier, 1))
     return available * SHARED_FRACTION * own / (own + view.others)
 
 
+def whole_window(count: int, counted: float) -> int:
+    """Return the events of a window, from those of its latest part.
+
+    Args:
+        count: Events counted.
+        counted: Fraction of the window for which events were counted.
+    """
+    return round(count / min(max(counted, MIN_COUNTED_FRACTION), 1.0))
+
+
 def rounded_at_random(requests: float, chance: float) -> int:
     """Round to a whole number, keeping the mean over all hosts.
 
--- a/src/wardstair/gateway/quotas.py
+++ b/src/wardstair/gateway/quotas.py
@@ -10,6 +10,7 @@
     SlidingCount,
     allowed_requests,
     rounded_at_random,
+    whole_window,
 )
 from wardstair.decisions.ranking import unit_hash
 from wardstair.fleet.demand import DemandTable, number_of
@@ -73,15 +74,21 @@
         assumed_hosts: Returns the number of hosts assumed to have callers
             before any report is received; 0 afterwards.
         table: Reports of other hosts.
+        started_at: Time at which the process started.
     """
 
     clock: Callable[[], float]
     bounds: Callable[[], OrganisationBounds]
     assumed_hosts: Callable[[], int]
     table: DemandTable = field(init=False)
+    started_at: float = field(init=False)
     _usages: dict[str, _Usage] = field(default_factory=dict)
     _urgent: set[int] = field(default_factory=set)
 
+    def __post_init__(self) -> None:
+        """Take the current time as the start of the process."""
+        self.started_at = self.clock()
+
     def attach_table(self, table: DemandTable) -> None:
         """Set the table of reports by which quotas are shared.
 
@@ -129,10 +136,13 @@
             usage.admitted.add(now, -1)
 
     def own_counts(self) -> Mapping[int, int]:
-        """Return the requests received here, by the organisation's number."""
+        """Return the requests received here, by the organisation's number.
+
+        The counts of a host that has just started are extrapolated to a window.
+        """
         now = self.clock()
         counts = {
-            usage.number: usage.offered.count(now)
+            usage.number: self._whole(usage.offered, now)
             for usage in self._usages.values()
         }
         return {number: count for number, count in counts.items() if count}
@@ -141,7 +151,8 @@
         """Return the refused requests, by the organisation's number."""
         now = self.clock()
         refused = {
-            usage.number: usage.offered.count(now) - usage.admitted.count(now)
+            usage.number: self._whole(usage.offered, now)
+            - self._whole(usage.admitted, now)
             for usage in self._usages.values()
         }
         return {number: count for number, count in refused.items() if count > 0}
@@ -150,7 +161,7 @@
         """Record the demand of this host at the time of a report."""
         now = self.clock()
         for usage in self._usages.values():
-            usage.reported.append(usage.offered.count(now))
+            usage.reported.append(self._whole(usage.offered, now))
 
     def forget(self, names: Mapping[str, Organisation]) -> None:
         """Drop the counts of organisations that no longer exist.
@@ -188,14 +199,22 @@
         others = self.table.others.get(usage.number, 0)
         admitted = others - self.table.refused.get(usage.number, 0)
         return DemandView(
-            own=usage.offered.count(now),
+            own=self._whole(usage.offered, now),
             earlier=usage.reported[0],
             others=others,
-            admitted=admitted + usage.admitted.count(now),
+            admitted=admitted + self._whole(usage.admitted, now),
             reserved=self.table.reserved.get(usage.number, 0.0),
             assumed_hosts=self.assumed_hosts(),
+            is_starting=self._counted_fraction(now) < 1,
         )
 
+    def _whole(self, counter: SlidingCount, now: float) -> int:
+        return whole_window(counter.count(now), self._counted_fraction(now))
+
+    def _counted_fraction(self, now: float) -> float:
+        """Return the fraction of a window for which this host has counted."""
+        return (now - self.started_at) / self.bounds().quota_window
+
     def _bound(self, quota: Quota) -> QuotaBound:
         bounds = self.bounds()
         return QuotaBound(
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -92,9 +92,10 @@
         await self.store.stop()
 
     def skip_starting(self) -> None:
-        """Lift the lower limit on resends of hosts that have just started."""
+        """Let all hosts count as having run for a window of each limit."""
         for host in self.hosts:
             host.resend_budgets.started_at = -math.inf
+            host.quotas.started_at = -math.inf
 
     def knows_all(self) -> bool:
         """Return whether each host knows all others and all upstreams."""
--- a/tests/lib/quota_load.py
+++ b/tests/lib/quota_load.py
@@ -1,5 +1,6 @@
 """Simulates hosts that share the quota of an organisation, without sockets."""
 
+import math
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
@@ -28,6 +29,8 @@
 NEAR_SECONDS = 0.002
 FAR_SECONDS = 0.04
 RELAYS = 2
+# Hosts that a host assumes to have callers until it has heard of others.
+ASSUMED_HOSTS = 12
 CALLER_SECONDS = 3.0
 
 
@@ -81,6 +84,7 @@
     next_report: float
     is_relay: bool
     is_up: bool = True
+    down_until: float = 0.0
 
 
 @dataclass
@@ -131,6 +135,25 @@
             for _ in range(_poisson(rate * STEP_SECONDS, self.random)):
                 self._request(self.random.choice(receivers))
 
+    def restart(self, hosts: Iterable[Host], seconds_down: float) -> None:
+        """Restart hosts, which lose what they have counted.
+
+        Args:
+            hosts: The hosts.
+            seconds_down: Time for which they take no requests.
+        """
+        for host in hosts:
+            started = _host(self, host.name, host.zone, ASSUMED_HOSTS)
+            assert isinstance(started.policy, DemandSharing)
+            quotas = started.policy.quotas
+            quotas.started_at = self.clock.now + seconds_down
+            host.policy = started.policy
+            host.table = started.table
+            host.down_until = self.clock.now + seconds_down
+            host.next_report = host.down_until + self.random.uniform(
+                0, CHECK_SECONDS
+            )
+
     def most_in_window(self) -> int:
         """Return the maximum number of requests admitted in any window."""
         most = 0
@@ -142,7 +165,7 @@
         return most
 
     def _request(self, host: Host) -> None:
-        if not host.is_up:
+        if not host.is_up or host.down_until > self.clock.now:
             return
         if host.policy.admits():
             self.admitted.append(self.clock.now)
@@ -252,6 +275,8 @@
         quotas.own_refused,
     )
     quotas.attach_table(table)
+    if not assumed:
+        quotas.started_at = -math.inf
     return Host(
         name,
         zone,
--- a/tests/lib/rig.py
+++ b/tests/lib/rig.py
@@ -120,8 +120,9 @@
         self._gateway.views.settle_seconds = 0
         self._gateway.members.note_registry({settings.name})
         self._gateway.views.refresh()
-        # A host that has just started resends little.
+        # A host that has just started resends little and extrapolates demand.
         self._gateway.resend_budgets.started_at = -math.inf
+        self._gateway.quotas.started_at = -math.inf
         await self._gateway.start()
         await self.until(lambda: self.gateway.is_ready)
         count = len(self.upstreams)
--- a/tests/unit/test_quota.py
+++ b/tests/unit/test_quota.py
@@ -134,6 +134,46 @@
     check_limit(fleet)
 
 
+# Demand of an organisation that sends 4.1 times its usual.
+HOT = 4.1 * NORMAL
+DOWN_SECONDS = 0.6
+
+
+@pytest.mark.parametrize('quota', QUOTAS)
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize('hosts', [4, 15])
+@pytest.mark.parametrize('seconds', [0.5, 1.5, 3.0, 6.0, 8.0])
+def test_restarted_hosts_stay_within_the_quota(
+    quota: Quota,
+    seed: int,
+    hosts: int,
+    seconds: float,
+) -> None:
+    fleet = fleet_of(quota, hosts_a_zone=hosts, seed=seed)
+    fleet.run(6, quota.rate * NORMAL)
+    fleet.run(seconds, quota.rate * HOT)
+    fleet.restart(fleet.hosts, DOWN_SECONDS)
+    fleet.run(8, quota.rate * HOT)
+    check_limit(fleet)
+
+
+@pytest.mark.parametrize('quota', QUOTAS)
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize('share', [1, 10])
+def test_few_refusals_below_the_quota_after_a_restart(
+    quota: Quota,
+    seed: int,
+    share: int,
+) -> None:
+    fleet = fleet_of(quota, hosts_a_zone=15, seed=seed)
+    fleet.run(6, quota.rate * NORMAL)
+    fleet.restart(fleet.hosts[::share], DOWN_SECONDS)
+    asked = len(fleet.admitted) + fleet.refused
+    fleet.run(6, quota.rate * NORMAL)
+    asked = len(fleet.admitted) + fleet.refused - asked
+    assert fleet.refused <= asked / 20
+
+
 def test_organisations_are_counted_separately() -> None:
     # Guards against adding up the counts of different organisations.
     table = fleet_of(SMALL).hosts[0].table
