Count what a refusing peer has sent in the limit on resends

An upstream got one request up to three times though no resend was allowed at all. A host that reaches no upstream offers a request to up to four peers, as long as these miss a group of upstreams; while a zone has no power all do. A peer that an upstream turned away refused the request without telling that it had been sent, so the next peer took its own send for the first, counted it as such, and resent by it.

The answer of a peer tells its sends; the next peer gets them with the request, takes a resend or refuses, and sends no more often than the route allows. The field comes last in the answer: builds without it still understand each other, and count as before.

--- a/src/wardstair/fleet/peer_requests.py
+++ b/src/wardstair/fleet/peer_requests.py
@@ -10,6 +10,8 @@
 import cbor2
 
 _FORMAT = 2
+# Position of the sends in an answer.
+_SENDS = 8
 _DECODE_ERRORS = (
     cbor2.CBORDecodeError,
     ValueError,
@@ -87,6 +89,7 @@
         is_own: Whether the second host itself answered, not an upstream.
         lost: Groups of upstreams that the second host does not reach.
         notices: Notices of the upstreams that the second host tried.
+        sends: Number of upstreams that the second host sent the request to.
     """
 
     status: int
@@ -96,6 +99,7 @@
     is_own: bool
     lost: tuple[str, ...] = ()
     notices: tuple[PeerNotice, ...] = ()
+    sends: int = 0
 
 
 def encode_request(request: PeerRequest) -> bytes:
@@ -162,6 +166,7 @@
                 (one.upstream, one.born, one.is_leaving, one.pause)
                 for one in answer.notices
             ],
+            answer.sends,
         ],
     )
 
@@ -180,6 +185,8 @@
             is_own=bool(row[5]),
             lost=tuple(str(group) for group in row[6]),
             notices=tuple(_notice(fields) for fields in row[7]),
+            # Hosts of builds before this field do not tell it.
+            sends=int(row[_SENDS]) if len(row) > _SENDS else 0,
         )
     except _DECODE_ERRORS:
         return None
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -179,7 +179,8 @@
         notices = collect_notices(self._local_state, tried)
         # The server holds capacity for the answer while it passes it on.
         reply.release()
-        return peer_answer_of(reply, lost, notices)
+        sends = progress.sends - relayed.sends
+        return peer_answer_of(reply, lost, notices, sends)
 
     def forward_waiting(self) -> None:
         """Forward requests whose running sends may never be answered."""
@@ -432,7 +433,12 @@
         """Send to the next upstream; return a reply if none is left."""
         is_late = progress.until - time.monotonic() < MIN_SEND_SECONDS
         # Upstreams that decline a request must not get it from a peer either.
-        if is_late or self._chooser.is_declined(self._query(progress)):
+        is_spent = progress.sends >= progress.route.max_attempts
+        if (
+            is_late
+            or is_spent
+            or self._chooser.is_declined(self._query(progress))
+        ):
             return self._give_up(progress)
         if self._should_forward(progress):
             return self._forward_or_give_up(progress)
--- a/src/wardstair/gateway/peer_forwarding.py
+++ b/src/wardstair/gateway/peer_forwarding.py
@@ -7,7 +7,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from random import Random
 
@@ -159,18 +159,25 @@
         """
         outcome = HopOutcome(HopEnd.unsent)
         tried: set[str] = set()
+        sends = 0
+
+        def make_next() -> PeerRequest:
+            request = make_request()
+            return replace(request, sends=request.sends + sends)
+
         for _ in range(MAX_PEERS_TRIED):
             service = make_request().service
             peer = self.find(service, regions, frozenset(tried))
             if peer is None:
                 return outcome
             tried.add(peer.name)
-            attempt = await self._try_peer(peer, make_request, lease)
+            attempt = await self._try_peer(peer, make_next, lease)
             if attempt.end is HopEnd.unsent:
                 continue
             outcome = attempt
             if not _is_unreachable_there(attempt):
                 return outcome
+            sends += 0 if attempt.answer is None else attempt.answer.sends
         return outcome
 
     def close(self) -> None:
--- a/src/wardstair/gateway/peer_messages.py
+++ b/src/wardstair/gateway/peer_messages.py
@@ -61,6 +61,7 @@
     reply: Reply,
     lost: frozenset[str],
     notices: tuple[PeerNotice, ...] = (),
+    sends: int = 0,
 ) -> PeerAnswer:
     """Return the answer to the peer that forwarded the request.
 
@@ -68,6 +69,7 @@
         reply: The reply.
         lost: Groups of upstreams that this host cannot reach.
         notices: Notices of the upstreams that this host tried.
+        sends: Number of upstreams that this host sent the request to.
     """
     return PeerAnswer(
         reply.status,
@@ -77,6 +79,7 @@
         reply.is_own,
         tuple(lost) if reply.is_own else (),
         notices,
+        sends,
     )
 
 
--- a/tests/functional/test_handing_on.py
+++ b/tests/functional/test_handing_on.py
@@ -12,6 +12,7 @@
 from lib.upstream_standin import (
     Seen,
     UpstreamStandin,
+    answer_full,
     answer_never,
     answer_ok,
 )
@@ -26,9 +27,10 @@
 def run(
     test: Callable[[CutFleet], Awaitable[None]],
     configuration: Stored | None = None,
+    bounds: Bounds = BOUNDS,
 ) -> None:
     """Run a test on a fleet with a time limit."""
-    asyncio.run(_run_limited(test, configuration))
+    asyncio.run(_run_limited(test, configuration, bounds))
 
 
 def run_in_time(test: Callable[[CutFleet], Awaitable[None]]) -> None:
@@ -39,9 +41,10 @@
 async def _run_limited(
     test: Callable[[CutFleet], Awaitable[None]],
     configuration: Stored | None = None,
+    bounds: Bounds = BOUNDS,
 ) -> None:
     async with (
-        running_cut_fleet(BOUNDS, configuration) as fleet,
+        running_cut_fleet(bounds, configuration) as fleet,
         asyncio.timeout(30),
     ):
         await test(fleet)
@@ -149,6 +152,21 @@
     run(test)
 
 
+def test_sends_of_hosts_that_refuse_count_in_the_limit_on_resends() -> None:
+    async def test(fleet: CutFleet) -> None:
+        cut, *others = fleet.hosts
+        await cut_off(fleet, cut)
+        set_script(fleet, answer_full)
+        for host in others:
+            # They do not reach a zone, as if it had no power.
+            host.local_state.reachability.lost = frozenset({'zone:lost'})
+        answer = await ask(cut, '/order/x', 'POST', b'o', 'r1')
+        assert answer.status == 503
+        assert len(seen_by(fleet, 'r1')) == 1
+
+    run(test, bounds=Bounds(retry_ratio=0, retry_extra=0))
+
+
 def test_work_ends_when_the_caller_of_the_first_host_disconnects() -> None:
     async def test(fleet: CutFleet) -> None:
         cut = fleet.hosts[0]
