Keep a host's counts of a roll-out whose order leaves and returns

A bad version could get more test requests than its share: a host dropped its counts when the order left (a store that returns from a copy, a listing without it) and started from none when it returned, while its allowance, which is cumulative, still stood.

A host keeps what it followed of the last roll-out of a service and goes on with it if the record of the order that returns began at the same time. A later order for the same version starts anew, as before. The row with the same record fails before (0 sent of 2).

--- a/src/wardstair/gateway/host_rollout.py
+++ b/src/wardstair/gateway/host_rollout.py
@@ -11,7 +11,7 @@
     number_of_host,
 )
 from wardstair.state.revision import NO_REVISION, Revision
-from wardstair.state.rollouts import RolloutOrder, RolloutRecord
+from wardstair.state.rollouts import Rollout, RolloutOrder, RolloutRecord
 
 # A host that has heard no plan for this long sends nothing to a version that is
 # not proved.
@@ -99,6 +99,8 @@
         order: The operator's order.
         planned: Stage of the last plan.
         recorded: Stage in the record.
+        began_at: Unix time in seconds at which it began, as recorded; 0 while
+            there is no record.
         is_stopped: Whether a plan or the record has stopped it, which is never
             taken back.
         share: Share of the keys that goes to the new version.
@@ -120,6 +122,7 @@
     order: RolloutOrder
     planned: RolloutStage = RolloutStage.testing
     recorded: RolloutStage = RolloutStage.testing
+    began_at: float = 0.0
     is_stopped: bool = False
     share: float = 0.0
     group: frozenset[int] = frozenset()
@@ -140,6 +143,15 @@
         """Requests that it may still send to the version under test."""
         return max(0, self.allowed - self.sent)
 
+    def is_of(self, rollout: Rollout) -> bool:
+        """Return whether it is the same roll-out, not a later order's."""
+        record = rollout.own_record
+        return (
+            record is not None
+            and record.version == self.order.version
+            and record.began_at == self.began_at
+        )
+
     def stage(self, now: float) -> RolloutStage:
         """Return the stage that this host follows.
 
@@ -191,6 +203,7 @@
         if record is None:
             return
         self.recorded = record.stage
+        self.began_at = record.began_at
         if record.stage is RolloutStage.stopped:
             self.is_stopped = True
 
--- a/src/wardstair/gateway/rollouts.py
+++ b/src/wardstair/gateway/rollouts.py
@@ -22,7 +22,7 @@
 from wardstair.state.entries import UpstreamEntry
 from wardstair.state.revision import NO_REVISION
 from wardstair.state.roles import ignore
-from wardstair.state.rollouts import RolloutTable, VersionRole
+from wardstair.state.rollouts import Rollout, RolloutTable, VersionRole
 from wardstair.state.upstream import Upstream
 
 # Roles of upstreams that get no requests in any stage.
@@ -50,6 +50,9 @@
         self.bad = Counter[tuple[str, str]]()
         self.on_news: Callable[[], None] = ignore
         self.on_change: Callable[[], None] = ignore
+        # The last roll-outs whose orders have left. If one returns, what was
+        # spent of its allowance must still count.
+        self._departed: dict[str, HostRollout] = {}
         self._table: RolloutTable | None = None
         self._own = GateIdentity('', '', 0)
         self._generation = 0
@@ -107,12 +110,13 @@
         running: dict[str, HostRollout] = {}
         for rollout in table.running:
             order = rollout.order
-            known = self.running.get(order.service)
-            if known is None or known.order.version != order.version:
-                known = HostRollout(order)
+            known = self._known(rollout) or HostRollout(order)
             known.order = order
             known.note_record(rollout.own_record)
             running[order.service] = known
+        for service, followed in self.running.items():
+            if running.get(service) is not followed:
+                self._departed[service] = followed
         self.running = running
         self._forget_roles()
         self.on_change()
@@ -340,6 +344,17 @@
             for service, rollout in self.running.items()
         ]
 
+    def _known(self, rollout: Rollout) -> HostRollout | None:
+        """Return what this host follows of a roll-out, if it knew it before."""
+        order = rollout.order
+        known = self.running.get(order.service)
+        if known is not None and known.order.version == order.version:
+            return known
+        departed = self._departed.get(order.service)
+        if departed is not None and departed.is_of(rollout):
+            return departed
+        return None
+
     def _is_alone(self, rollout: HostRollout) -> bool:
         """Return whether the service has no other version than the new one."""
         return self._table is not None and self._table.is_alone(
--- a/tests/unit/test_rollout_gate.py
+++ b/tests/unit/test_rollout_gate.py
@@ -180,6 +180,37 @@
     assert host.names()[0] == TESTED
 
 
+@pytest.mark.parametrize(
+    ('began_at', 'sent'),
+    [
+        (10.0, 2),
+        # A later order for the same version.
+        (20.0, 0),
+    ],
+)
+def test_an_allowance_is_not_spent_again_if_the_order_leaves_and_returns(
+    began_at: float,
+    sent: int,
+) -> None:
+    host = Host()
+    running = RolloutRecord('v2', RolloutState.running, began_at=10.0)
+    host.table.record = running
+    host.gate.refresh()
+    host.plan(RolloutStage.testing, allowed=2)
+    host.gate.note_sent(NEW[1])
+    host.gate.note_sent(NEW[1])
+    assert host.names() == [OLD_NAMES]
+    host.table.is_running = False
+    host.gate.refresh()
+    host.table.is_running = True
+    host.table.record = replace(running, began_at=began_at)
+    host.gate.refresh()
+    host.plan(RolloutStage.testing, allowed=2)
+    (report,) = host.gate.reports([])
+    assert report.sent == sent
+    assert (host.names() == [OLD_NAMES]) is bool(sent)
+
+
 def test_a_resend_prefers_old_upstreams_during_the_test() -> None:
     host = Host()
     host.plan(RolloutStage.testing, allowed=2)
