Wait longer for live hosts whose roll-out reports do not arrive

Old upstreams stop at once on complete. A host that is heard, but whose reports do not arrive, was waited for only during the contact time of the stage; complete was then written while it might still send to old upstreams. It is waited for as long as more than the contact time is left until the deadline. Near the deadline the roll-out ends as before, since the record tells such a host of the switch and a version that is not completed in time costs callers more than the requests of one host.

--- a/src/wardstair/gateway/rollout_coordinator.py
+++ b/src/wardstair/gateway/rollout_coordinator.py
@@ -223,15 +223,19 @@
         lead.judgement = lead.trial.judge(book.new, book.old, now)
         waiting = waiting_hosts(in_touch, lead.stage, lead.stage_at)
         stage_age = now - lead.stage_at
-        if stage_age < scene.contact_seconds():
-            # Hosts that know the order report at once; others may not know it.
+        age = max(0.0, time.time() - lead.began_at)
+        contact_seconds = scene.contact_seconds()
+        has_time = lead.order.seconds - age > contact_seconds
+        if stage_age < contact_seconds or has_time:
+            # A host that lives may send to old upstreams though its reports
+            # do not arrive.
             reporting = {host.last.sender for host in in_touch}
             waiting += len(scene.live_hosts() - reporting)
         return RolloutProgress(
             stage=lead.stage,
             share=lead.share,
             seconds=lead.order.seconds,
-            age=max(0.0, time.time() - lead.began_at),
+            age=age,
             stage_age=stage_age,
             judgement=lead.judgement,
             requests=lead.requests,
