--- a/src/wardstair/decisions/quota.py
+++ b/src/wardstair/decisions/quota.py
@@ -124,14 +124,14 @@
     return available * SHARED_FRACTION * own / (own + view.others)
 
 
-def whole_window(count: int, counted: float) -> int:
-    """Return the events of a window, from those of its latest part.
+def extrapolate(count: int, fraction: float) -> int:
+    """Return the expected events of a window, from those of its latest part.
 
     Args:
         count: Events counted.
-        counted: Fraction of the window for which events were counted.
+        fraction: Fraction of the window for which events were counted.
     """
-    return round(count / min(max(counted, MIN_COUNTED_FRACTION), 1.0))
+    return round(count / min(max(fraction, MIN_COUNTED_FRACTION), 1.0))
 
 
 def rounded_at_random(requests: float, chance: float) -> int:
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -432,8 +432,9 @@
     ) -> Reply | None:
         """Send to the next upstream; return a reply if none is left."""
         is_late = progress.until - time.monotonic() < MIN_SEND_SECONDS
-        # Upstreams that decline a request must not get it from a peer either.
+        # A request of a peer may have used up its attempts there.
         is_spent = progress.sends >= progress.route.max_attempts
+        # Upstreams that decline a request must not get it from a peer either.
         if (
             is_late
             or is_spent
--- a/src/wardstair/gateway/quotas.py
+++ b/src/wardstair/gateway/quotas.py
@@ -9,8 +9,8 @@
     QuotaBound,
     SlidingCount,
     allowed_requests,
+    extrapolate,
     rounded_at_random,
-    whole_window,
 )
 from wardstair.decisions.ranking import unit_hash
 from wardstair.fleet.demand import DemandTable, number_of
@@ -142,7 +142,7 @@
         """
         now = self.clock()
         counts = {
-            usage.number: self._whole(usage.offered, now)
+            usage.number: self._extrapolated(usage.offered, now)
             for usage in self._usages.values()
         }
         return {number: count for number, count in counts.items() if count}
@@ -151,8 +151,8 @@
         """Return the refused requests, by the organisation's number."""
         now = self.clock()
         refused = {
-            usage.number: self._whole(usage.offered, now)
-            - self._whole(usage.admitted, now)
+            usage.number: self._extrapolated(usage.offered, now)
+            - self._extrapolated(usage.admitted, now)
             for usage in self._usages.values()
         }
         return {number: count for number, count in refused.items() if count > 0}
@@ -161,7 +161,7 @@
         """Record the demand of this host at the time of a report."""
         now = self.clock()
         for usage in self._usages.values():
-            usage.reported.append(self._whole(usage.offered, now))
+            usage.reported.append(self._extrapolated(usage.offered, now))
 
     def forget(self, names: Mapping[str, Organisation]) -> None:
         """Drop the counts of organisations that no longer exist.
@@ -199,17 +199,17 @@
         others = self.table.others.get(usage.number, 0)
         admitted = others - self.table.refused.get(usage.number, 0)
         return DemandView(
-            own=self._whole(usage.offered, now),
+            own=self._extrapolated(usage.offered, now),
             earlier=usage.reported[0],
             others=others,
-            admitted=admitted + self._whole(usage.admitted, now),
+            admitted=admitted + self._extrapolated(usage.admitted, now),
             reserved=self.table.reserved.get(usage.number, 0.0),
             assumed_hosts=self.assumed_hosts(),
             is_starting=self._counted_fraction(now) < 1,
         )
 
-    def _whole(self, counter: SlidingCount, now: float) -> int:
-        return whole_window(counter.count(now), self._counted_fraction(now))
+    def _extrapolated(self, counter: SlidingCount, now: float) -> int:
+        return extrapolate(counter.count(now), self._counted_fraction(now))
 
     def _counted_fraction(self, now: float) -> float:
         """Return the fraction of a window for which this host has counted."""
