--- a/tests/unit/test_resends.py
+++ b/tests/unit/test_resends.py
@@ -34,6 +34,13 @@
         FailingService(
             restarts=[Restarts(9.5 + 0.2 * n, share=0.1) for n in range(30)],
         ),
+        FailingService(hosts=6, restarts=[Restarts(10.8)]),
+        FailingService(
+            hosts=1200,
+            requests_per_second=2000,
+            restarts=[Restarts(10.3), Restarts(14.3)],
+            seconds=20,
+        ),
         FailingService(
             hosts=88,
             requests_per_second=663,
