--- a/review/1/case.py
+++ b/review/1/case.py
@@ -19,7 +19,7 @@
 MEMORY_MB = 200
 MEMORY_KILOBYTES = MEMORY_MB * 1024
 # `max_body_bytes` of the configuration is 67,108,864.
-LARGE_BODIES = (20_000_000, 30_000_000, *(40_000_000,) * 8)
+LARGE_BODIES = (20_000_000, 30_000_000, *(41_500_000,) * 8)
 ORDINARY_BODY = 65_536
 CLIENTS = 12
 # More closed connections than this break the rule.
