Free bodies as soon as their exchange with an upstream ends

Cause: each exchange is a reference cycle. The reader of the answer refers to its httptools parser, the parser holds bound methods of the reader. The reader also holds the function that recognises the answer, with it the request and its body, and the future with the answer. Only a garbage collection of the oldest generation frees them, which may be thousands of requests away.

Evidence: with collection off, three uploads of 3 MB left three requests, three readers and three answers alive; gc.get_referrers names the parser's bound methods. Ruled out: tasks, progress records, caller connections (none was alive).

The reader now drops its parser when the exchange ends or the connection is lost, so counting references is enough.

--- a/src/wardstair/connection/upstream.py
+++ b/src/wardstair/connection/upstream.py
@@ -163,10 +163,12 @@
         self._reading = None
         if reading is not None:
             reading.fail(BreakReason.reset if exc else BreakReason.closed)
+            reading.detach()
         self._on_closed(self)
 
     def _settle(self, reading: '_Reading') -> None:
         self._reading = None
+        reading.detach()
         self.has_served = True
         self.idle_since = time.monotonic()
         if not reading.is_clean:
@@ -197,14 +199,23 @@
         self._field_bytes = 0
         self._fields = 0
         self._chunk_bytes = 0
-        self._parser = HttpResponseParser(self)
+        self._parser: HttpResponseParser | None = HttpResponseParser(self)
         self._begin()
 
+    def detach(self) -> None:
+        """Drop the parser, which refers back to this object.
+
+        The cycle would keep the bodies of request and answer in memory until a
+        garbage collection.
+        """
+        self._parser = None
+
     def feed(self, data: bytes) -> None:
         if not self._take_bytes(len(data)):
             self.fail(BreakReason.no_memory)
             return
         self._received_bytes += len(data)
+        assert self._parser is not None
         try:
             self._parser.feed_data(data)
         except HttpParserError:
@@ -247,6 +258,7 @@
     def on_headers_complete(self) -> None:
         if self.ended.done():
             return
+        assert self._parser is not None
         self._status = self._parser.get_status_code()
         self._is_mismatched = self._is_mismatched_head()
         if self._is_mismatched:
