Keep a body once, in segments, from its receipt to its sending

Bodies of 60 MB and more got 503 there at any time, for good, while Retry-After said half a second. Hosts of 300 MiB reached 323 to 471 MiB.

An answer grew in one bytearray and was copied to bytes and again behind its head. A request or answer of a peer was copied by tornado, by cbor2 and once more. The capacity allowed for three copies, so it was too large for what was accepted and too small for what a host could hold.

Now a long body is a sequence of segments that nobody joins: it is hashed, encoded for a peer and written segment by segment, only as fast as the transport takes them, to upstreams (pause_writing) and to callers (tornado's buffer keeps views). Short pieces are joined into segments of 64 KiB, since a chunked body may come a byte at a time. The capacity is all memory beyond the base; a body counts its length, an eighth for the allocator and up to 256 KiB for the buffers of its two connections. A body of known length is reserved whole when it begins, so it is refused at once or received to its end. The rest of a body that an upstream answers before reading it all stays counted, and its connection is not used before it is sent.

--- a/src/wardstair/connection/pool.py
+++ b/src/wardstair/connection/pool.py
@@ -149,12 +149,18 @@
             return None
         now = time.monotonic()
         limit = self._idle_limit(now, is_once=is_once)
-        while held.idle:
+        sending = []
+        found = None
+        while held.idle and found is None:
             connection = held.idle.pop()
-            if _is_usable(connection, now, limit):
-                return connection
-            connection.close()
-        return None
+            if connection.has_unsent:
+                sending.append(connection)
+            elif _is_usable(connection, now, limit):
+                found = connection
+            else:
+                connection.close()
+        held.idle.extend(sending)
+        return found
 
     def has_idle(self, name: str, *, is_once: bool) -> bool:
         """Return whether a connection could be borrowed.
@@ -168,7 +174,10 @@
             return False
         now = time.monotonic()
         limit = self._idle_limit(now, is_once=is_once)
-        return any(_is_usable(one, now, limit) for one in held.idle)
+        return any(
+            _is_usable(one, now, limit) and not one.has_unsent
+            for one in held.idle
+        )
 
     async def connect(
         self,
--- a/src/wardstair/connection/upstream.py
+++ b/src/wardstair/connection/upstream.py
@@ -8,12 +8,19 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 
 from httptools import HttpParserError, HttpResponseParser
 
+from wardstair.connection.segments import (
+    SEGMENT_BYTES,
+    Body,
+    BodyBuffer,
+    Piece,
+    split,
+)
 from wardstair.connection.silence import notice_silence
 
 # Maximum number of bytes of one exchange that are no body: status lines, header
@@ -62,7 +69,7 @@
     status: int
     reason: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: Body
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +99,18 @@
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._reading: _Reading | None = None
+        # Parts of the request that the transport has no room for yet.
+        self._unsent: Iterator[Piece] | None = None
+        self._is_writable = True
+        self._on_sent: Callable[[], None] | None = None
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of the last request is not sent yet.
+
+        An upstream may answer before it has read the whole body.
+        """
+        return self._unsent is not None
 
     @property
     def is_open(self) -> bool:
@@ -102,7 +121,7 @@
     def send(
         self,
         head: bytes,
-        body: bytes,
+        body: Body,
         *,
         is_own: Callable[[Pairs], bool],
         is_head_only: bool,
@@ -123,9 +142,34 @@
         assert self._transport is not None
         assert self._reading is None
         self._reading = _Reading(is_own, take_bytes, is_head_only=is_head_only)
-        self._transport.write(head + body if body else head)
+        if isinstance(body, bytes) and len(body) <= SEGMENT_BYTES:
+            self._transport.write(head + body if body else head)
+            return self._reading.ended
+        self._unsent = split(body)
+        self._transport.write(head)
+        self._send_on()
         return self._reading.ended
 
+    def after_sent(self, callback: Callable[[], None]) -> None:
+        """Call a function once nothing of the request is left to be sent.
+
+        Args:
+            callback: Called once, also if the connection closes before.
+        """
+        if not self.has_unsent:
+            callback()
+            return
+        self._on_sent = callback
+
+    def pause_writing(self) -> None:
+        """Send nothing while the transport has enough to send."""
+        self._is_writable = False
+
+    def resume_writing(self) -> None:
+        """Send the next parts of a request."""
+        self._is_writable = True
+        self._send_on()
+
     def close(self) -> None:
         """Close at once; a request already sent may still run."""
         self.is_reusable = False
@@ -159,6 +203,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the running exchange."""
         self.is_reusable = False
+        self._end_sending()
         reading = self._reading
         self._reading = None
         if reading is not None:
@@ -166,6 +211,24 @@
             reading.detach()
         self._on_closed(self)
 
+    def _send_on(self) -> None:
+        unsent = self._unsent
+        if unsent is None or self._transport is None:
+            return
+        while self._is_writable and not self._transport.is_closing():
+            piece = next(unsent, None)
+            if piece is None:
+                self._end_sending()
+                return
+            self._transport.write(piece)
+
+    def _end_sending(self) -> None:
+        self._unsent = None
+        on_sent = self._on_sent
+        self._on_sent = None
+        if on_sent is not None:
+            on_sent()
+
     def _settle(self, reading: '_Reading') -> None:
         self._reading = None
         reading.detach()
@@ -286,7 +349,7 @@
         if self._body_bytes > MAX_BODY_BYTES:
             self._fail_endless()
         if not self.ended.done() and not self._is_mismatched:
-            self._body += body
+            self._body.append(body)
 
     def on_message_complete(self) -> None:
         if self.ended.done() or self._status < _MIN_FINAL_STATUS:
@@ -300,8 +363,7 @@
         self._status = 0
         self._reason = b''
         self._headers: list[tuple[str, str]] = []
-        # Not a list of pieces, which may be as short as a byte each.
-        self._body = bytearray()
+        self._body = BodyBuffer()
         self._in_body = False
         self._is_mismatched = False
         self._ends_with_stream = False
@@ -335,6 +397,6 @@
                 self._status,
                 self._reason.decode('latin-1'),
                 tuple(self._headers),
-                bytes(self._body),
+                self._body.take(),
             )
         )
--- a/src/wardstair/decisions/request_identity.py
+++ b/src/wardstair/decisions/request_identity.py
@@ -7,6 +7,7 @@
 same and identify the caller.
 """
 
+from collections.abc import Iterable
 from hashlib import blake2b
 
 # Size of the digest. A cryptographic hash prevents a caller from producing the
@@ -21,7 +22,7 @@
     method: str,
     host: str,
     target: str,
-    body: bytes,
+    body: Iterable[bytes | bytearray],
     headers: tuple[tuple[str, str], ...] = (),
     organisation: str = '',
 ) -> str:
@@ -31,7 +32,7 @@
         method: HTTP method.
         host: Host name, lower case, without a port.
         target: Path and query, as sent.
-        body: The whole body.
+        body: The segments of the whole body.
         headers: Headers that are forwarded to an upstream.
         organisation: Name of the organisation that is sent to the upstream;
             empty if none is sent.
@@ -45,5 +46,6 @@
     head = '\0'.join((method, host, target, *sorted(caller)))
     digest = blake2b(head.encode(), digest_size=IDENTITY_BYTES)
     digest.update(b'\0')
-    digest.update(body)
+    for segment in body:
+        digest.update(segment)
     return digest.hexdigest()
--- a/src/wardstair/fleet/peer_requests.py
+++ b/src/wardstair/fleet/peer_requests.py
@@ -5,13 +5,22 @@
 """
 
 from dataclasses import dataclass
-from typing import Any
+from io import BytesIO
+from typing import IO, Any, cast
 
 import cbor2
 
+from wardstair.connection.segments import Body, body_of, segments_of
+from wardstair.fleet.segment_reader import SegmentReader
+
 _FORMAT = 2
-# Position of the sends in an answer.
+# Positions in the rows.
+_REQUEST_BODY = 7
+_ANSWER_BODY = 4
 _SENDS = 8
+# Major types (RFC 8949, 3.1).
+_CBOR_BYTES = 2
+_CBOR_ARRAY = 4
 _DECODE_ERRORS = (
     cbor2.CBORDecodeError,
     ValueError,
@@ -50,7 +59,7 @@
     host: str
     key: str | None
     headers: Pairs
-    body: bytes
+    body: Body
     seconds: float
     organisation: str
     service: str
@@ -95,16 +104,16 @@
     status: int
     reason: str
     headers: Pairs
-    body: bytes
+    body: Body
     is_own: bool
     lost: tuple[str, ...] = ()
     notices: tuple[PeerNotice, ...] = ()
     sends: int = 0
 
 
-def encode_request(request: PeerRequest) -> bytes:
+def encode_request(request: PeerRequest) -> Body:
     """Encode a request."""
-    return cbor2.dumps(
+    return _encode_row(
         [
             _FORMAT,
             request.request_id,
@@ -113,7 +122,9 @@
             request.host,
             request.key,
             request.headers,
-            request.body,
+        ],
+        request.body,
+        [
             request.seconds,
             request.organisation,
             request.service,
@@ -125,10 +136,10 @@
     )
 
 
-def decode_request(document: bytes) -> PeerRequest | None:
+def decode_request(document: Body) -> PeerRequest | None:
     """Decode a request; return None if it is not valid."""
     try:
-        row = cbor2.loads(document)
+        row = _decode_row(document, _REQUEST_BODY)
         if row[0] != _FORMAT:
             return None
         return PeerRequest(
@@ -138,7 +149,7 @@
             host=str(row[4]),
             key=None if row[5] is None else str(row[5]),
             headers=_pairs(row[6]),
-            body=bytes(row[7]),
+            body=row[7],
             seconds=float(row[8]),
             organisation=str(row[9]),
             service=str(row[10]),
@@ -151,15 +162,31 @@
         return None
 
 
-def encode_answer(answer: PeerAnswer) -> bytes:
+def request_id_of(beginning: Body) -> str:
+    """Return the id of a request that was not received to its end.
+
+    Args:
+        beginning: The first bytes of the encoded request.
+
+    Returns:
+        The id; empty if these bytes do not hold it.
+    """
+    reader = SegmentReader(segments_of(beginning))
+    decoder = _decoder_of(reader)
+    try:
+        reader.read_length(_CBOR_ARRAY)
+        _, request_id = decoder.decode(), decoder.decode()
+    except _DECODE_ERRORS:
+        return ''
+    return str(request_id)
+
+
+def encode_answer(answer: PeerAnswer) -> Body:
     """Encode an answer."""
-    return cbor2.dumps(
+    return _encode_row(
+        [_FORMAT, answer.status, answer.reason, answer.headers],
+        answer.body,
         [
-            _FORMAT,
-            answer.status,
-            answer.reason,
-            answer.headers,
-            answer.body,
             answer.is_own,
             answer.lost,
             [
@@ -171,17 +198,17 @@
     )
 
 
-def decode_answer(document: bytes) -> PeerAnswer | None:
+def decode_answer(document: Body) -> PeerAnswer | None:
     """Decode an answer; return None if it is not valid."""
     try:
-        row = cbor2.loads(document)
+        row = _decode_row(document, _ANSWER_BODY)
         if row[0] != _FORMAT:
             return None
         return PeerAnswer(
             status=int(row[1]),
             reason=str(row[2]),
             headers=_pairs(row[3]),
-            body=bytes(row[4]),
+            body=row[4],
             is_own=bool(row[5]),
             lost=tuple(str(group) for group in row[6]),
             notices=tuple(_notice(fields) for fields in row[7]),
@@ -192,6 +219,40 @@
         return None
 
 
+def _encode_row(before: list[Any], body: Body, after: list[Any]) -> Body:
+    """Encode a row as `cbor2.dumps` does, without a copy of its body."""
+    head = BytesIO()
+    encoder = cbor2.CBOREncoder(head)
+    encoder.encode_length(_CBOR_ARRAY, len(before) + 1 + len(after))
+    for field in before:
+        encoder.encode(field)
+    encoder.encode_length(_CBOR_BYTES, len(body))
+    tail = b''.join(cbor2.dumps(field) for field in after)
+    return body_of((head.getvalue(), *segments_of(body), tail))
+
+
+def _decode_row(document: Body, body_index: int) -> list[Any]:
+    """Decode a row; the segments of its body are kept as they are.
+
+    Raises:
+        cbor2.CBORDecodeError: The bytes are no CBOR.
+        ValueError: They are no row with a body at this place.
+    """
+    reader = SegmentReader(segments_of(document))
+    decoder = _decoder_of(reader)
+    length = reader.read_length(_CBOR_ARRAY)
+    return [
+        reader.take(reader.read_length(_CBOR_BYTES))
+        if index == body_index
+        else decoder.decode()
+        for index in range(length)
+    ]
+
+
+def _decoder_of(reader: SegmentReader) -> cbor2.CBORDecoder:
+    return cbor2.CBORDecoder(cast('IO[bytes]', reader))
+
+
 def _notice(fields: Any) -> PeerNotice:
     upstream, born, is_leaving, pause = fields
     return PeerNotice(str(upstream), int(born), bool(is_leaving), float(pause))
--- a/src/wardstair/gateway/bodies.py
+++ b/src/wardstair/gateway/bodies.py
@@ -11,9 +11,11 @@
 # Memory that a process needs apart from bodies: 40 MB with 48 upstreams, 50 MB
 # with 184, and a margin.
 BASE_BYTES = 83886080
-# A body may be in memory three times: as received chunks, joined, and in the
-# write buffer of a connection to an upstream.
-COPIES_PER_BODY = 3
+# Share of a body's length that the allocator takes up besides it.
+OVERHEAD_DIVISOR = 8
+# Most bytes of a body that are in memory a second time: in the read buffer of
+# one connection and the write buffer of another.
+TRANSFER_BYTES = 262144
 # Capacity on any host, however small.
 MIN_BYTES = 4194304
 
@@ -23,8 +25,8 @@
     """Capacity for request bodies and answers; one per process.
 
     Attributes:
-        max_bytes: Bytes that may be held.
-        held_bytes: Bytes held at present.
+        max_bytes: Bytes of memory that may be held.
+        held_bytes: Bytes of memory held at present.
     """
 
     max_bytes: int
@@ -41,6 +43,15 @@
         self.held_bytes += amount
         return True
 
+    def grow(self, length: int, to_length: int) -> bool:
+        """Reserve capacity for a body that grows; False if it is too little.
+
+        Args:
+            length: Its bytes that are counted so far.
+            to_length: Its bytes that are counted afterwards.
+        """
+        return self.reserve(memory_of(to_length) - memory_of(length))
+
     @property
     def is_short(self) -> bool:
         """Whether all capacity is in use."""
@@ -64,17 +75,17 @@
 
 
 @dataclass(slots=True)
-class AnswerLease:
-    """The part of the capacity that the answer to one send takes up.
+class MemoryLease:
+    """The part of the capacity that one body or answer takes up.
 
     Attributes:
         capacity: The capacity of the process.
-        held_bytes: Bytes held at present.
-        is_released: Whether the answer was passed on or dropped.
+        length: Bytes of the body or answer that are counted.
+        is_released: Whether it was passed on or dropped.
     """
 
     capacity: BodyCapacity
-    held_bytes: int = 0
+    length: int = 0
     is_released: bool = False
 
     def take(self, amount: int) -> bool:
@@ -83,16 +94,39 @@
         Args:
             amount: Number of bytes.
         """
-        if self.is_released or not self.capacity.reserve(amount):
+        grown = self.length + amount
+        if self.is_released or not self.capacity.grow(self.length, grown):
             return False
-        self.held_bytes += amount
+        self.length = grown
         return True
 
+    def hold(self, amount: int) -> None:
+        """Count bytes that are held in any case, beyond the capacity as well.
+
+        Args:
+            amount: Number of bytes.
+        """
+        grown = self.length + amount
+        self.capacity.hold(memory_of(grown) - memory_of(self.length))
+        self.length = grown
+
     def release(self) -> None:
-        """Release the capacity; the answer can take up no more."""
+        """Release the capacity; nothing more can be taken up."""
         self.is_released = True
-        self.capacity.release(self.held_bytes)
-        self.held_bytes = 0
+        self.capacity.release(memory_of(self.length))
+        self.length = 0
+
+
+def memory_of(length: int) -> int:
+    """Return the memory that a body takes up while it is passed on.
+
+    Args:
+        length: Its length in bytes.
+
+    Returns:
+        Bytes.
+    """
+    return length + length // OVERHEAD_DIVISOR + min(length, TRANSFER_BYTES)
 
 
 def body_capacity(memory_bytes: int) -> BodyCapacity:
@@ -101,5 +135,4 @@
     Args:
         memory_bytes: Memory that the process may use.
     """
-    left = (memory_bytes - BASE_BYTES) // COPIES_PER_BODY
-    return BodyCapacity(max(MIN_BYTES, left))
+    return BodyCapacity(max(MIN_BYTES, memory_bytes - BASE_BYTES))
--- a/src/wardstair/gateway/caller_connections.py
+++ b/src/wardstair/gateway/caller_connections.py
@@ -261,7 +261,7 @@
         refusal = request.refusal or refusals.MALFORMED
         request_id = request.request_id
         if request.refusal is not None:
-            self._listener.on_refused(request_id, request.held_bytes)
+            self._listener.on_refused(request_id, request.received_bytes)
         self._memory.release(request)
         self._listener.note_open(request)
         turn = CallerTurn(request, runs_alone=True, is_final=True)
@@ -282,11 +282,12 @@
         assert isinstance(turn, CallerTurn)
         self._memory.release_answer(turn)
         is_last = closes(self._state(), is_final=turn.is_final)
-        data = turn.request.encode(reply, is_last=is_last)
+        pieces = turn.request.encode(reply, is_last=is_last)
         if is_last:
             self._is_ending = True
         try:
-            written = self._stream.write(data)
+            for piece in pieces:
+                written = self._stream.write(piece)
         except StreamClosedError:
             # The caller disconnected before the reply was written; the close
             # callback frees what is held.
--- a/src/wardstair/gateway/caller_memory.py
+++ b/src/wardstair/gateway/caller_memory.py
@@ -1,7 +1,7 @@
 """Accounts for the memory that one connection of a caller holds."""
 
 from wardstair.decisions.pipelining import MAX_HELD_BYTES
-from wardstair.gateway.bodies import BodyCapacity
+from wardstair.gateway.bodies import BodyCapacity, memory_of
 from wardstair.gateway.caller_requests import CallerRequest, CallerTurn
 from wardstair.gateway.messages import Reply
 
@@ -32,22 +32,31 @@
 
         Args:
             request: The request that is being received.
-            amount: Number of bytes.
+            amount: Number of bytes received.
             is_first: Whether no request before it is open. Then only the host's
-                capacity limits it, as nothing else of the connection is held.
+                capacity limits it, as nothing else of the connection is held,
+                and all of a body whose length is known is reserved at once: it
+                is refused before it is received, or not at all.
         """
-        has_room = self.held_bytes + amount <= MAX_HELD_BYTES
-        if not (is_first or has_room) or not self._bodies.reserve(amount):
+        received = request.received_bytes + amount
+        needed = max(received, request.declared_bytes) if is_first else received
+        lacking = max(0, needed - request.held_bytes)
+        has_room = self.held_bytes + lacking <= MAX_HELD_BYTES
+        if not (is_first or has_room) or not self._bodies.grow(
+            request.held_bytes, request.held_bytes + lacking
+        ):
             return False
-        self.held_bytes += amount
-        request.held_bytes += amount
+        self.held_bytes += lacking
+        request.held_bytes += lacking
+        request.received_bytes = received
         return True
 
     def release(self, request: CallerRequest) -> None:
         """Release the memory of a request's body."""
-        self._bodies.release(request.held_bytes)
+        self._bodies.release(memory_of(request.held_bytes))
         self.held_bytes -= request.held_bytes
         request.held_bytes = 0
+        request.received_bytes = 0
         request.drop_body()
 
     def hold_answer(self, turn: CallerTurn, reply: Reply) -> None:
--- a/src/wardstair/gateway/caller_requests.py
+++ b/src/wardstair/gateway/caller_requests.py
@@ -3,7 +3,7 @@
 import asyncio
 import re
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
@@ -15,6 +15,7 @@
 )
 
 from wardstair.connection.pipeline import Turn
+from wardstair.connection.segments import BodyBuffer, segments_of
 from wardstair.gateway import refusals
 from wardstair.gateway.messages import Inbound, Reply
 from wardstair.platform.headers import CallerFields, decode_caller
@@ -22,6 +23,7 @@
 
 # Timeout of requests whose caller does not state one.
 DEFAULT_WAIT_SECONDS = 30.0
+Buffer = bytes | memoryview
 # Shared by the requests whose heads are not received yet.
 _NO_HEADERS = HTTPHeaders()
 _LINE_BREAK = re.compile('[\r\n]')
@@ -38,7 +40,8 @@
         parser: The parser; ends as soon as the request is complete.
         received_at: Monotonic time at which the head was received; 0 until
             then.
-        held_bytes: Bytes of the body that are held.
+        held_bytes: Bytes of the body for which memory is reserved.
+        received_bytes: Bytes of the body that are received.
         is_complete: Whether head and body are received.
         refusal: Why the body is not read; None unless it is refused.
     """
@@ -58,13 +61,14 @@
         self.parser: HTTP1Connection | None = None
         self.received_at = 0.0
         self.held_bytes = 0
+        self.received_bytes = 0
         self.is_complete = False
         self.refusal: refusals.GatewayRefusal | None = None
         self._on_head = on_head
         self._take_body = take_body
         self._line: RequestStartLine | None = None
         self._headers = _NO_HEADERS
-        self._chunks: list[bytes] = []
+        self._body = BodyBuffer()
 
     @property
     def has_head(self) -> bool:
@@ -89,6 +93,12 @@
         )
         return has_length and 'keep-alive' in options
 
+    @property
+    def declared_bytes(self) -> int:
+        """Length of the body by its header; 0 if it is not stated."""
+        length = self._headers.get('Content-Length', '')
+        return int(length) if length.isdecimal() else 0
+
     @property
     def host(self) -> str:
         """Host name, lower case, without a port."""
@@ -122,7 +132,7 @@
         """Store body bytes once they may be held."""
         taking = self._take_body(self, len(chunk))
         if taking is None:
-            self._chunks.append(chunk)
+            self._body.append(chunk)
             return None
         return self._store_later(taking, chunk)
 
@@ -150,8 +160,6 @@
         if not fields.request_id:
             return None
         wait = fields.seconds_left
-        body = b''.join(self._chunks)
-        self._chunks = []
         return Inbound(
             request_id=fields.request_id,
             method=line.method,
@@ -160,14 +168,14 @@
             host=self.host,
             key=fields.key,
             headers=fields.forwarded_headers,
-            body=body,
+            body=self._body.take(),
             received_at=self.received_at,
             seconds=DEFAULT_WAIT_SECONDS if wait is None else wait,
             api_keys=fields.api_keys,
         )
 
-    def encode(self, reply: Reply, *, is_last: bool) -> bytes:
-        """Return the bytes of an answer to this request.
+    def encode(self, reply: Reply, *, is_last: bool) -> Sequence[Buffer]:
+        """Return the bytes of an answer to this request, in pieces.
 
         If a header cannot be sent, they are those of an internal fault.
 
@@ -185,9 +193,9 @@
 
     def drop_body(self) -> None:
         """Forget the body."""
-        self._chunks = []
+        self._body.clear()
 
-    def _encode(self, reply: Reply, *, is_last: bool) -> bytes:
+    def _encode(self, reply: Reply, *, is_last: bool) -> Sequence[Buffer]:
         line = self._line
         headers = HTTPHeaders()
         try:
@@ -207,12 +215,17 @@
                 raise ValueError(f'line break in a header: {one!r}')
         head = '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n'
         if line is not None and line.method == 'HEAD':
-            return head
-        return head + reply.body
+            return (head,)
+        if isinstance(reply.body, bytes):
+            return (head + reply.body,)
+        return (
+            head,
+            *[memoryview(piece) for piece in segments_of(reply.body)],
+        )
 
     async def _store_later(self, taking: Awaitable[None], chunk: bytes) -> None:
         await taking
-        self._chunks.append(chunk)
+        self._body.append(chunk)
 
     def _fields(self) -> CallerFields:
         return decode_caller(list(self._headers.get_all()))
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -163,13 +163,15 @@
         """
         progress = self._begin_peer_request(relayed)
         if progress is None:
-            return peer_refusal(refusals.STARTING, relayed, ALL_GROUPS)
+            return peer_refusal(
+                refusals.STARTING, relayed.request_id, ALL_GROUPS
+            )
         reachability = self._local_state.reachability
         if reachability.looks_silent():
             reachability.mark_suspect('silent')
         if not self._is_reachable(progress):
             lost = reachability.lost or ALL_GROUPS
-            return peer_refusal(refusals.UNREACHED, relayed, lost)
+            return peer_refusal(refusals.UNREACHED, relayed.request_id, lost)
         reply = await self._execute(progress)
         lost = reachability.lost
         if progress.history.unreachable or not reachability.is_sound:
--- a/src/wardstair/gateway/messages.py
+++ b/src/wardstair/gateway/messages.py
@@ -3,8 +3,9 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
+from wardstair.connection.segments import Body, segments_of
 from wardstair.decisions.request_identity import identity_of
-from wardstair.gateway.bodies import AnswerLease
+from wardstair.gateway.bodies import MemoryLease
 
 Pairs = tuple[tuple[str, str], ...]
 
@@ -36,7 +37,7 @@
     host: str
     key: str | None
     headers: Pairs
-    body: bytes
+    body: Body
     received_at: float
     seconds: float
     api_keys: tuple[str, ...] = field(default=(), repr=False)
@@ -53,7 +54,7 @@
             self.method,
             self.host,
             self.target,
-            self.body,
+            segments_of(self.body),
             self.headers,
             self.organisation,
         )
@@ -76,9 +77,9 @@
     status: int
     reason: str
     headers: Pairs
-    body: bytes
+    body: Body
     is_own: bool = False
-    lease: AnswerLease | None = field(default=None, compare=False)
+    lease: MemoryLease | None = field(default=None, compare=False)
 
     def release(self) -> None:
         """Release the capacity for its body, as it was passed on or dropped."""
--- a/src/wardstair/gateway/peer_forwarding.py
+++ b/src/wardstair/gateway/peer_forwarding.py
@@ -29,7 +29,7 @@
     decode_answer,
     encode_request,
 )
-from wardstair.gateway.bodies import AnswerLease
+from wardstair.gateway.bodies import MemoryLease
 from wardstair.gateway.peer_notices import apply_notices
 from wardstair.gateway.settings import LiveSettings
 from wardstair.process.log import log_event
@@ -145,7 +145,7 @@
         self,
         make_request: Callable[[], PeerRequest],
         regions: frozenset[str],
-        lease: AnswerLease,
+        lease: MemoryLease,
     ) -> HopOutcome:
         """Forward a request and wait for the outcome.
 
@@ -209,7 +209,7 @@
         self,
         peer: PeerCandidate,
         make_request: Callable[[], PeerRequest],
-        lease: AnswerLease,
+        lease: MemoryLease,
     ) -> HopOutcome:
         started = time.monotonic()
         connection = await self._connection(peer.name)
@@ -251,7 +251,7 @@
         name: str,
         connection: UpstreamConnection,
         request: PeerRequest,
-        lease: AnswerLease,
+        lease: MemoryLease,
     ) -> PeerAnswer | None:
         body = encode_request(request)
         exchange = connection.send(
--- a/src/wardstair/gateway/peer_messages.py
+++ b/src/wardstair/gateway/peer_messages.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from wardstair.fleet.peer_requests import PeerAnswer, PeerNotice, PeerRequest
-from wardstair.gateway.bodies import AnswerLease
+from wardstair.gateway.bodies import MemoryLease
 from wardstair.gateway.messages import Inbound, Reply
 from wardstair.gateway.refusals import GatewayRefusal
 from wardstair.gateway.request_progress import RequestProgress
@@ -83,7 +83,7 @@
     )
 
 
-def reply_of(answer: PeerAnswer, lease: AnswerLease | None) -> Reply:
+def reply_of(answer: PeerAnswer, lease: MemoryLease | None) -> Reply:
     """Return the reply to a caller whose request a peer has answered.
 
     Args:
@@ -102,14 +102,14 @@
 
 def peer_refusal(
     refusal: GatewayRefusal,
-    relayed: PeerRequest,
+    request_id: str,
     lost: frozenset[str] = frozenset(),
 ) -> PeerAnswer:
     """Return the answer that refuses a request of a peer.
 
     Args:
         refusal: The refusal.
-        relayed: The request.
+        request_id: The caller's id of the request.
         lost: Groups of upstreams that this host cannot reach.
     """
-    return peer_answer_of(refusal.reply(relayed.request_id), lost)
+    return peer_answer_of(refusal.reply(request_id), lost)
--- a/src/wardstair/gateway/peer_server.py
+++ b/src/wardstair/gateway/peer_server.py
@@ -4,16 +4,19 @@
 import contextlib
 from collections.abc import Awaitable, Callable
 
-from tornado.web import RequestHandler
+from tornado.iostream import StreamClosedError
+from tornado.web import RequestHandler, stream_request_body
 
+from wardstair.connection.segments import BodyBuffer, split
 from wardstair.fleet.peer_requests import (
     PeerAnswer,
     PeerRequest,
     decode_request,
     encode_answer,
+    request_id_of,
 )
 from wardstair.gateway import refusals
-from wardstair.gateway.bodies import AnswerLease, BodyCapacity
+from wardstair.gateway.bodies import BodyCapacity, MemoryLease
 from wardstair.gateway.peer_messages import peer_refusal
 
 # Returns the answer to a request; cancelled if the peer that forwarded it gives
@@ -51,30 +54,21 @@
 
     async def serve(self, relayed: PeerRequest) -> PeerAnswer:
         """Serve a request, or refuse it."""
-        size = len(relayed.body)
-        if self.is_stopping or not self._bodies.reserve(size):
-            return peer_refusal(refusals.NO_MEMORY, relayed)
+        if self.is_stopping:
+            return peer_refusal(refusals.NO_MEMORY, relayed.request_id)
         self.taken += 1
         self._open += 1
         self._is_idle.clear()
         try:
             return await self._serve(relayed)
         finally:
-            self._bodies.release(size)
             self._open -= 1
             if not self._open:
                 self._is_idle.set()
 
-    def hold(self, amount: int) -> AnswerLease:
-        """Return a lease for an answer that is passed on to a peer.
-
-        Args:
-            amount: Number of bytes.
-        """
-        lease = AnswerLease(self._bodies)
-        # It is in memory already, and was counted until now.
-        lease.take(amount)
-        return lease
+    def lease(self) -> MemoryLease:
+        """Return a lease for a request or an answer, without any bytes."""
+        return MemoryLease(self._bodies)
 
     async def wait_idle(self, seconds: float) -> None:
         """Wait until no request is open, at most for a given time.
@@ -88,6 +82,7 @@
                 await self._is_idle.wait()
 
 
+@stream_request_body
 class PeerRequestHandler(RequestHandler):
     """Handles one request of a peer."""
 
@@ -98,26 +93,66 @@
             server: Serves the requests.
         """
         self._server = server
+        self._received = BodyBuffer()
+        self._received_lease = server.lease()
+        # Whether there is no memory for the request; only its beginning is kept
+        # then, which holds its id.
+        self._is_refused = False
         self._serving: asyncio.Task[PeerAnswer] | None = None
 
+    def prepare(self) -> None:
+        """Reserve memory for the request, whose length is known."""
+        length = int(self.request.headers.get('Content-Length', 0))
+        self._is_refused = not self._received_lease.take(length)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep a piece of the request."""
+        if self._is_refused and self._received:
+            return
+        self._received.append(chunk)
+
     async def post(self) -> None:
         """Serve the request and send its answer."""
-        relayed = decode_request(self.request.body)
+        document = self._received.take()
+        if self._is_refused:
+            request_id = request_id_of(document)
+            await self._send(peer_refusal(refusals.NO_MEMORY, request_id))
+            return
+        relayed = decode_request(document)
         if relayed is None:
             self.set_status(400)
             self.finish('send a relayed request of this version of the program')
             return
         self._serving = asyncio.ensure_future(self._server.serve(relayed))
         await asyncio.wait((self._serving,))
-        if self._serving.cancelled():
-            return
+        if not self._serving.cancelled():
+            await self._send(self._serving.result())
+
+    async def _send(self, answer: PeerAnswer) -> None:
+        pieces = encode_answer(answer)
+        lease = self._server.lease()
+        # It is in memory already, and was counted until now.
+        lease.hold(len(pieces))
         self.set_header('Content-Type', 'application/cbor')
-        answer = encode_answer(self._serving.result())
-        lease = self._server.hold(len(answer))
-        written = self.finish(answer)
-        written.add_done_callback(lambda _written: lease.release())
+        self.set_header('Content-Length', str(len(pieces)))
+        try:
+            for piece in split(pieces):
+                self.write(bytes(piece))
+                await self.flush()
+        except StreamClosedError:
+            # The peer has given up.
+            return
+        finally:
+            lease.release()
+
+    def on_finish(self) -> None:
+        """Release the memory of the request."""
+        self._received_lease.release()
 
     def on_connection_close(self) -> None:
         """Stop serving the request of a peer that has given up."""
+        super().on_connection_close()
+        self._received.clear()
+        self._received_lease.release()
         if self._serving is not None:
             self._serving.cancel()
--- a/src/wardstair/gateway/reachability.py
+++ b/src/wardstair/gateway/reachability.py
@@ -16,7 +16,7 @@
 )
 from wardstair.connection.upstream import RawAnswer, UpstreamConnection
 from wardstair.decisions.reachability import ALL, zone_group
-from wardstair.gateway.bodies import AnswerLease, BodyCapacity
+from wardstair.gateway.bodies import BodyCapacity, MemoryLease
 from wardstair.state.entries import UpstreamEntry
 from wardstair.state.local_state import LocalState
 from wardstair.state.roles import ignore
@@ -239,7 +239,7 @@
             b'',
             is_own=lambda _pairs: True,
             is_head_only=False,
-            take_bytes=AnswerLease(BodyCapacity(MAX_PROBE_BYTES)).take,
+            take_bytes=MemoryLease(BodyCapacity(MAX_PROBE_BYTES)).take,
         )
         has_answered = False
         try:
--- a/src/wardstair/gateway/request_progress.py
+++ b/src/wardstair/gateway/request_progress.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import Any
 
-from wardstair.gateway.bodies import AnswerLease, BodyCapacity
+from wardstair.gateway.bodies import BodyCapacity, MemoryLease
 from wardstair.gateway.choosing import Placement
 from wardstair.gateway.messages import Inbound
 from wardstair.gateway.outcomes import SendAttempt
@@ -90,8 +90,8 @@
     unavailable: frozenset[str] = frozenset()
     is_from_peer: bool = False
     reroute_signal: 'asyncio.Future[None] | None' = None
-    leases: list[AnswerLease] = field(default_factory=list)
-    hop_lease: AnswerLease | None = None
+    leases: list[MemoryLease] = field(default_factory=list)
+    hop_lease: MemoryLease | None = None
 
     @property
     def awaited(self) -> 'set[asyncio.Future[Any]]':
@@ -111,17 +111,17 @@
             tasks.add(self.hop)
         return tasks
 
-    def lease_of(self, bodies: BodyCapacity) -> AnswerLease:
+    def lease_of(self, bodies: BodyCapacity) -> MemoryLease:
         """Return a lease for the answer to another send.
 
         Args:
             bodies: The capacity of the process.
         """
-        lease = AnswerLease(bodies)
+        lease = MemoryLease(bodies)
         self.leases.append(lease)
         return lease
 
-    def release_answers(self, kept: AnswerLease | None) -> None:
+    def release_answers(self, kept: MemoryLease | None) -> None:
         """Release the capacity for all answers but the one that is the reply.
 
         Args:
--- a/src/wardstair/gateway/send_outcomes.py
+++ b/src/wardstair/gateway/send_outcomes.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from wardstair.connection.upstream import BreakReason, RawAnswer
-from wardstair.gateway.bodies import AnswerLease
+from wardstair.gateway.bodies import MemoryLease
 from wardstair.platform.headers import ReportedLoad, UpstreamFields
 from wardstair.state.revision import Revision
 
@@ -91,7 +91,7 @@
     fields: UpstreamFields
     seconds: float
     state: StateAtSend
-    lease: AnswerLease
+    lease: MemoryLease
 
 
 SendOutcome = (
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -19,7 +19,7 @@
     UpstreamConnection,
 )
 from wardstair.decisions.notices import UNAVAILABLE
-from wardstair.gateway.bodies import AnswerLease
+from wardstair.gateway.bodies import BodyCapacity, MemoryLease
 from wardstair.gateway.choosing import Placement
 from wardstair.gateway.distances import Distances
 from wardstair.gateway.messages import Inbound
@@ -124,7 +124,7 @@
         is_once: bool,
         is_fresh: bool,
         until: float,
-        lease: AnswerLease,
+        lease: MemoryLease,
     ) -> SendOutcome:
         """Send a request and wait for its outcome.
 
@@ -169,7 +169,7 @@
         upstream: Upstream,
         connection: UpstreamConnection,
         until: float,
-        lease: AnswerLease,
+        lease: MemoryLease,
     ) -> SendOutcome:
         if self._is_withdrawn(upstream):
             # A connection that is kept might be used for requests to the next
@@ -214,6 +214,7 @@
                 fields = decode_upstream(answer.headers)
                 if fields.keep_seconds is not None:
                     connection.keep_alive_seconds = fields.keep_seconds
+                _hold_unsent(connection, inbound, lease.capacity)
                 self._pool.give_back(upstream.name, connection)
                 outcome = _classify(answer, fields, seconds, state, lease)
                 if not isinstance(outcome, Delivered):
@@ -349,12 +350,22 @@
         return made
 
 
+def _hold_unsent(
+    connection: UpstreamConnection, inbound: Inbound, capacity: BodyCapacity
+) -> None:
+    """Count a body that the upstream has answered before reading it whole."""
+    if connection.has_unsent:
+        lease = MemoryLease(capacity)
+        lease.hold(len(inbound.body))
+        connection.after_sent(lease.release)
+
+
 def _classify(
     answer: RawAnswer,
     fields: UpstreamFields,
     seconds: float,
     state: StateAtSend,
-    lease: AnswerLease,
+    lease: MemoryLease,
 ) -> SendOutcome:
     if fields.is_not_run or answer.status == _MISDIRECTED:
         is_misdirected = answer.status == _MISDIRECTED
