Apply changed limits to connections that are open

Cause: CallerListener.limit set the limits "of connections accepted from now on"; each connection kept its parameters. The parser besides fixes the limit of a head when it begins to wait for it, at the end of the request before.

Connections now ask the listener whenever they apply a limit. A body that is on its way when the limit is lowered may still arrive, a chunked one may use a limit that is raised meanwhile. A shorter idle time counts from its adoption.

--- a/src/wardstair/gateway/caller_connections.py
+++ b/src/wardstair/gateway/caller_connections.py
@@ -10,7 +10,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, cast
 
-from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.http1connection import HTTP1Connection
 from tornado.iostream import IOStream, StreamClosedError
 
 from wardstair.connection.pipeline import Pipeline, Turn
@@ -55,7 +55,6 @@
         '_is_ending',
         '_listener',
         '_memory',
-        '_params',
         '_pipeline',
         '_reading',
         '_serving',
@@ -66,22 +65,18 @@
         self,
         listener: 'CallerListener',
         stream: IOStream,
-        params: HTTP1ConnectionParameters,
-        idle_seconds: float,
     ) -> None:
         """Create a connection that reads nothing yet.
 
         Args:
             listener: The listener that accepted it.
             stream: Its stream.
-            params: Limits for the parser.
-            idle_seconds: Longest time without an open request, up to the end of
-                the next head.
         """
         self._listener = listener
         self._stream = stream
-        self._params = params
-        self._input = CallerStream(stream, self._send_interim)
+        self._input = CallerStream(
+            stream, self._send_interim, lambda: listener.limits.header_bytes
+        )
         self._pipeline: Pipeline[Reply] = Pipeline(self._send)
         self._reading: CallerRequest | None = None
         self._memory = CallerMemory(listener.bodies)
@@ -92,7 +87,7 @@
         self._has_pipelined = False
         self._changed: asyncio.Future[None] | None = None
         self._idle_timer = IdleTimer(
-            idle_seconds, lambda: self.is_idle, stream.close
+            listener.limits.idle_seconds, lambda: self.is_idle, stream.close
         )
         self._serving: asyncio.Task[None] | None = None
 
@@ -112,6 +107,13 @@
         self._idle_timer.start()
         self._serving = asyncio.ensure_future(self._serve())
 
+    def apply_limits(self) -> None:
+        """Apply the limits of the listener, which have changed."""
+        limits = self._listener.limits
+        self._idle_timer.set_limit(limits.idle_seconds)
+        if self._reading is not None:
+            self._reading.allow_body(limits.body_bytes)
+
     def close(self) -> None:
         """Close the connection at once; open requests are cancelled."""
         self._stream.close()
@@ -159,9 +161,7 @@
         self._stream.close()
 
     async def _parse(self, request: CallerRequest) -> None:
-        parser = HTTP1Connection(
-            cast(IOStream, self._input), is_client=False, params=self._params
-        )
+        parser = HTTP1Connection(cast(IOStream, self._input), is_client=False)
         request.parser = parser
         await parser.read_response(request)
         self._interim = b''
@@ -346,6 +346,7 @@
         )
 
     def _on_head(self, request: CallerRequest) -> None:
+        request.allow_body(self._listener.limits.body_bytes)
         if not self._is_ending:
             self._listener.note_open(request)
 
--- a/src/wardstair/gateway/caller_requests.py
+++ b/src/wardstair/gateway/caller_requests.py
@@ -64,6 +64,7 @@
         self.received_bytes = 0
         self.is_complete = False
         self.refusal: refusals.GatewayRefusal | None = None
+        self._max_body_bytes = 0
         self._on_head = on_head
         self._take_body = take_body
         self._line: RequestStartLine | None = None
@@ -136,6 +137,18 @@
             return None
         return self._store_later(taking, chunk)
 
+    def allow_body(self, max_bytes: int) -> None:
+        """Allow a body of this size, unless a longer one is allowed already.
+
+        A body that is on its way when the limit is lowered may still arrive.
+
+        Args:
+            max_bytes: Its maximum size.
+        """
+        if self.has_head and self.parser is not None:
+            self._max_body_bytes = max(self._max_body_bytes, max_bytes)
+            self.parser.set_max_body_size(self._max_body_bytes)
+
     def finish(self) -> None:
         """Note that the request is complete, and end its parser.
 
--- a/src/wardstair/gateway/caller_stream.py
+++ b/src/wardstair/gateway/caller_stream.py
@@ -38,6 +38,7 @@
         '_filling',
         '_is_discarding',
         '_is_watching',
+        '_max_head_bytes',
         '_on_interim',
         '_poll',
         '_stream',
@@ -48,13 +49,16 @@
         self,
         stream: IOStream,
         on_interim: Callable[[bytes], None],
+        max_head_bytes: Callable[[], int],
     ) -> None:
         """Create the input of a connection.
 
         Args:
             stream: Stream of the connection.
             on_interim: Receives an interim response, to be sent in its turn.
+            max_head_bytes: Returns the maximum size of a request head.
         """
+        self._max_head_bytes = max_head_bytes
         self.max_buffer_size = stream.max_buffer_size
         self._stream = stream
         self._on_interim = on_interim
@@ -107,14 +111,19 @@
     def read_until_regex(
         self, regex: bytes, max_bytes: int | None = None
     ) -> Awaitable[bytes]:
-        """Read up to the end of the first match.
+        """Read a request head, up to the end of the first match.
+
+        The parser waits for a head from the end of the request before it, which
+        may be long ago; so the limit is the one in force as the head arrives,
+        and not `max_bytes`.
 
         Raises:
-            HTTPInputError: There is none within the given number of bytes.
+            HTTPInputError: There is none within the maximum size of a head.
         """
         pattern = re.compile(regex)
         return self._read_found(
-            functools.partial(self._buffer.end_of_match, pattern), max_bytes
+            functools.partial(self._buffer.end_of_match, pattern),
+            self._max_head_bytes,
         )
 
     def read_until(
@@ -126,7 +135,8 @@
             HTTPInputError: There is none within the given number of bytes.
         """
         return self._read_found(
-            functools.partial(self._buffer.end_of, delimiter), max_bytes
+            functools.partial(self._buffer.end_of, delimiter),
+            lambda: max_bytes,
         )
 
     def read_bytes(
@@ -145,7 +155,7 @@
                 return available if partial else 0
             return num_bytes
 
-        return self._read_found(find, None)
+        return self._read_found(find, lambda: None)
 
     def watch(self) -> None:
         """Notice a caller that closes while nothing is parsed."""
@@ -166,31 +176,32 @@
         self.watch()
 
     def _read_found(
-        self, find: Callable[[], int], max_bytes: int | None
+        self, find: Callable[[], int], limit: Callable[[], int | None]
     ) -> Awaitable[bytes]:
         end = find() if self._buffer else 0
         if not end:
-            return self._fill_until(find, max_bytes)
+            return self._fill_until(find, limit)
         # A future that is done lets the parser join small chunks of a body.
         taken = asyncio.get_running_loop().create_future()
         try:
-            taken.set_result(self._take(end, max_bytes))
+            taken.set_result(self._take(end, limit()))
         except HTTPInputError as error:
             taken.set_exception(error)
         return taken
 
     async def _fill_until(
-        self, find: Callable[[], int], max_bytes: int | None
+        self, find: Callable[[], int], limit: Callable[[], int | None]
     ) -> bytes:
         end = 0
         while not end:
+            max_bytes = limit()
             if max_bytes is not None and len(self._buffer) > max_bytes:
                 raise HTTPInputError(f'no end within {max_bytes} bytes')
             await self._fill()
             if self._is_discarding:
                 raise HTTPInputError('the connection ends')
             end = find()
-        return self._take(end, max_bytes)
+        return self._take(end, limit())
 
     def _take(self, end: int, max_bytes: int | None) -> bytes:
         if max_bytes is not None and end > max_bytes:
--- a/src/wardstair/gateway/callers.py
+++ b/src/wardstair/gateway/callers.py
@@ -10,19 +10,16 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
-from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.iostream import IOStream
 from tornado.tcpserver import TCPServer
 
 from wardstair.decisions.pipelining import BACK_PRESSURE, Pause
 from wardstair.gateway.bodies import BodyCapacity
 from wardstair.gateway.caller_connections import CallerConnection
+from wardstair.gateway.caller_limits import ConnectionLimits
 from wardstair.gateway.caller_requests import CallerRequest
 from wardstair.gateway.messages import Inbound, Reply
 
-# Longest time for which a connection may be idle before a configuration is
-# known, in seconds.
-DEFAULT_IDLE_SECONDS = 3600.0
 Serve = Callable[[Inbound], Awaitable[Reply]]
 # Receives the id of a request and the number of body bytes received.
 OnRefused = Callable[[str, int], None]
@@ -36,6 +33,7 @@
     Attributes:
         is_stopping: Whether the host is stopping: each connection closes after
             the answer to the last request that it has started.
+        limits: Limits of all connections, open ones as well.
         bodies: Capacity for request bodies.
         on_refused: Called for each request refused for lack of capacity.
         is_repeatable: Tells whether a request may run beside others of its
@@ -66,14 +64,13 @@
         """
         super().__init__()
         self.is_stopping = False
+        self.limits = ConnectionLimits()
         self.serve = serve
         self.bodies = bodies
         self.on_refused = on_refused
         self.is_repeatable = is_repeatable
         self.pipelined = 0
         self.pauses: Counter[Pause] = Counter()
-        self._params = HTTP1ConnectionParameters()
-        self._idle_seconds = DEFAULT_IDLE_SECONDS
         self._open_requests: set[CallerRequest] = set()
         self._connections: set[CallerConnection] = set()
         # Connections whose last answer is sent while more may be received.
@@ -86,27 +83,17 @@
         """Number of requests that are not answered yet."""
         return len(self._open_requests)
 
-    def limit(
-        self, header_bytes: int, body_bytes: int, idle_seconds: float
-    ) -> None:
-        """Set the limits of connections accepted from now on.
-
-        Args:
-            header_bytes: Maximum size of a request head.
-            body_bytes: Maximum size of a request body.
-            idle_seconds: Longest time from an answer to the end of the next
-                request head.
-        """
-        self._params = HTTP1ConnectionParameters(
-            max_header_size=header_bytes, max_body_size=body_bytes
-        )
-        self._idle_seconds = idle_seconds
+    def limit(self, limits: ConnectionLimits) -> None:
+        """Set the limits of all connections, open ones as well."""
+        if limits == self.limits:
+            return
+        self.limits = limits
+        for connection in tuple(self._connections):
+            connection.apply_limits()
 
     def handle_stream(self, stream: IOStream, address: object) -> None:
         """Serve a connection that was accepted."""
-        connection = CallerConnection(
-            self, stream, self._params, self._idle_seconds
-        )
+        connection = CallerConnection(self, stream)
         self._connections.add(connection)
         connection.start()
 
--- a/src/wardstair/gateway/idle_timer.py
+++ b/src/wardstair/gateway/idle_timer.py
@@ -42,6 +42,22 @@
         """Count the idle time from now on."""
         self._since = time.monotonic()
 
+    def set_limit(self, seconds: float) -> None:
+        """Change the longest idle time.
+
+        A shorter one counts from now on: the caller may have begun to rest
+        under the longer one.
+
+        Args:
+            seconds: Longest time for which the connection may be idle.
+        """
+        is_shorter = seconds < self._seconds
+        self._seconds = seconds
+        if is_shorter and self._handle is not None:
+            self._handle.cancel()
+            self.note_activity()
+            self._check()
+
     def cancel(self) -> None:
         """Stop the timer."""
         if self._handle is not None:
--- a/src/wardstair/gateway/listeners.py
+++ b/src/wardstair/gateway/listeners.py
@@ -3,6 +3,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
+from wardstair.gateway.caller_limits import ConnectionLimits
 from wardstair.gateway.callers import CallerListener
 from wardstair.gateway.settings import Listener
 from wardstair.version.steering import CallerLimits
@@ -45,15 +46,17 @@
         server.listen(listener.port, listener.host, backlog=BACKLOG)
 
     def limit_callers(self, limits: CallerLimits) -> None:
-        """Set the limits for caller connections accepted from now on.
+        """Set the limits for all connections of callers.
 
         Args:
             limits: Limits on sizes and times of requests.
         """
         self._callers.limit(
-            limits.header_bytes,
-            limits.body_bytes,
-            limits.idle_seconds * IDLE_FACTOR,
+            ConnectionLimits(
+                limits.header_bytes,
+                limits.body_bytes,
+                limits.idle_seconds * IDLE_FACTOR,
+            )
         )
 
     def stop_callers(self) -> None:
--- a/tests/functional/test_pipelining.py
+++ b/tests/functional/test_pipelining.py
@@ -11,6 +11,7 @@
 
 from wardstair.decisions.pipelining import MAX_PIPELINED, Pause
 from wardstair.gateway import host
+from wardstair.gateway.caller_limits import ConnectionLimits
 
 Test = Callable[[Rig], Awaitable[None]]
 
@@ -554,7 +555,7 @@
     gate, upstreams = gated(1)
 
     async def test(rig: Rig) -> None:
-        rig.gateway.callers.limit(16384, 1048576, 0.2)
+        rig.gateway.callers.limit(ConnectionLimits(idle_seconds=0.2))
         idle = await Caller.connect(rig)
         caller = await Caller.connect(rig)
         await caller.send(READ, request_id='r0')
--- a/tests/unit/test_caller_stream.py
+++ b/tests/unit/test_caller_stream.py
@@ -96,7 +96,7 @@
         received = Received()
         stream = Mock(max_buffer_size=100)
         stream.read_bytes.side_effect = [received, asyncio.Future()]
-        caller_stream = CallerStream(stream, Mock())
+        caller_stream = CallerStream(stream, Mock(), Mock())
         caller_stream.watch()
         received.set_result(b'one\r\ntwo\r\n')
         caller_stream.unwatch()
