Let long answers wait for memory instead of breaking them off

What callers saw: while a host's memory was in use, an answer that had no room was broken off, although its request had run: on a host of 200 MiB, two answers of 36 MB at once got 502, and so did one of 60 MB behind a body of 67 MB.

Cause: an answer reserved memory piece by piece and broke its exchange when none was left. Two long ones took from each other until both failed.

An answer of known length now reserves all its memory at its head. If there is too little, it first takes the memory of its own request's body, which is not needed any more: the request is then not sent again. Otherwise its connection is not read until others release theirs, first come, first served, so no two answers hold parts of what the other needs. Request bodies leave an eighth of the capacity to answers and what waiting answers are to get. An answer larger than all capacity still ends at once. A body that the host can never hold is refused at its beginning with Retry-After 0.1: another host may hold it.

--- a/src/wardstair/connection/upstream.py
+++ b/src/wardstair/connection/upstream.py
@@ -14,6 +14,7 @@
 
 from httptools import HttpParserError, HttpResponseParser
 
+from wardstair.connection.answer_memory import AnswerMemory, Reservation
 from wardstair.connection.segments import (
     SEGMENT_BYTES,
     Body,
@@ -36,8 +37,6 @@
 _MIN_FINAL_STATUS = 200
 _BODILESS_STATUSES = frozenset((204, 304))
 Pairs = Sequence[tuple[str, str]]
-# Takes up memory for received bytes; returns whether there is any left.
-TakeBytes = Callable[[int], bool]
 
 
 class BreakReason(StrEnum):
@@ -125,7 +124,7 @@
         *,
         is_own: Callable[[Pairs], bool],
         is_head_only: bool,
-        take_bytes: TakeBytes,
+        memory: AnswerMemory,
     ) -> 'asyncio.Future[ExchangeEnd]':
         """Send a request; return a future for the result of the exchange.
 
@@ -136,12 +135,14 @@
                 request.
             is_head_only: Whether the answer has no body, whatever its headers
                 say.
-            take_bytes: Called with the number of bytes of each piece of the
-                answer before it is read.
+            memory: Memory for the answer. While a long one waits for it, the
+                upstream is not read.
         """
         assert self._transport is not None
         assert self._reading is None
-        self._reading = _Reading(is_own, take_bytes, is_head_only=is_head_only)
+        self._reading = _Reading(
+            is_own, memory, self._read_on, is_head_only=is_head_only
+        )
         if isinstance(body, bytes) and len(body) <= SEGMENT_BYTES:
             self._transport.write(head + body if body else head)
             return self._reading.ended
@@ -192,6 +193,8 @@
         reading.feed(data)
         if reading.ended.done():
             self._settle(reading)
+        elif reading.is_waiting and self._transport is not None:
+            self._transport.pause_reading()
 
     def eof_received(self) -> bool:
         """Handle the end of the stream from the upstream."""
@@ -211,6 +214,10 @@
             reading.detach()
         self._on_closed(self)
 
+    def _read_on(self) -> None:
+        if self._transport is not None:
+            self._transport.resume_reading()
+
     def _send_on(self) -> None:
         unsent = self._unsent
         if unsent is None or self._transport is None:
@@ -244,7 +251,8 @@
     def __init__(
         self,
         is_own: Callable[[Pairs], bool],
-        take_bytes: TakeBytes,
+        memory: AnswerMemory,
+        read_on: Callable[[], None],
         *,
         is_head_only: bool,
     ) -> None:
@@ -252,8 +260,11 @@
             asyncio.get_running_loop().create_future()
         )
         self.is_clean = True
+        # Whether the rest of the answer waits for memory.
+        self.is_waiting = False
         self._is_own = is_own
-        self._take_bytes = take_bytes
+        self._memory = memory
+        self._read_on = read_on
         self._is_head_only = is_head_only
         # Sizes of the whole exchange.
         self._received_bytes = 0
@@ -274,7 +285,7 @@
         self._parser = None
 
     def feed(self, data: bytes) -> None:
-        if not self._take_bytes(len(data)):
+        if not self._memory.take(len(data)):
             self.fail(BreakReason.no_memory)
             return
         self._received_bytes += len(data)
@@ -328,6 +339,7 @@
             self.is_clean = False
         if not self._parser.should_keep_alive():
             self.is_clean = False
+        self._reserve()
         self._ends_with_stream = not self._has_length()
         self._in_body = True
         if self._is_head_only and not self._is_mismatched:
@@ -378,6 +390,28 @@
             return False
         return not self._is_own(self._headers)
 
+    def _reserve(self) -> None:
+        """Reserve memory for a long answer whose length is known."""
+        length = self._content_length()
+        is_long = SEGMENT_BYTES < length <= MAX_BODY_BYTES
+        if not is_long or self._is_head_only or self._is_mismatched:
+            return
+        match self._memory.reserve(length, self._on_reserved):
+            case Reservation.refused:
+                self.fail(BreakReason.no_memory)
+            case Reservation.waiting:
+                self.is_waiting = True
+
+    def _on_reserved(self) -> None:
+        self.is_waiting = False
+        self._read_on()
+
+    def _content_length(self) -> int:
+        for name, text in self._headers:
+            if name.lower() == 'content-length' and text.isdecimal():
+                return int(text)
+        return 0
+
     def _has_length(self) -> bool:
         if self._status in _BODILESS_STATUSES:
             return True
--- a/src/wardstair/gateway/bodies.py
+++ b/src/wardstair/gateway/bodies.py
@@ -6,7 +6,11 @@
 until it has been passed on; upstreams may send answers without an end.
 """
 
-from dataclasses import dataclass
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from wardstair.connection.answer_memory import Reservation
 
 # Memory that a process needs apart from bodies: 40 MB with 48 upstreams, 50 MB
 # with 184, and a margin.
@@ -18,6 +22,25 @@
 TRANSFER_BYTES = 262144
 # Capacity on any host, however small.
 MIN_BYTES = 4194304
+# Part of the capacity that only answers may use: a request that has run must
+# not lose its answer because others hold bodies.
+ANSWERS_DIVISOR = 8
+
+
+@dataclass(slots=True)
+class _Waiter:
+    """An answer that waits for memory."""
+
+    lease: 'MemoryLease'
+    length: int
+    on_made: Callable[[], None]
+
+    @property
+    def lacking_bytes(self) -> int:
+        """Bytes of memory that it waits for."""
+        if self.lease.is_released:
+            return 0
+        return memory_of(self.length) - memory_of(self.lease.length)
 
 
 @dataclass(slots=True)
@@ -31,31 +54,52 @@
 
     max_bytes: int
     held_bytes: int = 0
+    _waiters: deque[_Waiter] = field(default_factory=deque)
 
-    def reserve(self, amount: int) -> bool:
-        """Reserve capacity; return False and reserve none if it is too little.
+    @property
+    def is_short(self) -> bool:
+        """Whether all capacity is in use."""
+        return self.held_bytes >= self.max_bytes
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Bytes of memory that request bodies may take up."""
+        return self.max_bytes - self.max_bytes // ANSWERS_DIVISOR
+
+    def grow_body(self, length: int, to_length: int) -> bool:
+        """Reserve capacity for a request body; False if it is too little.
+
+        Answers that wait for memory come first, as their requests have run.
 
         Args:
-            amount: Number of bytes.
+            length: Its bytes that are counted so far.
+            to_length: Its bytes that are counted afterwards.
         """
-        if self.held_bytes + amount > self.max_bytes:
-            return False
-        self.held_bytes += amount
-        return True
+        amount = memory_of(to_length) - memory_of(length)
+        awaited = sum(one.lacking_bytes for one in self._waiters)
+        return self._reserve(amount, self.max_body_bytes - awaited)
 
-    def grow(self, length: int, to_length: int) -> bool:
-        """Reserve capacity for a body that grows; False if it is too little.
+    def grow_answer(self, length: int, to_length: int) -> bool:
+        """Reserve capacity for an answer; False if it is too little.
 
         Args:
             length: Its bytes that are counted so far.
             to_length: Its bytes that are counted afterwards.
         """
-        return self.reserve(memory_of(to_length) - memory_of(length))
+        amount = memory_of(to_length) - memory_of(length)
+        return self._reserve(amount, self.max_bytes)
 
-    @property
-    def is_short(self) -> bool:
-        """Whether all capacity is in use."""
-        return self.held_bytes >= self.max_bytes
+    def wait(
+        self, lease: 'MemoryLease', length: int, on_made: Callable[[], None]
+    ) -> None:
+        """Reserve capacity for an answer once there is enough.
+
+        Args:
+            lease: Lease of the answer.
+            length: Length of the answer in bytes.
+            on_made: Called once it is reserved.
+        """
+        self._waiters.append(_Waiter(lease, length, on_made))
 
     def hold(self, amount: int) -> None:
         """Count bytes that are held in any case, beyond the capacity as well.
@@ -72,6 +116,19 @@
             amount: Number of bytes.
         """
         self.held_bytes -= amount
+        while self._waiters:
+            first = self._waiters[0]
+            if not (first.lease.is_released or first.lease.grow(first.length)):
+                return
+            self._waiters.popleft()
+            if not first.lease.is_released:
+                first.on_made()
+
+    def _reserve(self, amount: int, most: int) -> bool:
+        if amount > 0 and self.held_bytes + amount > most:
+            return False
+        self.held_bytes += amount
+        return True
 
 
 @dataclass(slots=True)
@@ -81,12 +138,17 @@
     Attributes:
         capacity: The capacity of the process.
         length: Bytes of the body or answer that are counted.
+        received: Bytes of it that are received.
         is_released: Whether it was passed on or dropped.
+        on_short: Called before it waits for memory, to free what its request
+            no longer needs.
     """
 
     capacity: BodyCapacity
     length: int = 0
+    received: int = 0
     is_released: bool = False
+    on_short: Callable[[], None] | None = None
 
     def take(self, amount: int) -> bool:
         """Reserve capacity for received bytes; return False if none is left.
@@ -94,12 +156,50 @@
         Args:
             amount: Number of bytes.
         """
-        grown = self.length + amount
-        if self.is_released or not self.capacity.grow(self.length, grown):
+        if self.is_released or not self.grow(self.received + amount):
             return False
-        self.length = grown
+        self.received += amount
         return True
 
+    def take_body(self, amount: int) -> bool:
+        """Reserve capacity for a request body; False if it is too little.
+
+        Args:
+            amount: Its length in bytes.
+        """
+        if not self.capacity.grow_body(self.length, self.length + amount):
+            return False
+        self.length += amount
+        return True
+
+    def grow(self, length: int) -> bool:
+        """Reserve capacity for a length in all; False if it is too little."""
+        if length <= self.length:
+            return True
+        if not self.capacity.grow_answer(self.length, length):
+            return False
+        self.length = length
+        return True
+
+    def reserve(self, amount: int, on_made: Callable[[], None]) -> Reservation:
+        """Reserve capacity for the bytes of an answer that are still to come.
+
+        Args:
+            amount: Their number.
+            on_made: Called once it is reserved, if it has to wait.
+        """
+        length = self.received + amount
+        if self.grow(length):
+            return Reservation.made
+        if self.on_short is not None:
+            self.on_short()
+            if self.grow(length):
+                return Reservation.made
+        if memory_of(length) > self.capacity.max_bytes:
+            return Reservation.refused
+        self.capacity.wait(self, length, on_made)
+        return Reservation.waiting
+
     def hold(self, amount: int) -> None:
         """Count bytes that are held in any case, beyond the capacity as well.
 
@@ -113,8 +213,9 @@
     def release(self) -> None:
         """Release the capacity; nothing more can be taken up."""
         self.is_released = True
-        self.capacity.release(memory_of(self.length))
+        held = memory_of(self.length)
         self.length = 0
+        self.capacity.release(held)
 
 
 def memory_of(length: int) -> int:
--- a/src/wardstair/gateway/caller_connections.py
+++ b/src/wardstair/gateway/caller_connections.py
@@ -233,6 +233,7 @@
         inbound = request.inbound()
         if inbound is None:
             return refusals.NO_REQUEST_ID.reply('')
+        inbound.on_dropped = partial(self._memory.release, request)
         try:
             return await self._listener.serve(inbound)
         except Exception as error:
@@ -375,7 +376,10 @@
         if self._memory.reserve(request, amount, is_first=is_first):
             return True
         if is_first:
-            request.refusal = refusals.NO_MEMORY
+            is_beyond = self._memory.is_beyond(request, amount)
+            request.refusal = (
+                refusals.BODY_BEYOND_MEMORY if is_beyond else refusals.NO_MEMORY
+            )
             raise BodyRefused('the host holds as many bodies as it can')
         return False
 
--- a/src/wardstair/gateway/caller_memory.py
+++ b/src/wardstair/gateway/caller_memory.py
@@ -42,7 +42,7 @@
         needed = max(received, request.declared_bytes) if is_first else received
         lacking = max(0, needed - request.held_bytes)
         has_room = self.held_bytes + lacking <= MAX_HELD_BYTES
-        if not (is_first or has_room) or not self._bodies.grow(
+        if not (is_first or has_room) or not self._bodies.grow_body(
             request.held_bytes, request.held_bytes + lacking
         ):
             return False
@@ -51,6 +51,16 @@
         request.received_bytes = received
         return True
 
+    def is_beyond(self, request: CallerRequest, amount: int) -> bool:
+        """Return whether a body is longer than the host can ever hold.
+
+        Args:
+            request: The request that is being received.
+            amount: Number of bytes received.
+        """
+        known = max(request.received_bytes + amount, request.declared_bytes)
+        return memory_of(known) > self._bodies.max_body_bytes
+
     def release(self, request: CallerRequest) -> None:
         """Release the memory of a request's body."""
         self._bodies.release(memory_of(request.held_bytes))
--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -316,6 +316,7 @@
             and len(progress.running) == 1
             and progress.hop is None
             and progress.sends < progress.route.max_attempts
+            and not progress.inbound.is_dropped
             and not self._is_suspect(progress)
         )
 
@@ -413,7 +414,8 @@
         progress: RequestProgress,
         reason: ResendReason,
     ) -> Reply | None:
-        if progress.may_have_run and not progress.route.is_repeatable:
+        is_once = progress.may_have_run and not progress.route.is_repeatable
+        if is_once or progress.inbound.is_dropped:
             return self._give_up(progress)
         if progress.may_have_run and self._is_suspect(progress):
             # The next upstream would probably exit as well.
@@ -560,6 +562,7 @@
     def _forward_waiting(self, progress: RequestProgress) -> None:
         progress.reroute_signal = None
         may_send = progress.sends < progress.route.max_attempts
+        may_send = may_send and not progress.inbound.is_dropped
         if not (
             may_send and progress.running and self._should_forward(progress)
         ):
@@ -626,7 +629,7 @@
             service=progress.service,
             key=progress.key,
             request_id=progress.inbound.request_id,
-            body_bytes=len(progress.inbound.body),
+            body_bytes=progress.inbound.body_length,
             queue_share=self._queue_share(progress),
             regions=progress.regions,
             tried=frozenset(progress.history.upstreams)
@@ -700,7 +703,7 @@
         now = time.monotonic()
         for slower in progress.running.values():
             self._recorder.note_overdue(progress.attempt_of(slower), now)
-        bodies = len(progress.inbound.body) + len(delivered.answer.body)
+        bodies = progress.inbound.body_length + len(delivered.answer.body)
         self._chooser.work_of(progress.route).note_size(bodies)
         self._reporter.answered(progress.history, placement, delivered)
         answer = delivered.answer
--- a/src/wardstair/gateway/messages.py
+++ b/src/wardstair/gateway/messages.py
@@ -1,5 +1,6 @@
 """Requests and replies as the parts of a gateway exchange them."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import cached_property
 
@@ -28,6 +29,8 @@
         api_keys: Values of the API key headers; never sent to an upstream.
         organisation: Name of the caller's organisation; empty until the request
             is authorised, and if the organisation is unknown.
+        on_dropped: Called when the body is dropped; None if it must be kept.
+        dropped_bytes: Length of a body that was dropped, in bytes.
     """
 
     request_id: str
@@ -42,6 +45,35 @@
     seconds: float
     api_keys: tuple[str, ...] = field(default=(), repr=False)
     organisation: str = ''
+    on_dropped: Callable[[], None] | None = field(
+        default=None, repr=False, compare=False
+    )
+    dropped_bytes: int = field(default=0, compare=False)
+
+    @property
+    def is_dropped(self) -> bool:
+        """Whether the body was dropped: the request is not sent again."""
+        return self.dropped_bytes > 0
+
+    @property
+    def body_length(self) -> int:
+        """Length of the body in bytes, also after it was dropped."""
+        return self.dropped_bytes or len(self.body)
+
+    def drop_body(self) -> str:
+        """Drop the body of a request that is being answered.
+
+        Returns:
+            The identity of the request, which needs the body to be computed;
+            empty if the body is kept.
+        """
+        if self.on_dropped is None or not self.body:
+            return ''
+        identity = self.identity
+        self.dropped_bytes = len(self.body)
+        self.body = b''
+        self.on_dropped()
+        return identity
 
     @cached_property
     def identity(self) -> str:
--- a/src/wardstair/gateway/peer_forwarding.py
+++ b/src/wardstair/gateway/peer_forwarding.py
@@ -259,7 +259,7 @@
             body,
             is_own=lambda _pairs: True,
             is_head_only=False,
-            take_bytes=lease.take,
+            memory=lease,
         )
         try:
             ended = await exchange
--- a/src/wardstair/gateway/peer_server.py
+++ b/src/wardstair/gateway/peer_server.py
@@ -103,7 +103,7 @@
     def prepare(self) -> None:
         """Reserve memory for the request, whose length is known."""
         length = int(self.request.headers.get('Content-Length', 0))
-        self._is_refused = not self._received_lease.take(length)
+        self._is_refused = not self._received_lease.take_body(length)
 
     def data_received(self, chunk: bytes) -> None:
         """Keep a piece of the request."""
--- a/src/wardstair/gateway/reachability.py
+++ b/src/wardstair/gateway/reachability.py
@@ -239,7 +239,7 @@
             b'',
             is_own=lambda _pairs: True,
             is_head_only=False,
-            take_bytes=MemoryLease(BodyCapacity(MAX_PROBE_BYTES)).take,
+            memory=MemoryLease(BodyCapacity(MAX_PROBE_BYTES)),
         )
         has_answered = False
         try:
--- a/src/wardstair/gateway/refusals.py
+++ b/src/wardstair/gateway/refusals.py
@@ -143,6 +143,13 @@
     'this entry host holds as many bodies as it can; come back',
     retry_after=0.5,
 )
+# A retry over a new connection may reach an entry host with more memory.
+BODY_BEYOND_MEMORY = GatewayRefusal(
+    503,
+    RefusalKind.no_memory,
+    'the body is longer than this entry host can hold; another one may hold it',
+    retry_after=0.1,
+)
 # An unreachable upstream is taken out, or becomes usable, within about a
 # second.
 NO_UPSTREAM = GatewayRefusal(
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -3,6 +3,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass
+from functools import partial
 from itertools import count
 
 from wardstair.connection.pool import (
@@ -188,13 +189,14 @@
             self._pool.give_back(upstream.name, connection)
             return Withheld()
         head = _encode_head(inbound, upstream, until - started)
+        lease.on_short = partial(_drop_body, inbound, connection)
         state = self._state_for(upstream)
         sent = connection.send(
             head,
             inbound.body,
             is_own=lambda pairs: _is_own(pairs, inbound.request_id),
             is_head_only=inbound.method == 'HEAD',
-            take_bytes=lease.take,
+            memory=lease,
         )
         try:
             ended = await sent
@@ -350,6 +352,18 @@
         return made
 
 
+def _drop_body(inbound: Inbound, connection: UpstreamConnection) -> None:
+    """Drop a body whose request is being answered, to free its memory."""
+    identity = '' if connection.has_unsent else inbound.drop_body()
+    if identity:
+        log_event(
+            'body-dropped',
+            request=inbound.request_id,
+            content=identity,
+            bytes=inbound.dropped_bytes,
+        )
+
+
 def _hold_unsent(
     connection: UpstreamConnection, inbound: Inbound, capacity: BodyCapacity
 ) -> None:
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -238,6 +238,12 @@
         'it `ended`',
         'upstream service reason',
     ),
+    _kind(
+        'body-dropped',
+        'the answer to a request is so long that its memory was taken from the '
+        'body of the request, which is not sent again',
+        'request content bytes',
+    ),
     _kind(
         'exchange-broken',
         'an exchange ended without an answer; `content` is the same for all '
--- a/tests/functional/test_body_capacity.py
+++ b/tests/functional/test_body_capacity.py
@@ -16,7 +16,11 @@
     'answers': [[Load(answer=size * MEBIBYTE)] for size in (20, 60, 64, 64)],
     'bodies at once': [[Load(body=24 * MEBIBYTE)] * 3, [LARGEST]],
     'answers at once': [[Load(answer=24 * MEBIBYTE)] * 3],
+    'largest answers at once': [[Load(answer=MAX_BODY_BYTES)] * 2],
     'body and answer': [[Load(body=40 * MEBIBYTE, answer=40 * MEBIBYTE)]],
+    'largest body and answer': [
+        [Load(body=MAX_BODY_BYTES, answer=MAX_BODY_BYTES)]
+    ],
     'chunks': [
         [Load(body=2 * MEBIBYTE, chunk=7)],
         [Load(body=MAX_BODY_BYTES, chunk=4000)],
@@ -50,5 +54,22 @@
     assert play(tmp_path, megabytes, SERVED[name]) < megabytes
 
 
+def test_a_body_beyond_the_memory_of_a_host_is_refused_at_once(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        async with (
+            asyncio.timeout(TEST_SECONDS),
+            SmallHost(tmp_path, 128) as host,
+        ):
+            before = host.peak_mebibytes
+            answer = await host.ask(LARGEST)
+            assert answer.status == 503
+            assert float(answer.headers['retry-after']) < 0.5
+            assert host.peak_mebibytes - before < 8
+
+    asyncio.run(main())
+
+
 def test_one_body_is_in_memory_once(tmp_path: Path) -> None:
     assert play(tmp_path, 300, [[LARGEST]]) < ONE_BODY_MEBIBYTES
--- a/tests/unit/test_endless_answers.py
+++ b/tests/unit/test_endless_answers.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import itertools
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 import pytest
 
+from wardstair.connection.answer_memory import Reservation
 from wardstair.connection.upstream import (
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
@@ -63,7 +64,7 @@
             b'',
             is_own=lambda pairs: ('Foreign', '1') not in pairs,
             is_head_only=False,
-            take_bytes=self._take,
+            memory=self,
         )
 
     def play(self, pieces: Iterable[bytes], most: int) -> ExchangeEnd | None:
@@ -81,7 +82,12 @@
                 return None
         return None
 
-    def _take(self, amount: int) -> bool:
+    def reserve(
+        self, _amount: int, _on_made: Callable[[], None]
+    ) -> Reservation:
+        return Reservation.made
+
+    def take(self, amount: int) -> bool:
         self.taken += amount
         return self.taken <= self._capacity
 
