Read each object of the store alone, whatever another writer put there

Each request that was placed on an upstream with a name beyond Latin-1 got 500.

Cause: pydantic parses a whole answer before any object is validated, and its parser rejects surrogates, deep nesting and long numbers. Names were never checked.

Names have to fit a header. Rejected configurations are counted. The log writes surrogates escaped.

--- a/src/wardstair/gateway/gauges.py
+++ b/src/wardstair/gateway/gauges.py
@@ -86,6 +86,11 @@
         'Entries of the store that name no upstream, as this host read them',
         lambda: [(float(len(host.sync.unusable)), {})],
     )
+    metrics.add_count(
+        'wardstair_configurations_rejected',
+        'Times that a stored configuration was read and was not valid',
+        lambda: [(float(host.local_state.rejected_configurations), {})],
+    )
     metrics.add_gauge(
         'wardstair_requests_suspected',
         'Requests under which upstreams ended, by whether they are refused',
--- a/src/wardstair/platform/store_answers.py
+++ b/src/wardstair/platform/store_answers.py
@@ -16,6 +16,7 @@
     VersionConflict,
     WatchForgotten,
 )
+from wardstair.platform.json_reader import parse_document
 from wardstair.platform.objects import StoredObject
 from wardstair.process.log import log_warning
 from wardstair.state.revision import Revision
@@ -147,7 +148,7 @@
         answer: The answer.
     """
     try:
-        page = _Page.model_validate_json(_replace_invalid_utf8(answer.body))
+        page = parse_document(_Page, answer.body)
     except ValidationError as error:
         return Err(PlatformUnavailable(f'invalid list: {error}'))
     objects = tuple(_read_objects(kind, page.items, answer.era))
@@ -167,7 +168,7 @@
         answer: The answer.
     """
     try:
-        parsed = _Events.model_validate_json(_replace_invalid_utf8(answer.body))
+        parsed = parse_document(_Events, answer.body)
     except ValidationError as error:
         return Err(PlatformUnavailable(f'invalid events: {error}'))
     changes = [
@@ -200,15 +201,10 @@
 
 
 def _decode(answer: Answer) -> StoredObject:
-    stored = StoredObject.model_validate_json(answer.body)
+    stored = parse_document(StoredObject, answer.body)
     return stored.model_copy(update={'era': answer.era})
 
 
-def _replace_invalid_utf8(answer: bytes) -> bytes:
-    """Replace invalid UTF-8, which any writer of an object can cause."""
-    return answer.decode(errors='replace').encode()
-
-
 def _read_objects(
     kind: str,
     objects: tuple[object, ...],
--- a/src/wardstair/platform/upstream_entries.py
+++ b/src/wardstair/platform/upstream_entries.py
@@ -5,6 +5,7 @@
 listens.
 """
 
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from ipaddress import IPv4Address
@@ -33,6 +34,9 @@
 # No upstream stays cold for longer than a day.
 MAX_COLD_MILLISECONDS = 86_400_000
 _PORTS = range(1, 65536)
+# A name is sent as a header value, and between entry hosts.
+MAX_NAME_LENGTH = 512
+_NAME = re.compile(r'[!-~\xa1-\xff]+')
 _Name = Annotated[StrictStr, StringConstraints(min_length=1)]
 
 
@@ -101,6 +105,10 @@
     The entry may be in `spec` alone or divided between `spec` and `status`; the
     values in `status` take precedence.
     """
+    name = stored.metadata.name
+    if len(name) > MAX_NAME_LENGTH or not _NAME.fullmatch(name):
+        expected = f'at most {MAX_NAME_LENGTH} printable Latin-1 characters'
+        return UnusableEntry('metadata.name', expected)
     try:
         spec = _UpstreamSpec.model_validate(_merge_status(stored))
     except ValidationError as error:
@@ -109,7 +117,7 @@
         return UnusableEntry(path, first['msg'])
     host, _, port = spec.address.rpartition(':')
     return UpstreamEntry(
-        name=stored.metadata.name,
+        name=name,
         service=spec.info.service,
         host=host,
         port=int(port),
--- a/src/wardstair/process/sink.py
+++ b/src/wardstair/process/sink.py
@@ -48,7 +48,7 @@
             self.dropped += 1
             self._unreported += 1
             return
-        self._lines.append(line.encode())
+        self._lines.append(line.encode(errors='backslashreplace'))
         self._schedule(0)
 
     def flush(self) -> None:
@@ -64,7 +64,7 @@
             unreported = self._unreported
             self._unreported = 0
             line = f'event=log-lines-dropped count={unreported}\n'
-            self._write(line.encode())
+            self._write(line.encode(errors='backslashreplace'))
 
     def _write(self, text: bytes) -> bool:
         """Write bytes; queue the rest and return False if not all fit."""
--- a/src/wardstair/state/local_state.py
+++ b/src/wardstair/state/local_state.py
@@ -65,6 +65,8 @@
         on_steering: Called when a configuration version is adopted.
         reachability: Which upstreams this host can reach.
         age: Time up to which the state is known to be complete.
+        rejected_configurations: Times that a stored configuration was read and
+            was not valid.
     """
 
     clock: Callable[[], float]
@@ -83,6 +85,7 @@
     on_steering: Callable[[], None] = field(default=lambda: None)
     reachability: ReachabilityTable = field(init=False)
     age: StateAge = field(init=False)
+    rejected_configurations: int = 0
     # Listed and later dropped in this era. Their evacuation has ended, even if
     # other hosts still keep it.
     _ended_zones: frozenset[str] = frozenset()
@@ -140,6 +143,7 @@
         try:
             steering = decode_configuration(stored)
         except ConfigurationError as error:
+            self.rejected_configurations += 1
             log_warning(
                 'configuration-rejected',
                 source=source,
