Look into the buffer when a read of a caller's bytes begins

Cause: tornado requests the next bytes of a chunked body before it passes on what it has. If the connection holds as much as it may, passing on waits, and the watch on the caller reads into the buffer meanwhile. The requested read then began without a look into the buffer: it waited for bytes that were there, or found more than the 64 of a chunk's line and raised an error.

Ruled out: the order of answers and the memory of the connection; both go on when any further byte arrives.

--- a/src/wardstair/gateway/caller_stream.py
+++ b/src/wardstair/gateway/caller_stream.py
@@ -192,7 +192,9 @@
     async def _fill_until(
         self, find: Callable[[], int], limit: Callable[[], int | None]
     ) -> bytes:
-        end = 0
+        # Bytes may have come since the read was requested: the parser passes on
+        # what it has before it waits, and the connection watches meanwhile.
+        end = find()
         while not end:
             max_bytes = limit()
             if max_bytes is not None and len(self._buffer) > max_bytes:
