End a request whose body is not complete in its time

What callers saw: nothing, but a caller that stopped in the middle of a body held its connection and what it had sent for as long as it stayed connected. With a body of known length, all its memory is reserved at its beginning, so such callers could take it from others.

Cause: the idle time of a connection ends with the head of a request, and nothing limited the time behind it.

A request whose body is not complete when the caller's own time is over ends with 408, which says truly that it has not run; a later end would serve nobody. Refusals of incomplete requests are counted and logged by their reason.

Test: test_a_request_that_is_never_completed_ends_with_its_time failed before for each of its three cuts.

--- a/src/wardstair/errors.py
+++ b/src/wardstair/errors.py
@@ -26,6 +26,7 @@
     cap_reached = 'cap-reached'
     deadline_passed = 'deadline-passed'
     body_too_large = 'body-too-large'
+    incomplete = 'incomplete'
     bad_framing = 'bad-framing'
     bad_header = 'bad-header'
     upstream_failed = 'upstream-failed'
--- a/src/wardstair/gateway/caller_connections.py
+++ b/src/wardstair/gateway/caller_connections.py
@@ -139,7 +139,7 @@
             request = CallerRequest(self._on_head, self._take_body)
             self._reading = request
             await self._parse(request)
-            if self._is_ending:
+            if self._is_ending or request is not self._reading:
                 return
             if not request.is_complete:
                 self._refuse(request)
@@ -256,13 +256,22 @@
         elif task.exception() is not None:
             self._fail(task.exception())
 
+    def _expire(self, request: CallerRequest) -> None:
+        """Refuse a request that is not complete when its time is over."""
+        if request is self._reading:
+            request.refusal = refusals.INCOMPLETE
+            self._refuse(request)
+
     def _refuse(self, request: CallerRequest) -> None:
         """Refuse a request that is not read to its end, and all behind it."""
         self._reading = None
+        request.stop_expiry()
         refusal = request.refusal or refusals.MALFORMED
         request_id = request.request_id
         if request.refusal is not None:
-            self._listener.on_refused(request_id, request.received_bytes)
+            self._listener.on_refused(
+                request_id, request.received_bytes, refusal.kind
+            )
         self._memory.release(request)
         self._listener.note_open(request)
         turn = CallerTurn(request, runs_alone=True, is_final=True)
@@ -348,6 +357,10 @@
 
     def _on_head(self, request: CallerRequest) -> None:
         request.allow_body(self._listener.limits.body_bytes)
+        if request.has_body:
+            request.expiry = asyncio.get_running_loop().call_later(
+                max(request.seconds, 0), self._expire, request
+            )
         if not self._is_ending:
             self._listener.note_open(request)
 
@@ -370,7 +383,7 @@
         Raises:
             BodyRefused: No answer of this connection will free any.
         """
-        if self._is_ending:
+        if self._is_ending or request is not self._reading:
             raise BodyRefused('the connection ends')
         is_first = not self._pipeline.open_count
         if self._memory.reserve(request, amount, is_first=is_first):
@@ -403,6 +416,7 @@
     def _drop_unstarted(self) -> None:
         """Drop the request that is being received or waits for its start."""
         if self._reading is not None:
+            self._reading.stop_expiry()
             self._memory.release(self._reading)
             self._listener.note_ended(self._reading)
             self._reading = None
--- a/src/wardstair/gateway/caller_requests.py
+++ b/src/wardstair/gateway/caller_requests.py
@@ -64,6 +64,8 @@
         self.received_bytes = 0
         self.is_complete = False
         self.refusal: refusals.GatewayRefusal | None = None
+        # Ends the request unless it is complete before.
+        self.expiry: asyncio.TimerHandle | None = None
         self._max_body_bytes = 0
         self._on_head = on_head
         self._take_body = take_body
@@ -94,6 +96,17 @@
         )
         return has_length and 'keep-alive' in options
 
+    @property
+    def has_body(self) -> bool:
+        """Whether a body follows the head."""
+        return self.declared_bytes > 0 or 'Transfer-Encoding' in self._headers
+
+    @property
+    def seconds(self) -> float:
+        """Time for which the caller waits, counted from the head."""
+        wait = self._fields().seconds_left
+        return DEFAULT_WAIT_SECONDS if wait is None else wait
+
     @property
     def declared_bytes(self) -> int:
         """Length of the body by its header; 0 if it is not stated."""
@@ -155,10 +168,17 @@
         The parser would otherwise wait for the answer to be written.
         """
         self.is_complete = True
+        self.stop_expiry()
         assert self.parser is not None
         self.parser.detach()
         self.parser = None
 
+    def stop_expiry(self) -> None:
+        """Cancel the end of its time: it is complete or has ended."""
+        if self.expiry is not None:
+            self.expiry.cancel()
+            self.expiry = None
+
     def on_connection_close(self) -> None:
         """Do nothing; the connection drops its requests itself."""
 
--- a/src/wardstair/gateway/callers.py
+++ b/src/wardstair/gateway/callers.py
@@ -14,6 +14,7 @@
 from tornado.tcpserver import TCPServer
 
 from wardstair.decisions.pipelining import BACK_PRESSURE, Pause
+from wardstair.errors import RefusalKind
 from wardstair.gateway.bodies import BodyCapacity
 from wardstair.gateway.caller_connections import CallerConnection
 from wardstair.gateway.caller_limits import ConnectionLimits
@@ -21,8 +22,8 @@
 from wardstair.gateway.messages import Inbound, Reply
 
 Serve = Callable[[Inbound], Awaitable[Reply]]
-# Receives the id of a request and the number of body bytes received.
-OnRefused = Callable[[str, int], None]
+# Receives the id of a request, the body bytes received and the reason.
+OnRefused = Callable[[str, int, RefusalKind], None]
 # Tells by host name and path whether a request may run more than once.
 IsRepeatable = Callable[[str, str], bool]
 
@@ -35,7 +36,8 @@
             the answer to the last request that it has started.
         limits: Limits of all connections, open ones as well.
         bodies: Capacity for request bodies.
-        on_refused: Called for each request refused for lack of capacity.
+        on_refused: Called for each request that is refused before its body is
+            complete.
         is_repeatable: Tells whether a request may run beside others of its
             connection.
         serve: Returns the reply to a request; cancelled when the caller
@@ -59,7 +61,8 @@
             serve: Returns the reply to a request; cancelled when the caller
                 disconnects.
             bodies: Capacity for request bodies.
-            on_refused: Called for each request refused for lack of capacity.
+            on_refused: Called for each request that is refused before its body
+                is complete.
             is_repeatable: Tells whether a request may run more than once.
         """
         super().__init__()
--- a/src/wardstair/gateway/refusals.py
+++ b/src/wardstair/gateway/refusals.py
@@ -18,6 +18,7 @@
     400: 'Bad Request',
     401: 'Unauthorized',
     404: 'Not Found',
+    408: 'Request Timeout',
     429: 'Too Many Requests',
     500: 'Internal Server Error',
     502: 'Bad Gateway',
@@ -186,6 +187,11 @@
     RefusalKind.ends_upstreams,
     'upstreams ended under this request, so it is not run; do not repeat it',
 )
+INCOMPLETE = GatewayRefusal(
+    408,
+    RefusalKind.incomplete,
+    'the body was not complete within the time of the request; send it faster',
+)
 DEADLINE_PASSED = GatewayRefusal(
     504,
     RefusalKind.deadline_passed,
--- a/src/wardstair/gateway/reporting.py
+++ b/src/wardstair/gateway/reporting.py
@@ -351,18 +351,21 @@
             wait=round(over.wait, 2),
         )
 
-    def body_refused(self, request_id: str, held: int) -> None:
-        """Report a request refused for lack of capacity for its body.
+    def body_refused(
+        self, request_id: str, held: int, kind: RefusalKind
+    ) -> None:
+        """Report a request refused before its body was complete.
 
         Args:
             request_id: The caller's id of this attempt.
             held: Bytes of the body received by then.
+            kind: Why it was refused.
         """
-        self._metrics.refusals.add(RefusalKind.no_memory, '')
+        self._metrics.refusals.add(kind, '')
         if not self._other.allows(request_id, time.monotonic()):
             self._metrics.lines_thinned.add('request-unheld')
             return
-        log_event('request-unheld', request=request_id, held=held)
+        log_event('request-unheld', request=request_id, held=held, reason=kind)
 
     def caller_left(self, history: AttemptHistory) -> None:
         """Report a request whose caller disconnected before the reply."""
--- a/src/wardstair/process/events.py
+++ b/src/wardstair/process/events.py
@@ -130,8 +130,9 @@
     ),
     _kind(
         'request-unheld',
-        'refused: the memory of this host for bodies and answers is full',
-        'request held',
+        'refused before its body was complete: the memory of this host is '
+        'full (`no-memory`), or the time of the request over (`incomplete`)',
+        'request held reason',
     ),
     _kind(
         'caller-left',
--- a/tests/functional/test_cut_requests.py
+++ b/tests/functional/test_cut_requests.py
@@ -99,3 +99,24 @@
         caller.close()
 
     run(test)
+
+
+@pytest.mark.parametrize('sent', [b'', b'5\r\nbo', b'4\r\nbody\r\n'])
+def test_a_request_that_is_never_completed_ends_with_its_time(
+    sent: bytes,
+) -> None:
+    """Its connection and memory were held until the caller closed."""
+
+    async def test(rig: Rig) -> None:
+        caller = await Caller.connect(rig)
+        head = chunked('r1', b'', [1]).removesuffix(b'0\r\n\r\n')
+        caller.writer.write(head.replace(b': 9000', b': 400') + sent)
+        answer = await caller.answer()
+        assert answer.status == 408
+        assert answer.headers['connection'] == 'close'
+        caller.close()
+        await rig.until(lambda: not rig.gateway.callers.open_count)
+        assert not rig.gateway.callers.bodies.held_bytes
+        assert not [one for one in rig.upstreams[0].seen if one.request_id]
+
+    run(test)
--- a/tests/unit/test_caller_stream.py
+++ b/tests/unit/test_caller_stream.py
@@ -43,7 +43,7 @@
         self.listener = CallerListener(
             self._serve,
             BodyCapacity(1_000_000),
-            lambda _request_id, _held: None,
+            lambda _request_id, _held, _kind: None,
             lambda _host, path: path.startswith('/read/'),
         )
 
