Keep uploads to upstreams that acknowledge but read late

Cause: TCP_USER_TIMEOUT also ends a connection whose peer answers the probes for room in its closed window.

The state that the kernel tells of the connection separates the two: nothing unacknowledged and bytes to be sent is a peer without room, and the timeout is suspended then; data without an acknowledgement is a cut, and the timeout applies as before.

--- a/src/wardstair/connection/silence.py
+++ b/src/wardstair/connection/silence.py
@@ -33,14 +33,25 @@
         connected: A TCP socket.
     """
     tcp = socket.IPPROTO_TCP
-    unacknowledged = round(UNACKNOWLEDGED_SECONDS * _MILLISECONDS)
-    connected.setsockopt(tcp, socket.TCP_USER_TIMEOUT, unacknowledged)
+    set_user_timeout(connected, UNACKNOWLEDGED_SECONDS)
     connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     connected.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_SECONDS)
     connected.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_SECONDS)
     connected.setsockopt(tcp, socket.TCP_KEEPCNT, MAX_PROBES)
 
 
+def set_user_timeout(connected: _Options, seconds: float) -> None:
+    """Set the time after which unacknowledged data ends a connection.
+
+    Args:
+        connected: A TCP socket.
+        seconds: The time in seconds; 0 for the default of the system.
+    """
+    milliseconds = round(seconds * _MILLISECONDS)
+    tcp = socket.IPPROTO_TCP
+    connected.setsockopt(tcp, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
 def notice_silence_of(descriptor: int) -> None:
     """Do the same for a socket that a library owns.
 
--- a/src/wardstair/connection/upstream.py
+++ b/src/wardstair/connection/upstream.py
@@ -23,6 +23,7 @@
     split,
 )
 from wardstair.connection.silence import notice_silence
+from wardstair.connection.stalled_sends import MIN_STALLING_BYTES, StallWatch
 
 # Maximum number of bytes of one exchange that are no body: status lines, header
 # fields and trailers of all its answers, interim ones included, and framing.
@@ -102,6 +103,7 @@
         self._unsent: Iterator[Piece] | None = None
         self._is_writable = True
         self._on_sent: Callable[[], None] | None = None
+        self._stall_watch: StallWatch | None = None
 
     @property
     def has_unsent(self) -> bool:
@@ -143,6 +145,8 @@
         self._reading = _Reading(
             is_own, memory, self._read_on, is_head_only=is_head_only
         )
+        if len(body) > MIN_STALLING_BYTES:
+            self._watch_stalls(self._transport)
         if isinstance(body, bytes) and len(body) <= SEGMENT_BYTES:
             self._transport.write(head + body if body else head)
             return self._reading.ended
@@ -207,6 +211,7 @@
         """End the running exchange."""
         self.is_reusable = False
         self._end_sending()
+        self._end_stall_watch()
         reading = self._reading
         self._reading = None
         if reading is not None:
@@ -214,6 +219,19 @@
             reading.detach()
         self._on_closed(self)
 
+    def _watch_stalls(self, transport: asyncio.Transport) -> None:
+        self._end_stall_watch()
+        self._stall_watch = StallWatch(
+            transport.get_extra_info('socket'),
+            lambda: self.has_unsent or transport.get_write_buffer_size() > 0,
+            transport.abort,
+        )
+
+    def _end_stall_watch(self) -> None:
+        if self._stall_watch is not None:
+            self._stall_watch.close()
+            self._stall_watch = None
+
     def _read_on(self) -> None:
         if self._transport is not None:
             self._transport.resume_reading()
@@ -239,6 +257,8 @@
     def _settle(self, reading: '_Reading') -> None:
         self._reading = None
         reading.detach()
+        if not self.has_unsent:
+            self._end_stall_watch()
         self.has_served = True
         self.idle_since = time.monotonic()
         if not reading.is_clean:
