Find routes whose host name has capital letters

Cause: the caller's Host is turned to lower case, the configuration's was not. Host names are compared without regard to case (RFC 9110, 4.2.3).

Tests: the two cases with capital letters in the configuration failed before.

--- a/src/wardstair/platform/objects.py
+++ b/src/wardstair/platform/objects.py
@@ -457,7 +457,8 @@
     is_repeatable = route.kind == 'safe'
     return SteeredRoute(
         name=name,
-        host=route.host,
+        # Host names are compared without regard to case (RFC 9110, 4.2.3).
+        host=route.host.lower(),
         prefix=route.path_prefix,
         repeatability=(
             Repeatability.repeatable if is_repeatable else Repeatability.once
