Set one timer a connection for incomplete bodies, and decode headers once

The timer for incomplete bodies was set anew for each request with a body and its headers were decoded a second time for it. A connection now has one timer, which looks at the request being received when it fires, and a request decodes its headers once.

--- a/src/wardstair/gateway/caller_connections.py
+++ b/src/wardstair/gateway/caller_connections.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import TYPE_CHECKING, cast
@@ -29,6 +30,7 @@
     CallerTurn,
 )
 from wardstair.gateway.caller_stream import CallerStream
+from wardstair.gateway.expiry_timer import ExpiryTimer
 from wardstair.gateway.idle_timer import IdleTimer
 from wardstair.gateway.messages import Reply
 from wardstair.process.log import log_warning
@@ -48,6 +50,7 @@
     __slots__ = (
         '__weakref__',
         '_changed',
+        '_expiry',
         '_has_pipelined',
         '_idle_timer',
         '_input',
@@ -89,6 +92,7 @@
         self._idle_timer = IdleTimer(
             listener.limits.idle_seconds, lambda: self.is_idle, stream.close
         )
+        self._expiry = ExpiryTimer(self._expire)
         self._serving: asyncio.Task[None] | None = None
 
     @property
@@ -256,16 +260,22 @@
         elif task.exception() is not None:
             self._fail(task.exception())
 
-    def _expire(self, request: CallerRequest) -> None:
+    def _expire(self) -> None:
         """Refuse a request that is not complete when its time is over."""
-        if request is self._reading:
-            request.refusal = refusals.INCOMPLETE
-            self._refuse(request)
+        request = self._reading
+        if request is None or not request.has_head:
+            return
+        end = request.received_at + request.seconds
+        if time.monotonic() < end:
+            # An earlier request of the connection has set the timer.
+            self._expiry.limit(end)
+            return
+        request.refusal = refusals.INCOMPLETE
+        self._refuse(request)
 
     def _refuse(self, request: CallerRequest) -> None:
         """Refuse a request that is not read to its end, and all behind it."""
         self._reading = None
-        request.stop_expiry()
         refusal = request.refusal or refusals.MALFORMED
         request_id = request.request_id
         if request.refusal is not None:
@@ -358,9 +368,7 @@
     def _on_head(self, request: CallerRequest) -> None:
         request.allow_body(self._listener.limits.body_bytes)
         if request.has_body:
-            request.expiry = asyncio.get_running_loop().call_later(
-                max(request.seconds, 0), self._expire, request
-            )
+            self._expiry.limit(request.received_at + request.seconds)
         if not self._is_ending:
             self._listener.note_open(request)
 
@@ -401,6 +409,7 @@
         self._is_ending = True
         self._input.unwatch()
         self._idle_timer.cancel()
+        self._expiry.cancel()
         for turn in self._pipeline.clear():
             assert isinstance(turn, CallerTurn)
             self._memory.release_answer(turn)
@@ -416,7 +425,6 @@
     def _drop_unstarted(self) -> None:
         """Drop the request that is being received or waits for its start."""
         if self._reading is not None:
-            self._reading.stop_expiry()
             self._memory.release(self._reading)
             self._listener.note_ended(self._reading)
             self._reading = None
--- a/src/wardstair/gateway/caller_requests.py
+++ b/src/wardstair/gateway/caller_requests.py
@@ -42,6 +42,7 @@
             then.
         held_bytes: Bytes of the body for which memory is reserved.
         received_bytes: Bytes of the body that are received.
+        declared_bytes: Length of the body by its header; 0 if it is not stated.
         is_complete: Whether head and body are received.
         refusal: Why the body is not read; None unless it is refused.
     """
@@ -62,15 +63,15 @@
         self.received_at = 0.0
         self.held_bytes = 0
         self.received_bytes = 0
+        self.declared_bytes = 0
         self.is_complete = False
         self.refusal: refusals.GatewayRefusal | None = None
-        # Ends the request unless it is complete before.
-        self.expiry: asyncio.TimerHandle | None = None
         self._max_body_bytes = 0
         self._on_head = on_head
         self._take_body = take_body
         self._line: RequestStartLine | None = None
         self._headers = _NO_HEADERS
+        self._decoded: CallerFields | None = None
         self._body = BodyBuffer()
 
     @property
@@ -107,12 +108,6 @@
         wait = self._fields().seconds_left
         return DEFAULT_WAIT_SECONDS if wait is None else wait
 
-    @property
-    def declared_bytes(self) -> int:
-        """Length of the body by its header; 0 if it is not stated."""
-        length = self._headers.get('Content-Length', '')
-        return int(length) if length.isdecimal() else 0
-
     @property
     def host(self) -> str:
         """Host name, lower case, without a port."""
@@ -139,6 +134,8 @@
         self.received_at = time.monotonic()
         self._line = start_line
         self._headers = headers
+        length = headers.get('Content-Length', '')
+        self.declared_bytes = int(length) if length.isdecimal() else 0
         self._on_head(self)
         return None
 
@@ -168,17 +165,10 @@
         The parser would otherwise wait for the answer to be written.
         """
         self.is_complete = True
-        self.stop_expiry()
         assert self.parser is not None
         self.parser.detach()
         self.parser = None
 
-    def stop_expiry(self) -> None:
-        """Cancel the end of its time: it is complete or has ended."""
-        if self.expiry is not None:
-            self.expiry.cancel()
-            self.expiry = None
-
     def on_connection_close(self) -> None:
         """Do nothing; the connection drops its requests itself."""
 
@@ -261,7 +251,9 @@
         self._body.append(chunk)
 
     def _fields(self) -> CallerFields:
-        return decode_caller(list(self._headers.get_all()))
+        if self._decoded is None:
+            self._decoded = decode_caller(list(self._headers.get_all()))
+        return self._decoded
 
 
 class CallerTurn(Turn[Reply]):
