Keep a body while a second send of its request may still need it

What callers would see: a safe request with a body is sent twice (a hedge); while the second send is still connecting, the first gets an answer so long that its memory is taken from the body. The same held for a hop to a peer, which encodes the body once it is connected.

The number of sends without an outcome is counted, and the body is dropped only if the send that is being answered is the only one. Once a hop has begun, the body is kept.

Test: test_a_body_is_kept_while_another_send_of_it_runs failed before.

--- a/src/wardstair/gateway/forwarding.py
+++ b/src/wardstair/gateway/forwarding.py
@@ -543,6 +543,8 @@
 
     def _forward(self, progress: RequestProgress) -> None:
         progress.hops += 1
+        # The peer gets the body, which is encoded once it is connected.
+        progress.inbound.on_dropped = None
         if progress.sends == 0 and progress.is_counted:
             # The peer makes the first send and counts it.
             self._resend_budgets.drop_first(progress.service)
--- a/src/wardstair/gateway/messages.py
+++ b/src/wardstair/gateway/messages.py
@@ -31,6 +31,7 @@
             is authorised, and if the organisation is unknown.
         on_dropped: Called when the body is dropped; None if it must be kept.
         dropped_bytes: Length of a body that was dropped, in bytes.
+        open_sends: Number of sends to upstreams that have no outcome yet.
     """
 
     request_id: str
@@ -49,6 +50,7 @@
         default=None, repr=False, compare=False
     )
     dropped_bytes: int = field(default=0, compare=False)
+    open_sends: int = field(default=0, compare=False)
 
     @property
     def is_dropped(self) -> bool:
@@ -63,11 +65,13 @@
     def drop_body(self) -> str:
         """Drop the body of a request that is being answered.
 
+        It is kept while a second send runs, which may not have sent it yet.
+
         Returns:
             The identity of the request, which needs the body to be computed;
             empty if the body is kept.
         """
-        if self.on_dropped is None or not self.body:
+        if self.on_dropped is None or not self.body or self.open_sends > 1:
             return ''
         identity = self.identity
         self.dropped_bytes = len(self.body)
--- a/src/wardstair/gateway/sending.py
+++ b/src/wardstair/gateway/sending.py
@@ -149,6 +149,7 @@
             max(placement.choice.seconds, _MIN_EXPECTED_SECONDS),
             placement.cold_seconds,
         )
+        inbound.open_sends += 1
         try:
             connection = await self._connection(
                 upstream,
@@ -162,6 +163,7 @@
                     return NoConnection()
             return await self._send(inbound, upstream, connection, until, lease)
         finally:
+            inbound.open_sends -= 1
             upstream.running.pop(number, None)
 
     async def _send(
