--- a/src/wardstair/gateway/reachability.py
+++ b/src/wardstair/gateway/reachability.py
@@ -16,7 +16,11 @@
 )
 from wardstair.connection.upstream import RawAnswer, UpstreamConnection
 from wardstair.decisions.reachability import ALL, zone_group
-from wardstair.gateway.bodies import BodyCapacity, MemoryLease
+from wardstair.gateway.bodies import (
+    BodyCapacity,
+    MemoryLease,
+    memory_of,
+)
 from wardstair.state.entries import UpstreamEntry
 from wardstair.state.local_state import LocalState
 from wardstair.state.roles import ignore
@@ -239,7 +243,7 @@
             b'',
             is_own=lambda _pairs: True,
             is_head_only=False,
-            memory=MemoryLease(BodyCapacity(MAX_PROBE_BYTES)),
+            memory=MemoryLease(BodyCapacity(memory_of(MAX_PROBE_BYTES))),
         )
         has_answered = False
         try:
