--- a/review/lib-2/play.py
+++ b/review/lib-2/play.py
@@ -48,10 +48,12 @@
         deadline=3.0,
         key='1',
         name=None,
+        leaves_after=None,
     ):
         """Send a request over a new connection; return status, head, body.
 
-        The status is 0 without an answer.
+        The status is 0 without an answer. A client that leaves early closes its
+        connection after so many seconds, whatever its deadline says.
         """
         attempt = name or f'a{next(self._ids):06d}'
         self._record.note(
@@ -62,7 +64,7 @@
                 self._exchange(
                     front, target, method, body, deadline, key, attempt
                 ),
-                deadline,
+                deadline if leaves_after is None else leaves_after,
             )
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             status, head, content = 0, {}, b''
