--- a/review/6/run.py
+++ b/review/6/run.py
@@ -87,4 +87,4 @@
     return RULE_BROKEN if after * 4 < 60 else RULE_HELD
 
 
-run(main, __file__)
+run(main, Path(__file__).with_name(sys.argv[1]))
--- a/review/lib-2/endless.py
+++ b/review/lib-2/endless.py
@@ -5,6 +5,7 @@
 line for each request that it runs to standard output.
 """
 
+import os
 import socket
 import sys
 import threading
@@ -30,6 +31,8 @@
             is_faulty.set()
         elif line.strip() == 'sound':
             is_faulty.clear()
+    # The script has closed the pipe, or has ended.
+    os._exit(0)
 
 
 def read_request(connected, data):
--- a/review/lib-2/endpoints.py
+++ b/review/lib-2/endpoints.py
@@ -64,7 +64,8 @@
     def close(self):
         if self._beating is not None:
             self._beating.cancel()
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
         for task in tuple(self._tasks):
             task.cancel()
 
--- a/review/lib-2/platform_store.py
+++ b/review/lib-2/platform_store.py
@@ -36,7 +36,8 @@
         self.port = self._server.sockets[0].getsockname()[1]
 
     def close(self):
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
         for task in self._tasks:
             task.cancel()
 
